--- /dev/null
+++ b/admit/admit.c
@@ -0,0 +1,209 @@
+#include "admit/admit.h"
+
+#include <string.h>
+
+#define START_SERVICE_US 2000.0
+#define CUT 0.9
+#define WEIGHT 0.1
+#define BASE_CREEP 1.002 /* lets the base rise slowly if the instance became slower */
+enum { MAX_RETRY_MS = 5000 };
+
+void ad_init(struct ad_queue *q, const struct ad_config *cfg, uint64_t seed)
+{
+    memset(q, 0, sizeof(*q));
+    q->cfg = *cfg;
+    q->rng = rn_seed(seed);
+    q->limit = 1;
+    q->service_us = START_SERVICE_US;
+    q->gap_us = START_SERVICE_US;
+    for (int c = 0; c < AD_CLASSES; c++) {
+        for (int a = 0; a < AD_ACCOUNTS; a++)
+            q->lane[c].by[a].tail = &q->lane[c].by[a].head;
+    }
+}
+
+void ad_set_max(struct ad_queue *q, int max)
+{
+    if (q->max == 0 || q->cfg.fifo)
+        q->limit = max;
+    q->max = max;
+    if (q->limit > max)
+        q->limit = max;
+    if (q->limit < 1)
+        q->limit = 1;
+}
+
+/* How many items would be served before a new one of this class and account. */
+static int ahead_of(const struct ad_queue *q, enum ad_class cls, uint64_t account)
+{
+    if (q->cfg.fifo)
+        return q->queued;
+    int n = 0;
+    for (int c = 0; c < (int)cls; c++)
+        n += q->lane[c].n;
+    const struct ad_lane *l = &q->lane[cls];
+    int mine = l->by[account % AD_ACCOUNTS].n;
+    int fair = (mine + 1) * (l->active > 0 ? l->active : 1);
+    return n + (fair < l->n ? fair : l->n);
+}
+
+static double wait_us(const struct ad_queue *q, int ahead)
+{
+    return q->in_flight < (int)q->limit ? 0 : (ahead + 1) * q->gap_us;
+}
+
+int64_t ad_retry_ms(struct ad_queue *q)
+{
+    double ms = (q->queued + 1) * q->gap_us / 1000.0;
+    ms += ms * (double)rn_below(&q->rng, 1000) / 1000.0 + 1;
+    return ms < MAX_RETRY_MS ? (int64_t)ms : MAX_RETRY_MS;
+}
+
+bool ad_offer(struct ad_queue *q, struct ad_item *it, int64_t now, int64_t *retry_ms)
+{
+    int ahead = ahead_of(q, it->cls, it->account);
+    double done_at = (double)now + wait_us(q, ahead) + q->service_us;
+    bool late = !q->cfg.fifo && done_at > (double)it->deadline;
+    if (q->queued >= q->cfg.max_queue || late) {
+        q->refused++;
+        *retry_ms = ad_retry_ms(q);
+        return false;
+    }
+    struct ad_lane *l = &q->lane[q->cfg.fifo ? 0 : it->cls];
+    struct ad_fifo *f = &l->by[q->cfg.fifo ? 0 : it->account % AD_ACCOUNTS];
+    it->offered = now;
+    it->next = NULL;
+    *f->tail = it;
+    f->tail = &it->next;
+    if (f->n++ == 0)
+        l->active++;
+    l->n++;
+    q->queued++;
+    return true;
+}
+
+static struct ad_item *pop(struct ad_queue *q, struct ad_lane *l, struct ad_fifo *f)
+{
+    struct ad_item *it = f->head;
+    f->head = it->next;
+    if (!f->head)
+        f->tail = &f->head;
+    if (--f->n == 0)
+        l->active--;
+    l->n--;
+    q->queued--;
+    it->next = NULL;
+    return it;
+}
+
+void ad_remove(struct ad_queue *q, struct ad_item *it)
+{
+    struct ad_lane *l = &q->lane[q->cfg.fifo ? 0 : it->cls];
+    struct ad_fifo *f = &l->by[q->cfg.fifo ? 0 : it->account % AD_ACCOUNTS];
+    struct ad_item **at = &f->head;
+    while (*at && *at != it)
+        at = &(*at)->next;
+    if (!*at)
+        return;
+    *at = it->next;
+    if (f->tail == &it->next)
+        f->tail = at;
+    if (--f->n == 0)
+        l->active--;
+    l->n--;
+    q->queued--;
+    it->next = NULL;
+}
+
+/* One item per account in turn. */
+static struct ad_item *pop_lane(struct ad_queue *q, struct ad_lane *l)
+{
+    for (int k = 0; k < AD_ACCOUNTS; k++) {
+        l->turn = (l->turn + 1) % AD_ACCOUNTS;
+        if (l->by[l->turn].n)
+            return pop(q, l, &l->by[l->turn]);
+    }
+    return NULL;
+}
+
+struct ad_item *ad_pop_any(struct ad_queue *q)
+{
+    for (int c = 0; c < AD_CLASSES; c++) {
+        if (q->lane[c].n)
+            return pop_lane(q, &q->lane[c]);
+    }
+    return NULL;
+}
+
+struct ad_item *ad_next(struct ad_queue *q, int64_t now)
+{
+    if (q->queued == 0 || q->in_flight >= (int)q->limit || q->in_flight >= q->max)
+        return NULL;
+    struct ad_item *it = ad_pop_any(q);
+    q->in_flight++;
+    if (q->last_done == 0)
+        q->last_done = now;
+    return it;
+}
+
+struct ad_item *ad_hopeless(struct ad_queue *q, int64_t now, int64_t *retry_ms)
+{
+    if (q->cfg.fifo)
+        return NULL;
+    double end = (double)now + q->base_us;
+    for (int c = 0; c < AD_CLASSES; c++) {
+        struct ad_lane *l = &q->lane[c];
+        for (int a = 0; l->n && a < AD_ACCOUNTS; a++) {
+            struct ad_fifo *f = &l->by[a];
+            if (!f->n || end <= (double)f->head->deadline)
+                continue;
+            *retry_ms = ad_retry_ms(q);
+            q->given_back++;
+            return pop(q, l, f);
+        }
+    }
+    return NULL;
+}
+
+static void adjust(struct ad_queue *q, double us, int64_t now)
+{
+    if (q->base_us == 0 || us < q->base_us)
+        q->base_us = us;
+    else
+        q->base_us *= BASE_CREEP;
+    if (q->base_us > q->service_us)
+        q->base_us = q->service_us;
+    if (q->cfg.fifo)
+        return;
+    double delay = us - q->base_us;
+    if (delay > (double)q->cfg.target_us) {
+        if (now - q->cut_at < (int64_t)q->service_us)
+            return; /* one cut a round trip */
+        q->limit *= CUT;
+        q->cut_at = now;
+    } else if (q->in_flight + 1 >= (int)q->limit) {
+        q->limit += 1.0 / q->limit;
+    }
+    if (q->limit < 1)
+        q->limit = 1;
+    if (q->limit > q->max)
+        q->limit = q->max;
+}
+
+void ad_done(struct ad_queue *q, int64_t us, int64_t now)
+{
+    q->in_flight--;
+    q->served++;
+    q->service_us += WEIGHT * ((double)us - q->service_us);
+    if (q->queued > 0 && q->last_done)
+        q->gap_us += WEIGHT * ((double)(now - q->last_done) - q->gap_us);
+    else
+        q->gap_us += WEIGHT * (q->service_us / q->limit - q->gap_us);
+    q->last_done = now;
+    adjust(q, (double)us, now);
+}
+
+void ad_dropped(struct ad_queue *q)
+{
+    q->in_flight--;
+}
--- /dev/null
+++ b/caller/caller.c
@@ -0,0 +1,173 @@
+#include "caller/caller.h"
+
+#include <stdlib.h>
+
+#include <jansson.h>
+
+static const char *const kind_names[] = {"read", "write", "begin", "commit", "rollback"};
+
+const char *cl_kind_name(enum cl_kind k)
+{
+    return kind_names[k];
+}
+
+static bool get_text(const json_t *o, const char *key, char *dst, size_t cap, bool must,
+                     struct er_err *err)
+{
+    const json_t *v = json_object_get(o, key);
+    if (!v && !must)
+        return true;
+    if (!json_is_string(v))
+        return er_set(err, ER_BAD_INPUT, "%s: expected text", key);
+    struct sr_str s = {json_string_value(v), json_string_length(v)};
+    if (memchr(s.p, 0, s.len))
+        return er_set(err, ER_BAD_INPUT, "%s: holds a NUL", key);
+    if (!sr_copy(dst, cap, s))
+        return er_set(err, ER_TOO_LARGE, "%s: %zu bytes, expected under %zu", key, s.len, cap);
+    if (must && s.len == 0)
+        return er_set(err, ER_BAD_INPUT, "%s: is empty", key);
+    return true;
+}
+
+static bool get_int(const json_t *o, const char *key, int64_t lo, int64_t hi, int64_t *out,
+                    struct er_err *err)
+{
+    const json_t *v = json_object_get(o, key);
+    if (!v || json_is_null(v))
+        return true;
+    if (!json_is_integer(v) || json_integer_value(v) < lo || json_integer_value(v) > hi)
+        return er_set(err, ER_BAD_INPUT, "%s: expected a whole number %lld..%lld", key,
+                      (long long)lo, (long long)hi);
+    *out = json_integer_value(v);
+    return true;
+}
+
+static bool get_kind(const json_t *o, enum cl_kind *out, struct er_err *err)
+{
+    const char *s = json_string_value(json_object_get(o, "kind"));
+    for (int i = 0; s && i <= CL_ROLLBACK; i++) {
+        if (strcmp(s, kind_names[i]) == 0) {
+            *out = (enum cl_kind)i;
+            return true;
+        }
+    }
+    return er_set(err, ER_BAD_INPUT, "kind: expected read, write, begin, commit or rollback");
+}
+
+static bool get_stmt(const json_t *o, struct cl_request *r, struct er_err *err)
+{
+    if (r->kind != CL_READ && r->kind != CL_WRITE)
+        return true;
+    const json_t *v = json_object_get(o, "stmt");
+    size_t n = json_string_length(v);
+    if (!json_is_string(v) || n == 0)
+        return er_set(err, ER_BAD_INPUT, "stmt: expected text");
+    if (n >= CL_STMT)
+        return er_set(err, ER_TOO_LARGE, "stmt: %zu bytes, expected under %d", n, CL_STMT);
+    r->stmt = sr_alloc(n + 1);
+    memcpy(r->stmt, json_string_value(v), n);
+    return true;
+}
+
+static bool get_flag(const json_t *o, const char *key, bool *out, struct er_err *err)
+{
+    const json_t *v = json_object_get(o, key);
+    if (!v)
+        return true;
+    if (!json_is_boolean(v))
+        return er_set(err, ER_BAD_INPUT, "%s: expected true or false", key);
+    *out = json_is_true(v);
+    return true;
+}
+
+static bool parse_fields(const json_t *o, struct cl_request *r, struct er_err *err)
+{
+    int64_t priority = 0;
+    if (!get_text(o, "id", r->id, sizeof(r->id), true, err) ||
+        !get_text(o, "account", r->account, sizeof(r->account), true, err) ||
+        !get_text(o, "db", r->db, sizeof(r->db), true, err) || !get_kind(o, &r->kind, err) ||
+        !get_text(o, "token", r->token, sizeof(r->token), false, err) ||
+        !get_text(o, "txn", r->txn, sizeof(r->txn), false, err) ||
+        !get_flag(o, "repeat_safe", &r->repeat_safe, err) ||
+        !get_int(o, "age_ms", 0, INT64_MAX / 2000, &r->age_ms, err) ||
+        !get_int(o, "deadline_ms", 1, CL_MAX_DEADLINE_MS, &r->deadline_ms, err) ||
+        !get_int(o, "issued_ms", 0, INT64_MAX, &r->issued_ms, err) ||
+        !get_int(o, "priority", 0, 1, &priority, err) || !get_stmt(o, r, err))
+        return false;
+    r->priority = (int)priority;
+    if (r->txn[0] == 0 && (r->kind == CL_COMMIT || r->kind == CL_ROLLBACK))
+        return er_set(err, ER_BAD_INPUT, "txn: %s needs it", kind_names[r->kind]);
+    return true;
+}
+
+bool cl_parse(const char *text, size_t len, struct cl_request *r, struct er_err *err)
+{
+    json_error_t je;
+    memset(r, 0, sizeof(*r));
+    r->age_ms = -1;
+    r->deadline_ms = CL_DEFAULT_DEADLINE_MS;
+    json_t *o = json_loadb(text, len, JSON_REJECT_DUPLICATES, &je);
+    if (!o)
+        return er_set(err, ER_BAD_INPUT, "not JSON: %s at byte %d", je.text, je.position);
+    bool ok = json_is_object(o) ? parse_fields(o, r, err)
+                                : er_set(err, ER_BAD_INPUT, "expected a JSON object");
+    json_decref(o);
+    return ok;
+}
+
+void cl_request_free(struct cl_request *r)
+{
+    free(r->stmt);
+    r->stmt = NULL;
+}
+
+/* ---- answers ---- */
+
+/* JSON text of a string; statements may return any bytes, so what is not UTF-8 is refused by
+ * jansson and shown as empty. */
+static void put_text(struct sr_buf *out, const char *key, struct sr_str s)
+{
+    json_t *v = json_stringn(s.p, s.len);
+    char *t = v ? json_dumps(v, JSON_ENCODE_ANY) : NULL;
+    sr_buf_printf(out, ",\"%s\":", key);
+    if (t)
+        sr_buf_add(out, t, strlen(t));
+    else
+        sr_buf_add(out, "\"\"", 2);
+    free(t);
+    json_decref(v);
+}
+
+static void put_result(struct sr_buf *out, const struct cl_answer *a)
+{
+    put_text(out, "value", a->value);
+    if (a->token && a->token[0])
+        sr_buf_printf(out, ",\"token\":\"%s\"", a->token);
+    if (a->txn)
+        sr_buf_printf(out, ",\"txn\":\"%s\"", a->txn);
+    if (a->served_by)
+        sr_buf_printf(out, ",\"served_by\":\"%s\",\"replica\":%s", a->served_by,
+                      a->replica ? "true" : "false");
+    if (a->duplicate)
+        sr_buf_printf(out, ",\"duplicate\":true");
+    if (!a->durable)
+        sr_buf_printf(out, ",\"durable\":false");
+}
+
+void cl_write(struct sr_buf *out, const char *id, const struct cl_answer *a)
+{
+    enum er_answer ans = er_answer(a->kind);
+    sr_buf_printf(out, "{\"status\":\"%s\"", er_answer_name(ans));
+    put_text(out, "id", sr_from(id));
+    if (ans == ER_ANS_OK) {
+        put_result(out, a);
+    } else {
+        sr_buf_printf(out, ",\"reason\":\"%s\"", er_name(a->kind));
+        if (a->detail)
+            put_text(out, "detail", sr_from(a->detail));
+    }
+    if (ans == ER_ANS_NOT_RUN)
+        sr_buf_printf(out, ",\"retry_after_ms\":%lld",
+                      (long long)(a->retry_after_ms > 0 ? a->retry_after_ms : 1));
+    sr_buf_add(out, "}", 1);
+}
--- /dev/null
+++ b/control/agree.c
@@ -0,0 +1,192 @@
+/* The agreement core's actions: the disk, other voters, and the view. */
+#include <stdlib.h>
+
+#include "control/control.h"
+#include "misc/clock.h"
+
+static void on_send(void *ud, const struct qr_msg *m)
+{
+    struct wr_msg w = {.type = WR_QUORUM, .quorum = *m};
+    ct_send_peer(ud, m->to, &w);
+}
+
+static void on_persist(void *ud, const struct qr_persist *p)
+{
+    struct ct_node *n = ud;
+    dk_write(n->disk, p);
+}
+
+/* ---- the history of changes ---- */
+
+static void remember(struct ct_node *n, uint64_t index, const char *text)
+{
+    struct ct_past *p = &n->past[n->n_past % CT_HISTORY];
+    if (n->n_past >= CT_HISTORY)
+        n->past_floor = p->index;
+    free(p->text);
+    p->text = strdup(text);
+    p->index = index;
+    n->n_past++;
+}
+
+static void forget_all(struct ct_node *n, uint64_t floor)
+{
+    for (int i = 0; i < CT_HISTORY; i++) {
+        free(n->past[i].text);
+        n->past[i] = (struct ct_past){0};
+    }
+    n->n_past = 0;
+    n->past_floor = floor;
+}
+
+char *ct_changes_since(struct ct_node *n, uint64_t from, uint64_t *from_out)
+{
+    *from_out = from;
+    if (from == 0 || from < n->past_floor) {
+        *from_out = 0;
+        n->c.snapshots++;
+        json_t *j = vw_view_json(&n->view);
+        char *s = json_dumps(j, JSON_COMPACT);
+        json_decref(j);
+        return s;
+    }
+    struct sr_buf b = {0};
+    uint64_t first = n->n_past > CT_HISTORY ? n->n_past - CT_HISTORY : 0;
+    sr_buf_add(&b, "[", 1);
+    for (uint64_t k = first; k < n->n_past; k++) {
+        const struct ct_past *p = &n->past[k % CT_HISTORY];
+        if (p->index > from)
+            sr_buf_printf(&b, "%s[%llu,%s]", b.len > 1 ? "," : "",
+                          (unsigned long long)p->index, p->text);
+    }
+    sr_buf_add(&b, "]", 1);
+    return b.p;
+}
+
+/* ---- applying ---- */
+
+static void note_change(struct ct_node *n, const struct vw_change *ch)
+{
+    static const enum tl_kind kinds[VW_CH_COUNT] = {
+        [VW_CH_GROUP] = TL_CHANGE,   [VW_CH_REPLACE] = TL_REPLACE, [VW_CH_HAND] = TL_REPLACE,
+        [VW_CH_ABANDON] = TL_CHANGE, [VW_CH_PRIMARY] = TL_PRIMARY, [VW_CH_DRAIN] = TL_CHANGE,
+        [VW_CH_RULE] = TL_CHANGE,    [VW_CH_ADD] = TL_CHANGE,      [VW_CH_REMOVE] = TL_CHANGE,
+        [VW_CH_INTENT] = TL_INTENT,  [VW_CH_PROGRESS] = TL_INTENT};
+    if (ch->kind == VW_CH_INTENT || ch->kind == VW_CH_PROGRESS)
+        tl_add(n->tl, TL_INTENT, "", 0, "%s %s by %s: %s", vw_change_name(ch->kind),
+               ch->intent.id, ch->intent.who, vw_state_name(ch->intent.state));
+    else
+        tl_add(n->tl, kinds[ch->kind], ch->group[0] ? ch->group : ch->def.name, ch->term,
+               "%s %s", vw_change_name(ch->kind), ch->instance);
+}
+
+static void apply_change(struct ct_node *n, uint64_t index, const char *data, uint32_t len)
+{
+    struct vw_change ch;
+    struct er_err err = {0};
+    json_t *j = json_loadb(data, len, 0, NULL);
+    bool ok = j && vw_change_parse(j, &ch, &err);
+    if (!ok) {
+        FL_ERR(&n->log, "entry %llu is no change: %s", (unsigned long long)index, err.text);
+        json_decref(j);
+        return;
+    }
+    json_decref(j);
+    n->c.applied++;
+    if (vw_apply(&n->view, index, &ch, &err)) {
+        char text[VW_CHANGE_MAX + 1];
+        snprintf(text, sizeof(text), "%.*s", (int)len, data);
+        remember(n, index, text);
+        note_change(n, &ch);
+        ct_groups_sync(n);
+        if (n->leading) {
+            if (!n->force_gen) {
+                n->force_gen = index;
+                n->force_since = ck_now();
+            }
+            ct_push_view(n);
+        }
+    } else {
+        n->c.refused_changes++;
+        FL_VERBOSE(&n->log, "change %llu (%s) does not fit: %s", (unsigned long long)index,
+                   vw_change_name(ch.kind), err.text);
+    }
+    ct_ops_applied(n, &ch, &err);
+}
+
+static void on_apply(void *ud, const struct qr_entry *e)
+{
+    struct ct_node *n = ud;
+    if (e->type == QR_DATA)
+        apply_change(n, e->index, e->data, e->len);
+    if (e->type == QR_MEMBERS) {
+        const struct qr_members *m = (const struct qr_members *)e->data;
+        tl_add(n->tl, TL_MEMBERS, "", e->term, "%u members", m->n);
+    }
+}
+
+static void on_restore(void *ud, uint64_t index, const char *data, uint32_t len)
+{
+    struct ct_node *n = ud;
+    struct er_err err = {0};
+    json_t *j = json_loadb(data, len, 0, NULL);
+    if (!j || !vw_view_parse(j, &n->view, &err))
+        FL_ERR(&n->log, "snapshot %llu: %s", (unsigned long long)index, err.text);
+    json_decref(j);
+    forget_all(n, n->view.generation);
+    ct_groups_sync(n);
+    FL_INFO(&n->log, "restored from a snapshot up to %llu", (unsigned long long)index);
+}
+
+static void on_role(void *ud)
+{
+    struct ct_node *n = ud;
+    bool leads = qr_role(n->q) == QR_LEADER;
+    if (leads == n->was_leader)
+        return;
+    n->was_leader = leads;
+    n->leading = false; /* until a quorum vouches and this term's first entry is applied */
+    tl_add(n->tl, leads ? TL_LEADER : TL_DEPOSED, "", qr_term(n->q),
+           leads ? "elected in term %llu" : "no longer leads, term %llu",
+           (unsigned long long)qr_term(n->q));
+    FL_INFO(&n->log, leads ? "leads term %llu" : "does not lead any more, term %llu",
+            (unsigned long long)qr_term(n->q));
+}
+
+const struct qr_sink ct_sink = {on_send, on_persist, on_apply, on_restore, on_role};
+
+/* ---- proposing ---- */
+
+bool ct_propose(struct ct_node *n, const struct vw_change *ch, uint64_t *index,
+                struct er_err *err)
+{
+    uint64_t at;
+    if (!ct_vouched(n))
+        return er_set(err, qr_role(n->q) == QR_LEADER ? ER_NO_QUORUM : ER_NOT_LEADER,
+                      "this node can't change the configuration now");
+    if (!vw_check(&n->view, ch, err))
+        return false;
+    json_t *j = vw_change_json(ch);
+    char *s = json_dumps(j, JSON_COMPACT);
+    json_decref(j);
+    bool ok = strlen(s) <= VW_CHANGE_MAX
+                  ? qr_propose(n->q, s, (uint32_t)strlen(s), ck_now(), &at, err)
+                  : er_set(err, ER_TOO_LARGE, "a change of %zu bytes", strlen(s));
+    free(s);
+    n->c.proposals += ok;
+    if (ok && index)
+        *index = at;
+    return ok;
+}
+
+void ct_compact_tick(struct ct_node *n)
+{
+    uint64_t commit = qr_commit(n->q), first = qr_first(n->q);
+    if (commit < first || commit - first < (uint64_t)n->s->snapshot_entries)
+        return;
+    json_t *j = vw_view_json(&n->view);
+    char *s = json_dumps(j, JSON_COMPACT);
+    qr_compact(n->q, commit, s, (uint32_t)strlen(s));
+    free(s);
+    json_decref(j);
+}
--- /dev/null
+++ b/control/control.c
@@ -0,0 +1,241 @@
+#include "control/control.h"
+
+#include <stdlib.h>
+
+#include <sodium.h>
+#include <xxhash.h>
+
+#include "misc/clock.h"
+
+enum { TICK_US = 5000, STOP_US = 1000000 };
+
+bool ct_vouched(const struct ct_node *n)
+{
+    return !n->failed && ck_now() < qr_vouched_until(n->q);
+}
+
+bool ct_in_force(const struct ct_node *n, uint64_t generation)
+{
+    return ls_all_have(&n->giver, generation, ck_now());
+}
+
+const char *ct_member_name(const struct ct_node *n, uint64_t id)
+{
+    const struct qr_members *m = qr_members(n->q);
+    for (uint32_t i = 0; i < m->n; i++) {
+        if (m->m[i].id == id)
+            return m->m[i].name;
+    }
+    return "";
+}
+
+/* ---- beginning to lead ---- */
+
+static void propose_groups(struct ct_node *n)
+{
+    size_t i;
+    json_t *g;
+    json_array_foreach(n->s->groups, i, g)
+    {
+        struct vw_change ch = {.kind = VW_CH_GROUP};
+        struct er_err err = {0};
+        if (!vw_group_parse(g, &ch.def, &err) || !ct_propose(n, &ch, NULL, &err))
+            FL_ERR(&n->log, "control.groups[%zu]: %s", i, err.text);
+    }
+}
+
+static void begin(struct ct_node *n, int64_t now)
+{
+    bool first = n->view.generation == 0;
+    n->leading = true;
+    n->step_index = 0;
+    n->force_gen = 0;
+    n->in_force_since = 0;
+    ls_giver_begin(&n->giver, CK_MS(n->s->lease_ms), now, first);
+    sh_begin(&n->shares, first ? now : now + CK_MS(n->s->lease_ms) * 11 / 10);
+    ct_watch_begin(n);
+    ct_groups_sync(n);
+    for (struct ct_conn *c = n->conns; c; c = c->next) {
+        c->sent_gen = 0;
+        c->shares_hash = 0;
+    }
+    FL_INFO(&n->log, "a quorum vouches for term %llu, generation %llu",
+            (unsigned long long)qr_term(n->q), (unsigned long long)n->view.generation);
+    if (first)
+        propose_groups(n);
+}
+
+static void force_tick(struct ct_node *n, int64_t now)
+{
+    if (!n->leading || !n->force_gen || !ct_in_force(n, n->force_gen))
+        return;
+    hi_add(&n->force, now - n->force_since);
+    n->force_gen = 0;
+}
+
+/* ---- time, disk, stopping ---- */
+
+static void end(struct ct_node *n, bool failed)
+{
+    nt_timer_cancel(&n->tick);
+    n->stopped(n->stopped_ud, failed);
+}
+
+static void on_disk(void *ud)
+{
+    struct ct_node *n = ud;
+    struct er_err err = {0};
+    if (n->failed)
+        return;
+    if (dk_failed(n->disk, &err)) {
+        n->failed = true;
+        tl_add(n->tl, TL_DISK, "", 0, "%.100s", err.text);
+        FL_FATAL(&n->log,
+                 "%s; this voter stops: free or replace the disk, then start it again (its "
+                 "folder is good up to the last sync) or replace it",
+                 err.text);
+        end(n, true);
+        return;
+    }
+    qr_persisted(n->q, dk_done(n->disk), ck_now());
+}
+
+static void wake_loop(void *ud)
+{
+    struct ct_node *n = ud;
+    nt_wake(n->loop);
+}
+
+static void tick(void *ud)
+{
+    struct ct_node *n = ud;
+    int64_t now = ck_now();
+    on_disk(n);
+    if (n->failed)
+        return;
+    qr_tick(n->q, now);
+    if (!n->leading && ct_vouched(n))
+        begin(n, now);
+    ct_peers_tick(n, now);
+    ct_watch_tick(n, now);
+    force_tick(n, now);
+    ct_intents_tick(n, now);
+    ct_ops_tick(n, now);
+    ct_compact_tick(n);
+    if (n->stopping && (qr_role(n->q) != QR_LEADER || now > n->stop_by)) {
+        end(n, false);
+        return;
+    }
+    if (n->stopping)
+        qr_hand_over(n->q, now);
+    nt_timer_set(n->loop, &n->tick, TICK_US, tick, n);
+}
+
+void ct_stop(struct ct_node *n)
+{
+    n->stopping = true;
+    n->stop_by = ck_now() + STOP_US;
+    tl_add(n->tl, TL_STOP, "", 0, "planned stop");
+}
+
+/* ---- creation ---- */
+
+/* The first voters' identities follow from the cluster's and their names, so that they can be
+ * told to one another before any of them runs. */
+static uint64_t first_identity(const struct st_settings *s, const char *name)
+{
+    uint64_t h = XXH64(s->cluster, strlen(s->cluster), 7);
+    return XXH64(name, strlen(name), h) | 1;
+}
+
+static void first_members(const struct st_settings *s, struct qr_members *m)
+{
+    for (int i = 0; i < s->n_voters; i++) {
+        struct qr_member *x = &m->m[m->n++];
+        const struct st_peer *p = &s->voters[i];
+        x->id = first_identity(s, p->name);
+        x->voter = true;
+        x->port = p->port;
+        sr_copy(x->name, sizeof(x->name), sr_from(p->name));
+        sr_copy(x->ip, sizeof(x->ip), sr_from(p->ip));
+        sr_copy(x->domain, sizeof(x->domain), sr_from(p->domain));
+    }
+}
+
+static bool open_store(struct ct_node *n, bool bootstrap, struct so_loaded *disk,
+                       struct er_err *err)
+{
+    const struct st_settings *s = n->s;
+    uint64_t wanted = bootstrap ? first_identity(s, s->name) : 0;
+    n->store = so_open(s->data, s->cluster, wanted, disk, err);
+    if (!n->store)
+        return false;
+    n->id = disk->identity;
+    if (disk->torn_bytes)
+        FL_WARN(&n->log, "%llu bytes of an unfinished write were cut off the log",
+                (unsigned long long)disk->torn_bytes);
+    if (disk->fresh && !bootstrap)
+        FL_WARN(&n->log,
+                "%s was empty: this is a new member, id %llx; it votes once an operator has "
+                "let it in (ferryctl plan replace)",
+                s->data, (unsigned long long)n->id);
+    /* One of the first voters, without a snapshot: the list is that of the settings. */
+    bool founder = n->id == first_identity(s, s->name);
+    if (founder && disk->restore.snap_index == 0)
+        first_members(s, &disk->restore.members);
+    return true;
+}
+
+static void restore_view(struct ct_node *n, const struct so_loaded *disk)
+{
+    struct er_err err = {0};
+    if (!disk->restore.snap_len)
+        return;
+    json_t *j = json_loadb(disk->restore.snap, disk->restore.snap_len, 0, NULL);
+    if (!j || !vw_view_parse(j, &n->view, &err))
+        FL_ERR(&n->log, "snapshot: %s", err.text);
+    json_decref(j);
+    n->past_floor = n->view.generation;
+}
+
+struct ct_node *ct_create(struct nt_loop *l, const struct st_settings *s, struct tl_ring *tl,
+                          bool bootstrap, void (*stopped)(void *, bool), void *ud,
+                          struct er_err *err)
+{
+    struct ct_node *n = sr_alloc(sizeof(*n));
+    struct so_loaded disk;
+    n->log.prefix = "control";
+    n->s = s;
+    n->loop = l;
+    n->tl = tl;
+    n->driver = &ep_ws;
+    n->stopped = stopped;
+    n->stopped_ud = ud;
+    vw_init(&n->view);
+    if (!open_store(n, bootstrap, &disk, err) || !ct_peers_listen(n, err) ||
+        !ct_ops_listen(n, err)) {
+        free(n);
+        return NULL;
+    }
+    restore_view(n, &disk);
+    n->disk = dk_start(n->store, wake_loop, n);
+    nt_on_wake(l, on_disk, n);
+    struct qr_config cfg = {.self = n->id,
+                            .election_us = CK_MS(s->election_ms),
+                            .heartbeat_us = CK_MS(s->heartbeat_ms),
+                            .sink = &ct_sink,
+                            .ud = n};
+    randombytes_buf(&cfg.seed, sizeof(cfg.seed));
+    n->q = qr_create(&cfg, &disk.restore, ck_now());
+    so_release(n->store);
+    ct_groups_sync(n);
+    tl_add(tl, TL_START, "", qr_term(n->q), "control node %llx", (unsigned long long)n->id);
+    nt_timer_set(l, &n->tick, TICK_US, tick, n);
+    return n;
+}
+
+void ct_destroy(struct ct_node *n)
+{
+    dk_stop(n->disk);
+    so_close(n->store);
+}
--- /dev/null
+++ b/control/nodes.c
@@ -0,0 +1,119 @@
+/* Entry nodes: leases, the view they act on, their shares. */
+#include <stdlib.h>
+
+#include <xxhash.h>
+
+#include "control/control.h"
+#include "misc/clock.h"
+
+/* Send what the node is missing, once per connection. */
+static void send_view(struct ct_conn *c, uint64_t has)
+{
+    struct ct_node *n = c->node;
+    uint64_t from = c->sent_gen > has ? c->sent_gen : has;
+    if (from >= n->view.generation)
+        return;
+    struct wr_msg m = {.type = WR_VIEW};
+    char *text = ct_changes_since(n, from, &m.view.from);
+    m.view.to = n->view.generation;
+    m.view.text = sr_from(text);
+    n->c.views++;
+    n->c.view_bytes += m.view.text.len;
+    c->sent_gen = n->view.generation;
+    ct_send_conn(c, &m);
+    free(text);
+}
+
+void ct_push_view(struct ct_node *n)
+{
+    for (struct ct_conn *c = n->conns; c; c = c->next) {
+        if (c->greeted && c->role == WR_ROLE_ENTRY && c->sent_gen)
+            send_view(c, c->sent_gen);
+    }
+}
+
+static void take_shares(struct ct_conn *c, const struct wr_renew *r, int64_t now)
+{
+    struct ct_node *n = c->node;
+    int64_t until = r->stopping ? now : now + n->giver.lease_us;
+    for (uint32_t i = 0; i < r->n; i++) {
+        char id[VW_NAME];
+        if (!sr_copy(id, sizeof(id), r->shares[i].inst))
+            continue;
+        sh_report(&n->shares, id, c->id, (int)r->shares[i].held, (int)r->shares[i].want,
+                  r->shares_seq, until, now);
+        sh_balance(&n->shares, id, now);
+    }
+}
+
+/* Tell the node its shares if they differ from what it was told last. */
+static void send_shares(struct ct_conn *c)
+{
+    struct ct_node *n = c->node;
+    struct wr_share *s = sr_alloc(sizeof(*s) * (size_t)n->shares.n);
+    uint64_t hash = 0;
+    for (int i = 0; i < n->shares.n; i++) {
+        const char *id = n->shares.inst[i].id;
+        s[i].inst = sr_from(id);
+        s[i].held = (uint32_t)sh_tell(&n->shares, id, c->id, n->shares_seq + 1);
+        hash = XXH64(id, strlen(id), hash + s[i].held);
+    }
+    if (hash != c->shares_hash) {
+        c->shares_hash = hash;
+        struct wr_msg m = {.type = WR_SHARES};
+        m.shares = (struct wr_shares){(uint32_t)n->shares.n, s, ++n->shares_seq};
+        ct_send_conn(c, &m);
+    }
+    free(s);
+}
+
+static void not_leader(struct ct_conn *c)
+{
+    struct wr_msg m = {.type = WR_NOT_LEADER};
+    m.leader = sr_from(ct_member_name(c->node, qr_leader(c->node->q)));
+    ct_send_conn(c, &m);
+}
+
+void ct_renewed(struct ct_conn *c, const struct wr_renew *r)
+{
+    struct ct_node *n = c->node;
+    int64_t now = ck_now();
+    ck_hlc_seen(&n->tl->hlc, r->hlc);
+    if (!n->leading || !ct_vouched(n)) {
+        n->c.refused_grants++;
+        not_leader(c);
+        return;
+    }
+    struct wr_msg m = {.type = WR_GRANT};
+    m.grant.seq = r->seq;
+    m.grant.hlc = ck_hlc_now(&n->tl->hlc);
+    m.grant.generation = n->view.generation;
+    int64_t us = r->stopping ? 0 : ls_grant(&n->giver, c->id, qr_vouched_until(n->q), now);
+    m.grant.duration_ms = (uint32_t)(us / 1000);
+    if (r->stopping)
+        ls_released(&n->giver, c->id);
+    else
+        n->c.grants++;
+    ls_acked(&n->giver, c->id, r->generation);
+    if (!r->generation)
+        c->sent_gen = 0; /* it has nothing: perhaps a view got lost */
+    send_view(c, r->generation);
+    take_shares(c, r, now);
+    send_shares(c);
+    ct_send_conn(c, &m);
+}
+
+void ct_check_nodes(struct ct_node *n, struct ct_group *g, const char *inst)
+{
+    struct wr_msg m = {.type = WR_CHECK};
+    m.check.nonce = g->pr.nonce;
+    m.check.inst = sr_from(inst);
+    int asked = 0;
+    for (struct ct_conn *c = n->conns; c; c = c->next) {
+        if (!c->greeted || c->role != WR_ROLE_ENTRY)
+            continue;
+        ct_send_conn(c, &m);
+        asked++;
+    }
+    pr_checking(&g->pr, asked);
+}
--- /dev/null
+++ b/control/steps.c
@@ -0,0 +1,107 @@
+/* Intents: the leader takes the next action of each that runs. */
+#include "control/control.h"
+#include "misc/clock.h"
+
+enum { EVERY_US = 50000 };
+
+static bool learner_ready(void *ud, uint64_t id)
+{
+    struct ct_node *n = ud;
+    uint64_t match = qr_match(n->q, id);
+    return match > 0 && match >= qr_commit(n->q);
+}
+
+static void finish(struct ct_node *n, const struct vw_intent *it, enum vw_intent_state state,
+                   const char *note)
+{
+    struct vw_change ch = {.kind = VW_CH_PROGRESS, .intent = *it};
+    struct er_err err = {0};
+    ch.intent.state = state;
+    ch.intent.step = it->n_steps;
+    sr_copy(ch.intent.note, sizeof(ch.intent.note), sr_from(note));
+    if (!ct_propose(n, &ch, &n->step_index, &err))
+        FL_WARN(&n->log, "intent %s: %s", it->id, err.text);
+}
+
+static void take(struct ct_node *n, const struct vw_intent *it, const struct it_action *a)
+{
+    struct er_err err = {0};
+    int64_t now = ck_now();
+    bool ok = true;
+    switch (a->kind) {
+    case IT_WAIT:
+        FL_DBG(&n->log, "intent %s waits: %s", it->id, a->note);
+        break;
+    case IT_CHANGE:
+        ok = ct_propose(n, &a->change, &n->step_index, &err);
+        break;
+    case IT_ADD:
+        ok = qr_add_learner(n->q, &a->member, now, &err);
+        break;
+    case IT_VOTER:
+        ok = qr_promote_learner(n->q, a->member.id, now, &err);
+        break;
+    case IT_REMOVE:
+        ok = qr_remove(n->q, a->member.id, now, &err);
+        break;
+    case IT_DONE:
+        finish(n, it, VW_DONE, "");
+        break;
+    case IT_FAIL:
+        finish(n, it, VW_FAILED, a->note);
+        break;
+    }
+    if (!ok)
+        FL_VERBOSE(&n->log, "intent %s: %s; tried again", it->id, err.text);
+}
+
+static void step(struct ct_node *n, const struct vw_intent *it, const struct it_facts *f)
+{
+    struct it_request r;
+    struct it_action a;
+    struct er_err err = {0};
+    json_t *args = json_loads(it->args, 0, NULL);
+    bool ok = args && it_parse(args, &r, &err);
+    json_decref(args);
+    if (!ok) {
+        finish(n, it, VW_FAILED, err.text);
+        return;
+    }
+    it_next(&n->view, &r, f, &a);
+    take(n, it, &a);
+}
+
+/* Whether every entry node has acted on the current view for a few probes: what the probes say
+ * since then counts. */
+static bool in_force_long(struct ct_node *n, int64_t now)
+{
+    if (!ct_in_force(n, n->view.generation)) {
+        n->in_force_since = 0;
+        return false;
+    }
+    if (!n->in_force_since)
+        n->in_force_since = now;
+    return now - n->in_force_since > 4 * CK_MS(n->s->probe_ms);
+}
+
+void ct_intents_tick(struct ct_node *n, int64_t now)
+{
+    if (!n->leading || !ct_vouched(n))
+        return;
+    struct it_facts f = {.caught_up = ct_caught_up,
+                         .in_force = in_force_long(n, now),
+                         .members = qr_members(n->q),
+                         .learner_ready = learner_ready,
+                         .ud = n};
+    if (now < n->next_intent || qr_commit(n->q) < n->step_index)
+        return;
+    n->next_intent = now + EVERY_US;
+    for (int i = 0; i < n->view.n_intents; i++) {
+        if (n->view.intents[i].state != VW_RUNNING)
+            continue;
+        struct vw_intent it = n->view.intents[i]; /* the view may move under it */
+        step(n, &it, &f);
+        if (qr_commit(n->q) < n->step_index)
+            return; /* one proposal at a time */
+    }
+}
--- /dev/null
+++ b/control/watch.c
@@ -0,0 +1,431 @@
+/* Instances: probes, and the promotions that follow from them. */
+#include <stdlib.h>
+
+#include "control/control.h"
+#include "misc/clock.h"
+
+enum { RETRY_US = 30000, FRESH_PROBES = 4 };
+
+static void act_on(struct ct_node *n, struct ct_group *g, const struct pr_actions *acts);
+
+/* ---- finding ---- */
+
+struct ct_group *ct_group_of(struct ct_node *n, const char *name)
+{
+    for (int i = 0; i < n->n_groups; i++) {
+        if (strcmp(n->groups[i]->name, name) == 0)
+            return n->groups[i];
+    }
+    return NULL;
+}
+
+static struct ct_group *group_with(struct ct_node *n, const char *inst)
+{
+    for (int i = 0; i < n->n_groups; i++) {
+        struct ct_group *g = n->groups[i];
+        for (int k = 0; k < g->n; k++) {
+            if (strcmp(g->inst[k]->id, inst) == 0)
+                return g;
+        }
+    }
+    return NULL;
+}
+
+static struct pr_inst *pr_inst_of(struct ct_group *g, const char *inst)
+{
+    for (int i = 0; g && i < g->pr.n; i++) {
+        if (strcmp(g->pr.inst[i].id, inst) == 0)
+            return &g->pr.inst[i];
+    }
+    return NULL;
+}
+
+/* ---- connections to instances ---- */
+
+static uint64_t send_op(struct ct_inst *in, struct ep_request *q)
+{
+    q->id = ++in->last_id;
+    if (!in->c || !in->open || !in->node->driver->send(in->c, q))
+        return 0;
+    return q->id;
+}
+
+static void report(struct ct_inst *in, enum pr_health health)
+{
+    struct ct_node *n = in->node;
+    in->health = health;
+    struct ct_group *g = group_with(n, in->id);
+    if (g)
+        pr_probed(&g->pr, in->id, n->id, n->s->domain, health, ck_now());
+}
+
+static void on_open(struct ep_conn *c, void *ud)
+{
+    struct ct_inst *in = ud;
+    (void)c;
+    in->open = true;
+    in->answered = ck_now();
+    in->probed = 0;
+}
+
+static void on_reply(struct ep_conn *c, void *ud, const struct ep_reply *r)
+{
+    struct ct_inst *in = ud;
+    struct ct_node *n = in->node;
+    int64_t now = ck_now();
+    (void)c;
+    in->answered = now;
+    in->said = *r;
+    in->said.value = SR_LIT("");
+    struct ct_group *g = group_with(n, in->id);
+    if (!g || in->gone)
+        return;
+    report(in, PR_UP);
+    pr_said(&g->pr, in->id, r->primary, r->term, r->following, r->held, now);
+    bool event = g->phase != VW_SERVING;
+    if (r->id == in->fence_id && r->result == EP_OK) {
+        tl_add(n->tl, TL_FENCED, g->name, in->fence_term, "%s at %llu/%llu", in->id,
+               (unsigned long long)r->held.term, (unsigned long long)r->held.pos);
+        pr_fenced(&g->pr, in->id, in->fence_term, r->held);
+    }
+    if (r->id == in->promote_id && r->result == EP_OK) {
+        tl_add(n->tl, TL_PROMOTED, g->name, in->promote_term, "%s from %llu", in->id,
+               (unsigned long long)r->pos.pos);
+        pr_promoted(&g->pr, in->id, in->promote_term, r->pos);
+    }
+    if (event && n->leading)
+        ct_group_tick(n, g);
+}
+
+static void on_push(struct ep_conn *c, void *ud, const struct ep_reply *r)
+{
+    (void)c;
+    (void)ud;
+    (void)r;
+}
+
+static void send_probes(struct ct_node *n);
+
+static void on_close(struct ep_conn *c, void *ud, bool opened, bool refused)
+{
+    struct ct_inst *in = ud;
+    (void)c;
+    (void)opened;
+    in->c = NULL;
+    in->open = false;
+    in->fence_id = in->promote_id = 0;
+    if (in->gone) {
+        free(in);
+        return;
+    }
+    in->next_try = ck_now() + RETRY_US;
+    enum pr_health h = refused ? PR_REFUSED : PR_SILENT;
+    bool news = in->health != h;
+    report(in, h);
+    if (news)
+        send_probes(in->node); /* a death is worth a message of its own */
+    struct ct_group *g = group_with(in->node, in->id);
+    if (g && in->node->leading)
+        ct_group_tick(in->node, g);
+}
+
+static const struct ep_events events = {on_open, on_reply, on_push, on_close};
+
+static void probe(struct ct_inst *in, int64_t now)
+{
+    struct ep_request q = {.op = EP_STATUS};
+    in->probed = now;
+    send_op(in, &q);
+}
+
+/* Probes go out on time whether or not the last one was answered: slow is not silent. */
+static void inst_tick(struct ct_inst *in, int64_t now)
+{
+    const struct st_settings *s = in->node->s;
+    if (!in->c) {
+        if (now >= in->next_try)
+            in->c = in->node->driver->open(in->node->loop, in->ip, in->port, "control", &events,
+                                           in);
+        return;
+    }
+    if (!in->open)
+        return;
+    if (now - in->probed >= CK_MS(s->probe_ms))
+        probe(in, now);
+    if (now - in->answered > CK_MS(s->silence_ms) && in->health != PR_SILENT) {
+        report(in, PR_SILENT);
+        send_probes(in->node);
+    }
+}
+
+/* ---- groups follow the view ---- */
+
+static struct ct_inst *inst_new(struct ct_node *n, const struct vw_instance *v)
+{
+    struct ct_inst *in = sr_alloc(sizeof(*in));
+    in->node = n;
+    in->port = v->port;
+    sr_copy(in->id, sizeof(in->id), sr_from(v->id));
+    sr_copy(in->ip, sizeof(in->ip), sr_from(v->ip));
+    return in;
+}
+
+static void inst_gone(struct ct_inst *in)
+{
+    in->gone = true;
+    sh_drop_instance(&in->node->shares, in->id);
+    if (in->c)
+        in->node->driver->close(in->c);
+    else
+        free(in);
+}
+
+static void sync_instances(struct ct_node *n, struct ct_group *g, const struct vw_group *v)
+{
+    struct ct_inst *next[VW_MAX_INSTANCES] = {0};
+    for (int i = 0; i < v->n; i++) {
+        for (int k = 0; k < g->n; k++) {
+            if (g->inst[k] && strcmp(g->inst[k]->id, v->inst[i].id) == 0) {
+                next[i] = g->inst[k];
+                g->inst[k] = NULL;
+            }
+        }
+        if (!next[i])
+            next[i] = inst_new(n, &v->inst[i]);
+        sh_set_instance(&n->shares, v->inst[i].id, v->inst[i].max_conns, n->s->conn_reserve);
+    }
+    for (int k = 0; k < g->n; k++) {
+        if (g->inst[k])
+            inst_gone(g->inst[k]);
+    }
+    memcpy(g->inst, next, sizeof(next));
+    g->n = v->n;
+}
+
+static struct pr_config pr_config_of(const struct st_settings *s)
+{
+    return (struct pr_config){.silence_us = CK_MS(s->silence_ms),
+                              .check_us = CK_MS(s->check_ms),
+                              .resend_us = CK_MS(s->probe_ms) * 2,
+                              .attempt_us = CK_MS(s->attempt_ms),
+                              .hold_us = CK_MS(s->hold_ms),
+                              .hand_us = CK_MS(s->hand_ms),
+                              .fenced_endpoints = s->fence,
+                              .fault = {.wait_leases = s->lease_failover}};
+}
+
+static struct ct_group *group_new(struct ct_node *n, const char *name)
+{
+    struct ct_group *g = sr_alloc(sizeof(*g));
+    struct pr_config cfg = pr_config_of(n->s);
+    sr_copy(g->name, sizeof(g->name), sr_from(name));
+    g->phase = VW_SERVING;
+    pr_begin(&g->pr, &cfg, ck_now());
+    n->groups = sr_realloc(n->groups, sizeof(*n->groups) * (size_t)(n->n_groups + 1));
+    n->groups[n->n_groups++] = g;
+    return g;
+}
+
+void ct_groups_sync(struct ct_node *n)
+{
+    for (int i = 0; i < n->view.n; i++) {
+        const struct vw_group *v = &n->view.groups[i];
+        struct ct_group *g = ct_group_of(n, v->name);
+        if (!g)
+            g = group_new(n, v->name);
+        sync_instances(n, g, v);
+        if (g->phase != v->phase || g->term != v->term)
+            g->phase_gen = n->view.generation;
+        g->phase = v->phase;
+        g->term = v->term;
+    }
+}
+
+void ct_watch_begin(struct ct_node *n)
+{
+    struct pr_config cfg = pr_config_of(n->s);
+    for (int i = 0; i < n->n_groups; i++) {
+        pr_begin(&n->groups[i]->pr, &cfg, ck_now());
+        n->groups[i]->phase_gen = n->view.generation;
+    }
+}
+
+/* ---- promotions ---- */
+
+static void propose(struct ct_node *n, struct ct_group *g, enum vw_change_kind kind,
+                    const struct pr_action *a)
+{
+    struct vw_change ch = {.kind = kind, .term = a->term, .pos = a->pos};
+    struct er_err err = {0};
+    sr_copy(ch.group, sizeof(ch.group), sr_from(g->name));
+    if (a->inst >= 0)
+        sr_copy(ch.instance, sizeof(ch.instance), sr_from(g->inst[a->inst]->id));
+    if (kind == VW_CH_REPLACE)
+        tl_add(n->tl, TL_DOWN, g->name, a->term, "%s",
+               g->pr.why[0] ? g->pr.why : "no primary yet");
+    if (!ct_propose(n, &ch, NULL, &err))
+        FL_WARN(&n->log, "%s: %s: %s", g->name, vw_change_name(kind), err.text);
+}
+
+static void do_follow(struct ct_node *n, struct ct_group *g, const struct pr_action *a)
+{
+    const struct vw_group *v = vw_group(&n->view, g->name);
+    if (v->primary < 0)
+        return;
+    struct ep_request q = {.op = EP_DO_FOLLOW,
+                           .term = a->term,
+                           .ip = sr_from(v->inst[v->primary].ip),
+                           .port = v->inst[v->primary].port};
+    send_op(g->inst[a->inst], &q);
+}
+
+static void do_action(struct ct_node *n, struct ct_group *g, const struct pr_action *a)
+{
+    struct ct_inst *in = a->inst >= 0 && a->inst < g->n ? g->inst[a->inst] : NULL;
+    struct ep_request q = {.term = a->term};
+    switch (a->kind) {
+    case PR_DO_CHECK:
+        ct_check_nodes(n, g, in->id);
+        break;
+    case PR_DO_REPLACE:
+        propose(n, g, VW_CH_REPLACE, a);
+        break;
+    case PR_DO_ABANDON:
+        propose(n, g, VW_CH_ABANDON, a);
+        break;
+    case PR_DO_PRIMARY:
+        n->c.promotions++;
+        propose(n, g, VW_CH_PRIMARY, a);
+        break;
+    case PR_DO_FENCE:
+        q.op = EP_DO_FENCE;
+        in->fence_term = a->term;
+        in->fence_id = send_op(in, &q);
+        break;
+    case PR_DO_PROMOTE:
+        q.op = EP_DO_PROMOTE;
+        in->promote_term = a->term;
+        in->promote_id = send_op(in, &q);
+        break;
+    case PR_DO_FOLLOW:
+        do_follow(n, g, a);
+        break;
+    case PR_DO_PROBE:
+        probe(in, ck_now());
+        break;
+    }
+}
+
+static void act_on(struct ct_node *n, struct ct_group *g, const struct pr_actions *acts)
+{
+    for (int i = 0; i < acts->n; i++)
+        do_action(n, g, &acts->a[i]);
+}
+
+void ct_group_tick(struct ct_node *n, struct ct_group *g)
+{
+    const struct vw_group *v = vw_group(&n->view, g->name);
+    struct pr_actions acts;
+    if (!v || !n->leading || !ct_vouched(n))
+        return;
+    if (v->primary < 0 && v->phase == VW_SERVING)
+        return;
+    bool dropped = ls_all_have(&n->giver, g->phase_gen, ck_now());
+    pr_tick(&g->pr, v, dropped, ck_now(), &acts);
+    act_on(n, g, &acts);
+}
+
+/* ---- evidence from others ---- */
+
+static enum pr_health health_of(enum wr_health h)
+{
+    static const enum pr_health map[] = {PR_UNKNOWN, PR_UP, PR_SILENT, PR_REFUSED};
+    return map[h];
+}
+
+void ct_probes(struct ct_conn *c, const struct wr_probes *p)
+{
+    struct ct_node *n = c->node;
+    for (uint32_t i = 0; i < p->n; i++) {
+        char id[VW_NAME];
+        struct ct_group *g =
+            sr_copy(id, sizeof(id), p->probes[i].inst) ? group_with(n, id) : NULL;
+        if (!g)
+            continue;
+        pr_probed(&g->pr, id, c->id, c->domain, health_of(p->probes[i].health), ck_now());
+        if (n->leading && p->probes[i].health >= WR_SILENT)
+            ct_group_tick(n, g);
+    }
+}
+
+void ct_checked(struct ct_node *n, const struct wr_check *m)
+{
+    char id[VW_NAME];
+    struct ct_group *g = sr_copy(id, sizeof(id), m->inst) ? group_with(n, id) : NULL;
+    if (!g)
+        return;
+    pr_checked(&g->pr, m->nonce, health_of(m->health));
+    ct_group_tick(n, g);
+}
+
+void ct_suspected(struct ct_conn *c, const struct wr_check *m)
+{
+    char id[VW_NAME];
+    struct ct_node *n = c->node;
+    struct ct_group *g = sr_copy(id, sizeof(id), m->inst) ? group_with(n, id) : NULL;
+    if (!g || m->health < WR_SILENT)
+        return;
+    pr_probed(&g->pr, id, c->id, c->domain, health_of(m->health), ck_now());
+    ct_group_tick(n, g);
+}
+
+/* What this node's probes see goes to the leader. */
+static void send_probes(struct ct_node *n)
+{
+    static const enum wr_health map[] = {WR_UNKNOWN, WR_OK, WR_SILENT, WR_REFUSED};
+    uint64_t leader = qr_leader(n->q);
+    if (!leader || leader == n->id)
+        return;
+    struct wr_probe *p = sr_alloc(sizeof(*p) * (size_t)n->n_groups * VW_MAX_INSTANCES);
+    uint32_t k = 0;
+    for (int g = 0; g < n->n_groups; g++) {
+        for (int i = 0; i < n->groups[g]->n && k < WR_MAX_PROBES; i++) {
+            const struct ct_inst *in = n->groups[g]->inst[i];
+            p[k++] = (struct wr_probe){sr_from(in->id),  map[in->health],
+                                       in->said.primary, in->said.term,
+                                       in->said.held.term, in->said.held.pos,
+                                       in->said.following};
+        }
+    }
+    struct wr_msg m = {.type = WR_PROBES, .probes = {k, p}};
+    ct_send_peer(n, leader, &m);
+    free(p);
+}
+
+bool ct_caught_up(void *ud, const char *group, const char *inst)
+{
+    struct ct_node *n = ud;
+    struct ct_group *g = ct_group_of(n, group);
+    const struct vw_group *v = vw_group(&n->view, group);
+    if (!g || !v || v->primary < 0)
+        return false;
+    const struct pr_inst *p = pr_inst_of(g, v->inst[v->primary].id);
+    const struct pr_inst *r = pr_inst_of(g, inst);
+    int64_t oldest = ck_now() - FRESH_PROBES * CK_MS(n->s->probe_ms);
+    if (!p || !r || p->said_at < oldest || r->said_at < oldest)
+        return false;
+    return r->following == v->term && ps_cmp(r->held, p->held) >= 0;
+}
+
+void ct_watch_tick(struct ct_node *n, int64_t now)
+{
+    for (int g = 0; g < n->n_groups; g++) {
+        for (int i = 0; i < n->groups[g]->n; i++)
+            inst_tick(n->groups[g]->inst[i], now);
+        ct_group_tick(n, n->groups[g]);
+    }
+    if (now >= n->next_probe_report) {
+        n->next_probe_report = now + CK_MS(n->s->probe_ms);
+        send_probes(n);
+    }
+}
--- /dev/null
+++ b/entry/caller.c
@@ -0,0 +1,82 @@
+/* Callers' sockets. */
+#include <stdlib.h>
+
+#include "entry/entry.h"
+
+static void on_open(struct nt_conn *net, void *ud)
+{
+    (void)net;
+    (void)ud;
+}
+
+static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
+{
+    struct en_caller *c = ud;
+    (void)net;
+    en_submit(c, data, len);
+}
+
+void en_caller_release(struct en_caller *c)
+{
+    if (c->http && c->outstanding == 0)
+        c->net = NULL; /* one request, one answer */
+    if (c->net || c->outstanding > 0)
+        return;
+    c->node->n_callers--;
+    free(c);
+}
+
+static void on_close(struct nt_conn *net, void *ud, bool opened, bool refused)
+{
+    struct en_caller *c = ud;
+    (void)net;
+    (void)opened;
+    (void)refused;
+    c->net = NULL;
+    en_caller_gone(c);
+    en_caller_release(c);
+}
+
+static const struct nt_ops caller_ops = {on_open, on_message, on_close};
+
+static struct en_caller *caller_new(struct en_node *n, struct nt_conn *net, bool http)
+{
+    struct en_caller *c = sr_alloc(sizeof(*c));
+    c->node = n;
+    c->net = net;
+    c->http = http;
+    n->n_callers++;
+    return c;
+}
+
+static void *on_accept(struct nt_conn *net, void *ud)
+{
+    struct en_node *n = ud;
+    if (n->stopping || n->n_callers >= n->s->max_callers)
+        return NULL;
+    return caller_new(n, net, false);
+}
+
+static void http_request(const struct nt_http *req, struct en_node *n)
+{
+    struct en_caller *c = caller_new(n, req->conn, true);
+    nt_http_watch(req->conn, &caller_ops, c);
+    en_submit(c, req->body, req->body_len);
+}
+
+static void on_http(const struct nt_http *req)
+{
+    struct en_node *n = req->ud;
+    if (strcmp(req->path, "/v1/request") == 0 && strcmp(req->method, "POST") == 0)
+        http_request(req, n);
+    else
+        en_http(req);
+}
+
+bool en_callers_listen(struct en_node *n, struct er_err *err)
+{
+    struct nt_listen l = {n->s->entry_ip, n->s->entry_port, false, &caller_ops,
+                          on_accept,      on_http,          n};
+    n->listener = nt_listen(n->loop, &l, err);
+    return n->listener != NULL;
+}
--- /dev/null
+++ b/entry/entry.c
@@ -0,0 +1,263 @@
+#include "entry/entry.h"
+
+#include <stdlib.h>
+
+#include <sodium.h>
+
+#include "misc/clock.h"
+
+enum { TICK_US = 5000, DRAIN_US = 1000000, FLUSH_US = 50000, NEAR = 0, FAR = 1, SAMPLES_LAG = -1 };
+
+struct en_group *en_group(struct en_node *n, const char *name)
+{
+    int lo = 0, hi = n->n_groups;
+    while (lo < hi) { /* sorted like the view's */
+        int mid = (lo + hi) / 2;
+        int c = strcmp(n->groups[mid]->cfg.name, name);
+        if (c == 0)
+            return n->groups[mid];
+        if (c < 0)
+            lo = mid + 1;
+        else
+            hi = mid;
+    }
+    return NULL;
+}
+
+struct en_inst *en_inst(struct en_node *n, const char *id)
+{
+    for (int g = 0; g < n->n_groups; g++) {
+        int i = vw_instance(&n->groups[g]->cfg, id);
+        if (i >= 0)
+            return n->groups[g]->inst[i];
+    }
+    return NULL;
+}
+
+bool en_leased(const struct en_node *n)
+{
+    return ls_live(&n->lease, ck_now());
+}
+
+/* ---- bringing groups in line with the view ---- */
+
+static struct en_group *group_new(struct en_node *n)
+{
+    struct en_group *g = sr_alloc(sizeof(*g));
+    g->node = n;
+    g->parked_tail = &g->parked;
+    g->cfg.primary = -1;
+    return g;
+}
+
+static struct en_inst *take_inst(struct en_group *g, const char *id)
+{
+    for (int i = 0; i < VW_MAX_INSTANCES; i++) {
+        struct en_inst *in = g->inst[i];
+        if (!in || strcmp(in->cfg.id, id) != 0)
+            continue;
+        g->inst[i] = NULL;
+        return in;
+    }
+    return NULL;
+}
+
+static void sync_instances(struct en_group *g, const struct vw_group *v)
+{
+    struct en_inst *next[VW_MAX_INSTANCES] = {0};
+    struct rt_inst rt[RT_MAX] = {0};
+    for (int i = 0; i < v->n; i++) {
+        struct en_inst *in = take_inst(g, v->inst[i].id);
+        if (in) {
+            rt[i] = g->rt.inst[in->at];
+        } else {
+            in = sr_alloc(sizeof(*in));
+            en_inst_init(in, g->node, g, i, &v->inst[i]);
+            rt[i].lag_us = SAMPLES_LAG;
+        }
+        in->at = i;
+        in->cfg = v->inst[i];
+        rt[i].distance = strcmp(in->cfg.domain, g->node->s->domain) == 0 ? NEAR : FAR;
+        next[i] = in;
+    }
+    for (int i = 0; i < VW_MAX_INSTANCES; i++) {
+        if (g->inst[i])
+            en_inst_gone(g->inst[i]);
+    }
+    memcpy(g->inst, next, sizeof(next));
+    memcpy(g->rt.inst, rt, sizeof(rt));
+    g->rt.n = v->n;
+}
+
+static void sync_phase(struct en_group *g)
+{
+    uint64_t term = g->cfg.term;
+    struct en_node *n = g->node;
+    switch (g->cfg.phase) {
+    case VW_SERVING:
+        if (g->serve_term && g->serve_term != term)
+            en_drop_term(g);
+        g->drain_until = 0;
+        g->serve_term = term;
+        en_unpark(g);
+        break;
+    case VW_HANDING:
+        if (g->serve_term && !g->drain_until)
+            g->drain_until = ck_now() + DRAIN_US;
+        break;
+    case VW_REPLACING:
+        if (g->serve_term)
+            tl_add(n->tl, TL_TERM_DROPPED, g->cfg.name, g->serve_term, "term dropped");
+        g->drain_until = 0;
+        en_drop_term(g);
+        break;
+    }
+}
+
+static void sync_group(struct en_group *g, const struct vw_group *v)
+{
+    bool moved = g->cfg.term != v->term || g->cfg.phase != v->phase;
+    sync_instances(g, v);
+    g->cfg = *v;
+    g->rt.n_starts = v->n_starts;
+    memcpy(g->rt.starts, v->starts, sizeof(v->starts));
+    if (moved)
+        sync_phase(g);
+}
+
+void en_view_changed(struct en_node *n)
+{
+    const struct vw_view *v = &n->view;
+    struct en_group **next = sr_alloc(sizeof(*next) * (size_t)v->n);
+    for (int i = 0; i < v->n; i++) {
+        struct en_group *g = en_group(n, v->groups[i].name);
+        next[i] = g ? g : group_new(n);
+    }
+    free(n->groups);
+    n->groups = next;
+    n->n_groups = v->n;
+    for (int i = 0; i < v->n; i++)
+        sync_group(n->groups[i], &v->groups[i]);
+}
+
+/* A planned change: what runs at the old primary may finish, within a bound. */
+static void drain_tick(struct en_group *g, int64_t now)
+{
+    if (!g->drain_until)
+        return;
+    bool idle = en_writes_in_flight(g) == 0 && en_txns_open(g) == 0;
+    if (!idle && now < g->drain_until)
+        return;
+    g->drain_until = 0;
+    tl_add(g->node->tl, TL_TERM_DROPPED, g->cfg.name, g->serve_term, "parked and drained");
+    en_drop_term(g);
+}
+
+void en_ack_view(struct en_node *n)
+{
+    for (int i = 0; i < n->n_groups; i++) {
+        if (n->groups[i]->drain_until)
+            return;
+    }
+    if (n->acked == n->view.generation)
+        return;
+    n->acked = n->view.generation;
+    en_send_ack(n, n->acked);
+}
+
+/* ---- time ---- */
+
+static void lease_tick(struct en_node *n)
+{
+    if (!n->had_lease || en_leased(n))
+        return;
+    n->had_lease = false;
+    n->c.lease_lost++;
+    tl_add(n->tl, TL_LEASE_LOST, "", 0, "lease lost");
+    FL_WARN(&n->log, "lease lost: writes and primary reads are refused until control answers");
+    /* Without a lease one connection is kept for reads that need none. */
+    for (int g = 0; g < n->n_groups; g++) {
+        for (int i = 0; i < n->groups[g]->cfg.n; i++) {
+            struct en_inst *in = n->groups[g]->inst[i];
+            in->share = in->share > 0 ? 1 : 0;
+        }
+    }
+}
+
+static void stopped(void *ud)
+{
+    struct en_node *n = ud;
+    nt_timer_cancel(&n->tick);
+    n->stopped(n->stopped_ud);
+}
+
+static void tick(void *ud)
+{
+    struct en_node *n = ud;
+    int64_t now = ck_now();
+    lease_tick(n);
+    en_links_tick(n, now);
+    en_sweep(n, now);
+    en_txn_sweep(n, now);
+    for (int g = 0; g < n->n_groups; g++) {
+        drain_tick(n->groups[g], now);
+        for (int i = 0; i < n->groups[g]->cfg.n; i++) {
+            en_pool_tick(n->groups[g]->inst[i], now);
+            en_pump(n->groups[g]->inst[i]);
+        }
+    }
+    en_ack_view(n);
+    if (n->stopping && ((n->n_reqs == 0 && !n->txns) || now > n->stop_by)) {
+        en_give_back(n);
+        nt_timer_set(n->loop, &n->tick, FLUSH_US, stopped, n);
+        return;
+    }
+    nt_timer_set(n->loop, &n->tick, TICK_US, tick, n);
+}
+
+void en_stop(struct en_node *n, void (*done)(void *), void *ud)
+{
+    if (n->stopping)
+        return;
+    n->stopping = true;
+    n->stopped = done;
+    n->stopped_ud = ud;
+    n->stop_by = ck_now() + CK_MS(n->s->stop_ms);
+    nt_listener_close(n->listener);
+    tl_add(n->tl, TL_STOP, "", 0, "planned stop, %d requests to finish", n->n_reqs);
+    FL_INFO(&n->log, "stopping: %d requests to finish", n->n_reqs);
+}
+
+struct en_node *en_create(struct nt_loop *l, const struct st_settings *s, struct tl_ring *tl,
+                          struct er_err *err)
+{
+    struct en_node *n = sr_alloc(sizeof(*n));
+    n->log.prefix = "entry";
+    n->s = s;
+    n->loop = l;
+    n->tl = tl;
+    n->driver = &ep_ws;
+    n->retry_budget = 10;
+    randombytes_buf(&n->id, sizeof(n->id));
+    n->id |= 1;
+    n->rng = rn_seed(n->id);
+    ss_key_from(&n->key, sr_from(s->secret));
+    vw_init(&n->view);
+    en_links_start(n);
+    if (!en_callers_listen(n, err)) {
+        free(n);
+        return NULL;
+    }
+    tl_add(tl, TL_START, "", 0, "entry node %llx", (unsigned long long)n->id);
+    nt_timer_set(l, &n->tick, TICK_US, tick, n);
+    return n;
+}
+
+void en_destroy(struct en_node *n)
+{
+    nt_timer_cancel(&n->tick);
+    nt_timer_cancel(&n->later_timer);
+    wr_decoder_free(&n->dec);
+    vw_free(&n->view);
+    /* Groups and instances end with the process: their connections' last calls still come. */
+}
--- /dev/null
+++ b/entry/entry.h
@@ -0,0 +1,258 @@
+/* The entry role: takes callers, holds endpoint connections, routes. One thread; this header is
+ * shared by the parts of the role only. */
+#ifndef FL_ENTRY_ENTRY_H
+#define FL_ENTRY_ENTRY_H
+
+#include "admit/admit.h"
+#include "caller/caller.h"
+#include "endpoint/endpoint.h"
+#include "lease/lease.h"
+#include "misc/hist.h"
+#include "misc/log.h"
+#include "route/route.h"
+#include "session/token.h"
+#include "settings/settings.h"
+#include "task/net.h"
+#include "timeline/timeline.h"
+#include "view/view.h"
+#include "wire/wire.h"
+
+struct en_node;
+struct en_group;
+struct en_inst;
+struct en_req;
+struct en_txn;
+
+/* A caller's connection, or one plain HTTP request. */
+struct en_caller {
+    struct en_node *node;
+    struct nt_conn *net; /* NULL once it is gone */
+    bool http;
+    int outstanding;
+};
+
+enum en_state {
+    EN_NEW,
+    EN_QUEUED,  /* in an instance's admission queue */
+    EN_PARKED,  /* waits for a primary */
+    EN_SENT,    /* at an endpoint */
+    EN_HOLDING, /* done there; waits until enough instances hold it */
+    EN_LATER,   /* taken out of a queue; acted on in the loop's next turn */
+};
+
+/* One request, from arrival to its one answer. */
+struct en_req {
+    struct ad_item item; /* first: the queue gives it back */
+    struct en_req *prev, *next; /* all live requests of the node */
+    struct en_req *chain;       /* in the group's parked or holding list */
+    struct en_caller *caller;
+    struct cl_request r;
+    struct en_group *group;
+    struct en_inst *inst;
+    struct en_ep *ep;
+    struct en_txn *txn;
+    enum en_state state;
+    int64_t arrived, deadline, parked_at;
+    bool has_token;
+    struct ps_pos token; /* what the session has seen */
+    struct ps_pos min;
+    int64_t wait_us;
+    bool at_primary;
+    unsigned tried; /* bits of instances that could not serve it */
+    int attempts;
+    uint64_t term;     /* it was sent under */
+    struct ps_pos pos; /* what it read or wrote */
+    char value[CL_STMT];
+    bool duplicate;
+    enum er_kind later_kind; /* EN_LATER: ER_NONE routes anew, else the refusal */
+    int64_t later_retry;
+};
+
+/* An endpoint connection. */
+struct en_ep {
+    struct en_ep *next;
+    struct en_inst *inst;
+    struct ep_conn *c;
+    bool open, closing;
+    struct en_req *req; /* at work for; NULL idle */
+    uint64_t req_id;    /* what its reply will carry; 0 idle */
+    enum ep_op op;
+    bool orphan;        /* its request was given up; the reply goes nowhere */
+    uint64_t last_id;
+    int64_t sent_at;
+    struct en_txn *txn; /* pinned by */
+    bool watching;      /* this connection carries pushes and status polls */
+    uint64_t status_id;
+    int64_t status_at;
+    bool rolling_back;
+};
+
+struct en_inst {
+    struct en_node *node;
+    struct en_group *group;
+    int at; /* index in the group */
+    struct vw_instance cfg;
+    struct ad_queue q;
+    int share;       /* connections this node may hold */
+    int n_conns;     /* open and opening */
+    struct en_ep *eps;
+    struct en_ep *watch;
+    struct ps_pos held, applied;
+    int64_t heard, status_sent; /* last sign of life; last unanswered status */
+    int64_t next_open; /* no new connection before */
+    int64_t suspected; /* last told to control */
+    bool refusing;
+    bool gone;
+    int peak_want;
+};
+
+struct en_txn {
+    struct en_txn *next; /* of the node's */
+    char name[CL_TXN];
+    struct en_caller *caller;
+    struct en_group *group;
+    struct en_ep *ep; /* NULL: lost, rolled back */
+    uint64_t term;
+    int64_t used;
+    bool busy, wrote;
+    struct ps_pos token;
+};
+
+struct en_group {
+    struct en_node *node;
+    struct vw_group cfg;
+    uint64_t serve_term;  /* acknowledgements are given for this term only; 0 none */
+    int64_t drain_until;  /* planned change: statements in flight may finish until then; 0 none */
+    struct en_inst *inst[VW_MAX_INSTANCES];
+    struct rt_group rt;
+    struct en_req *parked, **parked_tail;
+    int n_parked;
+    struct en_req *holding;
+    uint64_t first_write; /* term in which a write was acknowledged first */
+};
+
+struct en_counters {
+    uint64_t requests, ok, not_run, unknown, rejected;
+    uint64_t by_reason[ER_COUNT];
+    uint64_t reads_primary, reads_replica, reads_behind, writes, commits, rollbacks;
+    uint64_t retries, retry_denied, late_replies, parked, waited, duplicates;
+    uint64_t bad_tokens, lease_lost, views, snapshots;
+};
+
+/* A connection to one control node. */
+struct en_link {
+    struct en_node *node;
+    struct st_peer peer;
+    struct nt_conn *net;
+    bool open;
+    int64_t next_try;
+};
+
+struct en_node {
+    struct lg_log log;
+    const struct st_settings *s;
+    struct nt_loop *loop;
+    struct tl_ring *tl;
+    const struct ep_driver *driver;
+    struct ss_key key;
+    uint64_t id; /* drawn at start */
+    struct vw_view view;
+    struct ls_holder lease;
+    bool had_lease;
+    int n_groups;
+    struct en_group **groups;
+    struct en_req *reqs;
+    struct en_req *later;
+    struct nt_timer later_timer;
+    struct en_txn *txns;
+    int n_reqs, n_callers;
+    uint64_t txn_seq;
+    double retry_budget;
+    struct en_link links[ST_MAX_PEERS];
+    int leader; /* index of the link that answered last; -1 */
+    int64_t next_renew;
+    bool awaiting; /* the last renewal is unanswered */
+    uint64_t shares_seq, acked;
+    struct wr_decoder dec;
+    struct nt_timer tick;
+    struct nt_listener *listener;
+    bool stopping;
+    int64_t stop_by;
+    void (*stopped)(void *ud);
+    void *stopped_ud;
+    struct en_counters c;
+    struct hi_hist lat_read, lat_write;
+    struct rn_rng rng;
+};
+
+/* entry.c */
+struct en_node *en_create(struct nt_loop *l, const struct st_settings *s, struct tl_ring *tl,
+                          struct er_err *err);
+/* Stop accepting, tell callers to go elsewhere, finish, give the lease back; then done(ud). */
+void en_stop(struct en_node *n, void (*done)(void *ud), void *ud);
+void en_destroy(struct en_node *n);
+struct en_group *en_group(struct en_node *n, const char *name);
+struct en_inst *en_inst(struct en_node *n, const char *id);
+/* The view has changed: bring groups, instances and requests in line. */
+void en_view_changed(struct en_node *n);
+/* Acknowledge the generation once nothing acts on an older one. */
+void en_ack_view(struct en_node *n);
+bool en_leased(const struct en_node *n);
+
+/* request.c */
+void en_submit(struct en_caller *c, const char *text, size_t len);
+void en_route(struct en_req *r);
+void en_answer(struct en_req *r, const struct cl_answer *a);
+void en_fail(struct en_req *r, enum er_kind kind, int64_t retry_ms, const char *detail);
+void en_reply(struct en_req *r, struct en_ep *ep, const struct ep_reply *rep);
+/* The connection died with the request on it. */
+void en_lost(struct en_req *r);
+/* A commit ran: wait until enough instances hold it, then acknowledge. */
+void en_commit_done(struct en_req *r);
+void en_held_moved(struct en_group *g);
+void en_unpark(struct en_group *g);
+void en_sweep(struct en_node *n, int64_t now);
+/* Route (ER_NONE) or refuse in the loop's next turn: safe while requests are being walked. */
+void en_later(struct en_req *r, enum er_kind kind, int64_t retry_ms);
+void en_drop_term(struct en_group *g);
+int en_writes_in_flight(const struct en_group *g);
+
+/* pool.c */
+void en_inst_init(struct en_inst *in, struct en_node *n, struct en_group *g, int at,
+                  const struct vw_instance *cfg);
+void en_pump(struct en_inst *in);
+void en_pool_tick(struct en_inst *in, int64_t now);
+void en_ep_release(struct en_ep *ep);
+void en_ep_close(struct en_ep *ep);
+bool en_ep_send(struct en_ep *ep, struct en_req *r, struct ep_request *q);
+bool en_usable(const struct en_inst *in, int64_t now);
+void en_inst_gone(struct en_inst *in);
+
+/* txn.c */
+void en_txn_begun(struct en_req *r, struct en_ep *ep);
+void en_txn_request(struct en_req *r);
+void en_txn_reply(struct en_req *r, struct en_ep *ep, const struct ep_reply *rep);
+void en_txn_end(struct en_txn *t, bool rollback);
+void en_txn_conn_lost(struct en_txn *t);
+void en_caller_gone(struct en_caller *c);
+void en_txn_sweep(struct en_node *n, int64_t now);
+/* The group's term ended: its open transactions are lost. */
+void en_txn_drop(struct en_group *g);
+int en_txns_open(const struct en_group *g);
+
+/* caller.c */
+bool en_callers_listen(struct en_node *n, struct er_err *err);
+void en_caller_release(struct en_caller *c);
+
+/* link.c */
+void en_links_start(struct en_node *n);
+void en_links_tick(struct en_node *n, int64_t now);
+void en_send_ack(struct en_node *n, uint64_t generation);
+/* A planned stop: the lease and the shares go back. */
+void en_give_back(struct en_node *n);
+void en_suspect(struct en_inst *in, enum wr_health health);
+
+/* ops.c */
+void en_http(const struct nt_http *req);
+
+#endif
--- /dev/null
+++ b/entry/link.c
@@ -0,0 +1,333 @@
+/* The links to control: the lease, the view, shares, and what this node saw. */
+#include <jansson.h>
+#include <stdlib.h>
+
+#include "entry/entry.h"
+#include "misc/clock.h"
+
+enum { RECONNECT_US = 100000, RENEW_PARTS = 6, SEEK_US = 40000, SUSPECT_US = 100000,
+       CHECK_FRESH_US = 150000 };
+
+static void send_msg(struct en_link *l, const struct wr_msg *m)
+{
+    struct sr_buf b = {0};
+    wr_encode(&b, m);
+    if (l->net && l->open)
+        nt_send(l->net, b.p, b.len);
+    sr_buf_free(&b);
+}
+
+static struct en_link *leader(struct en_node *n)
+{
+    return n->leader >= 0 ? &n->links[n->leader] : NULL;
+}
+
+/* ---- renewing ---- */
+
+static int wanted(struct en_inst *in)
+{
+    int want = in->peak_want;
+    in->peak_want = 0;
+    return want < 1 ? 1 : want;
+}
+
+static int held(const struct en_inst *in)
+{
+    return in->n_conns > in->share ? in->n_conns : in->share;
+}
+
+static void renew(struct en_node *n, struct en_link *l, int64_t now, bool stopping)
+{
+    struct wr_share shares[VW_MAX_INSTANCES * 64];
+    uint32_t k = 0, cap = sizeof(shares) / sizeof(shares[0]);
+    for (int g = 0; g < n->n_groups; g++) {
+        for (int i = 0; i < n->groups[g]->cfg.n && k < cap; i++) {
+            struct en_inst *in = n->groups[g]->inst[i];
+            shares[k++] = (struct wr_share){sr_from(in->cfg.id), (uint32_t)held(in),
+                                            (uint32_t)wanted(in)};
+        }
+    }
+    struct wr_msg m = {.type = WR_RENEW};
+    m.renew = (struct wr_renew){.seq = ls_sent(&n->lease, now),
+                                .generation = n->acked,
+                                .hlc = ck_hlc_now(&n->tl->hlc),
+                                .stopping = stopping,
+                                .n = k,
+                                .shares = shares,
+                                .shares_seq = n->shares_seq};
+    send_msg(l, &m);
+}
+
+static void set_leader(struct en_node *n, int i)
+{
+    if (n->leader != i)
+        n->shares_seq = 0; /* numbers of shares are each leader's own */
+    n->leader = i;
+}
+
+static void next_leader(struct en_node *n)
+{
+    for (int k = 1; k <= n->s->n_voters; k++) {
+        int i = (n->leader + k + n->s->n_voters) % n->s->n_voters;
+        if (!n->links[i].open)
+            continue;
+        set_leader(n, i);
+        return;
+    }
+}
+
+/* A few renewals a lease; one that is not answered in time goes to the next control node. */
+static void renew_tick(struct en_node *n, int64_t now)
+{
+    if (now < n->next_renew)
+        return;
+    struct en_link *l = leader(n);
+    if (n->awaiting || !l || !l->open)
+        next_leader(n);
+    l = leader(n);
+    if (!l || !l->open)
+        return;
+    n->awaiting = true;
+    n->next_renew = now + CK_MS(n->s->election_ms);
+    renew(n, l, now, false);
+}
+
+void en_give_back(struct en_node *n)
+{
+    if (leader(n))
+        renew(n, leader(n), ck_now(), true);
+}
+
+/* ---- messages ---- */
+
+static void on_grant(struct en_node *n, const struct wr_grant *g)
+{
+    int64_t now = ck_now();
+    ck_hlc_seen(&n->tl->hlc, g->hlc);
+    if (g->duration_ms == 0) {
+        n->next_renew = now + SEEK_US;
+        return;
+    }
+    n->awaiting = false;
+    n->next_renew = now + CK_MS(g->duration_ms) / RENEW_PARTS;
+    if (g->generation > n->view.generation)
+        return; /* the view that belongs to it has not come: no lease for an old one */
+    ls_granted(&n->lease, g->seq, CK_MS(g->duration_ms));
+    if (!n->had_lease && en_leased(n)) {
+        n->had_lease = true;
+        tl_add(n->tl, TL_LEASE_HELD, "", 0, "lease held, generation %llu",
+               (unsigned long long)n->view.generation);
+        for (int i = 0; i < n->n_groups; i++)
+            en_unpark(n->groups[i]);
+    }
+}
+
+static void on_not_leader(struct en_node *n, struct sr_str name)
+{
+    n->awaiting = false;
+    n->next_renew = ck_now() + SEEK_US;
+    for (int i = 0; i < n->s->n_voters; i++) {
+        if (sr_eq(name, sr_from(n->links[i].peer.name))) {
+            set_leader(n, i);
+            n->next_renew = ck_now();
+            return;
+        }
+    }
+    set_leader(n, (n->leader + 1) % n->s->n_voters);
+}
+
+static bool apply_changes(struct en_node *n, const json_t *list, struct er_err *err)
+{
+    size_t i;
+    json_t *pair;
+    json_array_foreach(list, i, pair)
+    {
+        struct vw_change ch;
+        uint64_t index = (uint64_t)json_integer_value(json_array_get(pair, 0));
+        if (index <= n->view.generation)
+            continue;
+        if (!vw_change_parse(json_array_get(pair, 1), &ch, err) ||
+            !vw_apply(&n->view, index, &ch, err))
+            return false;
+    }
+    return true;
+}
+
+static void on_view(struct en_node *n, const struct wr_view *v)
+{
+    struct er_err err = {0};
+    json_t *j = json_loadb(v->text.p, v->text.len, 0, NULL);
+    uint64_t before = n->view.generation;
+    if (v->to <= before) {
+        json_decref(j);
+        return; /* never backwards */
+    }
+    bool ok = false;
+    if (v->from == 0) {
+        n->c.snapshots++;
+        ok = j && vw_view_parse(j, &n->view, &err);
+    } else if (v->from <= before) {
+        ok = json_is_array(j) && apply_changes(n, j, &err);
+    }
+    json_decref(j);
+    if (!ok) {
+        FL_ERR(&n->log, "view %llu can't be applied: %s", (unsigned long long)v->to, err.text);
+        return;
+    }
+    /* Changes of agreement that are none of ours leave gaps: the leader says where we are. */
+    n->view.generation = v->to;
+    n->c.views++;
+    tl_add(n->tl, TL_VIEW, "", 0, "generation %llu in force, was %llu",
+           (unsigned long long)v->to, (unsigned long long)before);
+    en_view_changed(n);
+    en_ack_view(n);
+}
+
+void en_send_ack(struct en_node *n, uint64_t generation)
+{
+    struct wr_msg m = {.type = WR_ACK, .ack = generation};
+    if (leader(n))
+        send_msg(leader(n), &m);
+}
+
+static void on_shares(struct en_node *n, const struct wr_shares *s)
+{
+    n->shares_seq = s->seq;
+    for (uint32_t i = 0; i < s->n; i++) {
+        char id[VW_NAME];
+        if (!sr_copy(id, sizeof(id), s->shares[i].inst))
+            continue;
+        struct en_inst *in = en_inst(n, id);
+        if (in)
+            in->share = (int)s->shares[i].held;
+    }
+}
+
+static void on_check(struct en_link *l, const struct wr_check *c)
+{
+    char id[VW_NAME];
+    struct wr_msg m = {.type = WR_CHECKED, .check = *c};
+    int64_t now = ck_now();
+    m.check.health = WR_UNKNOWN;
+    struct en_inst *in = sr_copy(id, sizeof(id), c->inst) ? en_inst(l->node, id) : NULL;
+    if (in && in->refusing)
+        m.check.health = WR_REFUSED;
+    else if (in && (!in->watch || now - in->heard > CHECK_FRESH_US))
+        m.check.health = WR_SILENT;
+    else if (in)
+        m.check.health = WR_OK;
+    send_msg(l, &m);
+}
+
+void en_suspect(struct en_inst *in, enum wr_health health)
+{
+    struct en_node *n = in->node;
+    int64_t now = ck_now();
+    struct en_group *g = in->group;
+    if (in->gone || now - in->suspected < SUSPECT_US || in->at != g->cfg.primary)
+        return;
+    in->suspected = now;
+    tl_add(n->tl, TL_SUSPECT, g->cfg.name, g->cfg.term, "%s %s", in->cfg.id,
+           health == WR_REFUSED ? "refuses" : "does not answer");
+    struct wr_msg m = {.type = WR_SUSPECT};
+    m.check.inst = sr_from(in->cfg.id);
+    m.check.health = health;
+    if (leader(n))
+        send_msg(leader(n), &m);
+}
+
+static void dispatch(struct en_link *l, const struct wr_msg *m)
+{
+    struct en_node *n = l->node;
+    bool is_leader = leader(n) == l;
+    switch (m->type) {
+    case WR_GRANT:
+        if (is_leader)
+            on_grant(n, &m->grant);
+        break;
+    case WR_NOT_LEADER:
+        if (is_leader)
+            on_not_leader(n, m->leader);
+        break;
+    case WR_VIEW:
+        on_view(n, &m->view);
+        break;
+    case WR_SHARES:
+        if (is_leader)
+            on_shares(n, &m->shares);
+        break;
+    case WR_CHECK:
+        on_check(l, &m->check);
+        break;
+    default:
+        break;
+    }
+}
+
+/* ---- sockets ---- */
+
+static void on_open(struct nt_conn *net, void *ud)
+{
+    struct en_link *l = ud;
+    const struct st_settings *s = l->node->s;
+    (void)net;
+    l->open = true;
+    struct wr_msg m = {.type = WR_HELLO};
+    m.hello = (struct wr_hello){.version = WR_VERSION,
+                                .cluster = sr_from(s->cluster),
+                                .name = sr_from(s->name),
+                                .domain = sr_from(s->domain),
+                                .ip = sr_from(s->entry_ip),
+                                .port = (uint32_t)s->entry_port,
+                                .role = WR_ROLE_ENTRY,
+                                .id = l->node->id};
+    send_msg(l, &m);
+}
+
+static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
+{
+    struct en_link *l = ud;
+    struct wr_msg m;
+    struct er_err err = {0};
+    if (wr_decode(&l->node->dec, data, len, &m, &err)) {
+        dispatch(l, &m);
+        return;
+    }
+    FL_WARN(&l->node->log, "control %s: %s; closing", l->peer.name, err.text);
+    nt_close(net, true);
+}
+
+static void on_close(struct nt_conn *net, void *ud, bool opened, bool refused)
+{
+    struct en_link *l = ud;
+    (void)net;
+    (void)opened;
+    (void)refused;
+    l->net = NULL;
+    l->open = false;
+    if (leader(l->node) == l)
+        l->node->next_renew = 0; /* ask another at once */
+    l->next_try = ck_now() + RECONNECT_US;
+}
+
+static const struct nt_ops link_ops = {on_open, on_message, on_close};
+
+void en_links_start(struct en_node *n)
+{
+    n->leader = -1;
+    n->next_renew = ck_now();
+    for (int i = 0; i < n->s->n_voters; i++) {
+        n->links[i].node = n;
+        n->links[i].peer = n->s->voters[i];
+    }
+}
+
+void en_links_tick(struct en_node *n, int64_t now)
+{
+    for (int i = 0; i < n->s->n_voters; i++) {
+        struct en_link *l = &n->links[i];
+        if (!l->net && now >= l->next_try)
+            l->net = nt_connect(n->loop, l->peer.ip, l->peer.port, true, &link_ops, l);
+    }
+    renew_tick(n, now);
+}
--- /dev/null
+++ b/entry/ops.c
@@ -0,0 +1,143 @@
+/* What the balancer and operators ask of an entry node. Reading changes nothing. */
+#include <stdlib.h>
+
+#include "entry/entry.h"
+#include "misc/clock.h"
+
+static void reply_json(const struct nt_http *req, int status, json_t *o)
+{
+    char *s = json_dumps(o, JSON_COMPACT);
+    nt_http_reply(req->conn, status, "application/json", s, strlen(s));
+    free(s);
+    json_decref(o);
+}
+
+/* Why the balancer must not send callers here; NULL if it may. */
+static const char *not_ready(const struct en_node *n)
+{
+    if (n->stopping)
+        return "stopping";
+    if (n->view.generation == 0)
+        return "no view yet";
+    if (!en_leased(n))
+        return "no lease";
+    return NULL;
+}
+
+static void put_hist(struct sr_buf *b, const char *kind, const struct hi_hist *h)
+{
+    static const double qs[] = {0.5, 0.9, 0.99, 0.999};
+    for (size_t i = 0; i < sizeof(qs) / sizeof(qs[0]); i++)
+        sr_buf_printf(b, "ferry_latency_us{kind=\"%s\",quantile=\"%g\"} %lld\n", kind, qs[i],
+                      (long long)hi_quantile(h, qs[i]));
+    sr_buf_printf(b, "ferry_latency_us_count{kind=\"%s\"} %llu\n", kind,
+                  (unsigned long long)h->count);
+}
+
+static void put_counters(struct sr_buf *b, const struct en_counters *c)
+{
+    const struct {
+        const char *name;
+        uint64_t v;
+    } rows[] = {
+        {"requests", c->requests},          {"answers_ok", c->ok},
+        {"answers_not_run", c->not_run},    {"answers_unknown", c->unknown},
+        {"answers_rejected", c->rejected},  {"reads_primary", c->reads_primary},
+        {"reads_replica", c->reads_replica}, {"reads_behind", c->reads_behind},
+        {"writes", c->writes},              {"commits", c->commits},
+        {"rollbacks", c->rollbacks},        {"retries", c->retries},
+        {"retry_denied", c->retry_denied},  {"late_replies", c->late_replies},
+        {"parked", c->parked},              {"waited_at_replica", c->waited},
+        {"duplicates", c->duplicates},      {"bad_tokens", c->bad_tokens},
+        {"lease_lost", c->lease_lost},      {"views", c->views},
+        {"view_snapshots", c->snapshots},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+        sr_buf_printf(b, "ferry_%s_total %llu\n", rows[i].name, (unsigned long long)rows[i].v);
+    for (int k = 1; k < ER_COUNT; k++) {
+        if (c->by_reason[k])
+            sr_buf_printf(b, "ferry_refusals_total{reason=\"%s\"} %llu\n", er_name(k),
+                          (unsigned long long)c->by_reason[k]);
+    }
+}
+
+static void put_net(struct sr_buf *b, const struct nt_counters *s)
+{
+    sr_buf_printf(b,
+                  "ferry_net_accepted_total %llu\nferry_net_closed_total %llu\n"
+                  "ferry_net_oversized_total %llu\nferry_net_bad_frames_total %llu\n"
+                  "ferry_net_queue_overrun_total %llu\nferry_net_bytes_in_total %llu\n"
+                  "ferry_net_bytes_out_total %llu\n",
+                  (unsigned long long)s->accepted, (unsigned long long)s->closed,
+                  (unsigned long long)s->oversized, (unsigned long long)s->bad_frames,
+                  (unsigned long long)s->queue_overrun, (unsigned long long)s->bytes_in,
+                  (unsigned long long)s->bytes_out);
+}
+
+static void metrics(const struct nt_http *req, struct en_node *n)
+{
+    struct sr_buf b = {0};
+    put_counters(&b, &n->c);
+    put_net(&b, nt_stats(n->loop));
+    put_hist(&b, "read", &n->lat_read);
+    put_hist(&b, "write", &n->lat_write);
+    sr_buf_printf(&b, "ferry_generation %llu\nferry_lease %d\nferry_requests_held %d\n",
+                  (unsigned long long)n->view.generation, en_leased(n), n->n_reqs);
+    for (int g = 0; g < n->n_groups; g++) {
+        for (int i = 0; i < n->groups[g]->cfg.n; i++) {
+            const struct en_inst *in = n->groups[g]->inst[i];
+            sr_buf_printf(&b,
+                          "ferry_instance_connections{instance=\"%s\"} %d\n"
+                          "ferry_instance_share{instance=\"%s\"} %d\n"
+                          "ferry_instance_limit{instance=\"%s\"} %.1f\n"
+                          "ferry_instance_queued{instance=\"%s\"} %d\n"
+                          "ferry_instance_lag_us{instance=\"%s\"} %lld\n",
+                          in->cfg.id, in->n_conns, in->cfg.id, in->share, in->cfg.id,
+                          in->q.limit, in->cfg.id, in->q.queued, in->cfg.id,
+                          (long long)n->groups[g]->rt.inst[i].lag_us);
+        }
+    }
+    nt_http_reply(req->conn, 200, "text/plain; version=0.0.4", b.p, b.len);
+    sr_buf_free(&b);
+}
+
+static json_t *status(struct en_node *n)
+{
+    const char *why = not_ready(n);
+    json_t *groups = json_array();
+    for (int g = 0; g < n->n_groups; g++) {
+        const struct vw_group *v = &n->groups[g]->cfg;
+        json_array_append_new(
+            groups, json_pack("{s:s,s:s,s:I,s:s,s:i}", "name", v->name, "phase",
+                              vw_phase_name(v->phase), "term", (json_int_t)v->term, "primary",
+                              v->primary >= 0 ? v->inst[v->primary].id : "", "parked",
+                              n->groups[g]->n_parked));
+    }
+    return json_pack("{s:s,s:s,s:I,s:b,s:s,s:i,s:i,s:o}", "node", n->s->name, "role", "entry",
+                     "generation", (json_int_t)n->view.generation, "ready", why == NULL, "why",
+                     why ? why : "", "requests", n->n_reqs, "callers", n->n_callers, "groups",
+                     groups);
+}
+
+void en_http(const struct nt_http *req)
+{
+    struct en_node *n = req->ud;
+    if (strcmp(req->path, "/healthz") == 0) {
+        reply_json(req, 200, json_pack("{s:b}", "alive", 1));
+    } else if (strcmp(req->path, "/readyz") == 0) {
+        const char *why = not_ready(n);
+        reply_json(req, why ? 503 : 200,
+                   json_pack("{s:b,s:s}", "ready", why == NULL, "why", why ? why : ""));
+    } else if (strcmp(req->path, "/metrics") == 0) {
+        metrics(req, n);
+    } else if (strcmp(req->path, "/v1/status") == 0) {
+        reply_json(req, 200, status(n));
+    } else if (strcmp(req->path, "/v1/timeline") == 0) {
+        reply_json(req, 200, tl_json(n->tl, n->s->name));
+    } else {
+        reply_json(req, 404,
+                   json_pack("{s:s,s:s}", "reason", "bad_input", "detail",
+                             "expected /v1/request (POST), /v1/status, /v1/timeline, /metrics, "
+                             "/healthz or /readyz"));
+    }
+}
--- /dev/null
+++ b/entry/pool.c
@@ -0,0 +1,380 @@
+/* Endpoint connections: opening within the share, watching positions, sending statements. */
+#include <stdlib.h>
+
+#include "entry/entry.h"
+#include "misc/clock.h"
+
+enum {
+    REOPEN_US = 50000,       /* between tries to connect to an instance that refused */
+    STATUS_US = 25000,       /* between position requests to a primary */
+    STATUS_REPLICA_US = 50000,
+    SILENT_US = 200000,      /* unanswered status: not usable for new work */
+    SUSPECT_EVERY_US = 100000,
+};
+
+void en_inst_init(struct en_inst *in, struct en_node *n, struct en_group *g, int at,
+                  const struct vw_instance *cfg)
+{
+    in->node = n;
+    in->group = g;
+    in->at = at;
+    in->cfg = *cfg;
+    struct ad_config ac = {n->s->queue, CK_MS(n->s->target_ms), n->s->first_come};
+    ad_init(&in->q, &ac, rn_next(&n->rng));
+}
+
+bool en_usable(const struct en_inst *in, int64_t now)
+{
+    if (!in->watch || !in->watch->open)
+        return false;
+    return in->status_sent == 0 || now - in->status_sent < SILENT_US;
+}
+
+/* ---- events of a connection ---- */
+
+static void note_positions(struct en_inst *in, const struct ep_reply *r, int64_t now)
+{
+    struct en_group *g = in->group;
+    in->heard = now;
+    in->held = r->held;
+    in->applied = r->applied;
+    rt_applied(&g->rt, in->at, r->applied, now);
+    en_held_moved(g);
+}
+
+static void on_status(struct en_ep *ep, const struct ep_reply *r, int64_t now)
+{
+    struct en_inst *in = ep->inst;
+    ep->status_id = 0;
+    in->status_sent = 0;
+    if (in->gone)
+        return;
+    struct en_group *g = in->group;
+    if (r->primary && in->at == g->cfg.primary && r->term == g->serve_term)
+        rt_primary_at(&g->rt, ep->status_at, r->held);
+    note_positions(in, r, now);
+    if (g->n_parked && in->at == g->cfg.primary)
+        en_unpark(g); /* it answers again */
+}
+
+static void send_status(struct en_ep *ep, enum ep_op op, int64_t now)
+{
+    struct ep_request q = {.op = op, .id = ++ep->last_id};
+    ep->status_id = q.id;
+    ep->status_at = now;
+    ep->inst->status_sent = now;
+    ep->inst->node->driver->send(ep->c, &q);
+}
+
+static void count_open(struct en_inst *in)
+{
+    int open = 0;
+    for (struct en_ep *e = in->eps; e; e = e->next)
+        open += e->open && !e->closing;
+    ad_set_max(&in->q, open);
+}
+
+static void on_open(struct ep_conn *c, void *ud)
+{
+    struct en_ep *ep = ud;
+    struct en_inst *in = ep->inst;
+    (void)c;
+    ep->open = true;
+    in->refusing = false;
+    in->heard = ck_now();
+    if (!in->watch) {
+        in->watch = ep;
+        ep->watching = true;
+        send_status(ep, EP_SUBSCRIBE, ck_now());
+    }
+    count_open(in);
+    if (!in->gone)
+        en_unpark(in->group);
+    en_pump(in);
+}
+
+static void on_push(struct ep_conn *c, void *ud, const struct ep_reply *r)
+{
+    struct en_ep *ep = ud;
+    (void)c;
+    if (!ep->inst->gone)
+        note_positions(ep->inst, r, ck_now());
+}
+
+static void on_reply(struct ep_conn *c, void *ud, const struct ep_reply *r)
+{
+    struct en_ep *ep = ud;
+    struct en_inst *in = ep->inst;
+    int64_t now = ck_now();
+    (void)c;
+    if (ep->status_id && r->id == ep->status_id) {
+        on_status(ep, r, now);
+        return;
+    }
+    if (r->id != ep->req_id || !ep->req_id) {
+        in->node->c.late_replies++;
+        return;
+    }
+    in->heard = now;
+    ep->req_id = 0;
+    if (ep->rolling_back) {
+        ep->rolling_back = false;
+        en_ep_release(ep);
+        return;
+    }
+    if (!ep->txn)
+        ad_done(&in->q, now - ep->sent_at, now);
+    struct en_req *req = ep->req;
+    ep->req = NULL;
+    if (ep->orphan) {
+        in->node->c.late_replies++;
+        ep->orphan = false;
+        if (ep->op == EP_BEGIN)
+            en_ep_close(ep); /* nobody owns the transaction it opened */
+    }
+    if (req)
+        en_reply(req, ep, r);
+    if (!ep->txn && !ep->req)
+        en_ep_release(ep);
+}
+
+static void unlink_ep(struct en_ep *ep)
+{
+    struct en_ep **at = &ep->inst->eps;
+    while (*at && *at != ep)
+        at = &(*at)->next;
+    if (*at)
+        *at = ep->next;
+}
+
+/* Everything that depended on the connection hears of it. */
+static void on_close(struct ep_conn *c, void *ud, bool opened, bool refused)
+{
+    struct en_ep *ep = ud;
+    struct en_inst *in = ep->inst;
+    struct en_req *req = ep->req;
+    struct en_txn *txn = ep->txn;
+    bool counted = ep->req_id != 0 && !txn && !ep->rolling_back;
+    (void)c;
+    ep->c = NULL;
+    unlink_ep(ep);
+    in->n_conns--;
+    if (in->watch == ep) {
+        in->watch = NULL;
+        in->status_sent = 0;
+    }
+    if (opened && counted)
+        ad_dropped(&in->q);
+    count_open(in);
+    bool unasked = !ep->closing;
+    free(ep);
+    if (in->gone) {
+        if (req)
+            en_lost(req);
+        if (txn)
+            en_txn_conn_lost(txn);
+        if (in->n_conns == 0)
+            free(in);
+        return;
+    }
+    in->refusing = refused;
+    if (unasked) {
+        in->next_open = ck_now() + (opened ? 0 : REOPEN_US);
+        en_suspect(in, refused ? WR_REFUSED : WR_SILENT);
+    }
+    if (txn)
+        en_txn_conn_lost(txn);
+    if (req)
+        en_lost(req);
+}
+
+static const struct ep_events events = {on_open, on_reply, on_push, on_close};
+
+/* ---- opening and closing ---- */
+
+static void open_one(struct en_inst *in)
+{
+    struct en_ep *ep = sr_alloc(sizeof(*ep));
+    ep->inst = in;
+    ep->next = in->eps;
+    in->eps = ep;
+    in->n_conns++;
+    ep->c = in->node->driver->open(in->node->loop, in->cfg.ip, in->cfg.port, "entry", &events,
+                                   ep);
+}
+
+void en_ep_close(struct en_ep *ep)
+{
+    if (ep->closing)
+        return;
+    ep->closing = true;
+    ep->inst->node->driver->close(ep->c);
+}
+
+static int n_opening(const struct en_inst *in)
+{
+    int n = 0;
+    for (const struct en_ep *e = in->eps; e; e = e->next)
+        n += !e->open;
+    return n;
+}
+
+static struct en_ep *idle_ep(const struct en_inst *in)
+{
+    for (struct en_ep *e = in->eps; e; e = e->next) {
+        if (e->open && !e->closing && !e->req_id && !e->txn && !e->req)
+            return e;
+    }
+    return NULL;
+}
+
+/* Close an idle connection when there are more than the share. */
+static void shrink(struct en_inst *in)
+{
+    int over = in->n_conns - in->share;
+    for (struct en_ep *e = in->eps; e && over > 0; e = e->next) {
+        if (e->closing) {
+            over--;
+            continue;
+        }
+        bool idle = !e->req_id && !e->txn && !e->req;
+        if (idle && (!e->watching || in->share == 0)) {
+            en_ep_close(e);
+            over--;
+        }
+    }
+}
+
+static int wanted(const struct en_inst *in)
+{
+    int n = in->q.queued + in->q.in_flight;
+    if (n > in->cfg.max_conns)
+        n = in->cfg.max_conns;
+    return n < 1 ? 1 : n;
+}
+
+void en_pool_tick(struct en_inst *in, int64_t now)
+{
+    int want = wanted(in);
+    in->peak_want = want > in->peak_want ? want : in->peak_want;
+    shrink(in);
+    if (in->n_conns == 0 && in->share > 0 && now >= in->next_open)
+        open_one(in);
+    struct en_ep *w = in->watch;
+    if (!w || !w->open)
+        return;
+    bool primary = in->at == in->group->cfg.primary;
+    int64_t every = primary ? STATUS_US : STATUS_REPLICA_US;
+    if (!w->status_id && now - w->status_at >= every)
+        send_status(w, EP_STATUS, now);
+    if (in->status_sent && now - in->status_sent >= SILENT_US)
+        en_suspect(in, WR_SILENT);
+}
+
+void en_ep_release(struct en_ep *ep)
+{
+    struct en_inst *in = ep->inst;
+    if (in->gone || (in->n_conns > in->share && !ep->watching)) {
+        en_ep_close(ep);
+        return;
+    }
+    en_pump(in);
+}
+
+/* ---- sending ---- */
+
+bool en_ep_send(struct en_ep *ep, struct en_req *r, struct ep_request *q)
+{
+    q->id = ++ep->last_id;
+    ep->req = r;
+    ep->req_id = q->id;
+    ep->op = q->op;
+    ep->orphan = false;
+    ep->sent_at = ck_now();
+    if (r) {
+        r->ep = ep;
+        r->state = EN_SENT;
+    }
+    if (ep->inst->node->driver->send(ep->c, q))
+        return true;
+    ep->req = NULL;
+    ep->req_id = 0;
+    if (r)
+        r->ep = NULL;
+    return false;
+}
+
+static void fill(const struct en_req *r, struct ep_request *q, char *claim, size_t cap)
+{
+    static const enum ep_op ops[] = {EP_READ, EP_WRITE, EP_BEGIN, EP_COMMIT, EP_ROLLBACK};
+    q->op = ops[r->r.kind];
+    q->stmt = sr_from(r->r.stmt);
+    q->term = r->term;
+    q->min = r->min;
+    q->wait_us = r->wait_us;
+    if (r->r.kind == CL_WRITE && !r->r.repeat_safe) {
+        snprintf(claim, cap, "%s:%s", r->r.account, r->r.id);
+        q->claim = sr_from(claim);
+    }
+}
+
+static void start(struct en_inst *in, struct en_ep *ep, struct en_req *r)
+{
+    char claim[CL_ACCOUNT + CL_ID + 2];
+    struct ep_request q = {0};
+    r->term = r->at_primary ? in->group->serve_term : 0;
+    fill(r, &q, claim, sizeof(claim));
+    if (en_ep_send(ep, r, &q))
+        return;
+    /* Nothing left this process: it may go elsewhere. */
+    ad_dropped(&in->q);
+    r->tried |= 1u << in->at;
+    en_later(r, ER_NONE, 0);
+}
+
+/* A request leaves the queue only to run under the view it was queued for. */
+static bool still_right(const struct en_inst *in, const struct en_req *r)
+{
+    const struct en_group *g = in->group;
+    if (!r->at_primary)
+        return true;
+    return g->cfg.phase == VW_SERVING && g->cfg.primary == in->at && en_leased(in->node);
+}
+
+void en_pump(struct en_inst *in)
+{
+    int64_t now = ck_now(), retry;
+    struct ad_item *it;
+    while ((it = ad_hopeless(&in->q, now, &retry)))
+        en_later((struct en_req *)it, ER_OVERLOAD, retry);
+    struct en_ep *ep;
+    while (in->q.queued > 0 && (ep = idle_ep(in)) && (it = ad_next(&in->q, now))) {
+        struct en_req *r = (struct en_req *)it;
+        if (!still_right(in, r)) {
+            ad_dropped(&in->q);
+            en_later(r, ER_NONE, 0);
+            continue;
+        }
+        start(in, ep, r);
+    }
+    bool room = in->n_conns < in->share && n_opening(in) < in->q.queued;
+    if (in->q.queued > 0 && room && now >= in->next_open)
+        open_one(in);
+}
+
+/* The instance left the view: what waits is routed anew, what runs may end. */
+void en_inst_gone(struct en_inst *in)
+{
+    struct ad_item *it;
+    in->gone = true;
+    while ((it = ad_pop_any(&in->q)))
+        en_later((struct en_req *)it, ER_NONE, 0);
+    if (in->n_conns == 0) {
+        free(in);
+        return;
+    }
+    for (struct en_ep *e = in->eps; e; e = e->next) {
+        if (!e->req_id && !e->txn)
+            en_ep_close(e);
+    }
+}
--- /dev/null
+++ b/entry/txn.c
@@ -0,0 +1,229 @@
+/* Transactions: pinned to one endpoint connection, owned by one caller. */
+#include <stdlib.h>
+
+#include "entry/entry.h"
+#include "misc/clock.h"
+
+static struct en_txn *find(struct en_caller *c, const char *name)
+{
+    for (struct en_txn *t = c->node->txns; t; t = t->next) {
+        if (t->caller == c && strcmp(t->name, name) == 0)
+            return t;
+    }
+    return NULL;
+}
+
+static void unlink_txn(struct en_txn *t)
+{
+    struct en_txn **at = &t->caller->node->txns;
+    while (*at && *at != t)
+        at = &(*at)->next;
+    if (*at)
+        *at = t->next;
+}
+
+/* Give the connection back: after a confirmed end, or by a rollback whose answer is awaited. */
+static void let_go(struct en_ep *ep, bool rollback)
+{
+    ep->txn = NULL;
+    if (!rollback)
+        return;
+    struct ep_request q = {.op = EP_ROLLBACK};
+    if (ep->req_id) {
+        en_ep_close(ep); /* a statement is at work: closing rolls back */
+        return;
+    }
+    ep->rolling_back = true;
+    if (!en_ep_send(ep, NULL, &q))
+        en_ep_close(ep);
+}
+
+void en_txn_end(struct en_txn *t, bool rollback)
+{
+    struct en_node *n = t->caller->node;
+    if (t->ep)
+        let_go(t->ep, rollback);
+    for (struct en_req *r = n->reqs; r; r = r->next) {
+        if (r->txn == t)
+            r->txn = NULL;
+    }
+    unlink_txn(t);
+    free(t);
+}
+
+void en_txn_conn_lost(struct en_txn *t)
+{
+    t->ep = NULL;
+}
+
+void en_txn_drop(struct en_group *g)
+{
+    for (struct en_txn *t = g->node->txns; t; t = t->next) {
+        if (t->group == g && t->ep)
+            en_ep_close(t->ep);
+    }
+}
+
+int en_txns_open(const struct en_group *g)
+{
+    int n = 0;
+    for (const struct en_txn *t = g->node->txns; t; t = t->next)
+        n += t->group == g && t->ep && !t->ep->closing;
+    return n;
+}
+
+void en_txn_begun(struct en_req *r, struct en_ep *ep)
+{
+    struct en_node *n = r->caller->node;
+    struct en_txn *t = sr_alloc(sizeof(*t));
+    snprintf(t->name, sizeof(t->name), "%llx-%llu", (unsigned long long)n->id,
+             (unsigned long long)++n->txn_seq);
+    t->caller = r->caller;
+    t->group = r->group;
+    t->ep = ep;
+    t->term = r->term;
+    t->used = ck_now();
+    t->next = n->txns;
+    n->txns = t;
+    ep->txn = t;
+    r->txn = t;
+}
+
+/* ---- statements of a transaction ---- */
+
+static void send_statement(struct en_req *r, struct en_txn *t)
+{
+    char claim[CL_ACCOUNT + CL_ID + 2];
+    struct ep_request q = {.stmt = sr_from(r->r.stmt), .term = t->term, .txn = true};
+    static const enum ep_op ops[] = {EP_READ, EP_WRITE, EP_BEGIN, EP_COMMIT, EP_ROLLBACK};
+    q.op = ops[r->r.kind];
+    if (r->r.kind == CL_COMMIT && !r->r.repeat_safe) {
+        snprintf(claim, sizeof(claim), "%s:%s", r->r.account, r->r.id);
+        q.claim = sr_from(claim);
+    }
+    r->term = t->term;
+    r->inst = t->ep->inst;
+    r->at_primary = true;
+    r->txn = t;
+    t->busy = true;
+    t->used = ck_now();
+    if (!en_ep_send(t->ep, r, &q)) {
+        r->state = EN_NEW;
+        en_fail(r, ER_BAD_TXN, 0, "the transaction's connection is gone; it is rolled back");
+    }
+}
+
+void en_txn_request(struct en_req *r)
+{
+    struct en_txn *t = find(r->caller, r->r.txn);
+    if (!t || t->group != r->group) {
+        en_fail(r, ER_BAD_TXN, 0, "no such transaction on this connection");
+        return;
+    }
+    if (r->r.kind == CL_BEGIN) {
+        en_fail(r, ER_BAD_TXN, 0, "a transaction is open already");
+        return;
+    }
+    bool live = t->ep && !t->ep->closing && en_leased(r->group->node) &&
+                t->term == r->group->serve_term;
+    if (!live) {
+        en_txn_end(t, true);
+        en_fail(r, ER_BAD_TXN, 0, "the transaction was lost and rolled back");
+        return;
+    }
+    if (t->busy) {
+        en_fail(r, ER_BAD_TXN, 0, "a statement of this transaction is running");
+        return;
+    }
+    send_statement(r, t);
+}
+
+static void txn_refused(struct en_req *r, struct en_ep *ep, const struct ep_reply *rep)
+{
+    char detail[120];
+    snprintf(detail, sizeof(detail), "%.*s", (int)rep->value.len, rep->value.p);
+    if (rep->result == EP_BAD) {
+        en_fail(r, ER_BAD_INPUT, 0, detail);
+        return;
+    }
+    struct en_txn *t = r->txn;
+    if (t)
+        en_txn_end(t, false);
+    en_ep_close(ep);
+    en_fail(r, ER_BAD_TXN, 0, "the transaction was lost and rolled back");
+}
+
+static void answer_inside(struct en_req *r)
+{
+    struct cl_answer a = {.value = sr_from(r->value),
+                          .token = r->r.token,
+                          .txn = r->r.kind == CL_BEGIN ? r->txn->name : NULL,
+                          .served_by = r->inst->cfg.id,
+                          .durable = true};
+    en_answer(r, &a);
+}
+
+void en_txn_reply(struct en_req *r, struct en_ep *ep, const struct ep_reply *rep)
+{
+    struct en_node *n = r->caller->node;
+    if (r->r.kind == CL_BEGIN && rep->result == EP_REFUSED) {
+        r->state = EN_NEW;
+        en_route(r);
+        return;
+    }
+    if (rep->result != EP_OK) {
+        txn_refused(r, ep, rep);
+        return;
+    }
+    if (!sr_copy(r->value, sizeof(r->value), rep->value))
+        r->value[0] = 0;
+    r->state = EN_NEW;
+    switch (r->r.kind) {
+    case CL_BEGIN:
+        if (!r->caller->net) {
+            en_ep_close(ep); /* its caller is gone */
+            en_fail(r, ER_LOST, 0, NULL);
+            return;
+        }
+        en_txn_begun(r, ep);
+        answer_inside(r);
+        return;
+    case CL_COMMIT:
+        n->c.commits++;
+        r->duplicate = rep->duplicate;
+        en_txn_end(r->txn, false);
+        r->pos = rep->pos;
+        en_commit_done(r);
+        return;
+    case CL_ROLLBACK:
+        n->c.rollbacks++;
+        en_txn_end(r->txn, false);
+        answer_inside(r);
+        return;
+    default:
+        answer_inside(r);
+        return;
+    }
+}
+
+/* ---- ends that nobody asked for ---- */
+
+void en_caller_gone(struct en_caller *c)
+{
+    struct en_txn *next;
+    for (struct en_txn *t = c->node->txns; t; t = next) {
+        next = t->next;
+        if (t->caller == c)
+            en_txn_end(t, true);
+    }
+}
+
+void en_txn_sweep(struct en_node *n, int64_t now)
+{
+    struct en_txn *next;
+    for (struct en_txn *t = n->txns; t; t = next) {
+        next = t->next;
+        if (!t->busy && now - t->used > CK_MS(n->s->txn_idle_ms))
+            en_txn_end(t, true);
+    }
+}
--- /dev/null
+++ b/ferryctl/http.c
@@ -0,0 +1,87 @@
+#include "ferryctl/ctl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "misc/clock.h"
+#include "misc/str.h"
+#include "task/net.h"
+
+enum { GIVE_UP_US = 8000000 };
+
+struct wait {
+    struct nt_loop *loop;
+    int status;
+    char *text;
+};
+
+static void done(void *ud, int status, const char *body, size_t len)
+{
+    struct wait *w = ud;
+    w->status = status;
+    w->text = strndup(body, len);
+    nt_stop(w->loop);
+}
+
+static void give_up(void *ud)
+{
+    struct wait *w = ud;
+    nt_stop(w->loop);
+}
+
+int ctl_request(const struct addr *a, const char *method, const char *path, const char *body,
+                json_t **answer, char **text)
+{
+    struct wait *w = sr_alloc(sizeof(*w));
+    struct er_err err = {0};
+    struct nt_timer late = {0};
+    w->loop = nt_loop_create(64, &err);
+    if (!w->loop)
+        return 0;
+    nt_timer_set(w->loop, &late, GIVE_UP_US, give_up, w);
+    nt_http_get(w->loop, a->ip, a->port, method, path, body, done, w);
+    nt_run(w->loop);
+    nt_timer_cancel(&late);
+    int status = w->status;
+    if (answer)
+        *answer = w->text ? json_loads(w->text, 0, NULL) : NULL;
+    if (text)
+        *text = w->text ? strdup(w->text) : strdup("");
+    return status;
+}
+
+bool ctl_parse_addr(const char *s, struct addr *a)
+{
+    const char *colon = strrchr(s, ':');
+    if (!colon)
+        return false;
+    a->port = atoi(colon + 1);
+    return sr_copy(a->ip, sizeof(a->ip), (struct sr_str){s, (size_t)(colon - s)}) &&
+           a->port > 0 && a->port < 65536;
+}
+
+static bool leads(const struct addr *a)
+{
+    json_t *s = NULL;
+    int status = ctl_request(a, "GET", "/v1/status", NULL, &s, NULL);
+    bool yes = status == 200 && json_is_true(json_object_get(s, "leads")) &&
+               json_is_true(json_object_get(s, "vouched"));
+    json_decref(s);
+    return yes;
+}
+
+int ctl_ask(const struct ctl *c, bool leader, const char *method, const char *path,
+            const char *body, json_t **answer, char **text, struct addr *from)
+{
+    int status = 0;
+    for (int round = 0; round < 2 && status == 0; round++) {
+        for (int i = 0; i < c->n && status == 0; i++) {
+            if (round == 0 && leader && !leads(&c->control[i]))
+                continue;
+            if (from)
+                *from = c->control[i];
+            status = ctl_request(&c->control[i], method, path, body, answer, text);
+        }
+    }
+    return status;
+}
--- /dev/null
+++ b/ferryctl/main.c
@@ -0,0 +1,301 @@
+/* ferryctl: the operators' tool. */
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "ferryctl/ctl.h"
+#include "misc/str.h"
+
+enum { O_JSON = 1000, O_YES, O_WHO, O_ID, O_GROUP, O_NODE, O_KIND, O_SVG };
+
+const char *argp_program_version = "ferryctl 0.1";
+
+static const struct argp_option options[] = {
+    {"control", 'c', "IP:PORT,...", 0,
+     "operators' ports of the control nodes (or environment FERRY_CONTROL)", 0},
+    {"json", O_JSON, NULL, 0, "answer as JSON", 0},
+    {"yes", 'y', NULL, 0, "confirm the plan at once (drain, move, rule, replace)", 0},
+    {"who", O_WHO, "NAME", 0, "your name, for others who plan (default: $USER)", 0},
+    {"id", O_ID, "ID", 0, "id of the intent; the same id is done at most once", 0},
+    {"output", 'o', "FILE", 0, "plan: write it to FILE for confirm", 0},
+    {"group", O_GROUP, "NAME", 0, "timeline: only this group", 0},
+    {"node", O_NODE, "NAME", 0, "timeline: only this node", 0},
+    {"kind", O_KIND, "NAME", 0, "timeline: only this kind of event", 0},
+    {"svg", O_SVG, "FILE", 0, "timeline: picture of the changes of primary", 0},
+    {0}};
+
+static const char doc[] =
+    "Commands:\n"
+    "  status | members | nodes | metrics | timeline     reading changes nothing\n"
+    "  drain GROUP INSTANCE        plan to take an instance out\n"
+    "  rule GROUP MAX_AGE_MS       plan another accepted age\n"
+    "  move GROUP FILE             plan to move to the instances listed in FILE (JSON)\n"
+    "  replace OLD_ID FILE         plan to replace a control node by the one in FILE (JSON)\n"
+    "  plan drain|rule|move|replace ...  the same, never confirms\n"
+    "  confirm FILE                confirm a plan written with --output\n"
+    "  intent ID                   what became of an intent\n"
+    "\vExit codes: 0 done, 1 refused, 64 usage, 69 no control node answers, 75 may have been "
+    "done: resend with the same --id.";
+
+static void set_control(struct ctl *c, const char *list)
+{
+    char part[80];
+    c->n = 0;
+    while (*list && c->n < CT_MAX_CONTROL) {
+        size_t n = strcspn(list, ",");
+        if (sr_copy(part, sizeof(part), (struct sr_str){list, n}) &&
+            ctl_parse_addr(part, &c->control[c->n]))
+            c->n++;
+        list += n + (list[n] == ',');
+    }
+}
+
+static error_t parse(int key, char *arg, struct argp_state *st)
+{
+    struct ctl *c = st->input;
+    switch (key) {
+    case 'c':
+        set_control(c, arg);
+        break;
+    case O_JSON:
+        c->json = true;
+        break;
+    case 'y':
+        c->yes = true;
+        break;
+    case O_WHO:
+        c->who = arg;
+        break;
+    case O_ID:
+        c->id = arg;
+        break;
+    case 'o':
+        c->out = arg;
+        break;
+    case O_GROUP:
+        c->group = arg;
+        break;
+    case O_NODE:
+        c->node = arg;
+        break;
+    case O_KIND:
+        c->kind = arg;
+        break;
+    case O_SVG:
+        c->svg = arg;
+        break;
+    case ARGP_KEY_ARG:
+        if (c->n_args == CT_MAX_ARGS)
+            argp_error(st, "too many words");
+        c->args[c->n_args++] = arg;
+        break;
+    case ARGP_KEY_END:
+        if (c->n_args == 0)
+            argp_error(st, "a command is needed");
+        if (c->n == 0)
+            argp_error(st, "--control or FERRY_CONTROL must name the control nodes");
+        break;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+    return 0;
+}
+
+static void print_json(const json_t *j)
+{
+    json_dumpf(j, stdout, JSON_INDENT(2));
+    putchar('\n');
+}
+
+static int usage(const char *what)
+{
+    fprintf(stderr, "ferryctl: %s; see ferryctl --help\n", what);
+    return EX_USAGE_;
+}
+
+/* ---- reading ---- */
+
+static int read_page(const struct ctl *c, const char *path, void (*show)(const json_t *))
+{
+    json_t *a = NULL;
+    int status = ctl_ask(c, true, "GET", path, NULL, &a, NULL, NULL);
+    if (status != 200)
+        return show_error(status, a);
+    if (c->json)
+        print_json(a);
+    else
+        show(a);
+    json_decref(a);
+    return EX_GOOD;
+}
+
+static int metrics(const struct ctl *c)
+{
+    bool any = false;
+    for (int i = 0; i < c->n; i++) {
+        char *text = NULL;
+        if (ctl_request(&c->control[i], "GET", "/metrics", NULL, NULL, &text) == 200) {
+            printf("# %s:%d\n%s", c->control[i].ip, c->control[i].port, text);
+            any = true;
+        }
+        free(text);
+    }
+    return any ? EX_GOOD : show_error(0, NULL);
+}
+
+static int intent(const struct ctl *c, const char *id)
+{
+    json_t *s = NULL, *x;
+    size_t i;
+    int status = ctl_ask(c, true, "GET", "/v1/status", NULL, &s, NULL, NULL);
+    if (status != 200)
+        return show_error(status, s);
+    json_array_foreach(json_object_get(json_object_get(s, "view"), "intents"), i, x)
+    {
+        if (strcmp(json_string_value(json_object_get(x, "id")), id) != 0)
+            continue;
+        if (c->json)
+            print_json(x);
+        else
+            show_intent(x);
+        json_decref(s);
+        return EX_GOOD;
+    }
+    json_decref(s);
+    fprintf(stderr, "ferryctl: no intent %s is known\n", id);
+    return EX_REFUSED;
+}
+
+/* ---- planning and confirming ---- */
+
+static json_t *args_of(const struct ctl *c, int first)
+{
+    int n = c->n_args - first;
+    char *const *w = &c->args[first];
+    if (n == 3 && strcmp(w[0], "drain") == 0)
+        return json_pack("{s:s,s:s,s:s}", "kind", "drain", "group", w[1], "instance", w[2]);
+    if (n == 3 && strcmp(w[0], "rule") == 0)
+        return json_pack("{s:s,s:s,s:I}", "kind", "rule", "group", w[1], "max_age_ms",
+                         (json_int_t)atoll(w[2]));
+    json_t *file = n == 3 ? json_load_file(w[2], 0, NULL) : NULL;
+    if (file && strcmp(w[0], "move") == 0)
+        return json_pack("{s:s,s:s,s:o}", "kind", "move", "group", w[1], "instances", file);
+    if (file && strcmp(w[0], "replace") == 0)
+        return json_pack("{s:s,s:s,s:o}", "kind", "replace", "old", w[1], "new", file);
+    json_decref(file);
+    return NULL;
+}
+
+static void draw_id(char *out, size_t cap)
+{
+    unsigned char raw[8];
+    randombytes_buf(raw, sizeof(raw));
+    sodium_bin2hex(out, cap, raw, sizeof(raw));
+}
+
+static int confirm(const struct ctl *c, const json_t *plan)
+{
+    char id[32], *body;
+    draw_id(id, sizeof(id));
+    const char *who = c->who ? c->who : getenv("USER");
+    json_t *o = json_pack("{s:s,s:s}", "id", c->id ? c->id : id, "who", who ? who : "operator");
+    json_object_set(o, "args", json_object_get(plan, "args"));
+    json_object_set(o, "digest", json_object_get(plan, "digest"));
+    json_object_set(o, "number", json_object_get(plan, "number"));
+    body = json_dumps(o, JSON_COMPACT);
+    json_t *a = NULL;
+    int status = ctl_ask(c, true, "POST", "/v1/confirm", body, &a, NULL, NULL);
+    free(body);
+    if (status == 0 || status == 504)
+        fprintf(stderr, "ferryctl: the id was %s\n", c->id ? c->id : id);
+    json_decref(o);
+    if (status != 200)
+        return show_error(status, a);
+    if (c->json)
+        print_json(a);
+    else
+        show_intent(a);
+    json_decref(a);
+    return EX_GOOD;
+}
+
+static int plan(const struct ctl *c, int first, bool may_confirm)
+{
+    json_t *args = args_of(c, first);
+    if (!args)
+        return usage("wrong arguments, or the file is no JSON");
+    char *body = json_dumps(args, JSON_COMPACT);
+    json_t *p = NULL;
+    int status = ctl_ask(c, true, "POST", "/v1/plan", body, &p, NULL, NULL);
+    free(body);
+    json_decref(args);
+    if (status != 200)
+        return show_error(status, p);
+    if (c->json)
+        print_json(p);
+    else
+        show_plan(p);
+    if (c->out && json_dump_file(p, c->out, JSON_INDENT(2)) != 0)
+        return usage("the plan can't be written");
+    int rc = EX_GOOD;
+    if (may_confirm && c->yes)
+        rc = confirm(c, p);
+    else if (!c->json)
+        printf("nothing has been done; --output FILE and `ferryctl confirm FILE` do it, or "
+               "--yes\n");
+    json_decref(p);
+    return rc;
+}
+
+static int confirm_file(const struct ctl *c, const char *path)
+{
+    json_t *p = json_load_file(path, 0, NULL);
+    if (!p)
+        return usage("the plan file can't be read");
+    int rc = confirm(c, p);
+    json_decref(p);
+    return rc;
+}
+
+static int run(const struct ctl *c)
+{
+    const char *cmd = c->args[0];
+    if (strcmp(cmd, "status") == 0)
+        return read_page(c, "/v1/status", show_status);
+    if (strcmp(cmd, "members") == 0)
+        return read_page(c, "/v1/members", show_members);
+    if (strcmp(cmd, "nodes") == 0)
+        return read_page(c, "/v1/nodes", show_nodes);
+    if (strcmp(cmd, "metrics") == 0)
+        return metrics(c);
+    if (strcmp(cmd, "timeline") == 0)
+        return ctl_timeline(c);
+    if (strcmp(cmd, "intent") == 0 && c->n_args == 2)
+        return intent(c, c->args[1]);
+    if (strcmp(cmd, "confirm") == 0 && c->n_args == 2)
+        return confirm_file(c, c->args[1]);
+    if (strcmp(cmd, "plan") == 0 && c->n_args > 1)
+        return plan(c, 1, false);
+    static const char *const intents[] = {"drain", "rule", "move", "replace"};
+    for (size_t i = 0; i < sizeof(intents) / sizeof(intents[0]); i++) {
+        if (strcmp(cmd, intents[i]) == 0)
+            return plan(c, 0, true);
+    }
+    return usage("unknown command or wrong arguments");
+}
+
+int main(int argc, char **argv)
+{
+    static struct ctl c;
+    struct argp argp = {options, parse, "COMMAND [ARGS...]", doc, NULL, NULL, NULL};
+    argp_err_exit_status = EX_USAGE_;
+    if (sodium_init() < 0)
+        return EX_UNREACHED;
+    if (getenv("FERRY_CONTROL"))
+        set_control(&c, getenv("FERRY_CONTROL"));
+    argp_parse(&argp, argc, argv, 0, NULL, &c);
+    return run(&c);
+}
--- /dev/null
+++ b/misc/log.h
@@ -0,0 +1,32 @@
+/* A small logger. Each object carries a `struct lg_log` with its prefix. */
+#ifndef FL_MISC_LOG_H
+#define FL_MISC_LOG_H
+
+#include <stdbool.h>
+
+enum lg_level { LG_FATAL, LG_ERR, LG_WARN, LG_INFO, LG_VERBOSE, LG_DEBUG, LG_TRACE };
+
+struct lg_log {
+    const char *prefix; /* names the module; static storage */
+};
+
+/* Once at start. `spec` is "info" or "info,quorum=debug,entry=trace"; unknown level: false. */
+bool lg_setup(const char *node, const char *spec, bool json);
+
+bool lg_enabled(const struct lg_log *log, enum lg_level level);
+void lg_write(const struct lg_log *log, enum lg_level level, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+#define LG_MSG(log, level, ...)                                                                \
+    do {                                                                                       \
+        if (lg_enabled((log), (level)))                                                        \
+            lg_write((log), (level), __VA_ARGS__);                                             \
+    } while (0)
+#define FL_FATAL(log, ...) LG_MSG(log, LG_FATAL, __VA_ARGS__)
+#define FL_ERR(log, ...) LG_MSG(log, LG_ERR, __VA_ARGS__)
+#define FL_WARN(log, ...) LG_MSG(log, LG_WARN, __VA_ARGS__)
+#define FL_INFO(log, ...) LG_MSG(log, LG_INFO, __VA_ARGS__)
+#define FL_VERBOSE(log, ...) LG_MSG(log, LG_VERBOSE, __VA_ARGS__)
+#define FL_DBG(log, ...) LG_MSG(log, LG_DEBUG, __VA_ARGS__)
+
+#endif
--- /dev/null
+++ b/misc/str.h
@@ -0,0 +1,44 @@
+/* Length-counted strings and a growable buffer. */
+#ifndef FL_MISC_STR_H
+#define FL_MISC_STR_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+/* A view of bytes that somebody else owns; need not end in NUL. */
+struct sr_str {
+    const char *p;
+    size_t len;
+};
+
+#define SR_LIT(s) ((struct sr_str){(s), sizeof(s) - 1})
+
+static inline struct sr_str sr_from(const char *z)
+{
+    return (struct sr_str){z ? z : "", z ? strlen(z) : 0};
+}
+
+static inline bool sr_eq(struct sr_str a, struct sr_str b)
+{
+    return a.len == b.len && memcmp(a.p, b.p, a.len) == 0;
+}
+
+/* Copy into a fixed field with a closing NUL. False if it does not fit. */
+bool sr_copy(char *dst, size_t cap, struct sr_str s);
+
+/* A buffer that its holder owns; zero-initialised is empty. */
+struct sr_buf {
+    char *p;
+    size_t len, cap;
+};
+
+/* Allocation failure aborts: a node that can't allocate a few KB has nothing to offer. */
+void *sr_alloc(size_t n);
+void *sr_realloc(void *p, size_t n);
+void sr_buf_add(struct sr_buf *b, const void *p, size_t n);
+void sr_buf_printf(struct sr_buf *b, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+void sr_buf_free(struct sr_buf *b);
+
+#endif
--- /dev/null
+++ b/pool/shares.c
@@ -0,0 +1,192 @@
+#include "pool/shares.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "misc/str.h"
+
+void sh_begin(struct sh_table *t, int64_t quiet_until)
+{
+    sh_free(t);
+    t->quiet_until = quiet_until;
+}
+
+void sh_free(struct sh_table *t)
+{
+    for (int i = 0; i < t->n; i++)
+        free(t->inst[i].nodes);
+    free(t->inst);
+    memset(t, 0, sizeof(*t));
+}
+
+static struct sh_inst *find(const struct sh_table *t, const char *id)
+{
+    for (int i = 0; i < t->n; i++) {
+        if (strcmp(t->inst[i].id, id) == 0)
+            return &t->inst[i];
+    }
+    return NULL;
+}
+
+void sh_set_instance(struct sh_table *t, const char *id, int limit, int reserve)
+{
+    struct sh_inst *in = find(t, id);
+    if (!in) {
+        if (t->n == t->cap) {
+            t->cap = t->cap ? t->cap * 2 : 16;
+            t->inst = sr_realloc(t->inst, sizeof(*t->inst) * (size_t)t->cap);
+        }
+        in = &t->inst[t->n++];
+        memset(in, 0, sizeof(*in));
+        sr_copy(in->id, sizeof(in->id), sr_from(id));
+    }
+    in->limit = limit;
+    in->reserve = reserve;
+}
+
+void sh_drop_instance(struct sh_table *t, const char *id)
+{
+    struct sh_inst *in = find(t, id);
+    if (!in)
+        return;
+    free(in->nodes);
+    *in = t->inst[--t->n];
+}
+
+static struct sh_node *node_of(struct sh_inst *in, uint64_t id, bool make)
+{
+    for (int i = 0; i < in->n; i++) {
+        if (in->nodes[i].id == id)
+            return &in->nodes[i];
+    }
+    if (!make)
+        return NULL;
+    if (in->n == in->cap) {
+        in->cap = in->cap ? in->cap * 2 : 16;
+        in->nodes = sr_realloc(in->nodes, sizeof(*in->nodes) * (size_t)in->cap);
+    }
+    struct sh_node *n = &in->nodes[in->n++];
+    *n = (struct sh_node){.id = id};
+    return n;
+}
+
+static int sum(const struct sh_inst *in)
+{
+    int s = 0;
+    for (int i = 0; i < in->n; i++)
+        s += in->nodes[i].counted;
+    return s;
+}
+
+int sh_counted(const struct sh_table *t, const char *inst)
+{
+    const struct sh_inst *in = find(t, inst);
+    return in ? sum(in) : 0;
+}
+
+void sh_report(struct sh_table *t, const char *inst, uint64_t node, int held, int want,
+               uint64_t seq, int64_t until, int64_t now)
+{
+    struct sh_inst *in = find(t, inst);
+    if (!in)
+        return;
+    struct sh_node *n = node_of(in, node, true);
+    n->until = until;
+    n->want = want;
+    if (held > n->counted) {
+        /* It holds what an earlier leader dealt, or what was told it since. */
+        n->counted = held;
+        if (now < t->quiet_until)
+            n->target = held;
+    }
+    if (seq >= n->told)
+        n->counted = held > n->target ? held : n->target;
+}
+
+/* Nodes whose lease ran out keep one connection for a while, then none. */
+static void expire(struct sh_inst *in, int64_t now)
+{
+    for (int i = 0; i < in->n; i++) {
+        struct sh_node *n = &in->nodes[i];
+        if (now < n->until)
+            continue;
+        if (now >= n->until + SH_FORGET_US) {
+            *n = in->nodes[--in->n];
+            i--;
+            continue;
+        }
+        n->counted = n->counted > 0 ? 1 : 0;
+        n->target = n->counted;
+        n->want = 0;
+    }
+}
+
+/* Max-min fair: everyone up to the water level, nobody above what it wants. */
+static int water_level(const struct sh_inst *in, int64_t now, int room)
+{
+    int level = 0;
+    for (;;) {
+        int need = 0;
+        bool more = false;
+        for (int i = 0; i < in->n; i++) {
+            const struct sh_node *n = &in->nodes[i];
+            if (now >= n->until)
+                continue;
+            int want = n->want > 1 ? n->want : 1;
+            need += want < level + 1 ? want : level + 1;
+            more = more || want > level;
+        }
+        if (!more || need > room)
+            return level;
+        level++;
+    }
+}
+
+bool sh_balance(struct sh_table *t, const char *inst, int64_t now)
+{
+    struct sh_inst *in = find(t, inst);
+    if (!in || now < t->quiet_until)
+        return false;
+    expire(in, now);
+    int room = in->limit - in->reserve;
+    for (int i = 0; i < in->n; i++) {
+        if (now >= in->nodes[i].until)
+            room -= in->nodes[i].counted;
+    }
+    int level = water_level(in, now, room);
+    int free_now = in->limit - in->reserve - sum(in);
+    bool changed = false;
+    for (int i = 0; i < in->n; i++) {
+        struct sh_node *n = &in->nodes[i];
+        if (now >= n->until)
+            continue;
+        int want = n->want > 1 ? n->want : 1;
+        int next = want < level ? want : level;
+        /* Growth only out of what nobody may hold now; shrinking is asked for at once. */
+        int grow = next - n->counted;
+        if (grow > free_now)
+            next = n->counted + (free_now > 0 ? free_now : 0);
+        if (next > n->counted) {
+            free_now -= next - n->counted;
+            n->counted = next;
+        }
+        changed = changed || next != n->target;
+        if (next != n->target)
+            n->told = UINT64_MAX; /* unconfirmed until it has been told */
+        n->target = next;
+    }
+    assert(sum(in) <= in->limit - in->reserve || free_now < 0);
+    return changed;
+}
+
+int sh_tell(struct sh_table *t, const char *inst, uint64_t node, uint64_t seq)
+{
+    struct sh_inst *in = find(t, inst);
+    struct sh_node *n = in ? node_of(in, node, false) : NULL;
+    if (!n)
+        return 0;
+    if (n->told == UINT64_MAX)
+        n->told = seq;
+    return n->target;
+}
--- /dev/null
+++ b/pool/shares.h
@@ -0,0 +1,56 @@
+/* Shares of an instance's scarce connections, dealt out by the control leader.
+ *
+ * Invariant, at every step: for each instance, the sum over entry nodes of what each may hold
+ * is at most the instance's limit less the reserve. A node's share shrinks only when the node
+ * has confirmed it, or its lease has run out; then one connection stays counted for
+ * SH_FORGET_US, since a node without a lease keeps one for reads that need none. */
+#ifndef FL_POOL_SHARES_H
+#define FL_POOL_SHARES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "misc/clock.h"
+
+enum { SH_ID = 48 };
+#define SH_FORGET_US CK_SEC(60)
+
+struct sh_node {
+    uint64_t id;
+    int counted;  /* the most it may hold, as far as can be known */
+    int target;   /* what it is told */
+    int want;     /* what it asked for */
+    uint64_t told; /* number of the message that told it `target` */
+    int64_t until; /* of its lease, drift included */
+};
+
+struct sh_inst {
+    char id[SH_ID];
+    int limit, reserve;
+    int n, cap;
+    struct sh_node *nodes;
+};
+
+struct sh_table {
+    int64_t quiet_until; /* earlier leaders' shares may be out until then */
+    int n, cap;
+    struct sh_inst *inst;
+};
+
+/* A leader begins at `now`; shares dealt by an earlier one may be held until `quiet_until`. */
+void sh_begin(struct sh_table *t, int64_t quiet_until);
+void sh_free(struct sh_table *t);
+void sh_set_instance(struct sh_table *t, const char *id, int limit, int reserve);
+void sh_drop_instance(struct sh_table *t, const char *id);
+/* A node's renewal: it may hold `held`, would use `want`, has applied message `seq`; its lease
+ * runs to `until`. */
+void sh_report(struct sh_table *t, const char *inst, uint64_t node, int held, int want,
+               uint64_t seq, int64_t until, int64_t now);
+/* Deal anew. Returns whether any target changed. */
+bool sh_balance(struct sh_table *t, const char *inst, int64_t now);
+/* What to tell the node in message `seq`. */
+int sh_tell(struct sh_table *t, const char *inst, uint64_t node, uint64_t seq);
+/* Sum of all that may be held; the invariant's left side. */
+int sh_counted(const struct sh_table *t, const char *inst);
+
+#endif
--- /dev/null
+++ b/promote/promote.c
@@ -0,0 +1,510 @@
+#include "promote/promote.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum { MAX_HOLD_US = 10000000, CALM_US = 60000000, REPORT_STALE_US = 1000000, HAND_PROBE_US = 2000 };
+
+void pr_begin(struct pr_group *p, const struct pr_config *cfg, int64_t now)
+{
+    memset(p, 0, sizeof(*p));
+    p->cfg = *cfg;
+    p->hold = cfg->hold_us;
+    p->last_end = now - cfg->hold_us;
+    p->chosen = -1;
+}
+
+int pr_needed(const struct vw_group *g)
+{
+    return g->n - g->copies + 1;
+}
+
+/* ---- keeping what is known ---- */
+
+static struct pr_inst *find(struct pr_group *p, const char *id)
+{
+    for (int i = 0; i < p->n; i++) {
+        if (strcmp(p->inst[i].id, id) == 0)
+            return &p->inst[i];
+    }
+    return NULL;
+}
+
+/* Let our list follow the view's order, keeping what is known. */
+static void sync_instances(struct pr_group *p, const struct vw_group *g)
+{
+    struct pr_inst next[VW_MAX_INSTANCES];
+    bool same = p->n == g->n;
+    for (int i = 0; i < g->n && same; i++)
+        same = strcmp(p->inst[i].id, g->inst[i].id) == 0;
+    if (same)
+        return;
+    memset(next, 0, sizeof(next));
+    for (int i = 0; i < g->n; i++) {
+        const struct pr_inst *old = find(p, g->inst[i].id);
+        if (old)
+            next[i] = *old;
+        else
+            snprintf(next[i].id, sizeof(next[i].id), "%s", g->inst[i].id);
+    }
+    memcpy(p->inst, next, sizeof(next));
+    p->n = g->n;
+}
+
+void pr_probed(struct pr_group *p, const char *inst, uint64_t vantage, const char *domain,
+               enum pr_health health, int64_t now)
+{
+    struct pr_inst *in = find(p, inst);
+    if (!in)
+        return;
+    struct pr_report *r = NULL;
+    for (int i = 0; i < PR_VANTAGES; i++) {
+        if (in->by[i].vantage == vantage) {
+            r = &in->by[i];
+            break;
+        }
+        if (!r && (in->by[i].vantage == 0 || now - in->by[i].at > REPORT_STALE_US))
+            r = &in->by[i];
+    }
+    if (!r)
+        return;
+    bool was_down = r->vantage == vantage && r->health >= PR_SILENT;
+    if (health >= PR_SILENT && !was_down)
+        r->down_at = now;
+    r->vantage = vantage;
+    snprintf(r->domain, sizeof(r->domain), "%s", domain);
+    r->health = health;
+    r->at = now;
+}
+
+void pr_said(struct pr_group *p, const char *inst, bool primary, uint64_t term,
+             uint64_t following, struct ps_pos held, int64_t now)
+{
+    struct pr_inst *in = find(p, inst);
+    if (!in)
+        return;
+    in->primary = primary;
+    in->term = term;
+    in->following = following;
+    in->held = held;
+    in->said_at = now;
+}
+
+void pr_checking(struct pr_group *p, int n)
+{
+    p->checks_out = n;
+}
+
+void pr_checked(struct pr_group *p, uint64_t nonce, enum pr_health health)
+{
+    if (p->step != PR_CHECKING || nonce != p->nonce)
+        return;
+    p->checks_out--;
+    if (health == PR_UP)
+        p->checks_ok++;
+    else if (health >= PR_SILENT)
+        p->checks_bad++;
+}
+
+void pr_fenced(struct pr_group *p, const char *inst, uint64_t term, struct ps_pos held)
+{
+    struct pr_inst *in = find(p, inst);
+    if (!in || term < in->fenced)
+        return;
+    in->fenced = term;
+    in->fenced_pos = held;
+}
+
+void pr_promoted(struct pr_group *p, const char *inst, uint64_t term, struct ps_pos start)
+{
+    struct pr_inst *in = find(p, inst);
+    if (!in || p->step != PR_PROMOTING || term != p->term || in != &p->inst[p->chosen])
+        return;
+    in->fenced_pos = start;
+    p->step = PR_CONCLUDING;
+    p->step_at = 0;
+}
+
+/* ---- detection ---- */
+
+struct verdict {
+    int domains; /* failure domains from which it is down */
+    int up;      /* vantages that see it up */
+    bool refused;
+};
+
+static struct verdict judge(const struct pr_inst *in, int64_t now)
+{
+    struct verdict v = {0};
+    const char *seen[PR_VANTAGES];
+    for (int i = 0; i < PR_VANTAGES; i++) {
+        const struct pr_report *r = &in->by[i];
+        if (!r->vantage || now - r->at > REPORT_STALE_US)
+            continue;
+        if (r->health == PR_UP)
+            v.up++;
+        if (r->health < PR_SILENT)
+            continue;
+        v.refused = v.refused || r->health == PR_REFUSED;
+        bool fresh = true;
+        for (int k = 0; k < v.domains; k++)
+            fresh = fresh && strcmp(seen[k], r->domain) != 0;
+        if (fresh)
+            seen[v.domains++] = r->domain;
+    }
+    return v;
+}
+
+static bool looks_down(const struct pr_inst *in, int64_t now)
+{
+    struct verdict v = judge(in, now);
+    return v.domains >= 2 && v.up == 0;
+}
+
+/* ---- actions ---- */
+
+static void act(struct pr_actions *out, enum pr_action_kind kind, int inst, uint64_t term,
+                uint64_t pos)
+{
+    if (out->n < PR_MAX_ACTIONS)
+        out->a[out->n++] = (struct pr_action){kind, inst, term, pos};
+}
+
+static void enter(struct pr_group *p, enum pr_step step, int64_t now)
+{
+    p->step = step;
+    p->step_at = now;
+}
+
+/* Above every term that anybody has named. */
+static uint64_t next_term(const struct pr_group *p, const struct vw_group *g)
+{
+    uint64_t t = g->term;
+    for (int i = 0; i < p->n; i++) {
+        if (p->inst[i].term > t)
+            t = p->inst[i].term;
+        if (p->inst[i].fenced > t)
+            t = p->inst[i].fenced;
+    }
+    return t + 1;
+}
+
+static void propose_replace(struct pr_group *p, const struct vw_group *g, int64_t now,
+                            struct pr_actions *out)
+{
+    p->proposed = next_term(p, g);
+    p->proposed_at = now;
+    enter(p, PR_PROPOSED, now);
+    act(out, PR_DO_REPLACE, g->primary, p->proposed, 0);
+}
+
+/* ---- serving: watch the primary, keep the replicas following ---- */
+
+static bool held_down(const struct pr_group *p, int64_t now)
+{
+    return now - p->last_end < p->hold;
+}
+
+static void begin_check(struct pr_group *p, const struct vw_group *g, int64_t now,
+                        struct pr_actions *out)
+{
+    struct verdict v = judge(&p->inst[g->primary], now);
+    snprintf(p->why, sizeof(p->why), "%s %s from %d failure domains",
+             g->inst[g->primary].id, v.refused ? "refuses" : "is silent", v.domains);
+    p->nonce++;
+    p->checks_out = p->checks_ok = p->checks_bad = 0;
+    p->began = now;
+    enter(p, PR_CHECKING, now);
+    act(out, PR_DO_CHECK, g->primary, p->nonce, 0);
+}
+
+static void check_tick(struct pr_group *p, const struct vw_group *g, int64_t now,
+                       struct pr_actions *out)
+{
+    if (p->checks_ok > 0 || !looks_down(&p->inst[g->primary], now)) {
+        /* Entry nodes still get answers: it serves, though control can't reach it. */
+        if (now - p->step_at > p->cfg.silence_us)
+            enter(p, PR_IDLE, now);
+        return;
+    }
+    if (p->checks_out > 0 && now - p->step_at < p->cfg.check_us)
+        return;
+    propose_replace(p, g, now, out);
+}
+
+static void keep_following(struct pr_group *p, const struct vw_group *g, int64_t now,
+                           struct pr_actions *out)
+{
+    for (int i = 0; i < g->n; i++) {
+        struct pr_inst *in = &p->inst[i];
+        bool right = i == g->primary ? in->primary && in->term == g->term
+                                     : !in->primary && in->following == g->term;
+        if (right || i == g->primary || now - in->asked_at < p->cfg.resend_us)
+            continue;
+        in->asked_at = now;
+        act(out, PR_DO_FOLLOW, i, g->term, 0);
+    }
+}
+
+/* The primary answers, but as something else: it came back without its role. */
+static bool lost_role(const struct pr_group *p, const struct vw_group *g, int64_t now)
+{
+    const struct pr_inst *in = &p->inst[g->primary];
+    bool settled = now - p->last_end > p->cfg.silence_us;
+    bool said = in->said_at > p->last_end + p->cfg.silence_us / 2;
+    return settled && said && (!in->primary || in->term != g->term);
+}
+
+static void note_end(struct pr_group *p, int64_t now)
+{
+    bool calm = now - p->last_end > CALM_US;
+    p->hold = calm ? p->cfg.hold_us : p->hold * 2;
+    if (p->hold > MAX_HOLD_US)
+        p->hold = MAX_HOLD_US;
+    p->last_end = now;
+    enter(p, PR_IDLE, now);
+}
+
+static void serving_tick(struct pr_group *p, const struct vw_group *g, int64_t now,
+                         struct pr_actions *out)
+{
+    if (p->step == PR_CHECKING) {
+        check_tick(p, g, now, out);
+        return;
+    }
+    if (p->step == PR_PROPOSED) {
+        /* The proposal is on its way into the view, or was lost with a leader. */
+        if (now - p->step_at >= p->cfg.attempt_us)
+            enter(p, PR_IDLE, now);
+        return;
+    }
+    if (p->step != PR_IDLE)
+        note_end(p, now);
+    keep_following(p, g, now, out);
+    if (held_down(p, now))
+        return;
+    if (looks_down(&p->inst[g->primary], now)) {
+        begin_check(p, g, now, out);
+    } else if (lost_role(p, g, now)) {
+        snprintf(p->why, sizeof(p->why), "%s lost its role", g->inst[g->primary].id);
+        propose_replace(p, g, now, out);
+    }
+}
+
+/* ---- replacing ---- */
+
+static void send_fences(struct pr_group *p, const struct vw_group *g, int64_t now,
+                        struct pr_actions *out)
+{
+    for (int i = 0; i < g->n; i++) {
+        struct pr_inst *in = &p->inst[i];
+        if (in->fenced >= p->term || now - in->asked_at < p->cfg.resend_us)
+            continue;
+        in->asked_at = now;
+        act(out, PR_DO_FENCE, i, p->term, 0);
+    }
+}
+
+static int count_fenced(const struct pr_group *p)
+{
+    int n = 0;
+    for (int i = 0; i < p->n; i++)
+        n += p->inst[i].fenced == p->term;
+    return n;
+}
+
+/* Highest (term, position) among the fenced; between equals one that is not draining. */
+static int best_fenced(const struct pr_group *p, const struct vw_group *g)
+{
+    int best = -1;
+    for (int i = 0; i < p->n; i++) {
+        if (p->inst[i].fenced != p->term)
+            continue;
+        if (best < 0) {
+            best = i;
+            continue;
+        }
+        if (p->cfg.fault.any_replica)
+            break;
+        int c = ps_cmp(p->inst[i].fenced_pos, p->inst[best].fenced_pos);
+        if (c > 0 || (c == 0 && g->inst[best].draining && !g->inst[i].draining))
+            best = i;
+    }
+    return best;
+}
+
+static void promote(struct pr_group *p, int i, int64_t now, struct pr_actions *out)
+{
+    p->chosen = i;
+    enter(p, PR_PROMOTING, now);
+    p->inst[i].asked_at = now;
+    act(out, PR_DO_PROMOTE, i, p->term, 0);
+}
+
+static void fencing_tick(struct pr_group *p, const struct vw_group *g, bool dropped,
+                         int64_t now, struct pr_actions *out)
+{
+    send_fences(p, g, now, out);
+    bool wait_nodes = !p->cfg.fenced_endpoints || p->cfg.fault.wait_leases;
+    if (wait_nodes && !dropped)
+        return;
+    if (count_fenced(p) >= pr_needed(g))
+        promote(p, best_fenced(p, g), now, out);
+}
+
+static void promoting_tick(struct pr_group *p, int64_t now, struct pr_actions *out)
+{
+    struct pr_inst *in = &p->inst[p->chosen];
+    if (now - in->asked_at < p->cfg.resend_us)
+        return;
+    in->asked_at = now;
+    act(out, PR_DO_PROMOTE, p->chosen, p->term, 0);
+}
+
+static void concluding_tick(struct pr_group *p, int64_t now, struct pr_actions *out)
+{
+    if (p->step_at && now - p->step_at < p->cfg.attempt_us)
+        return;
+    p->step_at = now;
+    act(out, PR_DO_PRIMARY, p->chosen, p->term, p->inst[p->chosen].fenced_pos.pos);
+}
+
+static void begin_attempt(struct pr_group *p, uint64_t term, int64_t now)
+{
+    p->term = term;
+    p->chosen = -1;
+    p->began = now;
+    for (int i = 0; i < p->n; i++)
+        p->inst[i].asked_at = now - p->cfg.resend_us;
+    enter(p, PR_FENCING, now);
+}
+
+/* Whether an instance obeys a higher term already: this attempt can't succeed. */
+static bool outbid(const struct pr_group *p)
+{
+    for (int i = 0; i < p->n; i++) {
+        if (p->inst[i].term > p->term)
+            return true;
+    }
+    return false;
+}
+
+/* Whether the attempt at the view's term is this leader's own and goes on. A replacement that
+ * an earlier leader began, one that is stuck and one that is outbid start over under a higher
+ * term: an instance may have been promoted without anybody knowing. */
+static bool attempt_goes_on(struct pr_group *p, const struct vw_group *g, int64_t now,
+                            struct pr_actions *out)
+{
+    bool running = p->term == g->term && p->step >= PR_FENCING;
+    if (!running && p->proposed && p->proposed == g->term) {
+        begin_attempt(p, g->term, now);
+        return true;
+    }
+    bool stuck = p->step == PR_PROMOTING && now - p->step_at > p->cfg.attempt_us;
+    if (running && !stuck && !outbid(p))
+        return true;
+    bool proposed = p->proposed > g->term && now - p->proposed_at < p->cfg.attempt_us;
+    if (!proposed)
+        propose_replace(p, g, now, out);
+    return false;
+}
+
+static void replacing_tick(struct pr_group *p, const struct vw_group *g, bool dropped,
+                           int64_t now, struct pr_actions *out)
+{
+    if (!attempt_goes_on(p, g, now, out))
+        return;
+    switch (p->step) {
+    case PR_FENCING:
+        fencing_tick(p, g, dropped, now, out);
+        break;
+    case PR_PROMOTING:
+        promoting_tick(p, now, out);
+        break;
+    case PR_CONCLUDING:
+        concluding_tick(p, now, out);
+        break;
+    default:
+        break;
+    }
+}
+
+/* ---- handing: a planned change ---- */
+
+static void hand_fence(struct pr_group *p, int i, int64_t every, int64_t now,
+                       struct pr_actions *out)
+{
+    struct pr_inst *in = &p->inst[i];
+    if (now - in->asked_at < every)
+        return;
+    in->asked_at = now;
+    act(out, PR_DO_FENCE, i, p->term, 0);
+}
+
+static void handing_fence_tick(struct pr_group *p, const struct vw_group *g, bool dropped,
+                               int64_t now, struct pr_actions *out)
+{
+    const struct pr_inst *old = &p->inst[g->primary], *to = &p->inst[g->target];
+    if (!dropped)
+        return; /* statements may still be running at the old primary */
+    if (old->fenced != p->term) {
+        hand_fence(p, g->primary, p->cfg.resend_us, now, out);
+        return;
+    }
+    if (to->fenced == p->term && ps_cmp(to->fenced_pos, old->fenced_pos) >= 0) {
+        if (count_fenced(p) >= pr_needed(g))
+            promote(p, g->target, now, out);
+        else
+            send_fences(p, g, now, out);
+        return;
+    }
+    /* Wait for its log by what it says of itself; only then fence it, since a fenced instance
+     * takes no more log of the old term. */
+    if (ps_cmp(to->held, old->fenced_pos) >= 0 || to->fenced == p->term)
+        hand_fence(p, g->target, HAND_PROBE_US, now, out);
+    else
+        act(out, PR_DO_PROBE, g->target, 0, 0);
+}
+
+static void handing_tick(struct pr_group *p, const struct vw_group *g, bool dropped,
+                         int64_t now, struct pr_actions *out)
+{
+    if (p->term != g->term || p->step < PR_FENCING)
+        begin_attempt(p, g->term, now);
+    if (now - p->began > p->cfg.hand_us && p->step != PR_CONCLUDING) {
+        p->began = now;
+        act(out, PR_DO_ABANDON, g->target, g->term, 0);
+        return;
+    }
+    switch (p->step) {
+    case PR_FENCING:
+        handing_fence_tick(p, g, dropped, now, out);
+        break;
+    case PR_PROMOTING:
+        promoting_tick(p, now, out);
+        break;
+    case PR_CONCLUDING:
+        concluding_tick(p, now, out);
+        break;
+    default:
+        break;
+    }
+}
+
+void pr_tick(struct pr_group *p, const struct vw_group *g, bool dropped, int64_t now,
+             struct pr_actions *out)
+{
+    out->n = 0;
+    sync_instances(p, g);
+    switch (g->phase) {
+    case VW_SERVING:
+        serving_tick(p, g, now, out);
+        break;
+    case VW_REPLACING:
+        replacing_tick(p, g, dropped, now, out);
+        break;
+    case VW_HANDING:
+        handing_tick(p, g, dropped, now, out);
+        break;
+    }
+}
--- /dev/null
+++ b/quorum/store.h
@@ -0,0 +1,39 @@
+/* The log on disk: one append-only file of checksummed records and one snapshot file.
+ *
+ * Nothing is promised before fdatasync has returned. A failed write or sync is final for the
+ * process: the page cache may have dropped what it could not write, so going on would promise
+ * what isn't there. A torn tail (the end of the file, nothing valid behind it) is cut off; a
+ * bad record with a valid one behind it is corruption and stops the voter.
+ *
+ * Record: magic u32, body length u32, type u8 and 3 zero bytes, xxh64 of the body and the
+ * length; then the body. All integers little-endian. */
+#ifndef FL_QUORUM_STORE_H
+#define FL_QUORUM_STORE_H
+
+#include "quorum/quorum.h"
+
+struct so_store;
+
+/* What is on the disk. `fresh`: the folder was empty and a new identity was made. */
+struct so_loaded {
+    bool fresh;
+    uint64_t identity;
+    uint64_t torn_bytes; /* cut off the tail */
+    struct qr_restore restore; /* pointers belong to the store, valid until so_release */
+};
+
+/* Open or create the folder. `identity` is used for a fresh folder: 0 draws a random one.
+ * `cluster` is checked against what the folder was made for. */
+struct so_store *so_open(const char *dir, const char *cluster, uint64_t identity,
+                         struct so_loaded *out, struct er_err *err);
+/* Frees what so_loaded points to; the core has copied it. */
+void so_release(struct so_store *s);
+/* Write one action without syncing. */
+bool so_write(struct so_store *s, const struct qr_persist *p, struct er_err *err);
+/* Make everything written durable. */
+bool so_sync(struct so_store *s, struct er_err *err);
+/* Bytes of the log file, for capacity measurements. */
+uint64_t so_log_bytes(const struct so_store *s);
+void so_close(struct so_store *s);
+
+#endif
--- /dev/null
+++ b/route/route.c
@@ -0,0 +1,136 @@
+#include "route/route.h"
+
+#include <string.h>
+
+enum { LAG_WEIGHT = 8, SAMPLE_EVERY_US = 2000 };
+
+static const struct rt_sample *sample(const struct rt_group *g, uint64_t k)
+{
+    return &g->samples[k % RT_SAMPLES];
+}
+
+static uint64_t oldest(const struct rt_group *g)
+{
+    return g->n_samples > RT_SAMPLES ? g->n_samples - RT_SAMPLES : 0;
+}
+
+void rt_primary_at(struct rt_group *g, int64_t asked, struct ps_pos pos)
+{
+    if (g->n_samples) {
+        const struct rt_sample *last = sample(g, g->n_samples - 1);
+        if (asked < last->asked + SAMPLE_EVERY_US || ps_cmp(pos, last->pos) < 0)
+            return;
+    }
+    g->samples[g->n_samples++ % RT_SAMPLES] = (struct rt_sample){asked, pos};
+}
+
+/* The newest sample that `applied` covers tells how far behind the replica is. */
+static int64_t lag_of(const struct rt_group *g, struct ps_pos applied, int64_t now)
+{
+    for (uint64_t k = g->n_samples; k > oldest(g); k--) {
+        const struct rt_sample *s = sample(g, k - 1);
+        if (!ps_covers(applied, s->pos, g->starts, g->n_starts))
+            continue;
+        if (k == g->n_samples)
+            return 0; /* nothing newer is known to be missing */
+        return now - sample(g, k)->asked;
+    }
+    return -1;
+}
+
+void rt_applied(struct rt_group *g, int i, struct ps_pos pos, int64_t now)
+{
+    struct rt_inst *r = &g->inst[i];
+    int64_t lag = lag_of(g, pos, now);
+    if (lag >= 0)
+        r->lag_us = r->lag_us < 0 ? lag : r->lag_us + (lag - r->lag_us) / LAG_WEIGHT;
+    r->applied = pos;
+    r->seen_at = now;
+}
+
+bool rt_age_floor(const struct rt_group *g, int64_t max_age_us, int64_t now,
+                  struct ps_pos *floor)
+{
+    int64_t from = now - max_age_us;
+    uint64_t lo = oldest(g), hi = g->n_samples;
+    while (lo < hi) {
+        uint64_t mid = (lo + hi) / 2;
+        if (sample(g, mid)->asked < from)
+            lo = mid + 1;
+        else
+            hi = mid;
+    }
+    if (lo == g->n_samples)
+        return false;
+    *floor = sample(g, lo)->pos;
+    return true;
+}
+
+/* Whether `a` serves a read better than `b`: nearer, unless it is full and the other isn't;
+ * then by load. */
+static bool better(const struct rt_inst *a, const struct rt_inst *b)
+{
+    bool a_full = a->in_flight >= a->limit, b_full = b->in_flight >= b->limit;
+    if (a_full != b_full)
+        return b_full;
+    if (a->distance != b->distance)
+        return a->distance < b->distance;
+    return (int64_t)a->in_flight * b->limit < (int64_t)b->in_flight * a->limit;
+}
+
+static struct rt_choice to_primary(const struct rt_group *g, unsigned skip)
+{
+    struct rt_choice c = {.inst = -1, .primary = true, .why = ER_NO_PRIMARY};
+    if (g->primary < 0 || (skip & (1u << g->primary)))
+        return c;
+    if (!g->inst[g->primary].usable) {
+        c.why = ER_ENDPOINT;
+        return c;
+    }
+    c.inst = g->primary;
+    c.why = ER_NONE;
+    return c;
+}
+
+/* The best replica that covers the floor by what is known; or, with `wait_us`, that is
+ * expected to within it. */
+static int best_replica(const struct rt_group *g, struct ps_pos floor, int64_t wait_us,
+                        unsigned skip)
+{
+    int best = -1;
+    for (int i = 0; i < g->n; i++) {
+        const struct rt_inst *r = &g->inst[i];
+        if (i == g->primary || !r->usable || r->draining || (skip & (1u << i)))
+            continue;
+        bool covers = ps_covers(r->applied, floor, g->starts, g->n_starts);
+        bool soon = wait_us > 0 && r->lag_us >= 0 && r->lag_us <= wait_us &&
+                    r->applied.term == floor.term;
+        if (!covers && !soon)
+            continue;
+        if (best < 0 || better(r, &g->inst[best]))
+            best = i;
+    }
+    return best;
+}
+
+struct rt_choice rt_read(const struct rt_group *g, const struct rt_query *q, unsigned skip,
+                         int64_t now)
+{
+    struct ps_pos floor = {0}, age_floor = {0};
+    bool by_age = q->max_age_us >= 0 && rt_age_floor(g, q->max_age_us, now, &age_floor);
+    if (!by_age && (q->max_age_us >= 0 || !q->has_token))
+        return to_primary(g, skip);
+    if (q->has_token)
+        floor = q->token;
+    if (by_age)
+        floor = ps_max(floor, age_floor);
+    int i = best_replica(g, floor, 0, skip);
+    int64_t wait = 0;
+    if (i < 0) {
+        i = best_replica(g, floor, q->max_wait_us, skip);
+        wait = q->max_wait_us;
+    }
+    if (i < 0)
+        return to_primary(g, skip);
+    return (struct rt_choice){.inst = i, .min = floor, .wait_us = wait};
+}
--- /dev/null
+++ b/settings/settings.c
@@ -0,0 +1,445 @@
+#include "settings/settings.h"
+
+#include <arpa/inet.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum type { T_TEXT, T_IP, T_INT, T_FLAG, T_ROLES, T_PEERS, T_GROUPS };
+
+struct option {
+    const char *key; /* dotted path */
+    enum type type;
+    size_t at, size; /* field in struct st_settings */
+    long lo, hi;
+    const char *unit;
+    const char *def; /* as JSON text */
+    const char *help;
+};
+
+#define AT(f) offsetof(struct st_settings, f), sizeof(((struct st_settings *)0)->f)
+
+static const struct option table[] = {
+    {"cluster", T_TEXT, AT(cluster), 1, 63, "", NULL, "name of the cluster; processes of another are refused"},
+    {"secret", T_TEXT, AT(secret), 0, 127, "", "\"\"", "key of session tokens, the same on all nodes"},
+    {"secret_file", T_TEXT, AT(secret_file), 0, 255, "", "\"\"", "file whose first line is the secret, in place of `secret`"},
+    {"node.name", T_TEXT, AT(name), 1, 31, "", NULL, "name of this node"},
+    {"node.domain", T_TEXT, AT(domain), 1, 31, "", NULL, "failure domain of this VM"},
+    {"node.region", T_TEXT, AT(region), 0, 31, "", "\"\"", "region of this VM"},
+    {"roles", T_ROLES, AT(entry), 0, 0, "", NULL, "list of \"entry\" and \"control\""},
+    {"entry.ip", T_IP, AT(entry_ip), 0, 0, "", "\"127.0.0.1\"", "address for callers"},
+    {"entry.port", T_INT, AT(entry_port), 1, 65535, "", "7000", "port for callers: WebSocket, HTTP, health, metrics"},
+    {"entry.max_callers", T_INT, AT(max_callers), 1, 1000000, "connections", "10000", "caller connections held at once"},
+    {"entry.max_outstanding", T_INT, AT(max_outstanding), 1, 1000000, "requests", "20000", "requests held at once"},
+    {"entry.queue", T_INT, AT(queue), 1, 1000000, "requests", "1000", "requests that wait for one instance"},
+    {"entry.target_ms", T_INT, AT(target_ms), 1, 10000, "ms", "5", "queueing delay at an instance that the limiter aims at"},
+    {"entry.read_wait_ms", T_INT, AT(read_wait_ms), 0, 10000, "ms", "10", "longest wait at a nearly caught-up replica before the primary is asked"},
+    {"entry.park_ms", T_INT, AT(park_ms), 0, 60000, "ms", "3000", "longest wait for a primary during a change of primary"},
+    {"entry.txn_idle_ms", T_INT, AT(txn_idle_ms), 100, 3600000, "ms", "10000", "an idle transaction is rolled back after this"},
+    {"entry.resend_window_s", T_INT, AT(resend_window_s), 1, 86400, "s", "600", "how long a resend of an unsafe request finds its first run"},
+    {"entry.retry_permille", T_INT, AT(retry_permille), 0, 1000, "1/1000", "100", "retries allowed per recent success"},
+    {"entry.stop_ms", T_INT, AT(stop_ms), 100, 600000, "ms", "10000", "longest planned stop"},
+    {"entry.primary_only", T_FLAG, AT(primary_only), 0, 0, "", "false", "baseline for measurements: no replica reads"},
+    {"entry.first_come", T_FLAG, AT(first_come), 0, 0, "", "false", "baseline for measurements: plain queue, no limiter"},
+    {"control.ip", T_IP, AT(control_ip), 0, 0, "", "\"127.0.0.1\"", "address for other processes and operators"},
+    {"control.port", T_INT, AT(control_port), 1, 65535, "", "7100", "port for our own processes"},
+    {"control.ops_port", T_INT, AT(ops_port), 1, 65535, "", "7200", "port for operators"},
+    {"control.data", T_TEXT, AT(data), 0, 255, "", "\"\"", "data folder"},
+    {"control.voters", T_PEERS, AT(n_voters), 0, 0, "", "[]", "control nodes: name, ip, port, domain; entry nodes connect to these"},
+    {"control.groups", T_GROUPS, AT(groups), 0, 0, "", "[]", "database groups that the first leader creates"},
+    {"control.lease_ms", T_INT, AT(lease_ms), 200, 60000, "ms", "2000", "entry nodes' lease"},
+    {"control.election_ms", T_INT, AT(election_ms), 50, 10000, "ms", "250", "shortest election timeout"},
+    {"control.heartbeat_ms", T_INT, AT(heartbeat_ms), 5, 5000, "ms", "50", "between heartbeats"},
+    {"control.probe_ms", T_INT, AT(probe_ms), 10, 10000, "ms", "50", "between probes of an instance"},
+    {"control.silence_ms", T_INT, AT(silence_ms), 50, 60000, "ms", "300", "unanswered for so long an instance counts as silent"},
+    {"control.check_ms", T_INT, AT(check_ms), 10, 10000, "ms", "100", "how long entry nodes have to object to a replacement"},
+    {"control.hold_ms", T_INT, AT(hold_ms), 0, 60000, "ms", "500", "least time between two replacements in a group; doubles while they repeat"},
+    {"control.hand_ms", T_INT, AT(hand_ms), 100, 60000, "ms", "3000", "longest planned change of primary"},
+    {"control.attempt_ms", T_INT, AT(attempt_ms), 50, 60000, "ms", "500", "an attempt at a promotion starts over after this"},
+    {"control.snapshot_entries", T_INT, AT(snapshot_entries), 16, 1000000, "entries", "2000", "log entries kept before a snapshot"},
+    {"control.conn_reserve", T_INT, AT(conn_reserve), 1, 100, "connections", "4", "connections of an instance kept for control's probes"},
+    {"control.fence", T_FLAG, AT(fence), 0, 0, "", "true", "instances obey fences; false waits for the entry nodes' leases"},
+    {"control.lease_failover", T_FLAG, AT(lease_failover), 0, 0, "", "false", "baseline for measurements: always wait for the leases"},
+    {"platform.ip", T_IP, AT(platform_ip), 0, 0, "", "\"127.0.0.1\"", "address of the platform's VM list"},
+    {"platform.port", T_INT, AT(platform_port), 0, 65535, "", "0", "its port; 0: none"},
+    {"log.level", T_TEXT, AT(log_level), 1, 127, "", "\"info\"", "fatal, error, warn, info, verbose, debug, trace; per module: info,quorum=debug"},
+    {"log.json", T_FLAG, AT(log_json), 0, 0, "", "false", "JSON lines in place of text"},
+};
+
+enum { N_OPTIONS = sizeof(table) / sizeof(table[0]) };
+
+static const char *const type_names[] = {"text",  "IP number", "whole number", "true or false",
+                                         "roles", "list",      "list"};
+
+struct check {
+    const char *file;
+    struct er_err *err;
+};
+
+static bool wrong(const struct check *c, const char *key, const json_t *v, const char *expected)
+{
+    char *text = v ? json_dumps(v, JSON_ENCODE_ANY | JSON_COMPACT) : NULL;
+    er_set(c->err, ER_CONFIG, "%s: %s: %.60s, expected %s", c->file, key,
+           text ? text : "missing", expected);
+    free(text);
+    return false;
+}
+
+static void *field(struct st_settings *s, const struct option *o)
+{
+    return (char *)s + o->at;
+}
+
+/* ---- one value ---- */
+
+static bool set_text(const struct check *c, const struct option *o, void *f, const json_t *v)
+{
+    char expected[64];
+    size_t n = json_string_length(v);
+    snprintf(expected, sizeof(expected), "text of %ld to %ld bytes", o->lo, o->hi);
+    if (!json_is_string(v) || n < (size_t)o->lo || n > (size_t)o->hi)
+        return wrong(c, o->key, v, expected);
+    sr_copy(f, o->size, (struct sr_str){json_string_value(v), n});
+    return true;
+}
+
+static bool set_ip(const struct check *c, const char *key, char *f, size_t cap, const json_t *v)
+{
+    struct in6_addr a;
+    const char *s = json_string_value(v);
+    if (!s || (inet_pton(AF_INET, s, &a) != 1 && inet_pton(AF_INET6, s, &a) != 1))
+        return wrong(c, key, v, "an IP number");
+    return sr_copy(f, cap, sr_from(s));
+}
+
+static bool set_int(const struct check *c, const struct option *o, void *f, const json_t *v)
+{
+    char expected[64];
+    snprintf(expected, sizeof(expected), "a whole number %ld..%ld", o->lo, o->hi);
+    if (!json_is_integer(v) || json_integer_value(v) < o->lo || json_integer_value(v) > o->hi)
+        return wrong(c, o->key, v, expected);
+    *(int *)f = (int)json_integer_value(v);
+    return true;
+}
+
+static bool set_roles(const struct check *c, const struct option *o, struct st_settings *s,
+                      const json_t *v)
+{
+    size_t i;
+    json_t *x;
+    json_array_foreach(v, i, x)
+    {
+        const char *t = json_string_value(x);
+        if (t && strcmp(t, "entry") == 0)
+            s->entry = true;
+        else if (t && strcmp(t, "control") == 0)
+            s->control = true;
+        else
+            return wrong(c, o->key, x, "\"entry\" or \"control\"");
+    }
+    if (!s->entry && !s->control)
+        return wrong(c, o->key, v, "a list of \"entry\" and \"control\"");
+    return true;
+}
+
+static bool set_peer(const struct check *c, const char *key, struct st_peer *p, const json_t *v)
+{
+    const char *name = json_string_value(json_object_get(v, "name"));
+    const char *domain = json_string_value(json_object_get(v, "domain"));
+    const json_t *port = json_object_get(v, "port");
+    if (!name || !name[0] || !sr_copy(p->name, sizeof(p->name), sr_from(name)))
+        return wrong(c, key, v, "a name of 1 to 31 bytes");
+    if (!set_ip(c, key, p->ip, sizeof(p->ip), json_object_get(v, "ip")))
+        return false;
+    if (json_integer_value(port) < 1 || json_integer_value(port) > 65535)
+        return wrong(c, key, port, "a port 1..65535");
+    p->port = (int)json_integer_value(port);
+    if (!sr_copy(p->domain, sizeof(p->domain), sr_from(domain ? domain : "")))
+        return wrong(c, key, v, "a domain of up to 31 bytes");
+    return true;
+}
+
+static bool set_peers(const struct check *c, const struct option *o, struct st_settings *s,
+                      const json_t *v)
+{
+    if (!json_is_array(v) || json_array_size(v) > ST_MAX_PEERS)
+        return wrong(c, o->key, v, "a list of at most 9 control nodes");
+    s->n_voters = 0;
+    for (size_t i = 0; i < json_array_size(v); i++) {
+        char key[64];
+        snprintf(key, sizeof(key), "%s[%zu]", o->key, i);
+        struct st_peer *p = &s->voters[s->n_voters++];
+        if (!set_peer(c, key, p, json_array_get(v, i)))
+            return false;
+        for (int k = 0; k < s->n_voters - 1; k++) {
+            if (strcmp(s->voters[k].name, p->name) == 0)
+                return wrong(c, key, json_array_get(v, i), "a name not used before");
+        }
+    }
+    return true;
+}
+
+static bool set_value(const struct check *c, const struct option *o, struct st_settings *s,
+                      const json_t *v)
+{
+    void *f = field(s, o);
+    switch (o->type) {
+    case T_TEXT:
+        return set_text(c, o, f, v);
+    case T_IP:
+        return set_ip(c, o->key, f, o->size, v);
+    case T_INT:
+        return set_int(c, o, f, v);
+    case T_FLAG:
+        if (!json_is_boolean(v))
+            return wrong(c, o->key, v, "true or false");
+        *(bool *)f = json_is_true(v);
+        return true;
+    case T_ROLES:
+        return set_roles(c, o, s, v);
+    case T_PEERS:
+        return set_peers(c, o, s, v);
+    case T_GROUPS:
+        if (!json_is_array(v))
+            return wrong(c, o->key, v, "a list of groups");
+        json_decref(s->groups);
+        s->groups = json_deep_copy(v);
+        return true;
+    }
+    return false;
+}
+
+/* ---- the whole file ---- */
+
+static const json_t *lookup(const json_t *root, const char *key)
+{
+    const char *dot = strchr(key, '.');
+    if (!dot)
+        return json_object_get(root, key);
+    char head[32];
+    snprintf(head, sizeof(head), "%.*s", (int)(dot - key), key);
+    return json_object_get(json_object_get(root, head), dot + 1);
+}
+
+static const struct option *option_of(const char *key)
+{
+    for (int i = 0; i < N_OPTIONS; i++) {
+        if (strcmp(table[i].key, key) == 0)
+            return &table[i];
+    }
+    return NULL;
+}
+
+static bool is_section(const char *key)
+{
+    size_t n = strlen(key);
+    for (int i = 0; i < N_OPTIONS; i++) {
+        if (strncmp(table[i].key, key, n) == 0 && table[i].key[n] == '.')
+            return true;
+    }
+    return false;
+}
+
+static bool check_known(const struct check *c, const json_t *root)
+{
+    const char *k, *k2;
+    json_t *v, *v2;
+    json_object_foreach((json_t *)root, k, v)
+    {
+        if (option_of(k))
+            continue;
+        if (!is_section(k) || !json_is_object(v))
+            return wrong(c, k, v, "a known key (see docs/SETTINGS.md)");
+        json_object_foreach(v, k2, v2)
+        {
+            char key[96];
+            snprintf(key, sizeof(key), "%s.%s", k, k2);
+            if (!option_of(key))
+                return wrong(c, key, v2, "a known key (see docs/SETTINGS.md)");
+        }
+    }
+    return true;
+}
+
+static bool contradiction(const struct check *c, const char *key, const char *text)
+{
+    return er_set(c->err, ER_CONFIG, "%s: %s: %s", c->file, key, text);
+}
+
+static bool check_together(const struct check *c, const struct st_settings *s)
+{
+    if (s->n_voters < 1)
+        return contradiction(c, "control.voters", "is empty, expected the control nodes");
+    if (s->control && !s->data[0])
+        return contradiction(c, "control.data", "missing, expected with role control");
+    if (s->control && s->ops_port == s->control_port && s->control_ip[0])
+        return contradiction(c, "control.ops_port", "equals control.port");
+    if (s->entry && !s->secret[0])
+        return contradiction(c, "secret", "missing, expected with role entry");
+    if (s->lease_ms < 4 * s->election_ms)
+        return contradiction(c, "control.lease_ms",
+                             "expected at least 4 times control.election_ms, so that callers "
+                             "do not notice an election");
+    if (s->election_ms < 3 * s->heartbeat_ms)
+        return contradiction(c, "control.election_ms",
+                             "expected at least 3 times control.heartbeat_ms");
+    if (s->silence_ms < 2 * s->probe_ms)
+        return contradiction(c, "control.silence_ms", "expected at least 2 probes");
+    return true;
+}
+
+static bool read_secret(const struct check *c, struct st_settings *s)
+{
+    if (!s->secret_file[0])
+        return true;
+    if (s->secret[0])
+        return contradiction(c, "secret_file", "given together with secret");
+    FILE *f = fopen(s->secret_file, "r");
+    if (!f || !fgets(s->secret, sizeof(s->secret), f)) {
+        if (f)
+            fclose(f);
+        return contradiction(c, "secret_file", "can't be read");
+    }
+    fclose(f);
+    s->secret[strcspn(s->secret, "\n")] = 0;
+    return true;
+}
+
+static bool apply_all(const struct check *c, const json_t *root, struct st_settings *s)
+{
+    for (int i = 0; i < N_OPTIONS; i++) {
+        const struct option *o = &table[i];
+        const json_t *v = lookup(root, o->key);
+        if (!v && !o->def)
+            return wrong(c, o->key, NULL, type_names[o->type]);
+        json_t *def = v ? NULL : json_loads(o->def, JSON_DECODE_ANY, NULL);
+        bool ok = set_value(c, o, s, v ? v : def);
+        json_decref(def);
+        if (!ok)
+            return false;
+    }
+    return true;
+}
+
+bool st_parse(const char *text, size_t len, const char *name, struct st_settings *s,
+              struct er_err *err)
+{
+    struct check c = {name, err};
+    json_error_t je;
+    memset(s, 0, sizeof(*s));
+    json_t *root = json_loadb(text, len, JSON_REJECT_DUPLICATES, &je);
+    if (!root)
+        return er_set(err, ER_CONFIG, "%s:%d:%d: %s", name, je.line, je.column, je.text);
+    bool ok = json_is_object(root) ? check_known(&c, root) && apply_all(&c, root, s) &&
+                                         read_secret(&c, s) && check_together(&c, s)
+                                   : wrong(&c, "(file)", root, "an object");
+    json_decref(root);
+    if (!ok)
+        st_free(s);
+    return ok;
+}
+
+bool st_load(const char *path, struct st_settings *s, struct er_err *err)
+{
+    struct sr_buf b = {0};
+    char buf[4096];
+    size_t n;
+    memset(s, 0, sizeof(*s));
+    FILE *f = fopen(path, "r");
+    if (!f)
+        return er_set(err, ER_CONFIG, "%s: can't be opened", path);
+    while ((n = fread(buf, 1, sizeof(buf), f)) > 0)
+        sr_buf_add(&b, buf, n);
+    fclose(f);
+    bool ok = st_parse(b.p ? b.p : "", b.len, path, s, err);
+    sr_buf_free(&b);
+    return ok;
+}
+
+void st_free(struct st_settings *s)
+{
+    json_decref(s->groups);
+    s->groups = NULL;
+}
+
+/* ---- showing ---- */
+
+static json_t *peers_json(const struct st_settings *s)
+{
+    json_t *a = json_array();
+    for (int i = 0; i < s->n_voters; i++)
+        json_array_append_new(a, json_pack("{s:s,s:s,s:i,s:s}", "name", s->voters[i].name, "ip",
+                                           s->voters[i].ip, "port", s->voters[i].port, "domain",
+                                           s->voters[i].domain));
+    return a;
+}
+
+static json_t *value_json(const struct st_settings *s, const struct option *o)
+{
+    const void *f = (const char *)s + o->at;
+    switch (o->type) {
+    case T_TEXT:
+    case T_IP:
+        if (strcmp(o->key, "secret") == 0 && s->secret[0])
+            return json_string("(hidden)");
+        return json_string(f);
+    case T_INT:
+        return json_integer(*(const int *)f);
+    case T_FLAG:
+        return json_boolean(*(const bool *)f);
+    case T_ROLES: {
+        json_t *a = json_array();
+        if (s->entry)
+            json_array_append_new(a, json_string("entry"));
+        if (s->control)
+            json_array_append_new(a, json_string("control"));
+        return a;
+    }
+    case T_PEERS:
+        return peers_json(s);
+    case T_GROUPS:
+        return json_deep_copy(s->groups);
+    }
+    return json_null();
+}
+
+json_t *st_json(const struct st_settings *s)
+{
+    json_t *root = json_object();
+    for (int i = 0; i < N_OPTIONS; i++) {
+        const char *dot = strchr(table[i].key, '.');
+        json_t *into = root;
+        const char *key = table[i].key;
+        if (dot) {
+            char head[32];
+            snprintf(head, sizeof(head), "%.*s", (int)(dot - key), key);
+            into = json_object_get(root, head);
+            if (!into) {
+                json_object_set_new(root, head, json_object());
+                into = json_object_get(root, head);
+            }
+            key = dot + 1;
+        }
+        json_object_set_new(into, key, value_json(s, &table[i]));
+    }
+    return root;
+}
+
+void st_reference(struct sr_buf *out)
+{
+    sr_buf_printf(out, "# Settings of ferryd\n\nMade from the option table in "
+                       "settings/settings.c by `ferryd --help-settings`.\n\n"
+                       "| key | type | range | unit | default | what it is |\n"
+                       "| --- | --- | --- | --- | --- | --- |\n");
+    for (int i = 0; i < N_OPTIONS; i++) {
+        const struct option *o = &table[i];
+        char range[48] = "";
+        if (o->type == T_INT)
+            snprintf(range, sizeof(range), "%ld to %ld", o->lo, o->hi);
+        else if (o->type == T_TEXT)
+            snprintf(range, sizeof(range), "%ld to %ld bytes", o->lo, o->hi);
+        sr_buf_printf(out, "| `%s` | %s | %s | %s | %s | %s |\n", o->key, type_names[o->type],
+                      range, o->unit, o->def ? o->def : "required", o->help);
+    }
+}
--- /dev/null
+++ b/settings/settings.h
@@ -0,0 +1,58 @@
+/* ferryd's settings: one table declares name, type, unit, range, default and help; the checker,
+ * --print-config, --help-settings and docs/SETTINGS.md come from it. */
+#ifndef FL_SETTINGS_SETTINGS_H
+#define FL_SETTINGS_SETTINGS_H
+
+#include <jansson.h>
+
+#include "misc/err.h"
+#include "misc/str.h"
+
+enum { ST_MAX_PEERS = 9, ST_TEXT = 128 };
+
+struct st_peer {
+    char name[32];
+    char ip[46];
+    int port;
+    char domain[32];
+};
+
+struct st_settings {
+    char cluster[64], secret[ST_TEXT], secret_file[256];
+    char name[32], domain[32], region[32];
+    bool entry, control;
+    char entry_ip[46];
+    int entry_port;
+    int max_callers, max_outstanding;
+    char control_ip[46];
+    int control_port, ops_port;
+    char data[256];
+    char platform_ip[46];
+    int platform_port;
+    int n_voters;
+    struct st_peer voters[ST_MAX_PEERS];
+    json_t *groups; /* bootstrap list; owned */
+    int lease_ms, election_ms, heartbeat_ms, probe_ms, silence_ms, check_ms;
+    int hold_ms, hand_ms, attempt_ms;
+    int read_wait_ms, park_ms, queue, target_ms, resend_window_s, txn_idle_ms, stop_ms;
+    int retry_permille, snapshot_entries, conn_reserve;
+    bool fence;          /* trust the driver's FENCE */
+    bool primary_only;   /* baseline: no read goes to a replica */
+    bool lease_failover; /* baseline: wait for leases before promoting */
+    bool first_come;     /* baseline: plain first-come queue */
+    char log_level[ST_TEXT];
+    bool log_json;
+};
+
+/* Read and check. The error names file, key path, value and what was expected. */
+bool st_load(const char *path, struct st_settings *s, struct er_err *err);
+/* The same for text that is read already; `name` stands for the file. */
+bool st_parse(const char *text, size_t len, const char *name, struct st_settings *s,
+              struct er_err *err);
+void st_free(struct st_settings *s);
+/* The settings in force, defaults included, secrets hidden. */
+json_t *st_json(const struct st_settings *s);
+/* The reference page, Markdown. */
+void st_reference(struct sr_buf *out);
+
+#endif
--- /dev/null
+++ b/task/net.c
@@ -0,0 +1,753 @@
+#include "task/net.h"
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <libwebsockets.h>
+
+#include "misc/clock.h"
+#include "misc/log.h"
+#include "misc/str.h"
+
+#define FRAME_HEADER 4
+#define SERVICE_BUF 16384
+#define WRITE_BATCH 65536
+#define HEADER_POOL 256
+#define HANDSHAKE_SEC 5
+
+static const struct lg_log nlog = {"net"};
+
+struct out {
+    struct out *next;
+    size_t len;
+    unsigned char data[]; /* LWS_PRE bytes of room, then the message */
+};
+
+enum kind { K_WS, K_RAW, K_HTTP_SERVER, K_HTTP_CLIENT };
+
+struct nt_conn {
+    struct nt_loop *loop;
+    struct nt_listener *ln; /* NULL on the connecting side */
+    struct lws *wsi;
+    enum kind kind;
+    const struct nt_ops *ops;
+    void *ud;
+    bool opened, refused, closing, hard, dead;
+    struct out *head, **tail;
+    size_t queued;
+    struct sr_buf in;
+    struct nt_timer late; /* delivers a failed connect from the loop */
+    /* plain HTTP */
+    char path[256], query[512], method[8];
+    struct sr_buf body;
+    void (*done)(void *, int, const char *, size_t);
+    int status;
+    bool replied;
+};
+
+struct nt_listener {
+    struct nt_loop *loop;
+    struct nt_listen what;
+    struct lws_vhost *vh;
+    bool closed;
+    char ip[64];
+    struct nt_listener *next;
+};
+
+struct nt_loop {
+    struct lws_context *ctx;
+    struct lws_vhost *client_vh;
+    bool stop;
+    void (*wake)(void *);
+    void *wake_ud;
+    struct nt_counters st;
+    struct nt_listener *listeners;
+};
+
+/* ---- connections ---- */
+
+static struct nt_conn *conn_new(struct nt_loop *l, enum kind kind, const struct nt_ops *ops,
+                                void *ud)
+{
+    struct nt_conn *c = sr_alloc(sizeof(*c));
+    c->loop = l;
+    c->kind = kind;
+    c->ops = ops;
+    c->ud = ud;
+    c->tail = &c->head;
+    return c;
+}
+
+static void conn_free(struct nt_conn *c)
+{
+    nt_timer_cancel(&c->late);
+    while (c->head) {
+        struct out *o = c->head;
+        c->head = o->next;
+        free(o);
+    }
+    sr_buf_free(&c->in);
+    sr_buf_free(&c->body);
+    free(c);
+}
+
+static void conn_closed(struct nt_conn *c)
+{
+    if (c->dead)
+        return;
+    c->dead = true;
+    c->loop->st.closed++;
+    if (c->kind == K_HTTP_CLIENT) {
+        if (c->done)
+            c->done(c->ud, c->status, c->body.p ? c->body.p : "", c->body.len);
+    } else if (c->ops) {
+        c->ops->close(c, c->ud, c->opened, c->refused);
+    }
+    if (c->wsi)
+        lws_set_opaque_user_data(c->wsi, NULL);
+    conn_free(c);
+}
+
+bool nt_send(struct nt_conn *c, const void *data, size_t len)
+{
+    if (c->closing || c->dead || !c->wsi)
+        return false;
+    size_t head = c->kind == K_RAW ? FRAME_HEADER : 0;
+    if (c->queued + len > NT_MAX_QUEUED) {
+        c->loop->st.queue_overrun++;
+        nt_close(c, true);
+        return false;
+    }
+    struct out *o = malloc(sizeof(*o) + LWS_PRE + head + len);
+    if (!o)
+        abort();
+    o->next = NULL;
+    o->len = head + len;
+    unsigned char *p = o->data + LWS_PRE;
+    if (head) {
+        uint32_t be = htonl((uint32_t)len);
+        memcpy(p, &be, FRAME_HEADER);
+    }
+    memcpy(p + head, data, len);
+    *c->tail = o;
+    c->tail = &o->next;
+    c->queued += o->len;
+    c->loop->st.messages_out++;
+    lws_callback_on_writable(c->wsi);
+    return true;
+}
+
+void nt_close(struct nt_conn *c, bool hard)
+{
+    if (c->dead)
+        return;
+    c->closing = true;
+    c->hard = c->hard || hard;
+    if (c->wsi && c->opened)
+        lws_callback_on_writable(c->wsi);
+    else if (c->wsi)
+        lws_set_timeout(c->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+void nt_forget(struct nt_conn *c)
+{
+    c->ops = NULL;
+    nt_close(c, true);
+}
+
+size_t nt_queued(const struct nt_conn *c)
+{
+    return c->queued;
+}
+
+static void pop_out(struct nt_conn *c)
+{
+    struct out *o = c->head;
+    c->head = o->next;
+    if (!c->head)
+        c->tail = &c->head;
+    c->queued -= o->len;
+    free(o);
+}
+
+/* Joins queued frames into one write: a raw peer sees a stream anyway. */
+static int write_raw(struct nt_conn *c)
+{
+    static unsigned char batch[LWS_PRE + WRITE_BATCH];
+    while (c->head && !lws_send_pipe_choked(c->wsi)) {
+        size_t n = 0;
+        if (c->head->len > WRITE_BATCH) {
+            struct out *o = c->head;
+            if (lws_write(c->wsi, o->data + LWS_PRE, o->len, LWS_WRITE_RAW) < 0)
+                return -1;
+            c->loop->st.bytes_out += o->len;
+            pop_out(c);
+            continue;
+        }
+        while (c->head && n + c->head->len <= WRITE_BATCH) {
+            memcpy(batch + LWS_PRE + n, c->head->data + LWS_PRE, c->head->len);
+            n += c->head->len;
+            pop_out(c);
+        }
+        if (lws_write(c->wsi, batch + LWS_PRE, n, LWS_WRITE_RAW) < 0)
+            return -1;
+        c->loop->st.bytes_out += n;
+    }
+    return 0;
+}
+
+static int write_ws(struct nt_conn *c)
+{
+    while (c->head && !lws_send_pipe_choked(c->wsi)) {
+        struct out *o = c->head;
+        if (lws_write(c->wsi, o->data + LWS_PRE, o->len, LWS_WRITE_TEXT) < 0)
+            return -1;
+        c->loop->st.bytes_out += o->len;
+        pop_out(c);
+    }
+    return 0;
+}
+
+static int on_writable(struct nt_conn *c)
+{
+    if (c->hard)
+        return -1;
+    int rc = c->kind == K_RAW ? write_raw(c) : write_ws(c);
+    if (rc < 0)
+        return -1;
+    if (c->head)
+        lws_callback_on_writable(c->wsi);
+    else if (c->closing)
+        return -1;
+    return 0;
+}
+
+static void deliver(struct nt_conn *c, const char *data, size_t len)
+{
+    c->loop->st.messages_in++;
+    if (c->ops && !c->closing)
+        c->ops->message(c, c->ud, data, len);
+}
+
+/* Cut whole frames out of c->in. -1 on a frame over the bound. */
+static int cut_frames(struct nt_conn *c)
+{
+    size_t off = 0;
+    while (c->in.len - off >= FRAME_HEADER) {
+        uint32_t be;
+        memcpy(&be, c->in.p + off, FRAME_HEADER);
+        size_t len = ntohl(be);
+        if (len == 0 || len > NT_MAX_MESSAGE) {
+            c->loop->st.bad_frames++;
+            return -1;
+        }
+        if (c->in.len - off - FRAME_HEADER < len)
+            break;
+        char *msg = c->in.p + off + FRAME_HEADER;
+        char keep = msg[len];
+        msg[len] = 0;
+        deliver(c, msg, len);
+        msg[len] = keep;
+        off += FRAME_HEADER + len;
+        if (c->closing && c->hard)
+            return -1;
+    }
+    memmove(c->in.p, c->in.p + off, c->in.len - off);
+    c->in.len -= off;
+    return 0;
+}
+
+static int on_raw_data(struct nt_conn *c, const void *in, size_t len)
+{
+    c->loop->st.bytes_in += len;
+    sr_buf_add(&c->in, in, len);
+    return cut_frames(c);
+}
+
+static int on_ws_data(struct nt_conn *c, const void *in, size_t len)
+{
+    c->loop->st.bytes_in += len;
+    if (c->in.len + len > NT_MAX_MESSAGE) {
+        c->loop->st.oversized++;
+        return -1;
+    }
+    sr_buf_add(&c->in, in, len);
+    if (lws_remaining_packet_payload(c->wsi) || !lws_is_final_fragment(c->wsi))
+        return 0;
+    size_t n = c->in.len;
+    c->in.len = 0;
+    deliver(c, c->in.p, n);
+    return 0;
+}
+
+/* ---- plain HTTP, server side ---- */
+
+static void dispatch_http(struct nt_conn *c)
+{
+    struct nt_listener *ln = c->ln;
+    if (!ln->what.http) {
+        nt_http_reply(c, 404, "text/plain", "not found\n", 10);
+        return;
+    }
+    struct nt_http req = {c, c->method, c->path, c->query, c->body.p ? c->body.p : "",
+                          c->body.len, ln->what.ud};
+    ln->what.http(&req);
+}
+
+void nt_http_watch(struct nt_conn *c, const struct nt_ops *ops, void *ud)
+{
+    c->ops = ops;
+    c->ud = ud;
+}
+
+void nt_http_reply(struct nt_conn *c, int status, const char *type, const char *body,
+                   size_t len)
+{
+    if (c->dead || c->replied || c->kind != K_HTTP_SERVER)
+        return;
+    c->replied = true;
+    c->ops = NULL;
+    unsigned char head[LWS_PRE + 1024];
+    unsigned char *start = head + LWS_PRE, *p = start, *end = head + sizeof(head) - 1;
+    if (lws_add_http_common_headers(c->wsi, (unsigned)status, type, len, &p, end) ||
+        lws_finalize_write_http_header(c->wsi, start, &p, end)) {
+        c->hard = true;
+    }
+    struct out *o = malloc(sizeof(*o) + LWS_PRE + len);
+    if (!o)
+        abort();
+    o->next = NULL;
+    o->len = len;
+    memcpy(o->data + LWS_PRE, body, len);
+    *c->tail = o;
+    c->tail = &o->next;
+    lws_callback_on_writable(c->wsi);
+}
+
+static int http_writable(struct nt_conn *c)
+{
+    if (c->hard)
+        return -1;
+    if (!c->head)
+        return 0;
+    struct out *o = c->head;
+    int rc = lws_write(c->wsi, o->data + LWS_PRE, o->len, LWS_WRITE_HTTP_FINAL);
+    c->loop->st.bytes_out += o->len;
+    c->queued += o->len;
+    pop_out(c);
+    if (rc < 0)
+        return -1;
+    return lws_http_transaction_completed(c->wsi) ? -1 : 0;
+}
+
+static int http_start(struct nt_listener *ln, struct lws *wsi, const char *uri, size_t len)
+{
+    struct nt_conn *c = lws_get_opaque_user_data(wsi);
+    if (!c) {
+        c = conn_new(ln->loop, K_HTTP_SERVER, NULL, NULL);
+        c->ln = ln;
+        c->wsi = wsi;
+        c->opened = true;
+        lws_set_opaque_user_data(wsi, c);
+    }
+    c->replied = false;
+    c->body.len = 0;
+    if (!sr_copy(c->path, sizeof(c->path), (struct sr_str){uri, len}))
+        return -1;
+    bool post = lws_hdr_total_length(wsi, WSI_TOKEN_POST_URI) > 0;
+    snprintf(c->method, sizeof(c->method), "%s", post ? "POST" : "GET");
+    c->query[0] = 0;
+    lws_hdr_copy(wsi, c->query, sizeof(c->query), WSI_TOKEN_HTTP_URI_ARGS);
+    if (post && lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH) > 0) {
+        char n[16] = "";
+        lws_hdr_copy(wsi, n, sizeof(n), WSI_TOKEN_HTTP_CONTENT_LENGTH);
+        if (strcmp(n, "0") != 0)
+            return 0; /* the body follows */
+    }
+    dispatch_http(c);
+    return 0;
+}
+
+static int http_body(struct nt_conn *c, const void *in, size_t len)
+{
+    if (c->body.len + len > NT_MAX_MESSAGE) {
+        c->loop->st.oversized++;
+        return -1;
+    }
+    sr_buf_add(&c->body, in, len);
+    return 0;
+}
+
+/* ---- server callbacks ---- */
+
+static int accept_peer(struct nt_listener *ln, struct lws *wsi, enum kind kind)
+{
+    struct nt_conn *c = conn_new(ln->loop, kind, ln->what.ops, NULL);
+    c->ln = ln;
+    c->wsi = wsi;
+    lws_set_opaque_user_data(wsi, c);
+    ln->loop->st.accepted++;
+    c->ud = ln->closed ? NULL : ln->what.accept(c, ln->what.ud);
+    if (!c->ud) {
+        c->ops = NULL;
+        return -1;
+    }
+    c->opened = true;
+    c->ops->open(c, c->ud);
+    return 0;
+}
+
+static int client_http(struct nt_conn *c, enum lws_callback_reasons why, void *in, size_t len);
+
+static int callback(struct lws *wsi, enum lws_callback_reasons why, void *user, void *in,
+                    size_t len)
+{
+    (void)user;
+    struct nt_conn *c = wsi ? lws_get_opaque_user_data(wsi) : NULL;
+    struct lws_vhost *vh = wsi ? lws_get_vhost(wsi) : NULL;
+    struct nt_listener *ln = vh ? lws_get_vhost_user(vh) : NULL;
+    if (c && c->kind == K_HTTP_CLIENT)
+        return client_http(c, why, in, len);
+    switch (why) {
+    case LWS_CALLBACK_HTTP:
+        return ln ? http_start(ln, wsi, in, len) : -1;
+    case LWS_CALLBACK_HTTP_BODY:
+        return c ? http_body(c, in, len) : -1;
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+        if (c)
+            dispatch_http(c);
+        return 0;
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+        return c ? http_writable(c) : 0;
+    case LWS_CALLBACK_ESTABLISHED:
+        return ln ? accept_peer(ln, wsi, K_WS) : -1;
+    case LWS_CALLBACK_RAW_ADOPT:
+        return ln ? accept_peer(ln, wsi, K_RAW) : 0;
+    case LWS_CALLBACK_CLIENT_ESTABLISHED:
+    case LWS_CALLBACK_RAW_CONNECTED:
+        if (!c || c->opened)
+            return c ? 0 : -1;
+        if (c->closing)
+            return -1;
+        c->opened = true;
+        if (c->ops)
+            c->ops->open(c, c->ud);
+        return 0;
+    case LWS_CALLBACK_RECEIVE:
+    case LWS_CALLBACK_CLIENT_RECEIVE:
+        return c ? on_ws_data(c, in, len) : -1;
+    case LWS_CALLBACK_RAW_RX:
+        return c ? on_raw_data(c, in, len) : -1;
+    case LWS_CALLBACK_SERVER_WRITEABLE:
+    case LWS_CALLBACK_CLIENT_WRITEABLE:
+    case LWS_CALLBACK_RAW_WRITEABLE:
+        return c ? on_writable(c) : -1;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+        if (c) {
+            c->refused = in && (strstr(in, "111") || strstr(in, "refused"));
+            conn_closed(c);
+        }
+        return 0;
+    case LWS_CALLBACK_WSI_DESTROY:
+        if (c)
+            conn_closed(c);
+        return 0;
+    case LWS_CALLBACK_CLOSED:
+    case LWS_CALLBACK_CLIENT_CLOSED:
+    case LWS_CALLBACK_RAW_CLOSE:
+    case LWS_CALLBACK_CLOSED_HTTP:
+        if (c)
+            conn_closed(c);
+        return 0;
+    case LWS_CALLBACK_EVENT_WAIT_CANCELLED: {
+        struct nt_loop *l = lws_context_user(lws_get_context(wsi));
+        if (l && l->wake)
+            l->wake(l->wake_ud);
+        return 0;
+    }
+    default:
+        return 0;
+    }
+}
+
+static const struct lws_protocols server_protocols[] = {
+    {"ferry", callback, 0, SERVICE_BUF, 0, NULL, 0},
+    {NULL, NULL, 0, 0, 0, NULL, 0},
+};
+
+/* ---- plain HTTP, client side ---- */
+
+static int client_http(struct nt_conn *c, enum lws_callback_reasons why, void *in, size_t len)
+{
+    switch (why) {
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+        c->status = (int)lws_http_client_http_response(c->wsi);
+        return 0;
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
+        if (!c->in.len)
+            return 0;
+        unsigned char **p = in, *end = *p + len;
+        char n[16];
+        int k = snprintf(n, sizeof(n), "%zu", c->in.len);
+        if (lws_add_http_header_by_token(c->wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
+                                         (unsigned char *)n, k, p, end))
+            return -1;
+        lws_client_http_body_pending(c->wsi, 1);
+        lws_callback_on_writable(c->wsi);
+        return 0;
+    }
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE: {
+        if (!c->in.len)
+            return 0;
+        struct sr_buf b = {0};
+        char room[LWS_PRE] = {0};
+        sr_buf_add(&b, room, LWS_PRE);
+        sr_buf_add(&b, c->in.p, c->in.len);
+        int rc = lws_write(c->wsi, (unsigned char *)b.p + LWS_PRE, c->in.len,
+                           LWS_WRITE_HTTP_FINAL);
+        sr_buf_free(&b);
+        c->in.len = 0;
+        lws_client_http_body_pending(c->wsi, 0);
+        return rc < 0 ? -1 : 0;
+    }
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP: {
+        char buf[LWS_PRE + 4096];
+        char *px = buf + LWS_PRE;
+        int room = 4096;
+        return lws_http_client_read(c->wsi, &px, &room) < 0 ? -1 : 0;
+    }
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+        if (c->body.len + len > (size_t)NT_MAX_MESSAGE * 16)
+            return -1;
+        sr_buf_add(&c->body, in, len);
+        return 0;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+        c->status = 0;
+        conn_closed(c);
+        return 0;
+    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+        return -1;
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+    case LWS_CALLBACK_WSI_DESTROY:
+        conn_closed(c);
+        return 0;
+    default:
+        return 0;
+    }
+}
+
+static void fail_late(void *ud)
+{
+    conn_closed(ud);
+}
+
+static void start_connect(struct nt_conn *c, const char *ip, int port, const char *method,
+                          const char *path)
+{
+    struct lws_client_connect_info i = {0};
+    i.context = c->loop->ctx;
+    i.vhost = c->loop->client_vh;
+    i.address = ip;
+    i.host = ip;
+    i.origin = ip;
+    i.port = port;
+    i.path = path;
+    i.method = method;
+    i.protocol = method ? NULL : "ferry";
+    i.local_protocol_name = "ferry";
+    i.opaque_user_data = c;
+    i.pwsi = &c->wsi;
+    if (method && strcmp(method, "RAW") != 0)
+        i.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
+    /* lws may report the failure from within this call: hide the callbacks meanwhile. */
+    const struct nt_ops *ops = c->ops;
+    void (*done)(void *, int, const char *, size_t) = c->done;
+    c->ops = NULL;
+    c->done = NULL;
+    c->dead = true;
+    struct lws *wsi = lws_client_connect_via_info(&i);
+    c->dead = false;
+    c->ops = ops;
+    c->done = done;
+    if (!wsi) {
+        c->wsi = NULL;
+        c->refused = true;
+        nt_timer_set(c->loop, &c->late, 1, fail_late, c);
+    }
+}
+
+struct nt_conn *nt_connect(struct nt_loop *l, const char *ip, int port, bool raw,
+                           const struct nt_ops *ops, void *ud)
+{
+    struct nt_conn *c = conn_new(l, raw ? K_RAW : K_WS, ops, ud);
+    start_connect(c, ip, port, raw ? "RAW" : NULL, "/");
+    return c;
+}
+
+void nt_http_get(struct nt_loop *l, const char *ip, int port, const char *method,
+                 const char *path, const char *body,
+                 void (*done)(void *, int, const char *, size_t), void *ud)
+{
+    struct nt_conn *c = conn_new(l, K_HTTP_CLIENT, NULL, ud);
+    c->done = done;
+    if (body)
+        sr_buf_add(&c->in, body, strlen(body));
+    start_connect(c, ip, port, method, path);
+}
+
+/* ---- listeners ---- */
+
+struct nt_listener *nt_listen(struct nt_loop *l, const struct nt_listen *what,
+                              struct er_err *err)
+{
+    struct nt_listener *ln = sr_alloc(sizeof(*ln));
+    ln->loop = l;
+    ln->what = *what;
+    snprintf(ln->ip, sizeof(ln->ip), "%s", what->ip);
+    struct lws_context_creation_info info = {0};
+    info.port = what->port;
+    info.iface = ln->ip;
+    info.protocols = server_protocols;
+    info.user = ln;
+    info.timeout_secs = HANDSHAKE_SEC;
+    info.keepalive_timeout = 30;
+    info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+    info.vhost_name = ln->ip;
+    if (what->raw) {
+        info.options |= LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
+        info.listen_accept_role = "raw-skt";
+        info.listen_accept_protocol = "ferry";
+    }
+    char name[96];
+    snprintf(name, sizeof(name), "%s:%d", what->ip, what->port);
+    info.vhost_name = name;
+    ln->vh = lws_create_vhost(l->ctx, &info);
+    if (!ln->vh) {
+        free(ln);
+        er_set(err, ER_IO, "can't listen on %s:%d: is the port in use?", what->ip, what->port);
+        return NULL;
+    }
+    ln->next = l->listeners;
+    l->listeners = ln;
+    return ln;
+}
+
+void nt_listener_close(struct nt_listener *ln)
+{
+    ln->closed = true;
+}
+
+/* ---- loop and timers ---- */
+
+struct timer_sul {
+    lws_sorted_usec_list_t sul;
+    struct nt_timer *t;
+};
+
+static void timer_fired(lws_sorted_usec_list_t *sul)
+{
+    struct timer_sul *s = lws_container_of(sul, struct timer_sul, sul);
+    struct nt_timer *t = s->t;
+    t->due = 0;
+    t->fn(t->ud);
+}
+
+void nt_timer_set(struct nt_loop *l, struct nt_timer *t, int64_t us, void (*fn)(void *),
+                  void *ud)
+{
+    struct timer_sul *s = t->sul;
+    if (!s) {
+        s = sr_alloc(sizeof(*s));
+        s->t = t;
+        t->sul = s;
+    }
+    t->fn = fn;
+    t->ud = ud;
+    t->due = ck_now() + us;
+    lws_sul_schedule(l->ctx, 0, &s->sul, timer_fired, us > 0 ? us : 1);
+}
+
+void nt_timer_cancel(struct nt_timer *t)
+{
+    struct timer_sul *s = t->sul;
+    if (!s)
+        return;
+    lws_sul_cancel(&s->sul);
+    free(s);
+    t->sul = NULL;
+    t->due = 0;
+}
+
+static void lws_log(int level, const char *line)
+{
+    FL_DBG(&nlog, "lws %d: %.*s", level, (int)strcspn(line, "\n"), line);
+}
+
+struct nt_loop *nt_loop_create(int max_fds, struct er_err *err)
+{
+    signal(SIGPIPE, SIG_IGN);
+    lws_set_log_level(LLL_ERR | LLL_WARN, lws_log);
+    struct nt_loop *l = sr_alloc(sizeof(*l));
+    struct lws_context_creation_info info = {0};
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+    info.fd_limit_per_thread = (unsigned)max_fds;
+    info.max_http_header_pool = HEADER_POOL;
+    info.pt_serv_buf_size = SERVICE_BUF;
+    info.user = l;
+    l->ctx = lws_create_context(&info);
+    if (!l->ctx) {
+        free(l);
+        er_set(err, ER_IO, "can't create the event loop for %d sockets", max_fds);
+        return NULL;
+    }
+    struct lws_context_creation_info vh = {0};
+    vh.port = CONTEXT_PORT_NO_LISTEN;
+    vh.protocols = server_protocols;
+    vh.vhost_name = "client";
+    vh.connect_timeout_secs = HANDSHAKE_SEC;
+    vh.timeout_secs = HANDSHAKE_SEC;
+    l->client_vh = lws_create_vhost(l->ctx, &vh);
+    return l;
+}
+
+void nt_loop_destroy(struct nt_loop *l)
+{
+    lws_context_destroy(l->ctx);
+    while (l->listeners) {
+        struct nt_listener *ln = l->listeners;
+        l->listeners = ln->next;
+        free(ln);
+    }
+    free(l);
+}
+
+void nt_run(struct nt_loop *l)
+{
+    while (!l->stop && lws_service(l->ctx, 0) >= 0) {
+    }
+}
+
+void nt_stop(struct nt_loop *l)
+{
+    l->stop = true;
+    lws_cancel_service(l->ctx);
+}
+
+void nt_wake(struct nt_loop *l)
+{
+    lws_cancel_service(l->ctx);
+}
+
+void nt_on_wake(struct nt_loop *l, void (*fn)(void *), void *ud)
+{
+    l->wake = fn;
+    l->wake_ud = ud;
+}
+
+const struct nt_counters *nt_stats(const struct nt_loop *l)
+{
+    return &l->st;
+}
--- /dev/null
+++ b/task/net.h
@@ -0,0 +1,110 @@
+/* The loop, its timers and its sockets, on libwebsockets.
+ *
+ * One loop per thread. Everything below runs on the loop's thread, but for nt_wake.
+ * A connection carries whole messages: WebSocket text messages, or frames of a 4-byte
+ * big-endian length over raw TCP. Lengths are checked before anything is allocated. */
+#ifndef FL_TASK_NET_H
+#define FL_TASK_NET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "misc/err.h"
+
+struct nt_loop;
+struct nt_conn;
+struct nt_listener;
+
+enum { NT_MAX_MESSAGE = 1 << 20, NT_MAX_QUEUED = 8 << 20 };
+
+/* What happens on a connection. `ud` is the connection's user pointer. */
+struct nt_ops {
+    /* The connection is ready to send. */
+    void (*open)(struct nt_conn *c, void *ud);
+    /* A whole message; `data` is valid during the call and followed by a NUL. */
+    void (*message)(struct nt_conn *c, void *ud, const char *data, size_t len);
+    /* The last call. `opened` says whether open() was called before; `refused` that the peer
+     * actively refused the connection. The connection is freed after it. */
+    void (*close)(struct nt_conn *c, void *ud, bool opened, bool refused);
+};
+
+/* A plain HTTP request; the handler answers with nt_http_reply, now or later. */
+struct nt_http {
+    struct nt_conn *conn;
+    const char *method; /* "GET" or "POST" */
+    const char *path;
+    const char *query; /* text after '?', or "" */
+    const char *body;
+    size_t body_len;
+    void *ud; /* the listener's */
+};
+
+struct nt_listen {
+    const char *ip;
+    int port;
+    bool raw; /* frames over TCP instead of WebSocket and HTTP */
+    const struct nt_ops *ops;
+    /* A peer connected: gives the user pointer of its connection, NULL refuses it. */
+    void *(*accept)(struct nt_conn *c, void *ud);
+    void (*http)(const struct nt_http *req); /* NULL: 404 */
+    void *ud;
+};
+
+/* Counters of what the sockets refused; for /metrics. */
+struct nt_counters {
+    uint64_t accepted, closed, oversized, queue_overrun, bad_frames, bytes_in, bytes_out;
+    uint64_t messages_in, messages_out;
+};
+
+struct nt_timer {
+    struct nt_timer *next;
+    int64_t due; /* ck_now microseconds; 0 while not set */
+    void (*fn)(void *ud);
+    void *ud;
+    void *sul; /* private */
+};
+
+struct nt_loop *nt_loop_create(int max_fds, struct er_err *err);
+void nt_loop_destroy(struct nt_loop *l);
+/* Serve until nt_stop. */
+void nt_run(struct nt_loop *l);
+void nt_stop(struct nt_loop *l);
+/* From any thread: makes the loop call `fn(ud)` soon; calls may be merged. */
+void nt_wake(struct nt_loop *l);
+void nt_on_wake(struct nt_loop *l, void (*fn)(void *ud), void *ud);
+const struct nt_counters *nt_stats(const struct nt_loop *l);
+
+/* Call fn(ud) once after `us` microseconds; sets anew if it is set. */
+void nt_timer_set(struct nt_loop *l, struct nt_timer *t, int64_t us, void (*fn)(void *),
+                  void *ud);
+void nt_timer_cancel(struct nt_timer *t);
+
+/* Returns NULL with *err filled if the port can't be bound. */
+struct nt_listener *nt_listen(struct nt_loop *l, const struct nt_listen *what,
+                              struct er_err *err);
+/* Stop accepting; open connections go on. */
+void nt_listener_close(struct nt_listener *ln);
+
+/* Start connecting. ops->close follows if it fails, never from within this call. */
+struct nt_conn *nt_connect(struct nt_loop *l, const char *ip, int port, bool raw,
+                           const struct nt_ops *ops, void *ud);
+/* One HTTP request; `done` is called once, with status 0 if no answer came. */
+void nt_http_get(struct nt_loop *l, const char *ip, int port, const char *method,
+                 const char *path, const char *body,
+                 void (*done)(void *ud, int status, const char *body, size_t len), void *ud);
+
+/* Queue a whole message. False, and the connection is closed, if its queue is over bound. */
+bool nt_send(struct nt_conn *c, const void *data, size_t len);
+/* Close once what is queued has been sent (or at once if `hard`). ops->close follows, never
+ * from within this call. */
+void nt_close(struct nt_conn *c, bool hard);
+/* From now on this connection's callbacks go nowhere; it closes by itself. */
+void nt_forget(struct nt_conn *c);
+size_t nt_queued(const struct nt_conn *c);
+/* Tell ops->close if the peer of an HTTP request goes away before the reply. */
+void nt_http_watch(struct nt_conn *c, const struct nt_ops *ops, void *ud);
+void nt_http_reply(struct nt_conn *c, int status, const char *type, const char *body,
+                   size_t len);
+
+#endif
