--- /dev/null
+++ b/tests/process/cluster.sh
@@ -0,0 +1,177 @@
+# A cluster of separate processes on loopback, for the demo, the process tests and the bench.
+# Sourced by bash. Every process started here is ended by id in cl_end.
+#
+#   cl_setup DIR BASE_PORT DEPLOYMENT N_ENTRIES   write the settings
+#   cl_start                                      start everything and wait until it serves
+#   cl_end                                        end what is left
+# Settings before cl_setup: CL_INSTANCE_ARGS, CL_ENTRY_JSON, CL_CONTROL_JSON, CL_LOG.
+
+CL_BUILD=${CL_BUILD:-build}
+declare -A CL_PID=()
+
+cl_domains() {
+    case $1 in
+    spokeline) CL_DOMAINS=(burnaby-a richmond-b surrey-c) CL_GROUPS=(dispatch1 dispatch2 dispatch3) CL_CONNS=25 CL_SHIP=1500 ;;
+    oikonomou) CL_DOMAINS=(marousi piraeus koropi) CL_GROUPS=(register1 register2 register3) CL_CONNS=40 CL_SHIP=1000 ;;
+    *) echo "unknown deployment $1" >&2; return 2 ;;
+    esac
+}
+
+cl_instance_port() { echo $((CL_BASE + 100 + $1 * 10 + $2)); }
+cl_ops_port() { echo $((CL_BASE + 20 + $1)); }
+cl_entry_port() { echo $((CL_BASE + 30 + $1)); }
+
+cl_groups_json() {
+    local g i sep=""
+    printf '['
+    for g in 0 1 2; do
+        printf '%s{"name":"%s","copies":2,"max_age_ms":60000,"instances":[' "$sep" "${CL_GROUPS[$g]}"
+        for i in 0 1 2; do
+            printf '%s{"id":"%s-%s","ip":"127.0.0.1","port":%d,"domain":"%s","max_conns":%d,"slots":3}' \
+                "$([ $i -gt 0 ] && echo ,)" "${CL_GROUPS[$g]}" "${CL_DOMAINS[$i]}" \
+                "$(cl_instance_port $g $i)" "${CL_DOMAINS[$i]}" "$CL_CONNS"
+        done
+        printf ']}'
+        sep=,
+    done
+    printf ']'
+}
+
+cl_voters_json() {
+    local i
+    printf '['
+    for i in 0 1 2; do
+        printf '%s{"name":"c%d","ip":"127.0.0.1","port":%d,"domain":"%s"}' "$([ $i -gt 0 ] && echo ,)" \
+            "$i" $((CL_BASE + 10 + i)) "${CL_DOMAINS[$i]}"
+    done
+    printf ']'
+}
+
+cl_write_control() { # number
+    cat > "$CL_DIR/c$1.json" <<JSON
+{"cluster": "$CL_NAME", "secret": "demo secret, not for use", "roles": ["control"],
+ "node": {"name": "c$1", "domain": "${CL_DOMAINS[$(($1 % 3))]}"},
+ "log": {"level": "${CL_LOG:-info}"},
+ "control": {${CL_CONTROL_JSON:-}"ip": "127.0.0.1", "port": $((CL_BASE + 10 + $1)), "ops_port": $(cl_ops_port "$1"),
+  "data": "$CL_DIR/data-c$1", "voters": $(cl_voters_json), "groups": $(cl_groups_json)}}
+JSON
+}
+
+cl_write_entry() { # number
+    cat > "$CL_DIR/e$1.json" <<JSON
+{"cluster": "$CL_NAME", "secret": "demo secret, not for use", "roles": ["entry"],
+ "node": {"name": "e$1", "domain": "${CL_DOMAINS[$(($1 % 3))]}"},
+ "log": {"level": "${CL_LOG:-info}"},
+ "entry": {${CL_ENTRY_JSON:-}"ip": "127.0.0.1", "port": $(cl_entry_port "$1")},
+ "control": {${CL_CONTROL_JSON:-}"voters": $(cl_voters_json)}}
+JSON
+}
+
+cl_setup() {
+    CL_DIR=$1 CL_BASE=$2 CL_NAME=$3 CL_ENTRIES=$4
+    cl_domains "$3" || return
+    mkdir -p "$CL_DIR"
+    local i
+    for i in 0 1 2; do cl_write_control "$i"; done
+    for ((i = 0; i < CL_ENTRIES; i++)); do cl_write_entry "$i"; done
+    CL_ENTRY_LIST=$(for ((i = 0; i < CL_ENTRIES; i++)); do printf '%s127.0.0.1:%d' "$([ $i -gt 0 ] && echo ,)" "$(cl_entry_port "$i")"; done)
+    CL_DB_LIST=$(IFS=,; echo "${CL_GROUPS[*]}")
+    export FERRY_CONTROL="127.0.0.1:$(cl_ops_port 0),127.0.0.1:$(cl_ops_port 1),127.0.0.1:$(cl_ops_port 2)"
+}
+
+cl_run() { # name command...
+    local name=$1
+    shift
+    "$@" >> "$CL_DIR/$name.log" 2>&1 < /dev/null &
+    CL_PID[$name]=$!
+}
+
+cl_instance() { # group instance [more arguments]
+    local g=$1 i=$2
+    shift 2
+    cl_run "i$g$i" "$CL_BUILD/ferry-instance" --port "$(cl_instance_port "$g" "$i")" --max-conns "$CL_CONNS" \
+        --slots 3 --ship-us "$CL_SHIP" --data "$CL_DIR/i$g$i.db" ${CL_INSTANCE_ARGS:-} "$@"
+}
+
+cl_control() { cl_run "c$1" "$CL_BUILD/ferryd" --config "$CL_DIR/c$1.json" ${2:-}; }
+cl_entry() { cl_run "e$1" "$CL_BUILD/ferryd" --config "$CL_DIR/e$1.json"; }
+
+# A GET without other programs: bash's own TCP. Prints the body.
+cl_get() { # port path
+    local line
+    exec 9<> "/dev/tcp/127.0.0.1/$1" || return 1
+    printf 'GET %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n' "$2" >&9
+    timeout 5 cat <&9 | sed '1,/^\r*$/d'
+    exec 9>&-
+}
+cl_post() { # port path body
+    exec 9<> "/dev/tcp/127.0.0.1/$1" || return 1
+    printf 'POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s' "$2" "${#3}" "$3" >&9
+    timeout 5 cat <&9 | sed '1,/^\r*$/d'
+    exec 9>&-
+}
+cl_fault() { cl_post "$(cl_instance_port "$1" "$2")" /fault "$3" > /dev/null; }
+
+cl_ready() { cl_get "$1" /readyz 2> /dev/null | grep -q '"ready":true'; }
+
+# Until every entry node is ready and every group has a primary.
+cl_wait_ready() {
+    local i tries
+    for ((tries = 0; tries < 200; tries++)); do
+        local good=1
+        for ((i = 0; i < CL_ENTRIES; i++)); do
+            cl_ready "$(cl_entry_port "$i")" || good=0
+        done
+        [ $good = 1 ] && "$CL_BUILD/ferryctl" status 2> /dev/null | grep -c serving | grep -q '^3$' && return 0
+        sleep 0.1
+    done
+    echo "the cluster does not become ready; see $CL_DIR/*.log" >&2
+    return 1
+}
+
+cl_start() {
+    local g i
+    cl_run platform "$CL_BUILD/ferry-platform" --port $((CL_BASE + 5))
+    for g in 0 1 2; do for i in 0 1 2; do cl_instance $g $i; done; done
+    for i in 0 1 2; do cl_control $i --bootstrap; done
+    for ((i = 0; i < CL_ENTRIES; i++)); do cl_entry "$i"; done
+    cl_wait_ready
+}
+
+# Which instance (0..2) is the primary of group g.
+cl_primary() {
+    local id
+    id=$("$CL_BUILD/ferryctl" status | awk -v g="${CL_GROUPS[$1]}" '$1 == g {on = 1; next} /^[^ ]/ {on = 0} on && / primary/ {print $1; exit}')
+    local i
+    for i in 0 1 2; do [ "$id" = "${CL_GROUPS[$1]}-${CL_DOMAINS[$i]}" ] && echo $i; done
+}
+# Which control node (0..2) leads.
+cl_leader() { "$CL_BUILD/ferryctl" members | awk '/leader$/ {print substr($2, 2)}'; }
+
+cl_kill() { # name [signal]
+    kill "-${2:-KILL}" "${CL_PID[$1]}" 2> /dev/null
+    if [ "${2:-KILL}" = KILL ]; then
+        wait "${CL_PID[$1]}" 2> /dev/null
+        unset "CL_PID[$1]"
+    fi
+}
+
+cl_load() { # arguments of ferry-load; in the background: CL_LOAD_PID
+    "$CL_BUILD/ferry-load" --entries "$CL_ENTRY_LIST" --dbs "$CL_DB_LIST" "$@" > "$CL_DIR/load.txt" 2>&1 &
+    CL_LOAD_PID=$!
+}
+cl_load_wait() { wait "$CL_LOAD_PID"; }
+
+cl_end() {
+    local name
+    for name in "${!CL_PID[@]}"; do kill -CONT "${CL_PID[$name]}" 2> /dev/null; kill -TERM "${CL_PID[$name]}" 2> /dev/null; done
+    local tries
+    for ((tries = 0; tries < 30; tries++)); do
+        local left=0
+        for name in "${!CL_PID[@]}"; do kill -0 "${CL_PID[$name]}" 2> /dev/null && left=1; done
+        [ $left = 0 ] && break
+        sleep 0.1
+    done
+    for name in "${!CL_PID[@]}"; do kill -KILL "${CL_PID[$name]}" 2> /dev/null; wait "${CL_PID[$name]}" 2> /dev/null; done
+    CL_PID=()
+}
--- /dev/null
+++ b/view/view.c
@@ -0,0 +1,325 @@
+#include "view/view.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+void vw_init(struct vw_view *v)
+{
+    memset(v, 0, sizeof(*v));
+}
+
+void vw_free(struct vw_view *v)
+{
+    free(v->groups);
+    free(v->intents);
+    vw_init(v);
+}
+
+void vw_copy(struct vw_view *to, const struct vw_view *from)
+{
+    vw_free(to);
+    *to = *from;
+    size_t groups = sizeof(*from->groups) * (size_t)from->n;
+    size_t intents = sizeof(*from->intents) * (size_t)from->n_intents;
+    to->groups = sr_alloc(groups);
+    to->intents = sr_alloc(intents);
+    if (groups)
+        memcpy(to->groups, from->groups, groups);
+    if (intents)
+        memcpy(to->intents, from->intents, intents);
+}
+
+/* First index whose name is not below `name`. */
+static int lower_bound(const struct vw_view *v, const char *name)
+{
+    int lo = 0, hi = v->n;
+    while (lo < hi) {
+        int mid = (lo + hi) / 2;
+        if (strcmp(v->groups[mid].name, name) < 0)
+            lo = mid + 1;
+        else
+            hi = mid;
+    }
+    return lo;
+}
+
+struct vw_group *vw_group(const struct vw_view *v, const char *name)
+{
+    int i = lower_bound(v, name);
+    if (i < v->n && strcmp(v->groups[i].name, name) == 0)
+        return &v->groups[i];
+    return NULL;
+}
+
+int vw_instance(const struct vw_group *g, const char *id)
+{
+    for (int i = 0; i < g->n; i++) {
+        if (strcmp(g->inst[i].id, id) == 0)
+            return i;
+    }
+    return -1;
+}
+
+const struct vw_intent *vw_intent(const struct vw_view *v, const char *id)
+{
+    for (int i = 0; i < v->n_intents; i++) {
+        if (strcmp(v->intents[i].id, id) == 0)
+            return &v->intents[i];
+    }
+    return NULL;
+}
+
+/* ---- checks ---- */
+
+static bool check_group_def(const struct vw_view *v, const struct vw_group *d,
+                            struct er_err *err)
+{
+    if (vw_group(v, d->name))
+        return er_set(err, ER_CONFLICT, "group %s exists already", d->name);
+    if (v->n >= VW_MAX_GROUPS)
+        return er_set(err, ER_TOO_LARGE, "%d groups are the most", VW_MAX_GROUPS);
+    if (d->n < 1)
+        return er_set(err, ER_BAD_INPUT, "group %s has no instance", d->name);
+    if (d->copies < 1 || d->copies > d->n)
+        return er_set(err, ER_BAD_INPUT, "group %s: copies %d, expected 1..%d", d->name,
+                      d->copies, d->n);
+    return true;
+}
+
+static bool check_term(const struct vw_group *g, const struct vw_change *ch,
+                       struct er_err *err)
+{
+    if (ch->term <= g->term)
+        return er_set(err, ER_STALE_PLAN, "group %s: term %llu, expected above %llu", g->name,
+                      (unsigned long long)ch->term, (unsigned long long)g->term);
+    return true;
+}
+
+static bool check_pending(const struct vw_group *g, const struct vw_change *ch,
+                          struct er_err *err)
+{
+    if (g->phase == VW_SERVING || ch->term != g->term)
+        return er_set(err, ER_STALE_PLAN, "group %s: no change of primary to term %llu pending",
+                      g->name, (unsigned long long)ch->term);
+    return true;
+}
+
+static bool check_remove(const struct vw_group *g, int i, struct er_err *err)
+{
+    if (i == g->primary)
+        return er_set(err, ER_BAD_INPUT, "%s is the primary of %s", g->inst[i].id, g->name);
+    if (g->n - 1 < g->copies)
+        return er_set(err, ER_BAD_INPUT, "group %s needs %d instances", g->name, g->copies);
+    return true;
+}
+
+static bool check_intent(const struct vw_view *v, const struct vw_intent *it,
+                         struct er_err *err)
+{
+    for (int i = 0; i < v->n_intents; i++) {
+        const struct vw_intent *o = &v->intents[i];
+        if (strcmp(o->id, it->id) == 0)
+            return er_set(err, ER_CONFLICT, "intent %s is known already", it->id);
+        if (o->number == it->number)
+            return er_set(err, ER_CONFLICT,
+                          "number %llu was taken by %s with intent %s; plan again with the next",
+                          (unsigned long long)it->number, o->who, o->id);
+        if (o->state == VW_RUNNING && it->kind != VW_IT_RULE && o->kind != VW_IT_RULE &&
+            strcmp(o->args, it->args) == 0)
+            return er_set(err, ER_CONFLICT, "intent %s by %s does this already", o->id, o->who);
+    }
+    return true;
+}
+
+static bool check_on_group(const struct vw_view *v, const struct vw_change *ch,
+                           struct er_err *err)
+{
+    const struct vw_group *g = vw_group(v, ch->group);
+    if (!g)
+        return er_set(err, ER_NO_DATABASE, "no group %s", ch->group);
+    int i = vw_instance(g, ch->instance);
+    bool needs_instance = ch->kind == VW_CH_HAND || ch->kind == VW_CH_PRIMARY ||
+                          ch->kind == VW_CH_DRAIN || ch->kind == VW_CH_REMOVE;
+    if (needs_instance && i < 0)
+        return er_set(err, ER_BAD_INPUT, "group %s has no instance %s", ch->group,
+                      ch->instance);
+    switch (ch->kind) {
+    case VW_CH_REPLACE:
+        return check_term(g, ch, err);
+    case VW_CH_HAND:
+        if (g->phase != VW_SERVING)
+            return er_set(err, ER_STALE_PLAN, "group %s is changing its primary", g->name);
+        return check_term(g, ch, err);
+    case VW_CH_ABANDON:
+        if (g->phase != VW_HANDING)
+            return er_set(err, ER_STALE_PLAN, "group %s: nothing to give up", g->name);
+        return check_pending(g, ch, err);
+    case VW_CH_PRIMARY:
+        return check_pending(g, ch, err);
+    case VW_CH_RULE:
+        if (ch->max_age_ms < 0)
+            return er_set(err, ER_BAD_INPUT, "max_age_ms %lld, expected 0 or more",
+                          (long long)ch->max_age_ms);
+        return true;
+    case VW_CH_ADD:
+        if (g->n >= VW_MAX_INSTANCES || vw_instance(g, ch->inst.id) >= 0)
+            return er_set(err, ER_CONFLICT, "group %s: %s is there or %d are the most", g->name,
+                          ch->inst.id, VW_MAX_INSTANCES);
+        return true;
+    case VW_CH_REMOVE:
+        return check_remove(g, i, err);
+    default:
+        return true;
+    }
+}
+
+bool vw_check(const struct vw_view *v, const struct vw_change *ch, struct er_err *err)
+{
+    switch (ch->kind) {
+    case VW_CH_GROUP:
+        return check_group_def(v, &ch->def, err);
+    case VW_CH_INTENT:
+        return check_intent(v, &ch->intent, err);
+    case VW_CH_PROGRESS: {
+        const struct vw_intent *it = vw_intent(v, ch->intent.id);
+        if (!it || it->state != VW_RUNNING || ch->intent.step < it->step)
+            return er_set(err, ER_STALE_PLAN, "intent %s is not at step %d", ch->intent.id,
+                          ch->intent.step);
+        return true;
+    }
+    default:
+        return check_on_group(v, ch, err);
+    }
+}
+
+/* ---- applying ---- */
+
+static void insert_group(struct vw_view *v, const struct vw_group *d)
+{
+    int at = lower_bound(v, d->name);
+    v->groups = sr_realloc(v->groups, sizeof(*v->groups) * (size_t)(v->n + 1));
+    memmove(&v->groups[at + 1], &v->groups[at], sizeof(*v->groups) * (size_t)(v->n - at));
+    v->groups[at] = *d;
+    v->n++;
+}
+
+/* The oldest finished intent makes room; a running one never does. */
+static void insert_intent(struct vw_view *v, const struct vw_intent *it, uint64_t index)
+{
+    if (v->n_intents >= VW_MAX_INTENTS) {
+        int gone = 0;
+        while (gone < v->n_intents - 1 && v->intents[gone].state == VW_RUNNING)
+            gone++;
+        memmove(&v->intents[gone], &v->intents[gone + 1],
+                sizeof(*v->intents) * (size_t)(v->n_intents - gone - 1));
+        v->n_intents--;
+    }
+    v->intents = sr_realloc(v->intents, sizeof(*v->intents) * (size_t)(v->n_intents + 1));
+    v->intents[v->n_intents] = *it;
+    v->intents[v->n_intents].confirmed_at = index;
+    v->n_intents++;
+}
+
+static void add_start(struct vw_group *g, struct ps_start s)
+{
+    if (g->n_starts == VW_MAX_STARTS) {
+        memmove(&g->starts[0], &g->starts[1], sizeof(g->starts[0]) * (VW_MAX_STARTS - 1));
+        g->n_starts--;
+    }
+    g->starts[g->n_starts++] = s;
+}
+
+static void remove_instance(struct vw_group *g, int i)
+{
+    memmove(&g->inst[i], &g->inst[i + 1], sizeof(g->inst[0]) * (size_t)(g->n - i - 1));
+    g->n--;
+    if (g->primary > i)
+        g->primary--;
+    if (g->target > i)
+        g->target--;
+}
+
+static void set_primary(struct vw_group *g, int i, uint64_t term, uint64_t pos)
+{
+    g->phase = VW_SERVING;
+    g->primary = i;
+    g->target = -1;
+    g->term = term;
+    add_start(g, (struct ps_start){term, pos});
+}
+
+static void apply_on_group(struct vw_group *g, const struct vw_change *ch)
+{
+    int i = vw_instance(g, ch->instance);
+    switch (ch->kind) {
+    case VW_CH_REPLACE:
+        g->phase = VW_REPLACING;
+        g->term = ch->term;
+        break;
+    case VW_CH_HAND:
+        g->phase = VW_HANDING;
+        g->term = ch->term;
+        g->target = i;
+        break;
+    case VW_CH_ABANDON:
+        /* The old primary takes up the new term in place: terms never go back. */
+        g->phase = VW_REPLACING;
+        break;
+    case VW_CH_PRIMARY:
+        set_primary(g, i, ch->term, ch->pos);
+        break;
+    case VW_CH_DRAIN:
+        g->inst[i].draining = ch->flag;
+        break;
+    case VW_CH_RULE:
+        g->max_age_ms = ch->max_age_ms;
+        break;
+    case VW_CH_ADD:
+        g->inst[g->n++] = ch->inst;
+        break;
+    case VW_CH_REMOVE:
+        remove_instance(g, i);
+        break;
+    default:
+        break;
+    }
+}
+
+static void apply_progress(struct vw_view *v, const struct vw_intent *from)
+{
+    for (int i = 0; i < v->n_intents; i++) {
+        struct vw_intent *it = &v->intents[i];
+        if (strcmp(it->id, from->id) != 0)
+            continue;
+        it->step = from->step;
+        it->state = from->state;
+        memcpy(it->note, from->note, sizeof(it->note));
+    }
+}
+
+bool vw_apply(struct vw_view *v, uint64_t index, const struct vw_change *ch,
+              struct er_err *err)
+{
+    if (index <= v->generation)
+        return er_set(err, ER_STALE_PLAN, "change %llu is not above generation %llu",
+                      (unsigned long long)index, (unsigned long long)v->generation);
+    if (!vw_check(v, ch, err))
+        return false;
+    switch (ch->kind) {
+    case VW_CH_GROUP:
+        insert_group(v, &ch->def);
+        break;
+    case VW_CH_INTENT:
+        insert_intent(v, &ch->intent, index);
+        break;
+    case VW_CH_PROGRESS:
+        apply_progress(v, &ch->intent);
+        break;
+    default:
+        apply_on_group(vw_group(v, ch->group), ch);
+        break;
+    }
+    v->generation = index;
+    return true;
+}
--- /dev/null
+++ b/view/view.h
@@ -0,0 +1,140 @@
+/* The replicated configuration: the groups, their primaries and terms, rules and intents.
+ *
+ * A pure state machine: changes come from the agreement log in order; every node that applies
+ * the same changes holds the same view. `generation` is the log index of the last change that
+ * was accepted; it only grows. A change that no longer fits is refused by vw_apply and leaves
+ * the view as it was, on every node alike. */
+#ifndef FL_VIEW_VIEW_H
+#define FL_VIEW_VIEW_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "misc/err.h"
+#include "misc/pos.h"
+#include "misc/str.h"
+
+enum {
+    VW_MAX_GROUPS = 2048,
+    VW_MAX_INSTANCES = 7,
+    VW_MAX_STARTS = 16,
+    VW_MAX_INTENTS = 256,
+    VW_MAX_STEPS = 16,
+    VW_NAME = 48,
+    VW_CHANGE_MAX = 8192, /* bytes of a change as text */
+};
+
+struct vw_instance {
+    char id[VW_NAME];
+    char ip[46];
+    int port;
+    char domain[VW_NAME];
+    bool draining; /* gets no new work */
+    int max_conns; /* connections it accepts at once */
+    int slots;     /* statements it runs at once */
+};
+
+/* What a group's primary is doing. */
+enum vw_phase {
+    VW_SERVING,   /* `primary` serves `term` */
+    VW_REPLACING, /* the old term is dropped; a new primary is being chosen */
+    VW_HANDING,   /* planned: writes are parked until the successor has everything */
+};
+
+struct vw_group {
+    char name[VW_NAME];
+    enum vw_phase phase;
+    uint64_t term; /* the term in force, or being prepared */
+    int primary;   /* index into inst; the old one while not serving; -1 before the first */
+    int target;    /* VW_HANDING: index of the successor */
+    int n;
+    struct vw_instance inst[VW_MAX_INSTANCES];
+    int n_starts;
+    struct ps_start starts[VW_MAX_STARTS]; /* ascending; the oldest are dropped */
+    int64_t max_age_ms;                    /* the longest age a read may accept here */
+    int copies;                            /* instances that must hold an acknowledged write */
+    bool degraded;                         /* confirmed: accept writes with fewer copies */
+};
+
+enum vw_intent_kind { VW_IT_MOVE, VW_IT_DRAIN, VW_IT_RULE, VW_IT_REPLACE };
+enum vw_intent_state { VW_RUNNING, VW_DONE, VW_FAILED };
+
+struct vw_intent {
+    char id[VW_NAME]; /* the operator's, for resends */
+    char who[VW_NAME];
+    uint64_t number;
+    enum vw_intent_kind kind;
+    enum vw_intent_state state;
+    int step, n_steps;
+    uint64_t confirmed_at; /* generation */
+    char digest[24];
+    char args[1024]; /* JSON text as the operator gave it */
+    char note[160];  /* why it failed, or what it waits for */
+};
+
+struct vw_view {
+    uint64_t generation;
+    int n;
+    struct vw_group *groups; /* sorted by name */
+    int n_intents;
+    struct vw_intent *intents; /* oldest first */
+};
+
+enum vw_change_kind {
+    VW_CH_GROUP,    /* create a group: `group` whole */
+    VW_CH_REPLACE,  /* begin an unplanned change of primary: group, term */
+    VW_CH_HAND,     /* begin a planned one: group, term, instance (the successor) */
+    VW_CH_ABANDON,  /* a planned one is given up: group, term; the old primary serves on */
+    VW_CH_PRIMARY,  /* a new primary serves: group, term, instance, pos (start of the term) */
+    VW_CH_DRAIN,    /* group, instance, flag */
+    VW_CH_RULE,     /* group, max_age_ms */
+    VW_CH_ADD,      /* group, inst: a new instance, caught up or not */
+    VW_CH_REMOVE,   /* group, instance */
+    VW_CH_INTENT,   /* an operator confirmed `intent` */
+    VW_CH_PROGRESS, /* intent id, step, state, note */
+    VW_CH_COUNT
+};
+
+struct vw_change {
+    enum vw_change_kind kind;
+    char group[VW_NAME];
+    char instance[VW_NAME];
+    uint64_t term, pos;
+    bool flag;
+    int64_t max_age_ms;
+    struct vw_group def;       /* VW_CH_GROUP */
+    struct vw_instance inst;   /* VW_CH_ADD */
+    struct vw_intent intent;   /* VW_CH_INTENT, VW_CH_PROGRESS */
+};
+
+void vw_init(struct vw_view *v);
+void vw_free(struct vw_view *v);
+void vw_copy(struct vw_view *to, const struct vw_view *from);
+
+/* Apply the change that stands at `index` of the log. False, nothing changed and *err filled
+ * if it does not fit. A change at or below the generation is refused: never backwards. */
+bool vw_apply(struct vw_view *v, uint64_t index, const struct vw_change *ch,
+              struct er_err *err);
+/* The same check without applying. */
+bool vw_check(const struct vw_view *v, const struct vw_change *ch, struct er_err *err);
+
+struct vw_group *vw_group(const struct vw_view *v, const char *name);
+int vw_instance(const struct vw_group *g, const char *id);
+const struct vw_intent *vw_intent(const struct vw_view *v, const char *id);
+
+/* As text. Decoders take untrusted bytes; unknown keys are ignored. */
+json_t *vw_change_json(const struct vw_change *ch);
+bool vw_change_parse(const json_t *j, struct vw_change *ch, struct er_err *err);
+json_t *vw_view_json(const struct vw_view *v);
+bool vw_view_parse(const json_t *j, struct vw_view *v, struct er_err *err);
+json_t *vw_group_json(const struct vw_group *g);
+bool vw_group_parse(const json_t *j, struct vw_group *g, struct er_err *err);
+
+const char *vw_phase_name(enum vw_phase p);
+const char *vw_change_name(enum vw_change_kind k);
+const char *vw_intent_name(enum vw_intent_kind k);
+const char *vw_state_name(enum vw_intent_state s);
+
+#endif
--- /dev/null
+++ b/wire/wire.h
@@ -0,0 +1,121 @@
+/* Messages between our processes: msgpack arrays in length-prefixed frames.
+ *
+ * The first element is the type. Later versions may append elements: a reader ignores what it
+ * does not know, and an absent element reads as zero. A wrong type or a bound overrun makes the
+ * whole message invalid. Views of strings point into the decoded message. */
+#ifndef FL_WIRE_WIRE_H
+#define FL_WIRE_WIRE_H
+
+#include <msgpack.h>
+
+#include "misc/err.h"
+#include "misc/str.h"
+#include "quorum/quorum.h"
+
+enum { WR_VERSION = 1, WR_MAX_SHARES = 4096, WR_MAX_PROBES = 4096 };
+
+enum wr_type {
+    WR_HELLO = 1,  /* both ways, first */
+    WR_QUORUM,     /* control to control: struct qr_msg */
+    WR_RENEW,      /* entry to leader */
+    WR_GRANT,      /* leader to entry */
+    WR_NOT_LEADER, /* control to entry */
+    WR_VIEW,       /* leader to entry: changes or a snapshot */
+    WR_ACK,        /* entry to leader: the generation applied */
+    WR_SHARES,     /* leader to entry: connections it may hold */
+    WR_CHECK,      /* leader to entry: is this instance answering you? */
+    WR_CHECKED,    /* entry to leader */
+    WR_PROBES,     /* control follower to leader: what its probes see */
+    WR_SUSPECT,    /* entry to leader: an instance stopped answering */
+};
+
+enum wr_role { WR_ROLE_ENTRY = 1, WR_ROLE_CONTROL };
+enum wr_health { WR_UNKNOWN, WR_OK, WR_SILENT, WR_REFUSED };
+
+struct wr_hello {
+    uint32_t version;
+    struct sr_str cluster, name, domain, ip;
+    uint32_t port; /* where its HTTP answers */
+    enum wr_role role;
+    uint64_t id;     /* control: the identity on disk; entry: drawn at start */
+    uint64_t expect; /* control: the identity expected of the other side, 0 any */
+};
+
+struct wr_share {
+    struct sr_str inst;
+    uint32_t held, want;
+};
+
+struct wr_renew {
+    uint64_t seq, generation, hlc;
+    bool stopping;
+    uint32_t n;
+    struct wr_share *shares;
+    uint64_t shares_seq; /* of the last WR_SHARES applied */
+};
+
+struct wr_grant {
+    uint64_t seq, hlc;
+    uint32_t duration_ms; /* counted from the sending of the renewal; 0: refused */
+    uint64_t generation;
+};
+
+struct wr_view {
+    uint64_t from, to; /* from = 0: `text` is a whole view; else a JSON list of changes */
+    struct sr_str text;
+};
+
+struct wr_shares {
+    uint32_t n;
+    struct wr_share *shares; /* held: what the node may hold */
+    uint64_t seq;
+};
+
+struct wr_check {
+    uint64_t nonce;
+    struct sr_str inst;
+    enum wr_health health; /* WR_CHECKED */
+};
+
+struct wr_probe {
+    struct sr_str inst;
+    enum wr_health health;
+    bool primary;
+    uint64_t term, last_term, pos, following;
+};
+
+struct wr_probes {
+    uint32_t n;
+    struct wr_probe *probes;
+};
+
+struct wr_msg {
+    enum wr_type type;
+    union {
+        struct wr_hello hello;
+        struct qr_msg quorum;
+        struct wr_renew renew;
+        struct wr_grant grant;
+        struct sr_str leader; /* WR_NOT_LEADER: name, may be empty */
+        struct wr_view view;
+        uint64_t ack;
+        struct wr_shares shares;
+        struct wr_check check; /* WR_CHECK, WR_CHECKED, WR_SUSPECT */
+        struct wr_probes probes;
+    };
+};
+
+/* A decoder that reuses its zone from message to message. */
+struct wr_decoder {
+    msgpack_zone zone;
+    bool ready;
+};
+
+/* Append the encoded message to `out`. */
+void wr_encode(struct sr_buf *out, const struct wr_msg *m);
+/* Untrusted bytes in; *m is valid until the next call. False with *err on anything wrong. */
+bool wr_decode(struct wr_decoder *d, const char *data, size_t len, struct wr_msg *m,
+               struct er_err *err);
+void wr_decoder_free(struct wr_decoder *d);
+
+#endif
