--- a/admit/admit.h
+++ b/admit/admit.h
@@ -47,9 +47,9 @@
     struct rn_rng rng;
     struct ad_lane lane[AD_CLASSES];
     int queued, in_flight;
-    int max;          /* connections there are */
-    int slots;        /* what the instance runs at once, shared by all entry nodes */
-    double limit;     /* statements in flight allowed now */
+    int max;           /* connections there are */
+    int slots;         /* what the instance runs at once, shared by all entry nodes */
+    double limit;      /* statements in flight allowed now */
     double service_us; /* smoothed time of one statement, queueing at the instance included */
     double base_us;    /* the shortest seen lately: no queueing */
     double gap_us;     /* smoothed time between two completions while work is queued */
--- a/caller/caller.h
+++ b/caller/caller.h
@@ -36,7 +36,7 @@
 };
 
 struct cl_answer {
-    enum er_kind kind;     /* ER_NONE: a result */
+    enum er_kind kind; /* ER_NONE: a result */
     struct sr_str value;
     const char *token;     /* NULL or "" none */
     const char *txn;       /* begin: its name */
--- a/control/agree.c
+++ b/control/agree.c
@@ -56,8 +56,8 @@
     for (uint64_t k = first; k < n->n_past; k++) {
         const struct ct_past *p = &n->past[k % CT_HISTORY];
         if (p->index > from)
-            sr_buf_printf(&b, "%s[%llu,%s]", b.len > 1 ? "," : "",
-                          (unsigned long long)p->index, p->text);
+            sr_buf_printf(&b, "%s[%llu,%s]", b.len > 1 ? "," : "", (unsigned long long)p->index,
+                          p->text);
     }
     sr_buf_add(&b, "]", 1);
     return b.p;
@@ -105,6 +105,7 @@
                 n->force_since = ck_now();
             }
             ct_push_view(n);
+            ct_groups_soon(n);
         }
     } else {
         n->c.refused_changes++;
--- a/control/control.c
+++ b/control/control.c
@@ -78,6 +78,7 @@
 static void end(struct ct_node *n, bool failed)
 {
     nt_timer_cancel(&n->tick);
+    nt_timer_cancel(&n->soon);
     n->stopped(n->stopped_ud, failed);
 }
 
--- a/control/control.h
+++ b/control/control.h
@@ -102,15 +102,15 @@
     struct ct_peer *peers;
     struct nt_listener *peer_listener, *ops_listener;
     struct wr_decoder dec;
-    struct nt_timer tick;
+    struct nt_timer tick, soon;
     int n_groups;
     struct ct_group **groups;
     /* leading */
     bool leading; /* a quorum vouched and this term's first entry is applied */
     struct ls_giver giver;
     struct sh_table shares;
-    uint64_t shares_seq; /* of the last WR_SHARES sent to anybody */
-    uint64_t step_index; /* log index of the last step proposed for an intent */
+    uint64_t shares_seq;    /* of the last WR_SHARES sent to anybody */
+    uint64_t step_index;    /* log index of the last step proposed for an intent */
     int64_t in_force_since; /* all entry nodes act on the current view since; 0: not */
     int64_t next_probe_report, next_intent;
     uint64_t force_gen; /* change whose time to force is being measured */
@@ -170,6 +170,8 @@
 struct ct_group *ct_group_of(struct ct_node *n, const char *name);
 bool ct_caught_up(void *ud, const char *group, const char *inst);
 void ct_group_tick(struct ct_node *n, struct ct_group *g);
+/* Tick all groups in the loop's next turn: safe from within the core's callbacks. */
+void ct_groups_soon(struct ct_node *n);
 
 /* steps.c: intents */
 void ct_intents_tick(struct ct_node *n, int64_t now);
--- a/control/ops.c
+++ b/control/ops.c
@@ -48,8 +48,8 @@
         if (!c->greeted || c->role != WR_ROLE_ENTRY)
             continue;
         json_array_append_new(a, json_pack("{s:s,s:s,s:i,s:s,s:b}", "name", c->name, "ip",
-                                           c->ip, "port", c->port, "domain", c->domain,
-                                           "lease", ls_node_live(&n->giver, c->id, now)));
+                                           c->ip, "port", c->port, "domain", c->domain, "lease",
+                                           ls_node_live(&n->giver, c->id, now)));
     }
     return a;
 }
@@ -225,7 +225,8 @@
     it->kind = r.kind;
     it->n_steps = p.n;
     memcpy(it->digest, p.digest, sizeof(it->digest));
-    return fits || er_set(err, ER_TOO_LARGE, "args: expected under %zu bytes", sizeof(it->args));
+    return fits ||
+           er_set(err, ER_TOO_LARGE, "args: expected under %zu bytes", sizeof(it->args));
 }
 
 static void do_confirm(struct ct_node *n, const struct nt_http *req)
@@ -303,8 +304,9 @@
         bool ok = !n->stopping && qr_leader(n->q) != 0;
         reply(req->conn, ok ? 200 : 503, json_pack("{s:b}", "ready", ok));
     } else {
-        reply(req->conn, 404, json_pack("{s:s,s:s}", "reason", "bad_input", "detail",
-                                        "no such page; see docs/INTERFACES.md"));
+        reply(req->conn, 404,
+              json_pack("{s:s,s:s}", "reason", "bad_input", "detail",
+                        "no such page; see docs/INTERFACES.md"));
     }
 }
 
--- a/control/peers.c
+++ b/control/peers.c
@@ -1,4 +1,5 @@
-/* Sockets between processes: those that others opened to us, and ours to other control nodes. */
+/* Sockets between processes: those that others opened to us, and ours to other control nodes.
+ */
 #include <stdlib.h>
 
 #include "control/control.h"
@@ -251,8 +252,8 @@
 
 bool ct_peers_listen(struct ct_node *n, struct er_err *err)
 {
-    struct nt_listen l = {n->s->control_ip, n->s->control_port, true, &conn_ops,
-                          conn_accept,      NULL,               n};
+    struct nt_listen l = {
+        n->s->control_ip, n->s->control_port, true, &conn_ops, conn_accept, NULL, n};
     n->peer_listener = nt_listen(n->loop, &l, err);
     return n->peer_listener != NULL;
 }
--- a/control/watch.c
+++ b/control/watch.c
@@ -6,8 +6,6 @@
 
 enum { RETRY_US = 30000, FRESH_PROBES = 4 };
 
-static void act_on(struct ct_node *n, struct ct_group *g, const struct pr_actions *acts);
-
 /* ---- finding ---- */
 
 struct ct_group *ct_group_of(struct ct_node *n, const char *name)
@@ -335,6 +333,18 @@
     act_on(n, g, &acts);
 }
 
+static void tick_groups(void *ud)
+{
+    struct ct_node *n = ud;
+    for (int g = 0; g < n->n_groups; g++)
+        ct_group_tick(n, n->groups[g]);
+}
+
+void ct_groups_soon(struct ct_node *n)
+{
+    nt_timer_set(n->loop, &n->soon, 1, tick_groups, n);
+}
+
 /* ---- evidence from others ---- */
 
 static enum pr_health health_of(enum wr_health h)
@@ -391,9 +401,8 @@
     for (int g = 0; g < n->n_groups; g++) {
         for (int i = 0; i < n->groups[g]->n && k < WR_MAX_PROBES; i++) {
             const struct ct_inst *in = n->groups[g]->inst[i];
-            p[k++] = (struct wr_probe){sr_from(in->id),  map[in->health],
-                                       in->said.primary, in->said.term,
-                                       in->said.held.term, in->said.held.pos,
+            p[k++] = (struct wr_probe){sr_from(in->id),   map[in->health],    in->said.primary,
+                                       in->said.term,     in->said.held.term, in->said.held.pos,
                                        in->said.following};
         }
     }
--- a/endpoint/endpoint.h
+++ b/endpoint/endpoint.h
@@ -33,14 +33,17 @@
 
 struct ep_request {
     enum ep_op op;
-    uint64_t id;          /* echoed; the connection's own numbering */
-    struct sr_str stmt;   /* READ, WRITE */
-    uint64_t term;        /* WRITE, BEGIN, DO_*: the term it is meant for */
-    struct ps_pos min;    /* READ: what must be applied; pos 0: anything */
-    int64_t wait_us;      /* READ: how long the instance may wait for `min` */
-    struct sr_str claim;  /* WRITE, COMMIT: request id; empty: none */
-    bool txn;             /* READ, WRITE inside the open transaction */
-    struct sr_str ip;     /* DO_FOLLOW: the primary */
+    uint64_t id;        /* echoed; the connection's own numbering */
+    struct sr_str stmt; /* READ, WRITE */
+    /* WRITE, BEGIN, DO_*: the term it is meant for. READ: the primary's term; 0 asks a replica,
+     * and an instance that is or was a primary and has not followed one since then answers that
+     * it is behind: the end of its log may vanish. */
+    uint64_t term;
+    struct ps_pos min;   /* READ: what must be applied; pos 0: anything */
+    int64_t wait_us;     /* READ: how long the instance may wait for `min` */
+    struct sr_str claim; /* WRITE, COMMIT: request id; empty: none */
+    bool txn;            /* READ, WRITE inside the open transaction */
+    struct sr_str ip;    /* DO_FOLLOW: the primary */
     int port;
 };
 
--- a/endpoint/ws.c
+++ b/endpoint/ws.c
@@ -15,9 +15,9 @@
     char who[16];
 };
 
-static const char *const op_names[EP_OP_COUNT] = {
-    "hello",  "read",  "write",   "begin",  "commit",   "rollback",
-    "status", "fence", "promote", "follow", "subscribe"};
+static const char *const op_names[EP_OP_COUNT] = {"hello",   "read",     "write",    "begin",
+                                                  "commit",  "rollback", "status",   "fence",
+                                                  "promote", "follow",   "subscribe"};
 
 static const char *const result_names[] = {"ok", "behind", "refused", "bad"};
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -6,7 +6,14 @@
 
 #include "misc/clock.h"
 
-enum { TICK_US = 5000, DRAIN_US = 1000000, FLUSH_US = 50000, NEAR = 0, FAR = 1, SAMPLES_LAG = -1 };
+enum {
+    TICK_US = 5000,
+    DRAIN_US = 1000000,
+    FLUSH_US = 50000,
+    NEAR = 0,
+    FAR = 1,
+    SAMPLES_LAG = -1
+};
 
 struct en_group *en_group(struct en_node *n, const char *name)
 {
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -42,7 +42,7 @@
 
 /* One request, from arrival to its one answer. */
 struct en_req {
-    struct ad_item item; /* first: the queue gives it back */
+    struct ad_item item;        /* first: the queue gives it back */
     struct en_req *prev, *next; /* all live requests of the node */
     struct en_req *chain;       /* in the group's parked or holding list */
     struct en_caller *caller;
@@ -77,7 +77,7 @@
     struct en_req *req; /* at work for; NULL idle */
     uint64_t req_id;    /* what its reply will carry; 0 idle */
     enum ep_op op;
-    bool orphan;        /* its request was given up; the reply goes nowhere */
+    bool orphan; /* its request was given up; the reply goes nowhere */
     uint64_t last_id;
     int64_t sent_at;
     struct en_txn *txn; /* pinned by */
@@ -93,14 +93,14 @@
     int at; /* index in the group */
     struct vw_instance cfg;
     struct ad_queue q;
-    int share;       /* connections this node may hold */
-    int n_conns;     /* open and opening */
+    int share;   /* connections this node may hold */
+    int n_conns; /* open and opening */
     struct en_ep *eps;
     struct en_ep *watch;
     struct ps_pos held, applied;
     int64_t heard, status_sent; /* last sign of life; last unanswered status */
-    int64_t next_open; /* no new connection before */
-    int64_t suspected; /* last told to control */
+    int64_t next_open;          /* no new connection before */
+    int64_t suspected;          /* last told to control */
     bool refusing;
     bool gone;
     int peak_want;
@@ -121,8 +121,9 @@
 struct en_group {
     struct en_node *node;
     struct vw_group cfg;
-    uint64_t serve_term;  /* acknowledgements are given for this term only; 0 none */
-    int64_t drain_until;  /* planned change: statements in flight may finish until then; 0 none */
+    uint64_t serve_term; /* acknowledgements are given for this term only; 0 none */
+    int64_t
+        drain_until; /* planned change: statements in flight may finish until then; 0 none */
     struct en_inst *inst[VW_MAX_INSTANCES];
     struct rt_group rt;
     struct en_req *parked, **parked_tail;
--- a/entry/link.c
+++ b/entry/link.c
@@ -5,8 +5,13 @@
 #include "entry/entry.h"
 #include "misc/clock.h"
 
-enum { RECONNECT_US = 100000, RENEW_PARTS = 6, SEEK_US = 40000, SUSPECT_US = 100000,
-       CHECK_FRESH_US = 150000 };
+enum {
+    RECONNECT_US = 100000,
+    RENEW_PARTS = 6,
+    SEEK_US = 40000,
+    SUSPECT_US = 100000,
+    CHECK_FRESH_US = 150000
+};
 
 static void send_msg(struct en_link *l, const struct wr_msg *m)
 {
--- a/entry/ops.c
+++ b/entry/ops.c
@@ -40,16 +40,26 @@
         const char *name;
         uint64_t v;
     } rows[] = {
-        {"requests", c->requests},          {"answers_ok", c->ok},
-        {"answers_not_run", c->not_run},    {"answers_unknown", c->unknown},
-        {"answers_rejected", c->rejected},  {"reads_primary", c->reads_primary},
-        {"reads_replica", c->reads_replica}, {"reads_behind", c->reads_behind},
-        {"writes", c->writes},              {"commits", c->commits},
-        {"rollbacks", c->rollbacks},        {"retries", c->retries},
-        {"retry_denied", c->retry_denied},  {"late_replies", c->late_replies},
-        {"parked", c->parked},              {"waited_at_replica", c->waited},
-        {"duplicates", c->duplicates},      {"bad_tokens", c->bad_tokens},
-        {"lease_lost", c->lease_lost},      {"views", c->views},
+        {"requests", c->requests},
+        {"answers_ok", c->ok},
+        {"answers_not_run", c->not_run},
+        {"answers_unknown", c->unknown},
+        {"answers_rejected", c->rejected},
+        {"reads_primary", c->reads_primary},
+        {"reads_replica", c->reads_replica},
+        {"reads_behind", c->reads_behind},
+        {"writes", c->writes},
+        {"commits", c->commits},
+        {"rollbacks", c->rollbacks},
+        {"retries", c->retries},
+        {"retry_denied", c->retry_denied},
+        {"late_replies", c->late_replies},
+        {"parked", c->parked},
+        {"waited_at_replica", c->waited},
+        {"duplicates", c->duplicates},
+        {"bad_tokens", c->bad_tokens},
+        {"lease_lost", c->lease_lost},
+        {"views", c->views},
         {"view_snapshots", c->snapshots},
     };
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
@@ -107,11 +117,11 @@
     json_t *groups = json_array();
     for (int g = 0; g < n->n_groups; g++) {
         const struct vw_group *v = &n->groups[g]->cfg;
-        json_array_append_new(
-            groups, json_pack("{s:s,s:s,s:I,s:s,s:i}", "name", v->name, "phase",
-                              vw_phase_name(v->phase), "term", (json_int_t)v->term, "primary",
-                              v->primary >= 0 ? v->inst[v->primary].id : "", "parked",
-                              n->groups[g]->n_parked));
+        json_array_append_new(groups, json_pack("{s:s,s:s,s:I,s:s,s:i}", "name", v->name,
+                                                "phase", vw_phase_name(v->phase), "term",
+                                                (json_int_t)v->term, "primary",
+                                                v->primary >= 0 ? v->inst[v->primary].id : "",
+                                                "parked", n->groups[g]->n_parked));
     }
     return json_pack("{s:s,s:s,s:I,s:b,s:s,s:i,s:i,s:o}", "node", n->s->name, "role", "entry",
                      "generation", (json_int_t)n->view.generation, "ready", why == NULL, "why",
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -5,10 +5,10 @@
 #include "misc/clock.h"
 
 enum {
-    REOPEN_US = 50000,       /* between tries to connect to an instance that refused */
-    STATUS_US = 25000,       /* between position requests to a primary */
+    REOPEN_US = 50000, /* between tries to connect to an instance that refused */
+    STATUS_US = 25000, /* between position requests to a primary */
     STATUS_REPLICA_US = 50000,
-    SILENT_US = 200000,      /* unanswered status: not usable for new work */
+    SILENT_US = 200000, /* unanswered status: not usable for new work */
     SUSPECT_EVERY_US = 100000,
 };
 
@@ -199,8 +199,8 @@
     ep->next = in->eps;
     in->eps = ep;
     in->n_conns++;
-    ep->c = in->node->driver->open(in->node->loop, in->cfg.ip, in->cfg.port, "entry", &events,
-                                   ep);
+    ep->c =
+        in->node->driver->open(in->node->loop, in->cfg.ip, in->cfg.port, "entry", &events, ep);
 }
 
 void en_ep_close(struct en_ep *ep)
--- a/entry/request.c
+++ b/entry/request.c
@@ -8,7 +8,7 @@
 #include "misc/clock.h"
 
 enum {
-    MAX_PARKED = 2000,      /* requests of a group that wait for a primary */
+    MAX_PARKED = 2000, /* requests of a group that wait for a primary */
     MAX_ATTEMPTS = 6,
     NO_LEASE_RETRY_MS = 200,
     RETRY_BUDGET_MAX = 100,
@@ -280,7 +280,9 @@
     rt->primary = g->cfg.phase == VW_SERVING ? g->cfg.primary : -1;
     for (int i = 0; i < g->cfg.n; i++) {
         struct en_inst *in = g->inst[i];
-        rt->inst[i].usable = en_usable(in, now);
+        /* A primary on its way out may hold what nobody else does and nobody ever will. */
+        bool leaving = g->cfg.phase != VW_SERVING && i == g->cfg.primary;
+        rt->inst[i].usable = en_usable(in, now) && !leaving;
         rt->inst[i].draining = g->cfg.inst[i].draining;
         rt->inst[i].in_flight = in->q.in_flight + in->q.queued;
         rt->inst[i].limit = in->q.limit >= 1 ? (int)in->q.limit : 1;
@@ -519,8 +521,7 @@
 static bool parked_too_long(const struct en_req *r, int64_t now)
 {
     int64_t most = CK_MS(r->group->node->s->park_ms);
-    return r->state == EN_PARKED &&
-           (now - r->parked_at > most || !en_leased(r->group->node));
+    return r->state == EN_PARKED && (now - r->parked_at > most || !en_leased(r->group->node));
 }
 
 static bool stuck_read(const struct en_req *r, int64_t now)
@@ -582,8 +583,7 @@
         return;
     }
     if (r->r.token[0]) {
-        r->has_token =
-            ss_token_read(&n->key, sr_from(r->r.db), sr_from(r->r.token), &r->token);
+        r->has_token = ss_token_read(&n->key, sr_from(r->r.db), sr_from(r->r.token), &r->token);
         n->c.bad_tokens += !r->has_token;
     }
     if (r->r.txn[0])
--- a/ferryctl/ctl.h
+++ b/ferryctl/ctl.h
@@ -9,10 +9,10 @@
 
 enum exit_code {
     EX_GOOD = 0,
-    EX_REFUSED = 1,   /* the system said no, with a reason */
+    EX_REFUSED = 1, /* the system said no, with a reason */
     EX_USAGE_ = 64,
     EX_UNREACHED = 69, /* no control node answered */
-    EX_UNSURE = 75,   /* it may have been done: resend with the same id */
+    EX_UNSURE = 75,    /* it may have been done: resend with the same id */
 };
 
 struct addr {
--- a/ferryctl/show.c
+++ b/ferryctl/show.c
@@ -57,11 +57,10 @@
 {
     size_t i;
     json_t *x;
-    json_array_foreach(m, i, x)
-        printf("%-16s %-8s %-18s %-16s %s:%lld%s\n", text(x, "id"), text(x, "name"),
-               text(x, "domain"), json_is_true(json_object_get(x, "voter")) ? "voter" : "learner",
-               text(x, "ip"), number(x, "port"),
-               json_is_true(json_object_get(x, "leader")) ? "  leader" : "");
+    json_array_foreach(m, i, x) printf(
+        "%-16s %-8s %-18s %-16s %s:%lld%s\n", text(x, "id"), text(x, "name"), text(x, "domain"),
+        json_is_true(json_object_get(x, "voter")) ? "voter" : "learner", text(x, "ip"),
+        number(x, "port"), json_is_true(json_object_get(x, "leader")) ? "  leader" : "");
 }
 
 void show_nodes(const json_t *n)
--- a/ferryctl/timeline.c
+++ b/ferryctl/timeline.c
@@ -7,7 +7,7 @@
 #include "misc/clock.h"
 #include "misc/str.h"
 
-enum { MAX_EVENTS = 65536, MAX_FAILOVERS = 256 };
+enum { MAX_EVENTS = 65536, MAX_FAILOVERS = 256, MAX_SUSPICION_MS = 2000 };
 
 struct event {
     uint64_t stamp;
@@ -44,10 +44,13 @@
     {
         if (l->n == MAX_EVENTS)
             return;
-        l->ev[l->n++] = (struct event){
-            (uint64_t)json_integer_value(json_object_get(e, "stamp")), node, text(e, "kind"),
-            text(e, "group"), text(e, "text"),
-            (uint64_t)json_integer_value(json_object_get(e, "term"))};
+        l->ev[l->n++] =
+            (struct event){(uint64_t)json_integer_value(json_object_get(e, "stamp")),
+                           node,
+                           text(e, "kind"),
+                           text(e, "group"),
+                           text(e, "text"),
+                           (uint64_t)json_integer_value(json_object_get(e, "term"))};
     }
     json_array_append_new(l->keep, ring);
 }
@@ -134,17 +137,19 @@
     }
 }
 
-/* The first suspicion before the decision, within ten seconds. */
+/* The first suspicion before the decision that no write has refuted since. */
 static void find_suspect(const struct line *l, struct failover *f)
 {
     int64_t until = f->down ? f->down : f->replace;
     for (int i = 0; i < l->n; i++) {
         const struct event *e = &l->ev[i];
         int64_t ms = ck_hlc_ms(e->stamp);
-        if (strcmp(e->kind, "suspect") != 0 || strcmp(e->group, f->group) != 0 ||
-            e->term + 1 != f->term || ms > until || ms + 10000 < until)
+        if (strcmp(e->group, f->group) != 0 || e->term + 1 != f->term || ms > until)
             continue;
-        set_once(&f->suspect, ms);
+        if (strcmp(e->kind, "first_write") == 0 || ms + MAX_SUSPICION_MS < until)
+            f->suspect = 0;
+        else if (strcmp(e->kind, "suspect") == 0)
+            set_once(&f->suspect, ms);
     }
 }
 
@@ -195,8 +200,8 @@
             continue;
         int64_t ms = ck_hlc_ms(e->stamp);
         printf("%lld.%03lld.%04x %-10s %-12s %-14s %s%s%.0llu %s\n", (long long)(ms / 1000),
-               (long long)(ms % 1000), (unsigned)(e->stamp & 0xffff), e->node, e->kind, e->group,
-               e->term ? "term " : "", "", (unsigned long long)e->term, e->text);
+               (long long)(ms % 1000), (unsigned)(e->stamp & 0xffff), e->node, e->kind,
+               e->group, e->term ? "term " : "", "", (unsigned long long)e->term, e->text);
     }
 }
 
@@ -216,10 +221,10 @@
     for (int i = 0; i < l->n; i++) {
         const struct event *e = &l->ev[i];
         if (wanted(c, e))
-            json_array_append_new(
-                events, json_pack("{s:I,s:s,s:s,s:s,s:I,s:s}", "stamp", (json_int_t)e->stamp,
-                                  "node", e->node, "kind", e->kind, "group", e->group, "term",
-                                  (json_int_t)e->term, "text", e->text));
+            json_array_append_new(events, json_pack("{s:I,s:s,s:s,s:s,s:I,s:s}", "stamp",
+                                                    (json_int_t)e->stamp, "node", e->node,
+                                                    "kind", e->kind, "group", e->group, "term",
+                                                    (json_int_t)e->term, "text", e->text));
     }
     for (int i = 0; i < n; i++)
         json_array_append_new(failovers, failover_json(&f[i]));
--- a/ferryd/main.c
+++ b/ferryd/main.c
@@ -186,7 +186,8 @@
         return EXIT_CONFIG_;
     }
     if (!lg_setup(s.name, s.log_level, s.log_json)) {
-        fprintf(stderr, "ferryd: %s: log.level: \"%s\", expected a level or module=level list\n",
+        fprintf(stderr,
+                "ferryd: %s: log.level: \"%s\", expected a level or module=level list\n",
                 a.config, s.log_level);
         return EXIT_CONFIG_;
     }
--- a/intent/intent.c
+++ b/intent/intent.c
@@ -21,8 +21,8 @@
 static bool parse_instances(const json_t *o, struct it_request *r, struct er_err *err)
 {
     struct vw_group g;
-    json_t *probe = json_pack("{s:s,s:O}", "name", r->group, "instances",
-                              json_object_get(o, "instances"));
+    json_t *probe =
+        json_pack("{s:s,s:O}", "name", r->group, "instances", json_object_get(o, "instances"));
     if (!probe)
         return er_set(err, ER_BAD_INPUT, "instances: expected a list");
     bool ok = vw_group_parse(probe, &g, err);
@@ -48,8 +48,9 @@
     if (!hex_id(json_object_get(o, "old"), &r->old_id))
         return er_set(err, ER_BAD_INPUT, "old: expected a member id in hexadecimal");
     if (!hex_id(json_object_get(m, "id"), &r->fresh.id))
-        return er_set(err, ER_BAD_INPUT, "new.id: expected a member id in hexadecimal "
-                                         "(ferryctl status of the new node shows it)");
+        return er_set(err, ER_BAD_INPUT,
+                      "new.id: expected a member id in hexadecimal "
+                      "(ferryctl status of the new node shows it)");
     r->fresh.port = (int)json_integer_value(json_object_get(m, "port"));
     if (r->fresh.port < 1 || r->fresh.port > 65535)
         return er_set(err, ER_BAD_INPUT, "new.port: expected 1..65535");
@@ -264,8 +265,7 @@
     for (int i = 0; i < g->n; i++) {
         const struct vw_instance *in = &g->inst[i];
         bool wanted = r->kind != VW_IT_MOVE || in_new(r, in->id);
-        if (i == g->primary || in->draining || !wanted ||
-            !f->caught_up(f->ud, g->name, in->id))
+        if (i == g->primary || in->draining || !wanted || !f->caught_up(f->ud, g->name, in->id))
             continue;
         change(a, VW_CH_HAND, g, in->id);
         a->change.term = g->term + 1;
--- a/intent/intent.h
+++ b/intent/intent.h
@@ -2,7 +2,8 @@
  *
  * Pure. A plan names steps and carries a digest over the part of the world it was made from; a
  * confirmation names the digest and is refused if that part has moved. Actions are derived from
- * the world as it is, not from a counter, so that any leader resumes where the last one died. */
+ * the world as it is, not from a counter, so that any leader resumes where the last one died.
+ */
 #ifndef FL_INTENT_INTENT_H
 #define FL_INTENT_INTENT_H
 
@@ -14,12 +15,12 @@
 struct it_request {
     enum vw_intent_kind kind;
     char group[VW_NAME];
-    char instance[VW_NAME];                    /* drain */
-    int64_t max_age_ms;                        /* rule */
-    int n;                                     /* move: the group's new instances */
+    char instance[VW_NAME]; /* drain */
+    int64_t max_age_ms;     /* rule */
+    int n;                  /* move: the group's new instances */
     struct vw_instance inst[VW_MAX_INSTANCES];
-    uint64_t old_id;                           /* replace: the voter that goes */
-    struct qr_member fresh;                    /* replace: the one that comes */
+    uint64_t old_id;        /* replace: the voter that goes */
+    struct qr_member fresh; /* replace: the one that comes */
 };
 
 struct it_plan {
@@ -49,7 +50,7 @@
     IT_VOTER,  /* make `member.id` a voter */
     IT_REMOVE, /* remove `member.id` */
     IT_DONE,
-    IT_FAIL,   /* `note` says why */
+    IT_FAIL, /* `note` says why */
 };
 
 struct it_action {
--- a/load/check.h
+++ b/load/check.h
@@ -10,14 +10,14 @@
 #include <stdint.h>
 
 enum hc_fault {
-    HC_OWN_WRITE, /* a session did not see what it had seen or written */
-    HC_STALE,     /* data older than the age the read accepted */
-    HC_OLD_PRIMARY, /* a read that accepts no age missed an acknowledged write */
-    HC_CROSSED,   /* the answer belongs to another request */
-    HC_LOST,      /* acknowledged and gone */
-    HC_DOUBLED,   /* ran more than once */
+    HC_OWN_WRITE,     /* a session did not see what it had seen or written */
+    HC_STALE,         /* data older than the age the read accepted */
+    HC_OLD_PRIMARY,   /* a read that accepts no age missed an acknowledged write */
+    HC_CROSSED,       /* the answer belongs to another request */
+    HC_LOST,          /* acknowledged and gone */
+    HC_DOUBLED,       /* ran more than once */
     HC_FALSE_NOT_RUN, /* ran though every answer said it had not */
-    HC_TORN,      /* one part of a transaction without the other */
+    HC_TORN,          /* one part of a transaction without the other */
     HC_FAULTS
 };
 
--- a/load/compare.c
+++ b/load/compare.c
@@ -126,7 +126,8 @@
     for (int i = 0; i < s->lanes; i++) {
         s->lane[i] = (struct lane){s, i};
         if (s->direct)
-            s->ep[i] = ep_ws.open(s->loop, inst.ip, inst.port, "bench", &ep_events, &s->lane[i]);
+            s->ep[i] =
+                ep_ws.open(s->loop, inst.ip, inst.port, "bench", &ep_events, &s->lane[i]);
         else
             s->net[i] = nt_connect(s->loop, s->o->entries[0].ip, s->o->entries[0].port, false,
                                    &ops, &s->lane[i]);
--- a/load/load.h
+++ b/load/load.h
@@ -7,8 +7,15 @@
 #include "misc/rng.h"
 #include "task/net.h"
 
-enum { LD_MAX_ENTRIES = 16, LD_MAX_DBS = 16, LD_MAX_SESSIONS = 4096, LD_CONNS = 4,
-       LD_BUCKET_MS = 100, LD_MAX_BUCKETS = 6000, LD_MAX_REASONS = 32 };
+enum {
+    LD_MAX_ENTRIES = 16,
+    LD_MAX_DBS = 16,
+    LD_MAX_SESSIONS = 4096,
+    LD_CONNS = 4,
+    LD_BUCKET_MS = 100,
+    LD_MAX_BUCKETS = 6000,
+    LD_MAX_REASONS = 32
+};
 
 struct ld_addr {
     char ip[46];
@@ -50,8 +57,8 @@
     int n_reasons;
     int n_buckets;
     struct ld_bucket buckets[LD_MAX_BUCKETS];
-    int64_t gap_us[LD_MAX_DBS];    /* longest time between two acknowledged writes */
-    int64_t gap_from[LD_MAX_DBS];  /* when it began, microseconds after the start */
+    int64_t gap_us[LD_MAX_DBS];   /* longest time between two acknowledged writes */
+    int64_t gap_from[LD_MAX_DBS]; /* when it began, microseconds after the start */
     int64_t last_write[LD_MAX_DBS];
     int64_t started, took_us;
     int64_t latest_refusal_us; /* the longest a refused request was held */
--- a/load/main.c
+++ b/load/main.c
@@ -7,8 +7,20 @@
 #include "misc/str.h"
 
 enum { EXIT_FAULTS = 1, EXIT_USAGE_ = 64, EXIT_UNREACHABLE = 69 };
-enum { O_AGED = 1000, O_AGE, O_DEADLINE, O_KEYS, O_ACCOUNTS, O_STAY, O_RESEND, O_SEED, O_JSON,
-       O_SVG, O_COMPARE, O_REQUESTS };
+enum {
+    O_AGED = 1000,
+    O_AGE,
+    O_DEADLINE,
+    O_KEYS,
+    O_ACCOUNTS,
+    O_STAY,
+    O_RESEND,
+    O_SEED,
+    O_JSON,
+    O_SVG,
+    O_COMPARE,
+    O_REQUESTS
+};
 
 const char *argp_program_version = "ferry-load 0.1";
 
@@ -30,8 +42,10 @@
     {"seed", O_SEED, "N", 0, "seed of the random choices (1)", 0},
     {"json", O_JSON, "FILE", 0, "write the report as JSON", 0},
     {"svg", O_SVG, "FILE", 0, "write a picture", 0},
-    {"compare", O_COMPARE, "IP:PORT", 0, "measure reads direct to this instance and through "
-                                         "the first entry node", 0},
+    {"compare", O_COMPARE, "IP:PORT", 0,
+     "measure reads direct to this instance and through "
+     "the first entry node",
+     0},
     {"requests", O_REQUESTS, "N", 0, "requests of a comparison (20000)", 0},
     {0}};
 
@@ -140,13 +154,22 @@
 
 int main(int argc, char **argv)
 {
-    static struct ld_opts o = {.sessions = 100, .accounts = 8, .keys = 200, .rate = 500,
-                               .seconds = 10, .reads = 0.8, .aged = 0.5, .txns = 0.05,
-                               .age_ms = 500, .deadline_ms = 3000, .roam = true, .seed = 1,
+    static struct ld_opts o = {.sessions = 100,
+                               .accounts = 8,
+                               .keys = 200,
+                               .rate = 500,
+                               .seconds = 10,
+                               .reads = 0.8,
+                               .aged = 0.5,
+                               .txns = 0.05,
+                               .age_ms = 500,
+                               .deadline_ms = 3000,
+                               .roam = true,
+                               .seed = 1,
                                .requests = 20000};
     static struct ld_result r;
-    struct argp argp = {options, parse, NULL, "Load and judge for ferrylanding.", NULL, NULL,
-                        NULL};
+    struct argp argp = {options, parse, NULL, "Load and judge for ferrylanding.",
+                        NULL,    NULL,  NULL};
     argp_err_exit_status = EXIT_USAGE_;
     argp_parse(&argp, argc, argv, 0, NULL, &o);
     if (o.compare)
--- a/load/run.c
+++ b/load/run.c
@@ -40,8 +40,8 @@
     enum op op;
     int step; /* of a transaction */
     int db, key;
-    uint64_t n;     /* number of the request under way */
-    char id[64];    /* of the write */
+    uint64_t n;  /* number of the request under way */
+    char id[64]; /* of the write */
     char twin[72];
     char txn[64];
     struct conn *conn;
--- a/misc/clock.h
+++ b/misc/clock.h
@@ -16,8 +16,8 @@
 void ck_advance(int64_t us);
 void ck_resume(void);
 
-#define CK_MS(n) ((int64_t)(n) * 1000)
-#define CK_SEC(n) ((int64_t)(n) * 1000000)
+#define CK_MS(n) ((int64_t)(n)*1000)
+#define CK_SEC(n) ((int64_t)(n)*1000000)
 
 /* Hybrid logical clock: 48 bits of wall milliseconds, 16 bits of counter. */
 struct ck_hlc {
--- a/misc/log.c
+++ b/misc/log.c
@@ -11,7 +11,7 @@
 
 #define MAX_OVERRIDES 8
 
-static const char *const level_names[] = {"fatal", "error", "warn", "info",
+static const char *const level_names[] = {"fatal",   "error", "warn", "info",
                                           "verbose", "debug", "trace"};
 
 static struct {
@@ -80,9 +80,9 @@
 
 static void write_json(const struct lg_log *log, enum lg_level level, const char *text)
 {
-    json_t *o = json_pack("{s:I,s:s,s:s,s:s,s:s}", "ts_ms", (json_int_t)ck_wall_ms(), "node",
-                          setup.node, "level", level_names[level], "module", log->prefix, "msg",
-                          text);
+    json_t *o =
+        json_pack("{s:I,s:s,s:s,s:s,s:s}", "ts_ms", (json_int_t)ck_wall_ms(), "node",
+                  setup.node, "level", level_names[level], "module", log->prefix, "msg", text);
     char *line = o ? json_dumps(o, JSON_COMPACT) : NULL;
     if (line)
         fprintf(stderr, "%s\n", line);
--- a/misc/pos.h
+++ b/misc/pos.h
@@ -31,6 +31,7 @@
  * `starts` are the group's term starts, ascending. A replica of a later term covers the floor
  * if the floor lies at or before the start of the first term after the floor's; a replica of
  * an earlier term never does. */
-bool ps_covers(struct ps_pos applied, struct ps_pos floor, const struct ps_start *starts, int n);
+bool ps_covers(struct ps_pos applied, struct ps_pos floor, const struct ps_start *starts,
+               int n);
 
 #endif
--- a/misc/str.h
+++ b/misc/str.h
@@ -38,7 +38,8 @@
 void *sr_alloc(size_t n);
 void *sr_realloc(void *p, size_t n);
 void sr_buf_add(struct sr_buf *b, const void *p, size_t n);
-void sr_buf_printf(struct sr_buf *b, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+void sr_buf_printf(struct sr_buf *b, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
 void sr_buf_free(struct sr_buf *b);
 
 #endif
--- a/pool/shares.h
+++ b/pool/shares.h
@@ -17,9 +17,9 @@
 
 struct sh_node {
     uint64_t id;
-    int counted;  /* the most it may hold, as far as can be known */
-    int target;   /* what it is told */
-    int want;     /* what it asked for */
+    int counted;   /* the most it may hold, as far as can be known */
+    int target;    /* what it is told */
+    int want;      /* what it asked for */
     uint64_t told; /* number of the message that told it `target` */
     int64_t until; /* of its lease, drift included */
 };
--- a/promote/promote.c
+++ b/promote/promote.c
@@ -3,7 +3,12 @@
 #include <stdio.h>
 #include <string.h>
 
-enum { MAX_HOLD_US = 10000000, CALM_US = 60000000, REPORT_STALE_US = 1000000, HAND_PROBE_US = 2000 };
+enum {
+    MAX_HOLD_US = 10000000,
+    CALM_US = 60000000,
+    REPORT_STALE_US = 1000000,
+    HAND_PROBE_US = 2000
+};
 
 void pr_begin(struct pr_group *p, const struct pr_config *cfg, int64_t now)
 {
@@ -209,8 +214,8 @@
                         struct pr_actions *out)
 {
     struct verdict v = judge(&p->inst[g->primary], now);
-    snprintf(p->why, sizeof(p->why), "%s %s from %d failure domains",
-             g->inst[g->primary].id, v.refused ? "refuses" : "is silent", v.domains);
+    snprintf(p->why, sizeof(p->why), "%s %s from %d failure domains", g->inst[g->primary].id,
+             v.refused ? "refuses" : "is silent", v.domains);
     p->nonce++;
     p->checks_out = p->checks_ok = p->checks_bad = 0;
     p->began = now;
@@ -262,6 +267,9 @@
     if (p->hold > MAX_HOLD_US)
         p->hold = MAX_HOLD_US;
     p->last_end = now;
+    for (int i = 0; i < p->n; i++)
+        p->inst[i].asked_at =
+            now - p->cfg.resend_us; /* the replicas are told to follow at once */
     enter(p, PR_IDLE, now);
 }
 
--- a/quorum/quorum.c
+++ b/quorum/quorum.c
@@ -35,7 +35,7 @@
     uint32_t n, cap;
 
     uint64_t commit, applied, durable;
-    uint64_t matched; /* follower: last index known to agree with this term's leader */
+    uint64_t matched;          /* follower: last index known to agree with this term's leader */
     struct qr_members members; /* newest in the log, committed or not */
     uint64_t members_index;    /* where that entry stands */
 
@@ -205,11 +205,10 @@
         if (id == q->cfg.self)
             continue;
         const struct peer *old = peer(q, id);
-        next[n++] = old ? *old
-                        : (struct peer){.id = id,
-                                        .next = last_index(q) + 1,
-                                        .last_heard = now,
-                                        .probing = true};
+        next[n++] =
+            old ? *old
+                : (struct peer){
+                      .id = id, .next = last_index(q) + 1, .last_heard = now, .probing = true};
     }
     memcpy(q->peers, next, sizeof(next[0]) * (size_t)n);
     q->n_peers = n;
@@ -598,8 +597,8 @@
     }
     follow(q, m, now);
     uint64_t have;
-    bool matches = m->index < q->snap_index ||
-                   (term_at(q, m->index, &have) && have == m->log_term);
+    bool matches =
+        m->index < q->snap_index || (term_at(q, m->index, &have) && have == m->log_term);
     if (!matches) {
         uint64_t hint = m->index - 1 < last_index(q) ? m->index - 1 : last_index(q);
         reply_append(q, m->from, false, hint, m->round);
--- a/quorum/quorum.h
+++ b/quorum/quorum.h
@@ -18,8 +18,8 @@
 #include "misc/rng.h"
 
 enum {
-    QR_MAX_MEMBERS = 9,     /* 5 voters and what joins or leaves */
-    QR_MAX_BATCH = 64,      /* entries a message carries */
+    QR_MAX_MEMBERS = 9, /* 5 voters and what joins or leaves */
+    QR_MAX_BATCH = 64,  /* entries a message carries */
     QR_MAX_BATCH_BYTES = 256 * 1024,
     QR_MAX_ENTRY = 64 * 1024,
     QR_MAX_INFLIGHT = 1024, /* writes the disk has not confirmed */
@@ -106,7 +106,7 @@
 
 struct qr_config {
     uint64_t self;
-    int64_t election_us;  /* shortest election timeout; the longest is twice that */
+    int64_t election_us; /* shortest election timeout; the longest is twice that */
     int64_t heartbeat_us;
     uint64_t seed;
     const struct qr_sink *sink;
--- a/quorum/store.c
+++ b/quorum/store.c
@@ -386,8 +386,8 @@
         if (!ok)
             return er_set(err, ER_CORRUPT, "%s: unreadable; replace this voter", path);
         if (strcmp(have, cluster) != 0)
-            return er_set(err, ER_VERSION, "%s: made for cluster '%s', settings say '%s'", s->dir,
-                          have, cluster);
+            return er_set(err, ER_VERSION, "%s: made for cluster '%s', settings say '%s'",
+                          s->dir, have, cluster);
         return true;
     }
     if (!missing) {
--- a/quorum/store.h
+++ b/quorum/store.h
@@ -18,7 +18,7 @@
 struct so_loaded {
     bool fresh;
     uint64_t identity;
-    uint64_t torn_bytes; /* cut off the tail */
+    uint64_t torn_bytes;       /* cut off the tail */
     struct qr_restore restore; /* pointers belong to the store, valid until so_release */
 };
 
--- a/task/net.c
+++ b/task/net.c
@@ -292,8 +292,8 @@
         nt_http_reply(c, 404, "text/plain", "not found\n", 10);
         return;
     }
-    struct nt_http req = {c, c->method, c->path, c->query, c->body.p ? c->body.p : "",
-                          c->body.len, ln->what.ud};
+    struct nt_http req = {
+        c, c->method, c->path, c->query, c->body.p ? c->body.p : "", c->body.len, ln->what.ud};
     ln->what.http(&req);
 }
 
@@ -506,8 +506,8 @@
         char room[LWS_PRE] = {0};
         sr_buf_add(&b, room, LWS_PRE);
         sr_buf_add(&b, c->in.p, c->in.len);
-        int rc = lws_write(c->wsi, (unsigned char *)b.p + LWS_PRE, c->in.len,
-                           LWS_WRITE_HTTP_FINAL);
+        int rc =
+            lws_write(c->wsi, (unsigned char *)b.p + LWS_PRE, c->in.len, LWS_WRITE_HTTP_FINAL);
         sr_buf_free(&b);
         c->in.len = 0;
         lws_client_http_body_pending(c->wsi, 0);
--- a/tests/standin/engine.h
+++ b/tests/standin/engine.h
@@ -13,7 +13,7 @@
 
 struct eg_record {
     uint64_t term;
-    char *text; /* statements, one a line */
+    char *text;  /* statements, one a line */
     char *claim; /* "" for none */
     char *answer;
 };
--- a/tests/standin/instance.c
+++ b/tests/standin/instance.c
@@ -169,8 +169,19 @@
 
 /* ---- command line ---- */
 
-enum { O_PORT = 1000, O_IP, O_CONNS, O_SLOTS, O_SERVICE, O_CONNECT, O_SHIP, O_APPLY, O_DATA,
-       O_NOFENCE, O_NOCLAIM };
+enum {
+    O_PORT = 1000,
+    O_IP,
+    O_CONNS,
+    O_SLOTS,
+    O_SERVICE,
+    O_CONNECT,
+    O_SHIP,
+    O_APPLY,
+    O_DATA,
+    O_NOFENCE,
+    O_NOCLAIM
+};
 
 static const struct argp_option options[] = {
     {"ip", O_IP, "IP", 0, "address to listen on (127.0.0.1)", 0},
@@ -245,7 +256,8 @@
                                           .service_us = 500,
                                           .connect_us = 10000,
                                           .ship_us = 1500}};
-    struct argp argp = {options, parse, NULL, "A stand-in database instance.", NULL, NULL, NULL};
+    struct argp argp = {options, parse, NULL, "A stand-in database instance.",
+                        NULL,    NULL,  NULL};
     argp_parse(&argp, argc, argv, 0, NULL, &in.o);
     struct er_err err = {0};
     in.loop = the_loop = nt_loop_create(1024, &err);
--- a/tests/standin/instance.h
+++ b/tests/standin/instance.h
@@ -16,8 +16,8 @@
     char ip[46];
     int port, max_conns, slots;
     int64_t service_us, connect_us, ship_us, apply_us, status_us;
-    char cut[64];    /* callers' roles that get silence, e.g. "control,entry" */
-    char shut[64];   /* callers' roles whose connections are closed */
+    char cut[64];  /* callers' roles that get silence, e.g. "control,entry" */
+    char shut[64]; /* callers' roles whose connections are closed */
     bool no_fence, no_minpos, no_claim, no_push;
     const char *data; /* file that keeps the log; NULL: memory only */
 };
@@ -39,7 +39,8 @@
 /* A statement on its way through the slots. */
 struct in_job {
     struct in_job *next;
-    struct in_conn *conn; /* NULL once the connection is gone; the statement runs all the same */
+    struct in_conn
+        *conn; /* NULL once the connection is gone; the statement runs all the same */
     json_t *req;
     int64_t wait_until; /* read that waits for its position */
     struct nt_timer timer;
@@ -55,7 +56,8 @@
     int n_conns; /* counted against max_conns */
     int peak_conns;
     bool primary;
-    uint64_t term;      /* highest it was fenced, promoted or told to follow at */
+    bool clean;    /* replica: holds only what the primary it follows or followed has sent */
+    uint64_t term; /* highest it was fenced, promoted or told to follow at */
     uint64_t following; /* term of the primary whose log it takes; own term when primary */
     /* slots */
     int running;
--- a/tests/standin/replicate.c
+++ b/tests/standin/replicate.c
@@ -49,9 +49,9 @@
         if (nt_queued(c->net) > STREAM_QUEUE)
             break;
         const struct eg_record *r = eg_record(in->eng, ++c->sent_pos);
-        in_reply(c, json_pack("{s:I,s:I,s:s,s:s,s:s}", "p", (json_int_t)c->sent_pos, "t",
-                              (json_int_t)r->term, "s", r->text, "c", r->claim, "a",
-                              r->answer));
+        in_reply(c,
+                 json_pack("{s:I,s:I,s:s,s:s,s:s}", "p", (json_int_t)c->sent_pos, "t",
+                           (json_int_t)r->term, "s", r->text, "c", r->claim, "a", r->answer));
     }
 }
 
@@ -187,9 +187,9 @@
         json_array_append_new(
             a, json_pack("[I,I]", (json_int_t)starts[i].term, (json_int_t)starts[i].pos));
     json_t *hello = json_pack("{s:s,s:s}", "op", "hello", "from", "replica");
-    json_t *o = json_pack("{s:s,s:I,s:I,s:o}", "op", "replicate", "term",
-                          (json_int_t)in->up_term, "last", (json_int_t)eg_held(in->eng).pos,
-                          "starts", a);
+    json_t *o =
+        json_pack("{s:s,s:I,s:I,s:o}", "op", "replicate", "term", (json_int_t)in->up_term,
+                  "last", (json_int_t)eg_held(in->eng).pos, "starts", a);
     char *s = json_dumps(hello, JSON_COMPACT), *t = json_dumps(o, JSON_COMPACT);
     nt_send(net, s, strlen(s));
     nt_send(net, t, strlen(t));
@@ -213,6 +213,7 @@
             in_rewrite(in);
         }
         eg_apply_to(in->eng, UINT64_MAX);
+        in->clean = true;
         in->following = in->up_term;
         in_moved(in);
     }
@@ -256,6 +257,7 @@
     if (in->up && in->up_term == term && !in->primary)
         return;
     in_unfollow(in);
+    in->clean = in->clean && !in->primary;
     in->primary = false;
     in->term = in->up_term = term;
     in_note_term(in);
--- a/tests/standin/serve.c
+++ b/tests/standin/serve.c
@@ -58,8 +58,8 @@
     eg_append(in->eng, term, stmts, claim, ans);
     if (!in->file)
         return;
-    json_t *o = json_pack("{s:I,s:s,s:s,s:s}", "t", (json_int_t)term, "s", stmts, "c", claim,
-                          "a", ans);
+    json_t *o =
+        json_pack("{s:I,s:s,s:s,s:s}", "t", (json_int_t)term, "s", stmts, "c", claim, "a", ans);
     json_dumpf(o, in->file, JSON_COMPACT);
     fputc('\n', in->file);
     fflush(in->file);
@@ -226,6 +226,9 @@
 static bool covered(struct in_instance *in, const json_t *req)
 {
     const json_t *min = json_object_get(req, "min");
+    bool at_replica = number(req, "term") == 0;
+    if (at_replica && (in->primary || !in->clean) && !in->o.no_minpos)
+        return false;
     if (!min || in->o.no_minpos)
         return true;
     struct ps_pos floor = {(uint64_t)json_integer_value(json_array_get(min, 0)),
@@ -307,6 +310,7 @@
         return;
     }
     if (term > in->term && !in->o.no_fence) {
+        in->clean = in->clean && !in->primary;
         in->term = term;
         in->primary = false;
         in_note_term(in);
--- /dev/null
+++ b/tests/unit/test_lease.c
@@ -0,0 +1,216 @@
+#include <string.h>
+
+#include "lease/lease.h"
+#include "misc/clock.h"
+#include "misc/rng.h"
+#include "pool/shares.h"
+#include "tests/unit/unit.h"
+
+/* ---- leases ---- */
+
+#define LEASE CK_SEC(2)
+
+static void holder_counts_from_the_sending(void)
+{
+    struct ls_holder h = {0};
+    uint64_t a = ls_sent(&h, CK_MS(100));
+    ls_granted(&h, a, LEASE);
+    CU_ASSERT_TRUE(ls_live(&h, CK_MS(2000)));
+    CU_ASSERT_FALSE(ls_live(&h, CK_MS(2090))); /* drift allowance */
+    for (int i = 0; i < LS_OUTSTANDING; i++)
+        ls_sent(&h, CK_SEC(10));
+    ls_granted(&h, a, LEASE * 100); /* too old to know when it was asked for */
+    CU_ASSERT_FALSE(ls_live(&h, CK_SEC(10)));
+    ls_granted(&h, h.seq + 1, LEASE); /* never asked for */
+    CU_ASSERT_FALSE(ls_live(&h, CK_SEC(10)));
+}
+
+/* Whatever the delays, the giver counts a lease longer than its holder does. */
+static void giver_outlasts_holder(void)
+{
+    struct rn_rng rng = rn_seed(5);
+    for (int i = 0; i < 1000; i++) {
+        struct ls_holder h = {0};
+        static struct ls_giver g;
+        ls_giver_begin(&g, LEASE, 0, true);
+        int64_t sent = (int64_t)rn_below(&rng, 1000000);
+        int64_t granted = sent + (int64_t)rn_below(&rng, 500000);
+        uint64_t seq = ls_sent(&h, sent);
+        ls_granted(&h, seq, ls_grant(&g, 1, INT64_MAX, granted));
+        CU_ASSERT_TRUE(ls_node_live(&g, 1, h.until));
+    }
+}
+
+static void no_grant_without_a_quorum(void)
+{
+    static struct ls_giver g;
+    ls_giver_begin(&g, LEASE, 0, true);
+    CU_ASSERT_EQUAL(ls_grant(&g, 1, CK_MS(100), CK_MS(100)), 0);
+    CU_ASSERT_EQUAL(ls_grant(&g, 1, CK_MS(100), CK_MS(99)), LEASE);
+}
+
+static void dropped_by_all_or_run_out(void)
+{
+    static struct ls_giver g;
+    ls_giver_begin(&g, LEASE, 0, true);
+    ls_grant(&g, 1, INT64_MAX, 0);
+    ls_grant(&g, 2, INT64_MAX, 0);
+    ls_acked(&g, 1, 7);
+    CU_ASSERT_FALSE(ls_all_have(&g, 7, CK_MS(10)));
+    ls_acked(&g, 2, 6);
+    CU_ASSERT_FALSE(ls_all_have(&g, 7, CK_MS(10)));
+    CU_ASSERT_TRUE(ls_all_have(&g, 7, CK_MS(2021))); /* node 2's ran out, with drift */
+    CU_ASSERT_FALSE(ls_all_have(&g, 7, CK_MS(2019)));
+    ls_acked(&g, 2, 7);
+    CU_ASSERT_TRUE(ls_all_have(&g, 7, CK_MS(10)));
+}
+
+/* A new leader does not know whom the last one gave leases. */
+static void earlier_leaders_leases_count(void)
+{
+    static struct ls_giver g;
+    ls_giver_begin(&g, LEASE, CK_SEC(5), false);
+    CU_ASSERT_FALSE(ls_all_have(&g, 1, CK_SEC(6)));
+    CU_ASSERT_TRUE(ls_all_have(&g, 1, CK_MS(7021)));
+}
+
+void lease_suite(void)
+{
+    CU_pSuite s = CU_add_suite("lease", NULL, NULL);
+    TEST(s, holder_counts_from_the_sending);
+    TEST(s, giver_outlasts_holder);
+    TEST(s, no_grant_without_a_quorum);
+    TEST(s, dropped_by_all_or_run_out);
+    TEST(s, earlier_leaders_leases_count);
+}
+
+/* ---- shares ---- */
+
+static struct sh_table t;
+
+static int report(uint64_t node, int held, int want, uint64_t seq, int64_t now)
+{
+    static uint64_t msg;
+    sh_report(&t, "i", node, held, want, seq, now + LEASE, now);
+    sh_balance(&t, "i", now);
+    return sh_tell(&t, "i", node, ++msg);
+}
+
+static void fresh(int64_t quiet_until)
+{
+    sh_begin(&t, quiet_until);
+    sh_set_instance(&t, "i", 25, 3);
+}
+
+static void demand_is_followed(void)
+{
+    fresh(0);
+    int a = report(1, 0, 100, 0, 0);
+    CU_ASSERT_EQUAL(a, 22);
+    int b = report(2, 0, 100, 0, 0);
+    CU_ASSERT_EQUAL(b, 0); /* nothing is free until node 1 has confirmed */
+    a = report(1, 22, 100, 1, 1000);
+    CU_ASSERT_EQUAL(a, 11);
+    CU_ASSERT_EQUAL(report(2, 0, 100, 2, 1000), 0);
+    report(1, 11, 100, 1000, 2000); /* confirmed */
+    CU_ASSERT_EQUAL(report(2, 0, 100, 1000, 2000), 11);
+}
+
+static void dead_nodes_share_comes_back_late(void)
+{
+    fresh(0);
+    report(1, 0, 100, 0, 0);
+    CU_ASSERT_EQUAL(report(2, 0, 100, 0, LEASE - 1), 0);
+    CU_ASSERT_EQUAL(report(2, 0, 100, 1, LEASE + 1), 21); /* one stays counted */
+    CU_ASSERT_EQUAL(report(2, 21, 100, 1000, LEASE + SH_FORGET_US + 2), 22);
+}
+
+static void new_leader_deals_nothing_new_at_first(void)
+{
+    fresh(LEASE);
+    CU_ASSERT_EQUAL(report(1, 5, 100, 0, 10), 5); /* what it holds is left to it */
+    CU_ASSERT(report(1, 5, 100, 1000, LEASE + 1) > 5);
+}
+
+/* Random nodes that obey with delays, die and come back, and leaders that change: the truth,
+ * what nodes may really hold, never exceeds the limit. */
+enum { NODES = 14 };
+
+struct real {
+    uint64_t id;
+    int cap; /* what it may hold */
+    int64_t until;
+    uint64_t applied;
+    struct {
+        int cap;
+        uint64_t seq;
+    } mail[4];
+    int n_mail;
+};
+
+static int held_in_truth(const struct real *r, int64_t now)
+{
+    int sum = 0;
+    for (int i = 0; i < NODES; i++) {
+        if (r[i].id && now >= r[i].until)
+            sum += r[i].cap > 0; /* it has shrunk to one by itself */
+        else if (r[i].id)
+            sum += r[i].cap;
+    }
+    return sum;
+}
+
+static void sum_never_exceeds_the_limit(void)
+{
+    struct rn_rng rng = rn_seed(11);
+    struct real r[NODES] = {{0}};
+    uint64_t next_id = 1, seq = 0;
+    int64_t now = 0;
+    fresh(0);
+    for (int step = 0; step < 60000; step++) {
+        now += (int64_t)rn_below(&rng, 20000);
+        struct real *x = &r[rn_below(&rng, NODES)];
+        uint64_t d = rn_below(&rng, 1000);
+        if (d < 2) {
+            x->until = now < x->until ? now : x->until;
+            memset(x, 0, sizeof(*x)); /* dies: holds nothing any more */
+            x->id = next_id++;
+        } else if (d < 4) {
+            sh_begin(&t, now + LEASE * 101 / 100); /* another leader */
+            sh_set_instance(&t, "i", 25, 3);
+            seq = 0;
+            for (int i = 0; i < NODES; i++)
+                r[i].applied = 0, r[i].n_mail = 0;
+        } else if (d < 300 && x->n_mail) {
+            x->cap = x->mail[0].cap; /* a message arrives, in order */
+            x->applied = x->mail[0].seq;
+            memmove(&x->mail[0], &x->mail[1], sizeof(x->mail[0]) * 3);
+            x->n_mail--;
+        } else if (d < 600 && x->n_mail < 4) {
+            if (!x->id)
+                x->id = next_id++;
+            if (now >= x->until && x->cap > 1)
+                x->cap = 1;
+            x->until = now + LEASE;
+            sh_report(&t, "i", x->id, x->cap, (int)rn_below(&rng, 30), x->applied,
+                      now + LEASE * 101 / 100, now);
+            sh_balance(&t, "i", now);
+            int cap = sh_tell(&t, "i", x->id, ++seq);
+            x->mail[x->n_mail].cap = cap;
+            x->mail[x->n_mail++].seq = seq;
+        }
+        if (held_in_truth(r, now) > 22) {
+            CU_FAIL("more connections may be held than the limit");
+            return;
+        }
+    }
+}
+
+void shares_suite(void)
+{
+    CU_pSuite s = CU_add_suite("shares", NULL, NULL);
+    TEST(s, demand_is_followed);
+    TEST(s, dead_nodes_share_comes_back_late);
+    TEST(s, new_leader_deals_nothing_new_at_first);
+    TEST(s, sum_never_exceeds_the_limit);
+}
--- /dev/null
+++ b/tests/unit/test_promote.c
@@ -0,0 +1,277 @@
+#include <string.h>
+
+#include "misc/clock.h"
+#include "promote/promote.h"
+#include "tests/unit/unit.h"
+
+static struct pr_group p;
+static struct vw_group g;
+static struct pr_actions acts;
+static const struct pr_config cfg = {.silence_us = CK_MS(300),
+                                     .check_us = CK_MS(100),
+                                     .resend_us = CK_MS(100),
+                                     .attempt_us = CK_MS(500),
+                                     .hold_us = CK_MS(500),
+                                     .hand_us = CK_SEC(3),
+                                     .fenced_endpoints = true};
+
+static void fresh(const struct pr_config *c)
+{
+    memset(&g, 0, sizeof(g));
+    g.n = 3;
+    g.copies = 2;
+    g.term = 1;
+    g.primary = 0;
+    for (int i = 0; i < 3; i++)
+        g.inst[i].id[0] = (char)('a' + i);
+    pr_begin(&p, c, CK_SEC(10));
+    pr_tick(&p, &g, true, CK_SEC(10), &acts);
+}
+
+static int find(enum pr_action_kind k)
+{
+    for (int i = 0; i < acts.n; i++) {
+        if (acts.a[i].kind == k)
+            return i;
+    }
+    return -1;
+}
+
+static void tick(bool dropped, int64_t now)
+{
+    pr_tick(&p, &g, dropped, now, &acts);
+}
+
+static void down(uint64_t vantage, const char *domain, enum pr_health h, int64_t now)
+{
+    pr_probed(&p, "a", vantage, domain, h, now);
+}
+
+static void one_vantage_is_not_enough(void)
+{
+    fresh(&cfg);
+    down(1, "d1", PR_REFUSED, CK_SEC(11));
+    tick(true, CK_SEC(11));
+    CU_ASSERT_EQUAL(find(PR_DO_CHECK), -1);
+    down(2, "d1", PR_REFUSED, CK_SEC(11)); /* the same failure domain */
+    tick(true, CK_SEC(11));
+    CU_ASSERT_EQUAL(find(PR_DO_CHECK), -1);
+    down(3, "d2", PR_REFUSED, CK_SEC(11));
+    tick(true, CK_SEC(11));
+    CU_ASSERT(find(PR_DO_CHECK) >= 0);
+}
+
+static void one_that_sees_it_up_vetoes(void)
+{
+    fresh(&cfg);
+    down(1, "d1", PR_SILENT, CK_SEC(11));
+    down(2, "d2", PR_SILENT, CK_SEC(11));
+    down(3, "d3", PR_UP, CK_SEC(11));
+    tick(true, CK_SEC(11));
+    CU_ASSERT_EQUAL(find(PR_DO_CHECK), -1);
+}
+
+static void begin_check(void)
+{
+    down(1, "d1", PR_SILENT, CK_SEC(11));
+    down(2, "d2", PR_SILENT, CK_SEC(11));
+    tick(true, CK_SEC(11));
+    CU_ASSERT(find(PR_DO_CHECK) >= 0);
+    pr_checking(&p, 2);
+}
+
+/* Cut off from control only: entry nodes still get answers. */
+static void entry_nodes_veto(void)
+{
+    fresh(&cfg);
+    begin_check();
+    pr_checked(&p, p.nonce, PR_UP);
+    pr_checked(&p, p.nonce, PR_SILENT);
+    tick(true, CK_MS(11050));
+    CU_ASSERT_EQUAL(find(PR_DO_REPLACE), -1);
+    tick(true, CK_MS(11200));
+    CU_ASSERT_EQUAL(find(PR_DO_REPLACE), -1);
+}
+
+static void silent_entry_nodes_are_waited_for_within_a_bound(void)
+{
+    fresh(&cfg);
+    begin_check();
+    pr_checked(&p, p.nonce, PR_SILENT);
+    tick(true, CK_MS(11099));
+    CU_ASSERT_EQUAL(find(PR_DO_REPLACE), -1);
+    tick(true, CK_MS(11100));
+    CU_ASSERT(find(PR_DO_REPLACE) >= 0);
+}
+
+/* Up to the fencing of term 2, which the view shows. */
+static void to_fencing(void)
+{
+    begin_check();
+    pr_checked(&p, p.nonce, PR_SILENT);
+    pr_checked(&p, p.nonce, PR_REFUSED);
+    tick(true, CK_MS(11001));
+    int i = find(PR_DO_REPLACE);
+    CU_ASSERT(i >= 0 && acts.a[i].term == 2);
+    g.phase = VW_REPLACING;
+    g.term = 2;
+}
+
+static void takes_the_highest_position_of_enough(void)
+{
+    fresh(&cfg);
+    to_fencing();
+    tick(false, CK_MS(11002));
+    CU_ASSERT(find(PR_DO_FENCE) >= 0);
+    pr_fenced(&p, "b", 2, (struct ps_pos){1, 10});
+    tick(false, CK_MS(11003));
+    CU_ASSERT_EQUAL(find(PR_DO_PROMOTE), -1); /* one of three is not enough */
+    pr_fenced(&p, "c", 2, (struct ps_pos){1, 12});
+    tick(false, CK_MS(11004));
+    int i = find(PR_DO_PROMOTE);
+    CU_ASSERT(i >= 0 && acts.a[i].inst == 2);
+    pr_promoted(&p, "c", 2, (struct ps_pos){1, 12});
+    tick(false, CK_MS(11005));
+    i = find(PR_DO_PRIMARY);
+    CU_ASSERT(i >= 0 && acts.a[i].inst == 2 && acts.a[i].pos == 12);
+}
+
+/* The seeded mistake: whatever answers first is promoted; the test above tells the difference. */
+static void any_replica_would_lose(void)
+{
+    struct pr_config bad = cfg;
+    bad.fault.any_replica = true;
+    fresh(&bad);
+    to_fencing();
+    tick(false, CK_MS(11002));
+    pr_fenced(&p, "b", 2, (struct ps_pos){1, 10});
+    pr_fenced(&p, "c", 2, (struct ps_pos){1, 12});
+    tick(false, CK_MS(11004));
+    int i = find(PR_DO_PROMOTE);
+    CU_ASSERT(i >= 0 && acts.a[i].inst == 1);
+}
+
+static void without_fences_the_leases_are_waited_for(void)
+{
+    struct pr_config c = cfg;
+    c.fenced_endpoints = false;
+    fresh(&c);
+    to_fencing();
+    tick(false, CK_MS(11002));
+    pr_fenced(&p, "b", 2, (struct ps_pos){1, 10});
+    pr_fenced(&p, "c", 2, (struct ps_pos){1, 12});
+    tick(false, CK_MS(11004));
+    CU_ASSERT_EQUAL(find(PR_DO_PROMOTE), -1);
+    tick(true, CK_MS(11005));
+    CU_ASSERT(find(PR_DO_PROMOTE) >= 0);
+}
+
+/* A new leader finds a replacement it did not begin: an instance may have been promoted without
+ * anybody knowing, so a higher term starts over. */
+static void new_leader_starts_over(void)
+{
+    fresh(&cfg);
+    g.phase = VW_REPLACING;
+    g.term = 2;
+    pr_begin(&p, &cfg, CK_SEC(20));
+    tick(false, CK_SEC(20));
+    int i = find(PR_DO_REPLACE);
+    CU_ASSERT(i >= 0 && acts.a[i].term == 3);
+    CU_ASSERT_EQUAL(find(PR_DO_FENCE), -1);
+}
+
+static void outbid_attempt_goes_higher(void)
+{
+    fresh(&cfg);
+    to_fencing();
+    tick(false, CK_MS(11002));
+    pr_said(&p, "b", false, 9, 0, (struct ps_pos){1, 10}, CK_MS(11003));
+    tick(false, CK_MS(11003));
+    int i = find(PR_DO_REPLACE);
+    CU_ASSERT(i >= 0 && acts.a[i].term == 10);
+}
+
+static void planned_change_waits_for_all(void)
+{
+    fresh(&cfg);
+    g.phase = VW_HANDING;
+    g.term = 2;
+    g.target = 1;
+    tick(false, CK_SEC(11));
+    CU_ASSERT_EQUAL(find(PR_DO_FENCE), -1); /* statements may still run */
+    tick(true, CK_MS(11010));
+    int i = find(PR_DO_FENCE);
+    CU_ASSERT(i >= 0 && acts.a[i].inst == 0); /* the old primary first */
+    pr_fenced(&p, "a", 2, (struct ps_pos){1, 50});
+    pr_said(&p, "b", false, 1, 1, (struct ps_pos){1, 49}, CK_MS(11011));
+    tick(true, CK_MS(11012));
+    CU_ASSERT_EQUAL(find(PR_DO_FENCE), -1);
+    CU_ASSERT(find(PR_DO_PROBE) >= 0);
+    pr_said(&p, "b", false, 1, 1, (struct ps_pos){1, 50}, CK_MS(11013));
+    tick(true, CK_MS(11113));
+    i = find(PR_DO_FENCE);
+    CU_ASSERT(i >= 0 && acts.a[i].inst == 1);
+    pr_fenced(&p, "b", 2, (struct ps_pos){1, 50});
+    tick(true, CK_MS(11114));
+    i = find(PR_DO_PROMOTE);
+    CU_ASSERT(i >= 0 && acts.a[i].inst == 1);
+}
+
+static void planned_change_is_given_up(void)
+{
+    fresh(&cfg);
+    g.phase = VW_HANDING;
+    g.term = 2;
+    g.target = 1;
+    tick(false, CK_SEC(11));
+    tick(false, CK_MS(14100));
+    CU_ASSERT(find(PR_DO_ABANDON) >= 0);
+}
+
+/* Replacements that repeat are held off longer and longer. */
+static void flapping_is_damped(void)
+{
+    int64_t now = CK_SEC(11);
+    int64_t waits[3];
+    fresh(&cfg);
+    for (int round = 0; round < 3; round++) {
+        p.step = PR_CONCLUDING; /* a change of primary has just ended */
+        tick(true, now);
+        int64_t ended = now;
+        do {
+            now += CK_MS(5);
+            down(1, "d1", PR_REFUSED, now);
+            down(2, "d2", PR_REFUSED, now);
+            tick(true, now);
+        } while (find(PR_DO_CHECK) < 0 && now < ended + CK_SEC(60));
+        waits[round] = now - ended;
+        p.step = PR_IDLE;
+    }
+    CU_ASSERT(waits[1] > waits[0] && waits[2] > waits[1]);
+}
+
+static void lost_role_is_noticed(void)
+{
+    fresh(&cfg);
+    pr_said(&p, "a", false, 1, 0, (struct ps_pos){1, 5}, CK_SEC(12));
+    tick(true, CK_SEC(12));
+    CU_ASSERT(find(PR_DO_REPLACE) >= 0);
+}
+
+void promote_suite(void)
+{
+    CU_pSuite s = CU_add_suite("promote", NULL, NULL);
+    TEST(s, one_vantage_is_not_enough);
+    TEST(s, one_that_sees_it_up_vetoes);
+    TEST(s, entry_nodes_veto);
+    TEST(s, silent_entry_nodes_are_waited_for_within_a_bound);
+    TEST(s, takes_the_highest_position_of_enough);
+    TEST(s, any_replica_would_lose);
+    TEST(s, without_fences_the_leases_are_waited_for);
+    TEST(s, new_leader_starts_over);
+    TEST(s, outbid_attempt_goes_higher);
+    TEST(s, planned_change_waits_for_all);
+    TEST(s, planned_change_is_given_up);
+    TEST(s, flapping_is_damped);
+    TEST(s, lost_role_is_noticed);
+}
--- /dev/null
+++ b/tests/unit/test_quorum.c
@@ -0,0 +1,393 @@
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "misc/clock.h"
+#include "quorum/store.h"
+#include "tests/unit/cluster_sim.h"
+#include "tests/unit/unit.h"
+
+/* ---- the disk ---- */
+
+static char dir[64];
+
+static void new_dir(void)
+{
+    strcpy(dir, "/tmp/ferry-store-XXXXXX");
+    CU_ASSERT_PTR_NOT_NULL(mkdtemp(dir));
+}
+
+static void remove_dir(void)
+{
+    char path[128];
+    static const char *const files[] = {"log", "snapshot", "identity", "log.new", "snapshot.new"};
+    for (size_t i = 0; i < sizeof(files) / sizeof(files[0]); i++) {
+        snprintf(path, sizeof(path), "%s/%s", dir, files[i]);
+        unlink(path);
+    }
+    rmdir(dir);
+}
+
+static struct so_store *open_store(struct so_loaded *l, struct er_err *err)
+{
+    memset(err, 0, sizeof(*err));
+    return so_open(dir, "cluster", 0, l, err);
+}
+
+static bool put(struct so_store *s, uint64_t seq, uint64_t index, const char *text)
+{
+    struct qr_entry e = {index, 1, QR_DATA, (uint32_t)strlen(text), (char *)text};
+    struct qr_persist p = {.seq = seq, .term = 1, .vote = 5, .n = 1, .entries = &e};
+    struct er_err err = {0};
+    return so_write(s, &p, &err) && so_sync(s, &err);
+}
+
+static void fill(int n)
+{
+    struct so_loaded l;
+    struct er_err err;
+    struct so_store *s = open_store(&l, &err);
+    char text[32];
+    for (int i = 1; i <= n; i++) {
+        snprintf(text, sizeof(text), "entry %d", i);
+        CU_ASSERT_TRUE(put(s, (uint64_t)i, (uint64_t)i, text));
+    }
+    so_close(s);
+}
+
+static void identity_stays_with_the_folder(void)
+{
+    struct so_loaded a, b;
+    struct er_err err;
+    new_dir();
+    struct so_store *s = open_store(&a, &err);
+    CU_ASSERT_TRUE(a.fresh);
+    CU_ASSERT_PTR_NULL(so_open(dir, "cluster", 0, &b, &err)); /* locked */
+    so_close(s);
+    s = open_store(&b, &err);
+    CU_ASSERT(!b.fresh && a.identity == b.identity);
+    so_close(s);
+    CU_ASSERT_PTR_NULL(so_open(dir, "another", 0, &b, &err));
+    remove_dir();
+    new_dir(); /* an emptied folder is another member */
+    s = open_store(&b, &err);
+    CU_ASSERT(b.fresh && a.identity != b.identity);
+    so_close(s);
+    remove_dir();
+}
+
+static void survives_reopening(void)
+{
+    struct so_loaded l;
+    struct er_err err;
+    new_dir();
+    fill(5);
+    struct so_store *s = open_store(&l, &err);
+    CU_ASSERT(l.restore.n == 5 && l.restore.term == 1 && l.restore.vote == 5);
+    CU_ASSERT_EQUAL(memcmp(l.restore.entries[4].data, "entry 5", 7), 0);
+    so_close(s);
+    remove_dir();
+}
+
+static off_t log_size(void)
+{
+    char path[128];
+    struct stat st = {0};
+    snprintf(path, sizeof(path), "%s/log", dir);
+    stat(path, &st);
+    return st.st_size;
+}
+
+/* Cut at every length of the last batch: what was synced before stays, the rest goes. */
+static void torn_tail_is_cut(void)
+{
+    char path[128];
+    new_dir();
+    fill(4);
+    off_t four = log_size();
+    fill(0);
+    struct so_loaded l;
+    struct er_err err;
+    struct so_store *s = open_store(&l, &err);
+    put(s, 9, 5, "entry 5");
+    so_close(s);
+    off_t five = log_size();
+    snprintf(path, sizeof(path), "%s/log", dir);
+    for (off_t n = five - 1; n > four; n -= 3) {
+        CU_ASSERT_EQUAL(truncate(path, n), 0);
+        s = open_store(&l, &err);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+        CU_ASSERT_EQUAL(l.restore.n, 4);
+        so_close(s);
+    }
+    remove_dir();
+}
+
+static void flip(off_t at)
+{
+    char path[128];
+    unsigned char c;
+    snprintf(path, sizeof(path), "%s/log", dir);
+    int fd = open(path, O_RDWR);
+    CU_ASSERT_EQUAL(pread(fd, &c, 1, at), 1);
+    c ^= 0x40;
+    CU_ASSERT_EQUAL(pwrite(fd, &c, 1, at), 1);
+    close(fd);
+}
+
+static void corrupt_middle_stops_the_voter(void)
+{
+    struct so_loaded l;
+    struct er_err err;
+    new_dir();
+    fill(6);
+    off_t size = log_size();
+    for (off_t at = 0; at < size / 2; at += 7) {
+        flip(at);
+        struct so_store *s = open_store(&l, &err);
+        CU_ASSERT_PTR_NULL(s);
+        CU_ASSERT_EQUAL(err.kind, ER_CORRUPT);
+        CU_ASSERT_PTR_NOT_NULL(strstr(err.text, "replace"));
+        flip(at);
+    }
+    remove_dir();
+}
+
+static void full_disk_is_an_error(void)
+{
+    struct so_loaded l;
+    struct er_err err;
+    new_dir();
+    fill(3);
+    struct so_store *s = open_store(&l, &err);
+    so_release(s);
+    struct rlimit old, tight;
+    getrlimit(RLIMIT_FSIZE, &old);
+    tight = old;
+    tight.rlim_cur = (rlim_t)log_size() + 30;
+    signal(SIGXFSZ, SIG_IGN);
+    setrlimit(RLIMIT_FSIZE, &tight);
+    bool ok = put(s, 9, 4, "does not fit any more, by far not");
+    setrlimit(RLIMIT_FSIZE, &old);
+    CU_ASSERT_FALSE(ok);
+    so_close(s);
+    s = open_store(&l, &err); /* what was synced is there after the restart */
+    CU_ASSERT_EQUAL(l.restore.n, 3);
+    so_close(s);
+    remove_dir();
+}
+
+static void snapshot_replaces_the_log(void)
+{
+    struct so_loaded l;
+    struct er_err err = {0};
+    new_dir();
+    fill(8);
+    struct so_store *s = open_store(&l, &err);
+    struct qr_members m = {.n = 1, .m = {{.id = 5, .voter = true}}};
+    struct qr_entry keep = {8, 1, QR_DATA, 4, "tail"};
+    struct qr_persist p = {.seq = 1, .term = 2, .vote = 0, .snapshot = true, .snap_index = 7,
+                           .snap_term = 1, .members = &m, .data = "state", .len = 5, .n = 1,
+                           .entries = &keep};
+    CU_ASSERT_TRUE(so_write(s, &p, &err) && so_sync(s, &err));
+    so_close(s);
+    s = open_store(&l, &err);
+    CU_ASSERT(l.restore.snap_index == 7 && l.restore.n == 1 && l.restore.snap_len == 5);
+    CU_ASSERT_EQUAL(l.restore.members.m[0].id, 5);
+    so_close(s);
+    remove_dir();
+}
+
+void store_suite(void)
+{
+    CU_pSuite s = CU_add_suite("store", NULL, NULL);
+    TEST(s, identity_stays_with_the_folder);
+    TEST(s, survives_reopening);
+    TEST(s, torn_tail_is_cut);
+    TEST(s, corrupt_middle_stops_the_voter);
+    TEST(s, full_disk_is_an_error);
+    TEST(s, snapshot_replaces_the_log);
+}
+
+/* ---- the core, directed; schedules at random are tests/unit/explore.c ---- */
+
+static struct qr_msg sent[64];
+static int n_sent;
+static uint64_t last_seq;
+
+static void on_send(void *ud, const struct qr_msg *m)
+{
+    (void)ud;
+    if (n_sent < 64)
+        sent[n_sent++] = *m;
+}
+
+static void on_persist(void *ud, const struct qr_persist *p)
+{
+    (void)ud;
+    last_seq = p->seq;
+}
+
+static void on_apply(void *ud, const struct qr_entry *e)
+{
+    (void)ud;
+    (void)e;
+}
+
+static void on_restore(void *ud, uint64_t i, const char *d, uint32_t n)
+{
+    (void)ud;
+    (void)i;
+    (void)d;
+    (void)n;
+}
+
+static void on_role(void *ud)
+{
+    (void)ud;
+}
+
+static const struct qr_sink sink = {on_send, on_persist, on_apply, on_restore, on_role};
+
+static struct qr *three(uint64_t self)
+{
+    struct qr_config cfg = {.self = self, .election_us = CK_MS(250), .heartbeat_us = CK_MS(50),
+                            .sink = &sink};
+    struct qr_restore r = {.members = {3, {{1, true, "", "", 0, ""}, {2, true, "", "", 0, ""},
+                                           {3, true, "", "", 0, ""}}}};
+    n_sent = 0;
+    last_seq = 0;
+    return qr_create(&cfg, &r, 0);
+}
+
+static int count(enum qr_msg_type t)
+{
+    int n = 0;
+    for (int i = 0; i < n_sent; i++)
+        n += sent[i].type == t;
+    return n;
+}
+
+/* Make `q` (node 1) the leader of term 1 at `now`. */
+static void lead(struct qr *q, int64_t now)
+{
+    qr_tick(q, now);
+    struct qr_msg v = {.type = QR_PREVOTE_R, .from = 2, .to = 1, .ok = true, .round = 1};
+    qr_receive(q, &v, now);
+    qr_persisted(q, last_seq, now);
+    v = (struct qr_msg){.type = QR_VOTE_R, .from = 2, .to = 1, .term = 1, .ok = true};
+    qr_receive(q, &v, now);
+    CU_ASSERT_EQUAL(qr_role(q), QR_LEADER);
+}
+
+static void nothing_leaves_before_the_disk(void)
+{
+    struct qr *q = three(1);
+    qr_tick(q, CK_SEC(1));
+    CU_ASSERT_EQUAL(count(QR_PREVOTE), 2);
+    struct qr_msg v = {.type = QR_PREVOTE_R, .from = 2, .to = 1, .ok = true, .round = 1};
+    qr_receive(q, &v, CK_SEC(1));
+    CU_ASSERT_EQUAL(count(QR_VOTE), 0); /* its own vote is not on disk yet */
+    qr_persisted(q, last_seq, CK_SEC(1));
+    CU_ASSERT_EQUAL(count(QR_VOTE), 2);
+    qr_destroy(q);
+    q = three(2);
+    struct qr_msg ask = {.type = QR_VOTE, .from = 1, .to = 2, .term = 4};
+    qr_receive(q, &ask, CK_SEC(1));
+    CU_ASSERT_EQUAL(count(QR_VOTE_R), 0);
+    qr_persisted(q, last_seq, CK_SEC(1));
+    CU_ASSERT_EQUAL(count(QR_VOTE_R), 1);
+    qr_destroy(q);
+}
+
+/* A node that was cut off comes back with a high term and disturbs nobody. */
+static void returning_node_does_not_disturb(void)
+{
+    struct qr *q = three(2);
+    struct qr_msg beat = {.type = QR_APPEND, .from = 1, .to = 2, .term = 3};
+    qr_receive(q, &beat, CK_SEC(1));
+    struct qr_msg pre = {.type = QR_PREVOTE, .from = 3, .to = 2, .term = 90, .index = 50,
+                         .log_term = 80};
+    struct qr_msg vote = {.type = QR_VOTE, .from = 3, .to = 2, .term = 90, .index = 50,
+                          .log_term = 80};
+    qr_receive(q, &pre, CK_MS(1100));
+    qr_receive(q, &vote, CK_MS(1100));
+    CU_ASSERT_EQUAL(qr_term(q), 3);
+    CU_ASSERT_EQUAL(qr_leader(q), 1);
+    qr_destroy(q);
+}
+
+static void leader_without_quorum_steps_down(void)
+{
+    struct qr *q = three(1);
+    lead(q, CK_SEC(1));
+    for (int64_t t = CK_SEC(1); t < CK_MS(1700); t += CK_MS(10))
+        qr_tick(q, t);
+    CU_ASSERT_NOT_EQUAL(qr_role(q), QR_LEADER);
+    qr_destroy(q);
+}
+
+/* A vouching ends one shortest election after the sending of a round that a quorum answered. */
+static void vouching_is_counted_from_the_sending(void)
+{
+    struct qr *q = three(1);
+    lead(q, CK_SEC(1));
+    CU_ASSERT_EQUAL(qr_vouched_until(q), 0); /* nothing committed in this term */
+    qr_persisted(q, last_seq, CK_SEC(1));
+    struct qr_msg ack = {.type = QR_APPEND_R, .from = 2, .to = 1, .term = 1, .ok = true,
+                         .index = 1, .round = 1};
+    qr_receive(q, &ack, CK_MS(1400));
+    CU_ASSERT_EQUAL(qr_vouched_until(q), CK_SEC(1) + CK_MS(250));
+    struct er_err err = {0};
+    struct qr_member m = {.id = 9};
+    CU_ASSERT_TRUE(qr_add_learner(q, &m, CK_MS(1400), &err));
+    CU_ASSERT_FALSE(qr_remove(q, 3, CK_MS(1400), &err)); /* one change at a time */
+    qr_destroy(q);
+}
+
+static void behind_learner_does_not_become_a_voter(void)
+{
+    struct qr *q = three(1);
+    struct er_err err = {0};
+    struct qr_member m = {.id = 9};
+    lead(q, CK_SEC(1));
+    qr_persisted(q, last_seq, CK_SEC(1));
+    struct qr_msg ack = {.type = QR_APPEND_R, .from = 2, .to = 1, .term = 1, .ok = true,
+                         .index = 1, .round = 1};
+    qr_receive(q, &ack, CK_MS(1001));
+    qr_add_learner(q, &m, CK_MS(1001), &err);
+    qr_persisted(q, last_seq, CK_MS(1001));
+    ack.index = 2;
+    qr_receive(q, &ack, CK_MS(1002));
+    CU_ASSERT_EQUAL(qr_commit(q), 2);
+    CU_ASSERT_FALSE(qr_promote_learner(q, 9, CK_MS(1003), &err));
+    ack.from = 9;
+    qr_receive(q, &ack, CK_MS(1004));
+    CU_ASSERT_TRUE(qr_promote_learner(q, 9, CK_MS(1005), &err));
+    qr_destroy(q);
+}
+
+static void schedules_hold(void)
+{
+    for (uint64_t seed = 1; seed <= 60; seed++) {
+        struct cs_options o = {.seed = seed, .voters = 3, .steps = 1000, .members = true};
+        struct cs_result r = cs_explore(&o);
+        CU_ASSERT_TRUE(r.ok);
+    }
+}
+
+void quorum_suite(void)
+{
+    CU_pSuite s = CU_add_suite("quorum", NULL, NULL);
+    TEST(s, nothing_leaves_before_the_disk);
+    TEST(s, returning_node_does_not_disturb);
+    TEST(s, leader_without_quorum_steps_down);
+    TEST(s, vouching_is_counted_from_the_sending);
+    TEST(s, behind_learner_does_not_become_a_voter);
+    TEST(s, schedules_hold);
+}
--- /dev/null
+++ b/tests/unit/test_route.c
@@ -0,0 +1,134 @@
+#include <string.h>
+
+#include "misc/clock.h"
+#include "route/route.h"
+#include "tests/unit/unit.h"
+
+/* Three instances: 0 the primary at position 100, 1 near and behind, 2 far and level. */
+static struct rt_group three(void)
+{
+    static struct rt_group g;
+    memset(&g, 0, sizeof(g));
+    g.n = 3;
+    g.primary = 0;
+    g.n_starts = 1;
+    g.starts[0] = (struct ps_start){1, 0};
+    for (int i = 0; i < 3; i++)
+        g.inst[i] = (struct rt_inst){.usable = true, .limit = 4, .lag_us = -1};
+    g.inst[0].applied = g.inst[2].applied = (struct ps_pos){1, 100};
+    g.inst[1].applied = (struct ps_pos){1, 90};
+    g.inst[2].distance = 1;
+    return g;
+}
+
+static struct rt_query token_at(uint64_t pos)
+{
+    return (struct rt_query){.has_token = true, .token = {1, pos}, .max_age_us = -1};
+}
+
+static void session_read_needs_the_position(void)
+{
+    struct rt_group g = three();
+    struct rt_query q = token_at(90);
+    CU_ASSERT_EQUAL(rt_read(&g, &q, 0, 0).inst, 1); /* near and good enough */
+    q = token_at(95);
+    struct rt_choice c = rt_read(&g, &q, 0, 0);
+    CU_ASSERT_EQUAL(c.inst, 2);
+    CU_ASSERT_EQUAL(c.min.pos, 95); /* the instance checks it again */
+    q = token_at(101);
+    CU_ASSERT_EQUAL(rt_read(&g, &q, 0, 0).inst, 0);
+}
+
+static void without_token_or_age_the_primary(void)
+{
+    struct rt_group g = three();
+    struct rt_query q = {.max_age_us = -1};
+    struct rt_choice c = rt_read(&g, &q, 0, 0);
+    CU_ASSERT(c.primary && c.inst == 0);
+    g.primary = -1;
+    c = rt_read(&g, &q, 0, 0);
+    CU_ASSERT(c.inst == -1 && c.why == ER_NO_PRIMARY);
+}
+
+/* The age is counted from when the primary was asked, not from when it answered. */
+static void age_is_conservative(void)
+{
+    struct rt_group g = three();
+    struct ps_pos floor;
+    CU_ASSERT_FALSE(rt_age_floor(&g, CK_MS(500), CK_SEC(10), &floor));
+    rt_primary_at(&g, CK_MS(9000), (struct ps_pos){1, 80});
+    rt_primary_at(&g, CK_MS(9600), (struct ps_pos){1, 95});
+    rt_primary_at(&g, CK_MS(9900), (struct ps_pos){1, 100});
+    CU_ASSERT_TRUE(rt_age_floor(&g, CK_MS(500), CK_SEC(10), &floor));
+    CU_ASSERT_EQUAL(floor.pos, 95);
+    CU_ASSERT_TRUE(rt_age_floor(&g, CK_MS(1000), CK_SEC(10), &floor));
+    CU_ASSERT_EQUAL(floor.pos, 80);
+    CU_ASSERT_FALSE(rt_age_floor(&g, CK_MS(50), CK_SEC(10), &floor));
+}
+
+/* A read that accepts an age still sees the session's own writes. */
+static void age_and_token_together(void)
+{
+    struct rt_group g = three();
+    rt_primary_at(&g, CK_MS(9900), (struct ps_pos){1, 85});
+    struct rt_query q = token_at(95);
+    q.max_age_us = CK_MS(500);
+    struct rt_choice c = rt_read(&g, &q, 0, CK_SEC(10));
+    CU_ASSERT_EQUAL(c.inst, 2);
+    CU_ASSERT_EQUAL(c.min.pos, 95);
+}
+
+static void primary_gone_ages_run_out(void)
+{
+    struct rt_group g = three();
+    rt_primary_at(&g, CK_MS(9900), (struct ps_pos){1, 90});
+    g.primary = -1;
+    g.inst[0].usable = false;
+    struct rt_query q = {.max_age_us = CK_MS(500)};
+    CU_ASSERT_EQUAL(rt_read(&g, &q, 0, CK_SEC(10)).inst, 1);
+    struct rt_choice c = rt_read(&g, &q, 0, CK_SEC(11));
+    CU_ASSERT_EQUAL(c.inst, -1);
+}
+
+static void draining_and_tried_are_passed_over(void)
+{
+    struct rt_group g = three();
+    struct rt_query q = token_at(80);
+    g.inst[1].draining = true;
+    CU_ASSERT_EQUAL(rt_read(&g, &q, 0, 0).inst, 2);
+    CU_ASSERT_EQUAL(rt_read(&g, &q, 1u << 2, 0).inst, 0);
+}
+
+static void full_near_replica_yields(void)
+{
+    struct rt_group g = three();
+    struct rt_query q = token_at(80);
+    g.inst[1].in_flight = 4;
+    CU_ASSERT_EQUAL(rt_read(&g, &q, 0, 0).inst, 2);
+}
+
+/* A nearly caught-up replica is waited for within the bound; a slow one is not. */
+static void bounded_wait(void)
+{
+    struct rt_group g = three();
+    struct rt_query q = token_at(101);
+    q.max_wait_us = CK_MS(10);
+    g.inst[2].lag_us = CK_MS(4);
+    struct rt_choice c = rt_read(&g, &q, 0, 0);
+    CU_ASSERT(c.inst == 2 && c.wait_us == CK_MS(10));
+    g.inst[2].lag_us = CK_MS(40);
+    CU_ASSERT_EQUAL(rt_read(&g, &q, 0, 0).inst, 0);
+}
+
+void route_suite(void)
+{
+    CU_pSuite s = CU_add_suite("route", NULL, NULL);
+    TEST(s, session_read_needs_the_position);
+    TEST(s, without_token_or_age_the_primary);
+    TEST(s, age_is_conservative);
+    TEST(s, age_and_token_together);
+    TEST(s, primary_gone_ages_run_out);
+    TEST(s, draining_and_tried_are_passed_over);
+    TEST(s, full_near_replica_yields);
+    TEST(s, bounded_wait);
+}
--- /dev/null
+++ b/tests/unit/unit.h
@@ -0,0 +1,28 @@
+/* The unit tests: one function a suite, CUnit. */
+#ifndef FL_TESTS_UNIT_H
+#define FL_TESTS_UNIT_H
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+
+#define SUITE(name) void name##_suite(void)
+#define TEST(suite, fn) CU_add_test(suite, #fn, fn)
+
+void misc_suite(void);
+void token_suite(void);
+void route_suite(void);
+void admit_suite(void);
+void shares_suite(void);
+void lease_suite(void);
+void view_suite(void);
+void intent_suite(void);
+void promote_suite(void);
+void store_suite(void);
+void quorum_suite(void);
+void wire_suite(void);
+void caller_suite(void);
+void settings_suite(void);
+void check_suite(void);
+void engine_suite(void);
+
+#endif
--- a/timeline/timeline.c
+++ b/timeline/timeline.c
@@ -5,9 +5,9 @@
 #include <string.h>
 
 static const char *const names[TL_COUNT] = {
-    "start",    "stop",        "lease_held", "lease_lost", "view",     "suspect", "term_dropped",
-    "first_write", "parked",   "down",       "replace",    "fenced",   "promoted", "primary",
-    "leader",   "deposed",     "intent",     "members",    "change",   "disk"};
+    "start",       "stop",    "lease_held", "lease_lost", "view",   "suspect",  "term_dropped",
+    "first_write", "parked",  "down",       "replace",    "fenced", "promoted", "primary",
+    "leader",      "deposed", "intent",     "members",    "change", "disk"};
 
 const char *tl_kind_name(enum tl_kind k)
 {
--- a/view/view.c
+++ b/view/view.c
@@ -87,8 +87,7 @@
     return true;
 }
 
-static bool check_term(const struct vw_group *g, const struct vw_change *ch,
-                       struct er_err *err)
+static bool check_term(const struct vw_group *g, const struct vw_change *ch, struct er_err *err)
 {
     if (ch->term <= g->term)
         return er_set(err, ER_STALE_PLAN, "group %s: term %llu, expected above %llu", g->name,
@@ -122,9 +121,10 @@
         if (strcmp(o->id, it->id) == 0)
             return er_set(err, ER_CONFLICT, "intent %s is known already", it->id);
         if (o->number == it->number)
-            return er_set(err, ER_CONFLICT,
-                          "number %llu was taken by %s with intent %s; plan again with the next",
-                          (unsigned long long)it->number, o->who, o->id);
+            return er_set(
+                err, ER_CONFLICT,
+                "number %llu was taken by %s with intent %s; plan again with the next",
+                (unsigned long long)it->number, o->who, o->id);
         if (o->state == VW_RUNNING && it->kind != VW_IT_RULE && o->kind != VW_IT_RULE &&
             strcmp(o->args, it->args) == 0)
             return er_set(err, ER_CONFLICT, "intent %s by %s does this already", o->id, o->who);
@@ -298,8 +298,7 @@
     }
 }
 
-bool vw_apply(struct vw_view *v, uint64_t index, const struct vw_change *ch,
-              struct er_err *err)
+bool vw_apply(struct vw_view *v, uint64_t index, const struct vw_change *ch, struct er_err *err)
 {
     if (index <= v->generation)
         return er_set(err, ER_STALE_PLAN, "change %llu is not above generation %llu",
--- a/view/view.h
+++ b/view/view.h
@@ -104,9 +104,9 @@
     uint64_t term, pos;
     bool flag;
     int64_t max_age_ms;
-    struct vw_group def;       /* VW_CH_GROUP */
-    struct vw_instance inst;   /* VW_CH_ADD */
-    struct vw_intent intent;   /* VW_CH_INTENT, VW_CH_PROGRESS */
+    struct vw_group def;     /* VW_CH_GROUP */
+    struct vw_instance inst; /* VW_CH_ADD */
+    struct vw_intent intent; /* VW_CH_INTENT, VW_CH_PROGRESS */
 };
 
 void vw_init(struct vw_view *v);
