--- a/control/control.h
+++ b/control/control.h
@@ -38,6 +38,7 @@
     char name[48], domain[48], ip[46];
     int port;
     uint64_t sent_gen; /* entry: generation sent last */
+    int64_t sent_at;   /* when */
     uint64_t shares_hash;
 };
 
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -20,10 +20,21 @@
     n->c.views++;
     n->c.view_bytes += m.view.text.len;
     c->sent_gen = n->view.generation;
+    c->sent_at = ck_now();
     ct_send_conn(c, &m);
     free(text);
 }
 
+/* A node that still reports an older generation well after a view was sent did not get it, or
+ * could not apply it: send again from where it is. Without this it would hold a lease that it
+ * can't use, and every change of primary would wait for that lease. */
+static void note_generation(struct ct_conn *c, uint64_t has, int64_t now)
+{
+    bool late = now - c->sent_at > CK_MS(c->node->s->lease_ms) / 2;
+    if (has == 0 || (has < c->sent_gen && late))
+        c->sent_gen = has;
+}
+
 void ct_push_view(struct ct_node *n)
 {
     for (struct ct_conn *c = n->conns; c; c = c->next) {
@@ -95,8 +106,7 @@
     else
         n->c.grants++;
     ls_acked(&n->giver, c->id, r->generation);
-    if (!r->generation)
-        c->sent_gen = 0; /* it has nothing: perhaps a view got lost */
+    note_generation(c, r->generation, now);
     send_view(c, r->generation);
     take_shares(c, r, now);
     send_shares(c);
--- a/control/watch.c
+++ b/control/watch.c
@@ -141,9 +141,10 @@
 {
     const struct st_settings *s = in->node->s;
     if (!in->c) {
+        char who[64];
+        snprintf(who, sizeof(who), "control:%s", s->name);
         if (now >= in->next_try)
-            in->c = in->node->driver->open(in->node->loop, in->ip, in->port, "control", &events,
-                                           in);
+            in->c = in->node->driver->open(in->node->loop, in->ip, in->port, who, &events, in);
         return;
     }
     if (!in->open)
@@ -328,7 +329,9 @@
         return;
     if (v->primary < 0 && v->phase == VW_SERVING)
         return;
-    bool dropped = ls_all_have(&n->giver, g->phase_gen, ck_now());
+    bool polite = n->s->fence && v->phase == VW_HANDING;
+    bool dropped = polite ? ls_known_have(&n->giver, g->phase_gen, ck_now())
+                          : ls_all_have(&n->giver, g->phase_gen, ck_now());
     pr_tick(&g->pr, v, dropped, ck_now(), &acts);
     act_on(n, g, &acts);
 }
--- a/endpoint/endpoint.h
+++ b/endpoint/endpoint.h
@@ -80,7 +80,7 @@
 struct ep_driver {
     const char *name;
     unsigned caps;
-    /* Connect and introduce ourselves as `who` ("entry", "control"); open() follows. */
+    /* Connect and introduce ourselves as `who` ("entry:e0", "control:c1"); open() follows. */
     struct ep_conn *(*open)(struct nt_loop *l, const char *ip, int port, const char *who,
                             const struct ep_events *ev, void *ud);
     /* False if nothing was queued: certainly not run. */
--- a/endpoint/ws.c
+++ b/endpoint/ws.c
@@ -12,7 +12,7 @@
     const struct ep_events *ev;
     struct nt_conn *net;
     bool open;
-    char who[16];
+    char who[64];
 };
 
 static const char *const op_names[EP_OP_COUNT] = {"hello",   "read",     "write",    "begin",
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -22,6 +22,12 @@
         c->net = NULL; /* one request, one answer */
     if (c->net || c->outstanding > 0)
         return;
+    if (c->prev)
+        c->prev->next = c->next;
+    else
+        c->node->callers = c->next;
+    if (c->next)
+        c->next->prev = c->prev;
     c->node->n_callers--;
     free(c);
 }
@@ -45,6 +51,10 @@
     c->node = n;
     c->net = net;
     c->http = http;
+    c->next = n->callers;
+    if (c->next)
+        c->next->prev = c;
+    n->callers = c;
     n->n_callers++;
     return c;
 }
@@ -57,6 +67,15 @@
     return caller_new(n, net, false);
 }
 
+void en_callers_notice(struct en_node *n)
+{
+    static const char text[] = "{\"notice\":\"going_away\"}";
+    for (struct en_caller *c = n->callers; c; c = c->next) {
+        if (c->net && !c->http)
+            nt_send(c->net, text, sizeof(text) - 1);
+    }
+}
+
 static void http_request(const struct nt_http *req, struct en_node *n)
 {
     struct en_caller *c = caller_new(n, req->conn, true);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -10,6 +10,7 @@
     TICK_US = 5000,
     DRAIN_US = 1000000,
     FLUSH_US = 50000,
+    LINGER_US = 1000000,
     NEAR = 0,
     FAR = 1,
     SAMPLES_LAG = -1
@@ -198,6 +199,17 @@
     n->stopped(n->stopped_ud);
 }
 
+/* Everything is answered and the callers have closed; or the bound is reached. Callers that do
+ * not understand the notice are given a while after the last answer. */
+static bool may_end(struct en_node *n, int64_t now)
+{
+    if (now > n->stop_by)
+        return true;
+    if (n->n_reqs > 0 || n->txns)
+        n->quiet_since = now;
+    return n->n_callers == 0 || now - n->quiet_since > LINGER_US;
+}
+
 static void tick(void *ud)
 {
     struct en_node *n = ud;
@@ -214,7 +226,7 @@
         }
     }
     en_ack_view(n);
-    if (n->stopping && ((n->n_reqs == 0 && !n->txns) || now > n->stop_by)) {
+    if (n->stopping && may_end(n, now)) {
         en_give_back(n);
         nt_timer_set(n->loop, &n->tick, FLUSH_US, stopped, n);
         return;
@@ -230,7 +242,9 @@
     n->stopped = done;
     n->stopped_ud = ud;
     n->stop_by = ck_now() + CK_MS(n->s->stop_ms);
+    n->quiet_since = ck_now();
     nt_listener_close(n->listener);
+    en_callers_notice(n);
     tl_add(n->tl, TL_STOP, "", 0, "planned stop, %d requests to finish", n->n_reqs);
     FL_INFO(&n->log, "stopping: %d requests to finish", n->n_reqs);
 }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -25,6 +25,7 @@
 
 /* A caller's connection, or one plain HTTP request. */
 struct en_caller {
+    struct en_caller *prev, *next; /* the node's */
     struct en_node *node;
     struct nt_conn *net; /* NULL once it is gone */
     bool http;
@@ -167,6 +168,7 @@
     struct nt_timer later_timer;
     struct en_txn *txns;
     int n_reqs, n_callers;
+    struct en_caller *callers;
     uint64_t txn_seq;
     double retry_budget;
     struct en_link links[ST_MAX_PEERS];
@@ -178,7 +180,7 @@
     struct nt_timer tick;
     struct nt_listener *listener;
     bool stopping;
-    int64_t stop_by;
+    int64_t stop_by, quiet_since;
     void (*stopped)(void *ud);
     void *stopped_ud;
     struct en_counters c;
@@ -244,6 +246,8 @@
 /* caller.c */
 bool en_callers_listen(struct en_node *n, struct er_err *err);
 void en_caller_release(struct en_caller *c);
+/* A planned stop: callers are told to go elsewhere and to close. */
+void en_callers_notice(struct en_node *n);
 
 /* link.c */
 void en_links_start(struct en_node *n);
--- a/entry/link.c
+++ b/entry/link.c
@@ -31,9 +31,10 @@
 
 static int wanted(struct en_inst *in)
 {
-    int want = in->peak_want;
-    in->peak_want = 0;
-    return want < 1 ? 1 : want;
+    int want = in->peak_want < 1 ? 1 : in->peak_want;
+    in->peak_want -=
+        in->peak_want / 4; /* demand is forgotten slowly: a share costs time to get */
+    return want;
 }
 
 static int held(const struct en_inst *in)
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -253,10 +253,17 @@
     return n < 1 ? 1 : n;
 }
 
-void en_pool_tick(struct en_inst *in, int64_t now)
+/* The most that was wanted since the last renewal goes to control. */
+static void note_want(struct en_inst *in)
 {
     int want = wanted(in);
-    in->peak_want = want > in->peak_want ? want : in->peak_want;
+    if (want > in->peak_want)
+        in->peak_want = want;
+}
+
+void en_pool_tick(struct en_inst *in, int64_t now)
+{
+    note_want(in);
     shrink(in);
     if (in->n_conns == 0 && in->share > 0 && now >= in->next_open)
         open_one(in);
@@ -345,6 +352,7 @@
 {
     int64_t now = ck_now(), retry;
     struct ad_item *it;
+    note_want(in);
     while ((it = ad_hopeless(&in->q, now, &retry)))
         en_later((struct en_req *)it, ER_OVERLOAD, retry);
     struct en_ep *ep;
--- a/ferryctl/show.c
+++ b/ferryctl/show.c
@@ -49,18 +49,27 @@
            "%lld\n",
            number(v, "generation"), number(s, "in_force_on"), number(s, "entry_nodes"),
            number(s, "first"), number(s, "last"), number(s, "commit"));
-    json_array_foreach(json_object_get(v, "groups"), i, x) show_group(x);
-    json_array_foreach(json_object_get(v, "intents"), i, x) show_intent(x);
+    json_array_foreach(json_object_get(v, "groups"), i, x)
+    {
+        show_group(x);
+    }
+    json_array_foreach(json_object_get(v, "intents"), i, x)
+    {
+        show_intent(x);
+    }
 }
 
 void show_members(const json_t *m)
 {
     size_t i;
     json_t *x;
-    json_array_foreach(m, i, x) printf(
-        "%-16s %-8s %-18s %-16s %s:%lld%s\n", text(x, "id"), text(x, "name"), text(x, "domain"),
-        json_is_true(json_object_get(x, "voter")) ? "voter" : "learner", text(x, "ip"),
-        number(x, "port"), json_is_true(json_object_get(x, "leader")) ? "  leader" : "");
+    json_array_foreach(m, i, x)
+    {
+        printf("%-16s %-8s %-18s %-16s %s:%lld%s\n", text(x, "id"), text(x, "name"),
+               text(x, "domain"),
+               json_is_true(json_object_get(x, "voter")) ? "voter" : "learner", text(x, "ip"),
+               number(x, "port"), json_is_true(json_object_get(x, "leader")) ? "  leader" : "");
+    }
 }
 
 void show_nodes(const json_t *n)
@@ -68,9 +77,11 @@
     size_t i;
     json_t *x;
     json_array_foreach(n, i, x)
+    {
         printf("%-16s %-18s %s:%lld  %s\n", text(x, "name"), text(x, "domain"), text(x, "ip"),
                number(x, "port"),
                json_is_true(json_object_get(x, "lease")) ? "lease held" : "no lease");
+    }
 }
 
 void show_plan(const json_t *p)
@@ -80,7 +91,9 @@
     printf("plan %s, number %lld, made at generation %lld\n", text(p, "digest"),
            number(p, "number"), number(p, "generation"));
     json_array_foreach(json_object_get(p, "steps"), i, x)
+    {
         printf("  %zu. %s\n", i + 1, json_string_value(x));
+    }
 }
 
 static const char *advice(const char *reason)
--- a/lease/lease.c
+++ b/lease/lease.c
@@ -89,10 +89,8 @@
     return !g->first && now < g->since + g->lease_us + drift(g->lease_us);
 }
 
-bool ls_all_have(const struct ls_giver *g, uint64_t generation, int64_t now)
+bool ls_known_have(const struct ls_giver *g, uint64_t generation, int64_t now)
 {
-    if (ls_old_leases(g, now))
-        return false;
     for (int i = 0; i < g->n; i++) {
         if (live(g, &g->nodes[i], now) && g->nodes[i].acked < generation)
             return false;
@@ -100,6 +98,11 @@
     return true;
 }
 
+bool ls_all_have(const struct ls_giver *g, uint64_t generation, int64_t now)
+{
+    return !ls_old_leases(g, now) && ls_known_have(g, generation, now);
+}
+
 int ls_count(const struct ls_giver *g, uint64_t generation, int64_t now, int *have)
 {
     int n = 0;
--- a/load/run.c
+++ b/load/run.c
@@ -17,6 +17,7 @@
     VERIFY_LIMIT_US = 25000000,
     START_LIMIT_US = 5000000,
     GRACE_US = 1000000,
+    SILENT_US = 400000,
 };
 
 enum op { OP_READ, OP_WRITE, OP_TXN, OP_VERIFY };
@@ -27,8 +28,8 @@
     struct run *run;
     int entry;
     struct nt_conn *net;
-    bool open;
-    int64_t next_try;
+    bool open, leaving;            /* leaving: the node stops; nothing new goes there */
+    int64_t next_try, waits_since; /* since when it owes an answer; 0 it does not */
 };
 
 struct session {
@@ -59,7 +60,7 @@
     struct conn conns[LD_MAX_ENTRIES][LD_CONNS];
     struct session *s;
     int *idle, n_idle;
-    uint64_t seq;
+    uint64_t seq, nonce;
     int64_t start, end, next_due;
     bool verifying;
     char **ids;
@@ -123,12 +124,26 @@
     int first = r->o->roam ? (int)rn_below(&r->rng, (uint64_t)n) : s->no % n;
     for (int k = 0; k < n; k++) {
         struct conn *c = &r->conns[(first + k) % n][s->no % LD_CONNS];
-        if (c->open)
+        /* As the platform's balancer: a node that does not answer gets nothing new. */
+        bool silent = c->waits_since && ck_now() - c->waits_since > SILENT_US;
+        if (c->open && !c->leaving && !silent)
             return c;
     }
     return NULL;
 }
 
+/* A node that stops has asked to be left: close once it owes nothing. */
+static void maybe_leave(struct conn *c)
+{
+    bool pinned = false;
+    for (int i = 0; i < c->run->o->sessions; i++) {
+        const struct session *s = &c->run->s[i];
+        pinned = pinned || (s->busy && s->conn == c && (s->waiting || s->txn[0]));
+    }
+    if (c->leaving && !pinned && c->net)
+        nt_close(c->net, false);
+}
+
 static void send_request(struct session *s, const char *kind, const char *stmt)
 {
     struct run *r = s->run;
@@ -159,6 +174,8 @@
     s->sent = ck_now();
     s->waiting = true;
     r->r->sent += s->op != OP_VERIFY;
+    if (!s->conn->waits_since)
+        s->conn->waits_since = s->sent;
     nt_send(s->conn->net, text, strlen(text));
     free(text);
 }
@@ -201,6 +218,7 @@
 static void go_idle(struct session *s)
 {
     s->busy = s->waiting = false;
+    s->txn[0] = 0;
     s->run->idle[s->run->n_idle++] = s->no;
 }
 
@@ -242,8 +260,9 @@
         s->aged = chance(r) < o->aged;
     } else {
         s->op = dice < o->reads + o->txns ? OP_TXN : OP_WRITE;
-        snprintf(s->id, sizeof(s->id), "w%d.%d.%llu", s->db, s->no,
-                 (unsigned long long)++r->seq);
+        /* Unlike in any other run: the system remembers ids for minutes. */
+        snprintf(s->id, sizeof(s->id), "w%d.%d.%llu.%llx", s->db, s->no,
+                 (unsigned long long)++r->seq, (unsigned long long)r->nonce);
         snprintf(s->twin, sizeof(s->twin), "%s.t", s->id);
         remember_id(r, s->id);
         if (s->op == OP_TXN)
@@ -434,10 +453,14 @@
     struct conn *c = ud;
     (void)net;
     json_t *a = json_loadb(data, len, 0, NULL);
+    c->waits_since = 0;
+    c->leaving = c->leaving || json_object_get(a, "notice");
     struct session *s = by_id(c->run, json_string_value(json_object_get(a, "id")));
     if (s && s->conn == c)
         on_answer(c->run, s, a);
     json_decref(a);
+    if (c->leaving)
+        maybe_leave(c);
 }
 
 static void conn_close(struct nt_conn *net, void *ud, bool opened, bool refused)
@@ -448,7 +471,8 @@
     (void)opened;
     (void)refused;
     c->net = NULL;
-    c->open = false;
+    c->open = c->leaving = false;
+    c->waits_since = 0;
     c->next_try = ck_now() + RECONNECT_US;
     for (int i = 0; i < r->o->sessions; i++) {
         struct session *s = &r->s[i];
@@ -577,6 +601,7 @@
     r->r = res;
     r->c = c;
     r->rng = rn_seed(o->seed);
+    r->nonce = (uint64_t)ck_wall_ms();
     r->loop = nt_loop_create(4096, err);
     if (!r->loop)
         return false;
--- a/tests/process/cluster.sh
+++ b/tests/process/cluster.sh
@@ -4,7 +4,7 @@
 #   cl_setup DIR BASE_PORT DEPLOYMENT N_ENTRIES   write the settings
 #   cl_start                                      start everything and wait until it serves
 #   cl_end                                        end what is left
-# Settings before cl_setup: CL_INSTANCE_ARGS, CL_ENTRY_JSON, CL_CONTROL_JSON, CL_LOG.
+# Settings before cl_setup: CL_RELAY=1 (a relay in front of control, for cl_cut), CL_INSTANCE_ARGS, CL_ENTRY_JSON, CL_CONTROL_JSON, CL_LOG.
 
 CL_BUILD=${CL_BUILD:-build}
 declare -A CL_PID=()
@@ -42,7 +42,7 @@
     printf '['
     for i in 0 1 2; do
         printf '%s{"name":"c%d","ip":"127.0.0.1","port":%d,"domain":"%s"}' "$([ $i -gt 0 ] && echo ,)" \
-            "$i" $((CL_BASE + 10 + i)) "${CL_DOMAINS[$i]}"
+            "$i" $((CL_BASE + ${CL_RELAY:+50 +} 10 + i)) "${CL_DOMAINS[$i]}"
     done
     printf ']'
 }
@@ -112,6 +112,9 @@
 }
 cl_fault() { cl_post "$(cl_instance_port "$1" "$2")" /fault "$3" > /dev/null; }
 
+# Cut nodes off from all control nodes and, if control nodes, from everybody: names, "" heals.
+cl_cut() { cl_post $((CL_BASE + 6)) /cut "$1" > /dev/null; }
+
 cl_ready() { cl_get "$1" /readyz 2> /dev/null | grep -q '"ready":true'; }
 
 # Until every entry node is ready and every group has a primary.
@@ -131,6 +134,8 @@
 
 cl_start() {
     local g i
+    [ -n "${CL_RELAY:-}" ] && cl_run relay "$CL_BUILD/ferry-relay" --http $((CL_BASE + 6)) \
+        c0:$((CL_BASE + 60)):$((CL_BASE + 10)) c1:$((CL_BASE + 61)):$((CL_BASE + 11)) c2:$((CL_BASE + 62)):$((CL_BASE + 12))
     cl_run platform "$CL_BUILD/ferry-platform" --port $((CL_BASE + 5))
     for g in 0 1 2; do for i in 0 1 2; do cl_instance $g $i; done; done
     for i in 0 1 2; do cl_control $i --bootstrap; done
--- a/tests/standin/instance.c
+++ b/tests/standin/instance.c
@@ -9,17 +9,23 @@
 
 static const struct lg_log ilog = {"instance"};
 
-/* Whether `from` is one of the comma-separated names in `list`. */
-static bool listed(const char *list, const char *from)
+static bool has_word(const char *list, const char *word, size_t n)
 {
-    size_t n = strlen(from);
-    for (const char *p = list; n && (p = strstr(p, from)); p += n) {
+    for (const char *p = list; n && (p = strstr(p, word)); p += n) {
         if ((p == list || p[-1] == ',') && (p[n] == 0 || p[n] == ','))
             return true;
     }
     return false;
 }
 
+/* Whether `from` ("role" or "role:node"), or its role, is one of the names in `list`. */
+static bool listed(const char *list, const char *from)
+{
+    char role[64];
+    snprintf(role, sizeof(role), "%.*s", (int)strcspn(from, ":"), from);
+    return has_word(list, from, strlen(from)) || has_word(list, role, strlen(role));
+}
+
 /* ---- connections ---- */
 
 static void hello_done(void *ud)
--- a/tests/standin/instance.h
+++ b/tests/standin/instance.h
@@ -16,8 +16,8 @@
     char ip[46];
     int port, max_conns, slots;
     int64_t service_us, connect_us, ship_us, apply_us, status_us;
-    char cut[64];  /* callers' roles that get silence, e.g. "control,entry" */
-    char shut[64]; /* callers' roles whose connections are closed */
+    char cut[64];  /* who gets silence: roles or nodes, "control,entry:e1" */
+    char shut[64]; /* whose connections are closed, the same way */
     bool no_fence, no_minpos, no_claim, no_push;
     const char *data; /* file that keeps the log; NULL: memory only */
 };
@@ -26,7 +26,7 @@
     struct in_conn *next;
     struct in_instance *in;
     struct nt_conn *net;
-    char from[16];
+    char from[64];
     bool ready, counted, subscribed, replica, busy;
     bool txn;
     uint64_t txn_term;
--- a/tests/unit/cluster_sim.c
+++ b/tests/unit/cluster_sim.c
@@ -52,7 +52,7 @@
     struct msg *net[MAX_MSGS];
     int n_net;
     uint64_t leader_of[MAX_TERM];
-    uint64_t hash_at[MAX_INDEX]; /* of the state after each committed index; 0 unknown */
+    uint64_t hash_at[MAX_INDEX];     /* of the state after each committed index; 0 unknown */
     uint64_t commit_term[MAX_INDEX]; /* a term by which the index was committed */
     uint64_t value;
 };
@@ -69,8 +69,8 @@
 static void trace(struct sim *s, const char *what, int node, uint64_t x)
 {
     if (s->o->trace)
-        printf("  step %d t=%lld ms %s node %d (%llu)\n", s->r->step, (long long)(s->now / 1000),
-               what, node, (unsigned long long)x);
+        printf("  step %d t=%lld ms %s node %d (%llu)\n", s->r->step,
+               (long long)(s->now / 1000), what, node, (unsigned long long)x);
 }
 
 static struct qr_entry *copy_entries(const struct qr_entry *e, uint32_t n)
--- a/tests/unit/test_promote.c
+++ b/tests/unit/test_promote.c
@@ -136,7 +136,8 @@
     CU_ASSERT(i >= 0 && acts.a[i].inst == 2 && acts.a[i].pos == 12);
 }
 
-/* The seeded mistake: whatever answers first is promoted; the test above tells the difference. */
+/* The seeded mistake: whatever answers first is promoted; the test above tells the difference.
+ */
 static void any_replica_would_lose(void)
 {
     struct pr_config bad = cfg;
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -25,7 +25,8 @@
 static void remove_dir(void)
 {
     char path[128];
-    static const char *const files[] = {"log", "snapshot", "identity", "log.new", "snapshot.new"};
+    static const char *const files[] = {"log", "snapshot", "identity", "log.new",
+                                        "snapshot.new"};
     for (size_t i = 0; i < sizeof(files) / sizeof(files[0]); i++) {
         snprintf(path, sizeof(path), "%s/%s", dir, files[i]);
         unlink(path);
@@ -191,8 +192,16 @@
     struct so_store *s = open_store(&l, &err);
     struct qr_members m = {.n = 1, .m = {{.id = 5, .voter = true}}};
     struct qr_entry keep = {8, 1, QR_DATA, 4, "tail"};
-    struct qr_persist p = {.seq = 1, .term = 2, .vote = 0, .snapshot = true, .snap_index = 7,
-                           .snap_term = 1, .members = &m, .data = "state", .len = 5, .n = 1,
+    struct qr_persist p = {.seq = 1,
+                           .term = 2,
+                           .vote = 0,
+                           .snapshot = true,
+                           .snap_index = 7,
+                           .snap_term = 1,
+                           .members = &m,
+                           .data = "state",
+                           .len = 5,
+                           .n = 1,
                            .entries = &keep};
     CU_ASSERT_TRUE(so_write(s, &p, &err) && so_sync(s, &err));
     so_close(s);
@@ -256,10 +265,11 @@
 
 static struct qr *three(uint64_t self)
 {
-    struct qr_config cfg = {.self = self, .election_us = CK_MS(250), .heartbeat_us = CK_MS(50),
-                            .sink = &sink};
-    struct qr_restore r = {.members = {3, {{1, true, "", "", 0, ""}, {2, true, "", "", 0, ""},
-                                           {3, true, "", "", 0, ""}}}};
+    struct qr_config cfg = {
+        .self = self, .election_us = CK_MS(250), .heartbeat_us = CK_MS(50), .sink = &sink};
+    struct qr_restore r = {
+        .members = {
+            3, {{1, true, "", "", 0, ""}, {2, true, "", "", 0, ""}, {3, true, "", "", 0, ""}}}};
     n_sent = 0;
     last_seq = 0;
     return qr_create(&cfg, &r, 0);
@@ -311,10 +321,10 @@
     struct qr *q = three(2);
     struct qr_msg beat = {.type = QR_APPEND, .from = 1, .to = 2, .term = 3};
     qr_receive(q, &beat, CK_SEC(1));
-    struct qr_msg pre = {.type = QR_PREVOTE, .from = 3, .to = 2, .term = 90, .index = 50,
-                         .log_term = 80};
-    struct qr_msg vote = {.type = QR_VOTE, .from = 3, .to = 2, .term = 90, .index = 50,
-                          .log_term = 80};
+    struct qr_msg pre = {
+        .type = QR_PREVOTE, .from = 3, .to = 2, .term = 90, .index = 50, .log_term = 80};
+    struct qr_msg vote = {
+        .type = QR_VOTE, .from = 3, .to = 2, .term = 90, .index = 50, .log_term = 80};
     qr_receive(q, &pre, CK_MS(1100));
     qr_receive(q, &vote, CK_MS(1100));
     CU_ASSERT_EQUAL(qr_term(q), 3);
@@ -339,8 +349,8 @@
     lead(q, CK_SEC(1));
     CU_ASSERT_EQUAL(qr_vouched_until(q), 0); /* nothing committed in this term */
     qr_persisted(q, last_seq, CK_SEC(1));
-    struct qr_msg ack = {.type = QR_APPEND_R, .from = 2, .to = 1, .term = 1, .ok = true,
-                         .index = 1, .round = 1};
+    struct qr_msg ack = {
+        .type = QR_APPEND_R, .from = 2, .to = 1, .term = 1, .ok = true, .index = 1, .round = 1};
     qr_receive(q, &ack, CK_MS(1400));
     CU_ASSERT_EQUAL(qr_vouched_until(q), CK_SEC(1) + CK_MS(250));
     struct er_err err = {0};
@@ -357,8 +367,8 @@
     struct qr_member m = {.id = 9};
     lead(q, CK_SEC(1));
     qr_persisted(q, last_seq, CK_SEC(1));
-    struct qr_msg ack = {.type = QR_APPEND_R, .from = 2, .to = 1, .term = 1, .ok = true,
-                         .index = 1, .round = 1};
+    struct qr_msg ack = {
+        .type = QR_APPEND_R, .from = 2, .to = 1, .term = 1, .ok = true, .index = 1, .round = 1};
     qr_receive(q, &ack, CK_MS(1001));
     qr_add_learner(q, &m, CK_MS(1001), &err);
     qr_persisted(q, last_seq, CK_MS(1001));
--- a/tests/unit/test_text.c
+++ b/tests/unit/test_text.c
@@ -56,12 +56,24 @@
                              .hello = {1, SR_LIT("cl"), SR_LIT("e0"), SR_LIT("d"),
                                        SR_LIT("127.0.0.1"), 7000, WR_ROLE_ENTRY, 42, 0}};
     m[n++] = (struct wr_msg){.type = WR_QUORUM,
-                             .quorum = {.type = QR_APPEND, .from = 1, .to = 2, .term = 3,
-                                        .index = 4, .log_term = 2, .commit = 4, .round = 9,
-                                        .n = 2, .entries = e}};
+                             .quorum = {.type = QR_APPEND,
+                                        .from = 1,
+                                        .to = 2,
+                                        .term = 3,
+                                        .index = 4,
+                                        .log_term = 2,
+                                        .commit = 4,
+                                        .round = 9,
+                                        .n = 2,
+                                        .entries = e}};
     m[n++] = (struct wr_msg){.type = WR_QUORUM,
-                             .quorum = {.type = QR_SNAP, .from = 1, .to = 2, .term = 3,
-                                        .members = &members, .data = "state", .len = 5}};
+                             .quorum = {.type = QR_SNAP,
+                                        .from = 1,
+                                        .to = 2,
+                                        .term = 3,
+                                        .members = &members,
+                                        .data = "state",
+                                        .len = 5}};
     m[n++] = (struct wr_msg){.type = WR_RENEW, .renew = {1, 2, 3, false, 2, shares, 4}};
     m[n++] = (struct wr_msg){.type = WR_GRANT, .grant = {1, 2, 2000, 7}};
     m[n++] = (struct wr_msg){.type = WR_NOT_LEADER, .leader = SR_LIT("c1")};
@@ -193,8 +205,11 @@
 {
     for (int k = 0; k < ER_COUNT; k++) {
         struct sr_buf b = {0};
-        struct cl_answer a = {.kind = k, .value = SR_LIT("a\"\\\n\x01"), .token = "t",
-                              .detail = "why \"not\"", .durable = true};
+        struct cl_answer a = {.kind = k,
+                              .value = SR_LIT("a\"\\\n\x01"),
+                              .token = "t",
+                              .detail = "why \"not\"",
+                              .durable = true};
         cl_write(&b, "id\"", &a);
         json_t *j = json_loadb(b.p, b.len, 0, NULL);
         CU_ASSERT_PTR_NOT_NULL_FATAL(j);
@@ -252,7 +267,7 @@
 /* ---- settings ---- */
 
 #define BASE                                                                                   \
-    "\"cluster\":\"c\",\"secret\":\"s\",\"roles\":[\"entry\"],\"node\":{\"name\":\"n\","         \
+    "\"cluster\":\"c\",\"secret\":\"s\",\"roles\":[\"entry\"],\"node\":{\"name\":\"n\","       \
     "\"domain\":\"d\"}"
 #define VOTERS "\"voters\":[{\"name\":\"c0\",\"ip\":\"127.0.0.1\",\"port\":1}]"
 
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -292,11 +292,13 @@
 
 static void wrong_intents_are_refused(void)
 {
-    static const char *const bad[] = {
-        "{}", "[]", "{\"kind\":\"fly\"}", "{\"kind\":\"drain\",\"group\":\"g\"}",
-        "{\"kind\":\"rule\",\"group\":\"g\",\"max_age_ms\":-1}",
-        "{\"kind\":\"replace\",\"old\":\"zz\"}",
-        "{\"kind\":\"move\",\"group\":\"g\",\"instances\":[]}"};
+    static const char *const bad[] = {"{}",
+                                      "[]",
+                                      "{\"kind\":\"fly\"}",
+                                      "{\"kind\":\"drain\",\"group\":\"g\"}",
+                                      "{\"kind\":\"rule\",\"group\":\"g\",\"max_age_ms\":-1}",
+                                      "{\"kind\":\"replace\",\"old\":\"zz\"}",
+                                      "{\"kind\":\"move\",\"group\":\"g\",\"instances\":[]}"};
     for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
         struct it_request r;
         struct er_err err = {0};
