--- a/control/control.c
+++ b/control/control.c
@@ -121,6 +121,7 @@
     ct_watch_tick(n, now);
     force_tick(n, now);
     ct_intents_tick(n, now);
+    ct_platform_tick(n, now);
     ct_ops_tick(n, now);
     ct_compact_tick(n);
     if (n->stopping && (qr_role(n->q) != QR_LEADER || now > n->stop_by)) {
--- a/control/control.h
+++ b/control/control.h
@@ -60,6 +60,7 @@
     struct ep_conn *c;
     bool open, gone;
     int64_t next_try, answered, probed;
+    int64_t changed; /* when `health` changed */
     enum pr_health health;
     uint64_t last_id;
     struct ep_reply said; /* strings not valid */
@@ -104,7 +105,7 @@
     struct nt_listener *peer_listener, *ops_listener;
     struct wr_decoder dec;
     struct nt_timer tick, soon;
-    int n_groups;
+    int n_groups, n_insts;
     struct ct_group **groups;
     /* leading */
     bool leading; /* a quorum vouched and this term's first entry is applied */
@@ -113,7 +114,8 @@
     uint64_t shares_seq;    /* of the last WR_SHARES sent to anybody */
     uint64_t step_index;    /* log index of the last step proposed for an intent */
     int64_t in_force_since; /* all entry nodes act on the current view since; 0: not */
-    int64_t next_probe_report, next_intent;
+    int64_t next_probe_report, next_intent, next_platform, next_complaint;
+    bool asking_platform;
     uint64_t force_gen; /* change whose time to force is being measured */
     int64_t force_since;
     struct hi_hist force;
@@ -126,7 +128,7 @@
     void *stopped_ud;
     struct {
         uint64_t grants, refused_grants, views, view_bytes, snapshots, proposals, applied;
-        uint64_t refused_changes, promotions, bad_messages, wrong_cluster;
+        uint64_t refused_changes, promotions, bad_messages, wrong_cluster, platform_failures;
     } c;
 };
 
@@ -177,6 +179,9 @@
 /* steps.c: intents */
 void ct_intents_tick(struct ct_node *n, int64_t now);
 
+/* platform.c */
+void ct_platform_tick(struct ct_node *n, int64_t now);
+
 /* ops.c */
 bool ct_ops_listen(struct ct_node *n, struct er_err *err);
 /* A change was applied, or refused with `err`: answer who waits for it. */
--- a/control/ops.c
+++ b/control/ops.c
@@ -94,6 +94,7 @@
         {"promotions_total", n->c.promotions},
         {"bad_messages_total", n->c.bad_messages},
         {"refused_peers_total", n->c.wrong_cluster},
+        {"platform_failures_total", n->c.platform_failures},
         {"disk_syncs_total", syncs},
         {"disk_longest_us", (uint64_t)longest},
         {"log_bytes", so_log_bytes(n->store)},
--- /dev/null
+++ b/control/platform.c
@@ -0,0 +1,102 @@
+/* The platform's list of VMs: a lagging hint. "leaving" becomes a drain intent of operator
+ * `platform`, which is reversible and which anybody can see; nothing else is made of it. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "control/control.h"
+#include "misc/clock.h"
+
+enum { EVERY_US = 1000000, COMPLAIN_US = 60000000 };
+
+static bool drained_already(const struct ct_node *n, const char *args)
+{
+    for (int i = 0; i < n->view.n_intents; i++) {
+        const struct vw_intent *it = &n->view.intents[i];
+        if (it->state == VW_RUNNING && strcmp(it->args, args) == 0)
+            return true;
+    }
+    return false;
+}
+
+static void complain(struct ct_node *n, const char *inst, const char *why)
+{
+    int64_t now = ck_now();
+    if (now < n->next_complaint)
+        return;
+    n->next_complaint = now + COMPLAIN_US;
+    FL_WARN(&n->log, "%s is leaving by the platform's list but can't be drained: %s", inst,
+            why);
+}
+
+static void drain(struct ct_node *n, const struct vw_group *g, const char *inst)
+{
+    struct vw_change ch = {.kind = VW_CH_INTENT};
+    struct it_request r;
+    struct it_plan p;
+    struct er_err err = {0};
+    json_t *j = json_pack("{s:s,s:s,s:s}", "group", g->name, "instance", inst, "kind", "drain");
+    char *args = json_dumps(j, JSON_COMPACT | JSON_SORT_KEYS);
+    bool ok = it_parse(j, &r, &err) && it_plan(&n->view, qr_members(n->q), &r, &p, &err);
+    json_decref(j);
+    if (ok && !drained_already(n, args)) {
+        struct vw_intent *it = &ch.intent;
+        snprintf(it->id, sizeof(it->id), "platform-%llu",
+                 (unsigned long long)n->view.generation);
+        sr_copy(it->who, sizeof(it->who), SR_LIT("platform"));
+        sr_copy(it->args, sizeof(it->args), sr_from(args));
+        memcpy(it->digest, p.digest, sizeof(it->digest));
+        it->kind = VW_IT_DRAIN;
+        it->number = p.number;
+        it->n_steps = p.n;
+        ok = ct_propose(n, &ch, &n->step_index, &err);
+    }
+    if (!ok)
+        complain(n, inst, err.text);
+    free(args);
+}
+
+static void look(struct ct_node *n, const char *ip, int port)
+{
+    for (int g = 0; g < n->view.n; g++) {
+        const struct vw_group *v = &n->view.groups[g];
+        for (int i = 0; i < v->n; i++) {
+            const struct vw_instance *in = &v->inst[i];
+            bool same = strcmp(in->ip, ip) == 0 && (port == 0 || in->port == port);
+            if (!same || in->draining)
+                continue;
+            drain(n, v, in->id);
+            return; /* the view may move: the rest at the next look */
+        }
+    }
+}
+
+static void on_list(void *ud, int status, const char *body, size_t len)
+{
+    struct ct_node *n = ud;
+    size_t i;
+    json_t *vm;
+    json_t *list = status == 200 ? json_loadb(body, len, 0, NULL) : NULL;
+    bool can = n->leading && ct_vouched(n) && qr_commit(n->q) >= n->step_index;
+    n->asking_platform = false;
+    if (status != 200)
+        n->c.platform_failures++;
+    json_array_foreach(list, i, vm)
+    {
+        const char *state = json_string_value(json_object_get(vm, "state"));
+        const char *ip = json_string_value(json_object_get(vm, "ip"));
+        int port = (int)json_integer_value(json_object_get(vm, "port"));
+        if (can && state && ip && strcmp(state, "leaving") == 0)
+            look(n, ip, port);
+    }
+    json_decref(list);
+}
+
+void ct_platform_tick(struct ct_node *n, int64_t now)
+{
+    if (!n->s->platform_port || !n->leading || n->asking_platform || now < n->next_platform)
+        return;
+    n->next_platform = now + EVERY_US;
+    n->asking_platform = true;
+    nt_http_get(n->loop, n->s->platform_ip, n->s->platform_port, "GET", "/vms", NULL, on_list,
+                n);
+}
--- a/control/watch.c
+++ b/control/watch.c
@@ -4,7 +4,7 @@
 #include "control/control.h"
 #include "misc/clock.h"
 
-enum { RETRY_US = 30000, FRESH_PROBES = 4 };
+enum { RETRY_US = 30000, FRESH_PROBES = 4, TELL_US = 1000000 };
 
 /* ---- finding ---- */
 
@@ -51,6 +51,8 @@
 static void report(struct ct_inst *in, enum pr_health health)
 {
     struct ct_node *n = in->node;
+    if (in->health != health)
+        in->changed = ck_now();
     in->health = health;
     struct ct_group *g = group_with(n, in->id);
     if (g)
@@ -129,6 +131,22 @@
 
 static const struct ep_events events = {on_open, on_reply, on_push, on_close};
 
+/* Between two probes of an instance: as set, or longer if there are so many that the node would
+ * send more than control.probe_rate. A closed connection is noticed at once all the same. */
+static int64_t probe_every(const struct ct_node *n)
+{
+    int64_t by_rate = CK_SEC(1) * n->n_insts / n->s->probe_rate;
+    int64_t set = CK_MS(n->s->probe_ms);
+    return by_rate > set ? by_rate : set;
+}
+
+/* Silent means that three probes went unanswered. */
+static int64_t silent_after(const struct ct_node *n)
+{
+    int64_t three = 3 * probe_every(n), set = CK_MS(n->s->silence_ms);
+    return three > set ? three : set;
+}
+
 static void probe(struct ct_inst *in, int64_t now)
 {
     struct ep_request q = {.op = EP_STATUS};
@@ -149,9 +167,9 @@
     }
     if (!in->open)
         return;
-    if (now - in->probed >= CK_MS(s->probe_ms))
+    if (now - in->probed >= probe_every(in->node))
         probe(in, now);
-    if (now - in->answered > CK_MS(s->silence_ms) && in->health != PR_SILENT) {
+    if (now - in->answered > silent_after(in->node) && in->health != PR_SILENT) {
         report(in, PR_SILENT);
         send_probes(in->node);
     }
@@ -203,14 +221,16 @@
 
 static struct pr_config pr_config_of(const struct st_settings *s)
 {
-    return (struct pr_config){.silence_us = CK_MS(s->silence_ms),
-                              .check_us = CK_MS(s->check_ms),
-                              .resend_us = CK_MS(s->probe_ms) * 2,
-                              .attempt_us = CK_MS(s->attempt_ms),
-                              .hold_us = CK_MS(s->hold_ms),
-                              .hand_us = CK_MS(s->hand_ms),
-                              .fenced_endpoints = s->fence,
-                              .fault = {.wait_leases = s->lease_failover}};
+    return (struct pr_config){
+        .silence_us = CK_MS(s->silence_ms),
+        .check_us = CK_MS(s->check_ms),
+        .resend_us = CK_MS(s->probe_ms) * 2,
+        .attempt_us = CK_MS(s->attempt_ms),
+        .hold_us = CK_MS(s->hold_ms),
+        .hand_us = CK_MS(s->hand_ms),
+        .fenced_endpoints = s->fence,
+
+        .fault = {.wait_leases = s->lease_failover, .any_replica = s->off_best}};
 }
 
 static struct ct_group *group_new(struct ct_node *n, const char *name)
@@ -227,12 +247,14 @@
 
 void ct_groups_sync(struct ct_node *n)
 {
+    n->n_insts = 0;
     for (int i = 0; i < n->view.n; i++) {
         const struct vw_group *v = &n->view.groups[i];
         struct ct_group *g = ct_group_of(n, v->name);
         if (!g)
             g = group_new(n, v->name);
         sync_instances(n, g, v);
+        n->n_insts += v->n;
         if (g->phase != v->phase || g->term != v->term)
             g->phase_gen = n->view.generation;
         g->phase = v->phase;
@@ -392,11 +414,19 @@
     ct_group_tick(n, g);
 }
 
+/* Whether the leader should hear of it now: it is not up, or that has just changed. What is up
+ * and stays so costs no message. */
+static bool worth_telling(const struct ct_inst *in, int64_t now)
+{
+    return in->health != PR_UP || now - in->changed < TELL_US;
+}
+
 /* What this node's probes see goes to the leader. */
 static void send_probes(struct ct_node *n)
 {
     static const enum wr_health map[] = {WR_UNKNOWN, WR_OK, WR_SILENT, WR_REFUSED};
     uint64_t leader = qr_leader(n->q);
+    int64_t now = ck_now();
     if (!leader || leader == n->id)
         return;
     struct wr_probe *p = sr_alloc(sizeof(*p) * (size_t)n->n_groups * VW_MAX_INSTANCES);
@@ -404,13 +434,16 @@
     for (int g = 0; g < n->n_groups; g++) {
         for (int i = 0; i < n->groups[g]->n && k < WR_MAX_PROBES; i++) {
             const struct ct_inst *in = n->groups[g]->inst[i];
+            if (!worth_telling(in, now))
+                continue;
             p[k++] = (struct wr_probe){sr_from(in->id),   map[in->health],    in->said.primary,
                                        in->said.term,     in->said.held.term, in->said.held.pos,
                                        in->said.following};
         }
     }
     struct wr_msg m = {.type = WR_PROBES, .probes = {k, p}};
-    ct_send_peer(n, leader, &m);
+    if (k > 0)
+        ct_send_peer(n, leader, &m);
     free(p);
 }
 
@@ -423,7 +456,7 @@
         return false;
     const struct pr_inst *p = pr_inst_of(g, v->inst[v->primary].id);
     const struct pr_inst *r = pr_inst_of(g, inst);
-    int64_t oldest = ck_now() - FRESH_PROBES * CK_MS(n->s->probe_ms);
+    int64_t oldest = ck_now() - FRESH_PROBES * probe_every(n);
     if (!p || !r || p->said_at < oldest || r->said_at < oldest)
         return false;
     return r->following == v->term && ps_cmp(r->held, p->held) >= 0;
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -9,7 +9,8 @@
     STATUS_US = 25000, /* between position requests to a primary */
     STATUS_REPLICA_US = 50000,
     SILENT_US = 200000, /* unanswered status: not usable for new work */
-    SUSPECT_EVERY_US = 100000,
+    STATUS_LOST_US = 1000000,
+    ORPHAN_US = 2000000,
 };
 
 void en_inst_init(struct en_inst *in, struct en_node *n, struct en_group *g, int at,
@@ -74,6 +75,18 @@
     ad_set_max(&in->q, open);
 }
 
+/* Some open connection must carry pushes and status polls, or the instance counts as gone. */
+static void choose_watch(struct en_inst *in)
+{
+    for (struct en_ep *e = in->eps; e && !in->watch; e = e->next) {
+        if (!e->open || e->closing)
+            continue;
+        in->watch = e;
+        e->watching = true;
+        send_status(e, EP_SUBSCRIBE, ck_now());
+    }
+}
+
 static void on_open(struct ep_conn *c, void *ud)
 {
     struct en_ep *ep = ud;
@@ -82,11 +95,7 @@
     ep->open = true;
     in->refusing = false;
     in->heard = ck_now();
-    if (!in->watch) {
-        in->watch = ep;
-        ep->watching = true;
-        send_status(ep, EP_SUBSCRIBE, ck_now());
-    }
+    choose_watch(in);
     count_open(in);
     if (!in->gone)
         en_unpark(in->group);
@@ -178,6 +187,7 @@
         return;
     }
     in->refusing = refused;
+    choose_watch(in);
     if (unasked) {
         in->next_open = ck_now() + (opened ? 0 : REOPEN_US);
         en_suspect(in, refused ? WR_REFUSED : WR_SILENT);
@@ -261,10 +271,23 @@
         in->peak_want = want;
 }
 
+/* A connection that owes a reply for far too long is closed: what it owes will not come. */
+static void close_stuck(struct en_inst *in, int64_t now)
+{
+    struct en_ep *w = in->watch;
+    if (w && in->status_sent && now - in->status_sent > STATUS_LOST_US)
+        en_ep_close(w);
+    for (struct en_ep *e = in->eps; e; e = e->next) {
+        if (e->orphan && now - e->sent_at > ORPHAN_US)
+            en_ep_close(e);
+    }
+}
+
 void en_pool_tick(struct en_inst *in, int64_t now)
 {
     note_want(in);
     shrink(in);
+    close_stuck(in, now);
     if (in->n_conns == 0 && in->share > 0 && now >= in->next_open)
         open_one(in);
     struct en_ep *w = in->watch;
@@ -319,7 +342,7 @@
     q->term = r->term;
     q->min = r->min;
     q->wait_us = r->wait_us;
-    if (r->r.kind == CL_WRITE && !r->r.repeat_safe) {
+    if (r->r.kind == CL_WRITE && !r->r.repeat_safe && !r->caller->node->s->off_once) {
         snprintf(claim, cap, "%s:%s", r->r.account, r->r.id);
         q->claim = sr_from(claim);
     }
--- a/entry/request.c
+++ b/entry/request.c
@@ -166,7 +166,8 @@
 static void acknowledge(struct en_req *r)
 {
     struct en_group *g = r->group;
-    if (!en_leased(g->node) || r->term != g->serve_term) {
+    bool in_force = en_leased(g->node) && r->term == g->serve_term;
+    if (!in_force && !g->node->s->off_terms) {
         en_fail(r, ER_REPLACED, 0, "the primary was replaced or this node lost its lease");
         return;
     }
@@ -177,7 +178,7 @@
 static void hold(struct en_req *r)
 {
     struct en_group *g = r->group;
-    if (holders(g, r->pos) >= g->cfg.copies) {
+    if (holders(g, r->pos) >= g->cfg.copies || g->node->s->off_copies) {
         acknowledge(r);
         return;
     }
@@ -354,6 +355,8 @@
                          .max_age_us = age >= 0 ? CK_MS(age) : -1,
                          .max_wait_us = CK_MS(n->s->read_wait_ms)};
     refresh_route(g, now);
+    if (n->s->off_tokens && r->has_token)
+        q.token = (struct ps_pos){0};
     if (n->s->primary_only) {
         to_primary(r);
         return;
@@ -446,7 +449,8 @@
 static bool may_retry(struct en_req *r)
 {
     struct en_node *n = r->caller->node;
-    if (r->r.kind != CL_READ && r->r.kind != CL_BEGIN && !r->r.repeat_safe)
+    bool safe = r->r.kind == CL_READ || r->r.kind == CL_BEGIN || r->r.repeat_safe;
+    if (!safe && !n->s->off_once)
         return false;
     if (n->retry_budget < 1) {
         n->c.retry_denied++;
--- a/promote/promote.c
+++ b/promote/promote.c
@@ -205,9 +205,12 @@
 
 /* ---- serving: watch the primary, keep the replicas following ---- */
 
-static bool held_down(const struct pr_group *p, int64_t now)
+/* Whether it is too early for another replacement. What refuses connections is dead, and only
+ * the least time is kept; silence may be a flapping network, and the time doubles while it
+ * repeats. */
+static bool held_down(const struct pr_group *p, bool refused, int64_t now)
 {
-    return now - p->last_end < p->hold;
+    return now - p->last_end < (refused ? p->cfg.hold_us : p->hold);
 }
 
 static void begin_check(struct pr_group *p, const struct vw_group *g, int64_t now,
@@ -289,7 +292,7 @@
     if (p->step != PR_IDLE)
         note_end(p, now);
     keep_following(p, g, now, out);
-    if (held_down(p, now))
+    if (held_down(p, judge(&p->inst[g->primary], now).refused, now))
         return;
     if (looks_down(&p->inst[g->primary], now)) {
         begin_check(p, g, now, out);
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -35,7 +35,9 @@
     int lease_ms, election_ms, heartbeat_ms, probe_ms, silence_ms, check_ms;
     int hold_ms, hand_ms, attempt_ms;
     int read_wait_ms, park_ms, queue, target_ms, resend_window_s, txn_idle_ms, stop_ms;
-    int retry_permille, snapshot_entries, conn_reserve;
+    int retry_permille, snapshot_entries, conn_reserve, probe_rate;
+    /* Mechanisms switched off, so that a test can be seen failing; never otherwise. */
+    bool off_tokens, off_copies, off_terms, off_once, off_best;
     bool fence;          /* trust the driver's FENCE */
     bool primary_only;   /* baseline: no read goes to a replica */
     bool lease_failover; /* baseline: wait for leases before promoting */
--- a/tests/process/t_config.sh
+++ b/tests/process/t_config.sh
@@ -63,6 +63,13 @@
 t_check "nothing refused" [ "$(t_report not_run)" = 0 ]
 t_check "nothing of unknown outcome" [ "$(t_report unknown)" = 0 ]
 
+t_say "the platform says that an endpoint's VM is leaving: it is drained"
+p=$(cl_primary 2)
+cl_post $((CL_BASE + 5)) /vms "[{\"ip\":\"127.0.0.1\",\"port\":$(cl_instance_port 2 "$p"),\"state\":\"leaving\"}]" > /dev/null
+t_check "an intent of the platform does it" t_until t_says 'drain by platform: done' ctl status
+t_check "it is not the primary any more" [ "$(cl_primary 2)" != "$p" ]
+cl_post $((CL_BASE + 5)) /vms "[]" > /dev/null
+
 t_say "a group moves to new instances under load; the leader dies on the way"
 for i in 0 1 2; do
     cl_run "n$i" "$CL_BUILD/ferry-instance" --port $((CL_BASE + 180 + i)) --max-conns 40 --slots 3 --ship-us 1000
--- a/tests/standin/instance.c
+++ b/tests/standin/instance.c
@@ -150,6 +150,7 @@
     set_us(o, "slots", &slots);
     in->o.slots = (int)slots;
     set_text(o, "cut", in->o.cut, sizeof(in->o.cut));
+    set_text(o, "mangle", in->o.mangle, sizeof(in->o.mangle));
     set_text(o, "shut", in->o.shut, sizeof(in->o.shut));
     shut_listed(in);
 }
