net: tell a refused connection from a silent one; entry: holders and forwarding

Cause (failover gap): every killed primary was judged "silent". lws 4.1 reports "Unable to connect" for every failed connect, and the text that was looked for never came, so a refusal was never seen and the damping against flapping applied. A connect that fails within 1 s now counts as refused, and a good connection that breaks is tried anew at once.

Holders: with more entry nodes than an instance has connections a share falls below one.

Also: switches that turn a mechanism off so that its test can be seen failing; a voter with a full disk; a wrong, silent or missing platform list; fuzzing of settings, views and the log.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := libwebsockets-dev libmsgpack-dev libcunit1-dev libjansson-dev libxxhash-dev \
 	libsodium-dev meson ninja-build pkg-config gcc clang-format clang-tidy cppcheck valgrind
 
-.PHONY: all demo test bench check format install clean docs
+.PHONY: all demo test bench switched-off check format install clean docs
 
 all: build
 
@@ -25,6 +25,9 @@
 bench: build
 	@bash bench/run.sh
 
+switched-off: build
+	@bash tests/process/switched_off.sh
+
 check: build
 	@bash .ci/lint
 
--- /dev/null
+++ b/bench/fleet.c
@@ -0,0 +1,285 @@
+/* ferry-fleet: many entry nodes as the control leader sees them, in one process. Each keeps a
+ * connection to one control node, renews its lease as a real one does, and acknowledges views.
+ * Reports bytes and messages a node, and how long a change takes until the last one acts on it.
+ */
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <jansson.h>
+#include <sodium.h>
+
+#include "lease/lease.h"
+#include "misc/clock.h"
+#include "misc/hist.h"
+#include "misc/rng.h"
+#include "task/net.h"
+#include "wire/wire.h"
+
+enum { MAX_NODES = 1000, MAX_VOTERS = 5, TICK_US = 5000, RENEW_PARTS = 6, INSTANCES = 9 };
+
+struct fleet;
+
+struct node {
+    struct fleet *f;
+    struct nt_conn *net;
+    bool open, leased;
+    int voter; /* which control node it talks to */
+    uint64_t id, generation, seq, shares_seq;
+    int64_t next_renew, until;
+};
+
+struct fleet {
+    struct nt_loop *loop;
+    struct nt_timer tick;
+    char cluster[64], ip[46];
+    int ports[MAX_VOTERS], n_voters, n;
+    double seconds;
+    int instances;
+    char ids[4096][48];
+    struct node nodes[MAX_NODES];
+    struct wr_decoder dec;
+    int64_t end, begun;
+    uint64_t target;   /* generation whose spread is being measured */
+    int64_t target_at; /* when the first node heard of it */
+    int have;
+    struct hi_hist spread, grant;
+    uint64_t grants, refused, views, snapshots, lost_leases;
+};
+
+static void send_msg(struct node *x, const struct wr_msg *m)
+{
+    struct sr_buf b = {0};
+    wr_encode(&b, m);
+    nt_send(x->net, b.p, b.len);
+    sr_buf_free(&b);
+}
+
+static void renew(struct node *x, int64_t now)
+{
+    struct fleet *f = x->f;
+    struct wr_share s[64];
+    int n = f->instances < 64 ? f->instances : 64;
+    for (int i = 0; i < n; i++)
+        s[i] = (struct wr_share){sr_from(f->ids[i]), 1, 1};
+    struct wr_msg m = {.type = WR_RENEW,
+                       .renew = {.seq = ++x->seq,
+                                 .generation = x->generation,
+                                 .n = (uint32_t)n,
+                                 .shares = s,
+                                 .shares_seq = x->shares_seq}};
+    x->next_renew = now + CK_SEC(1);
+    send_msg(x, &m);
+}
+
+static void on_open(struct nt_conn *c, void *ud)
+{
+    struct node *x = ud;
+    char name[32];
+    (void)c;
+    x->open = true;
+    snprintf(name, sizeof(name), "fleet%d", (int)(x - x->f->nodes));
+    struct wr_msg m = {.type = WR_HELLO};
+    m.hello = (struct wr_hello){.version = WR_VERSION,
+                                .cluster = sr_from(x->f->cluster),
+                                .name = sr_from(name),
+                                .domain = SR_LIT("d"),
+                                .ip = SR_LIT("127.0.0.1"),
+                                .port = 1,
+                                .role = WR_ROLE_ENTRY,
+                                .id = x->id};
+    send_msg(x, &m);
+    x->next_renew = ck_now();
+}
+
+static void learn_instances(struct fleet *f, const json_t *view)
+{
+    size_t g, i;
+    json_t *group, *inst;
+    f->instances = 0;
+    json_array_foreach(json_object_get(view, "groups"), g, group)
+    {
+        json_array_foreach(json_object_get(group, "instances"), i, inst)
+        {
+            if (f->instances < 4096)
+                sr_copy(f->ids[f->instances++], sizeof(f->ids[0]),
+                        sr_from(json_string_value(json_object_get(inst, "id"))));
+        }
+    }
+}
+
+static void note_spread(struct fleet *f, uint64_t generation, int64_t now)
+{
+    if (generation > f->target) {
+        f->target = generation;
+        f->target_at = now;
+        f->have = 0;
+    }
+    if (generation == f->target && ++f->have == f->n)
+        hi_add(&f->spread, now - f->target_at);
+}
+
+static void on_view(struct node *x, const struct wr_view *v)
+{
+    struct fleet *f = x->f;
+    f->views++;
+    if (v->from == 0) {
+        f->snapshots++;
+        if (!f->instances) {
+            json_t *j = json_loadb(v->text.p, v->text.len, 0, NULL);
+            learn_instances(f, j);
+            json_decref(j);
+        }
+    }
+    if (v->to <= x->generation)
+        return;
+    x->generation = v->to;
+    note_spread(f, v->to, ck_now());
+    struct wr_msg m = {.type = WR_ACK, .ack = v->to};
+    send_msg(x, &m);
+}
+
+static void on_message(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    struct node *x = ud;
+    struct fleet *f = x->f;
+    struct wr_msg m;
+    int64_t now = ck_now();
+    (void)c;
+    if (!wr_decode(&f->dec, data, len, &m, NULL))
+        return;
+    if (m.type == WR_GRANT && m.grant.duration_ms) {
+        f->grants++;
+        x->leased = true;
+        x->until = now + CK_MS(m.grant.duration_ms);
+        x->next_renew = now + CK_MS(m.grant.duration_ms) / RENEW_PARTS;
+    } else if (m.type == WR_NOT_LEADER) {
+        f->refused++;
+        x->voter = (x->voter + 1) % f->n_voters;
+        nt_close(x->net, true);
+    } else if (m.type == WR_VIEW) {
+        on_view(x, &m.view);
+    } else if (m.type == WR_SHARES) {
+        x->shares_seq = m.shares.seq;
+    } else if (m.type == WR_CHECK) {
+        m.type = WR_CHECKED;
+        m.check.health = WR_UNKNOWN;
+        send_msg(x, &m);
+    }
+}
+
+static void on_close(struct nt_conn *c, void *ud, bool opened, bool refused)
+{
+    struct node *x = ud;
+    (void)c;
+    (void)opened;
+    (void)refused;
+    x->net = NULL;
+    x->open = false;
+    x->voter = (x->voter + 1) % x->f->n_voters;
+    x->next_renew = ck_now() + CK_MS(50);
+}
+
+static const struct nt_ops ops = {on_open, on_message, on_close};
+
+static void report(struct fleet *f)
+{
+    double s = (double)(ck_now() - f->begun) / 1e6;
+    const struct nt_counters *st = nt_stats(f->loop);
+    int leased = 0;
+    for (int i = 0; i < f->n; i++)
+        leased += ck_now() < f->nodes[i].until;
+    printf("%d nodes, %.1f s: leases held %d, lost %llu; a node sends %.0f and receives %.0f "
+           "bytes a second, %.1f messages a second\n",
+           f->n, s, leased, (unsigned long long)f->lost_leases,
+           (double)st->bytes_out / s / f->n, (double)st->bytes_in / s / f->n,
+           (double)(st->messages_in + st->messages_out) / s / f->n);
+    printf("changes that reached all: %llu; from the first node to the last p50 %.2f ms, worst "
+           "%.2f ms; views %llu, whole ones %llu\n",
+           (unsigned long long)f->spread.count, (double)hi_quantile(&f->spread, 0.5) / 1000,
+           (double)f->spread.max / 1000, (unsigned long long)f->views,
+           (unsigned long long)f->snapshots);
+}
+
+static void tick(void *ud)
+{
+    struct fleet *f = ud;
+    int64_t now = ck_now();
+    for (int i = 0; i < f->n; i++) {
+        struct node *x = &f->nodes[i];
+        if (x->leased && now >= x->until) {
+            x->leased = false;
+            f->lost_leases++;
+        }
+        if (now < x->next_renew)
+            continue;
+        if (!x->net)
+            x->net = nt_connect(f->loop, f->ip, f->ports[x->voter], true, &ops, x);
+        else if (x->open)
+            renew(x, now);
+        if (!x->open)
+            x->next_renew = now + CK_MS(500);
+    }
+    if (now >= f->end) {
+        report(f);
+        nt_stop(f->loop);
+        return;
+    }
+    nt_timer_set(f->loop, &f->tick, TICK_US, tick, f);
+}
+
+static error_t parse(int key, char *arg, struct argp_state *st)
+{
+    struct fleet *f = st->input;
+    switch (key) {
+    case 'n':
+        f->n = atoi(arg);
+        break;
+    case 't':
+        f->seconds = atof(arg);
+        break;
+    case 'c':
+        sr_copy(f->cluster, sizeof(f->cluster), sr_from(arg));
+        break;
+    case ARGP_KEY_ARG:
+        if (f->n_voters < MAX_VOTERS)
+            f->ports[f->n_voters++] = atoi(arg);
+        break;
+    case ARGP_KEY_END:
+        if (!f->n_voters || f->n < 1 || f->n > MAX_NODES)
+            argp_error(st, "ports of control nodes, and 1..%d nodes", MAX_NODES);
+        break;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+    return 0;
+}
+
+int main(int argc, char **argv)
+{
+    static const struct argp_option options[] = {{"nodes", 'n', "N", 0, "entry nodes (100)", 0},
+                                                 {"seconds", 't', "N", 0, "how long (10)", 0},
+                                                 {"cluster", 'c', "NAME", 0, "cluster", 0},
+                                                 {0}};
+    static struct fleet f = {.n = 100, .seconds = 10, .ip = "127.0.0.1"};
+    struct argp argp = {options, parse, "PORT...", "Entry nodes as control sees them.",
+                        NULL,    NULL,  NULL};
+    argp_parse(&argp, argc, argv, 0, NULL, &f);
+    struct er_err err = {0};
+    f.loop = nt_loop_create(4096, &err);
+    if (!f.loop || sodium_init() < 0) {
+        fprintf(stderr, "ferry-fleet: %s\n", err.text);
+        return 1;
+    }
+    for (int i = 0; i < f.n; i++) {
+        f.nodes[i] = (struct node){.f = &f, .id = ((uint64_t)randombytes_random() << 32) | 1u};
+        f.nodes[i].id += (uint64_t)i << 1;
+        f.nodes[i].voter = i % f.n_voters;
+        f.nodes[i].next_renew = ck_now() + (int64_t)randombytes_uniform(300000);
+    }
+    f.begun = ck_now();
+    f.end = f.begun + (int64_t)(f.seconds * 1e6);
+    tick(&f);
+    nt_run(f.loop);
+    return 0;
+}
--- a/caller/caller.c
+++ b/caller/caller.c
@@ -89,6 +89,7 @@
         !get_text(o, "token", r->token, sizeof(r->token), false, err) ||
         !get_text(o, "txn", r->txn, sizeof(r->txn), false, err) ||
         !get_flag(o, "repeat_safe", &r->repeat_safe, err) ||
+        !get_flag(o, "hop", &r->hop, err) ||
         !get_int(o, "age_ms", 0, INT64_MAX / 2000, &r->age_ms, err) ||
         !get_int(o, "deadline_ms", 1, CL_MAX_DEADLINE_MS, &r->deadline_ms, err) ||
         !get_int(o, "issued_ms", 0, INT64_MAX, &r->issued_ms, err) ||
@@ -121,6 +122,29 @@
     r->stmt = NULL;
 }
 
+void cl_write_request(struct sr_buf *out, const struct cl_request *r, int64_t deadline_ms)
+{
+    json_t *o =
+        json_pack("{s:s,s:s,s:s,s:s,s:I,s:b,s:b,s:i}", "id", r->id, "account", r->account, "db",
+                  r->db, "kind", kind_names[r->kind], "deadline_ms", (json_int_t)deadline_ms,
+                  "hop", 1, "repeat_safe", r->repeat_safe, "priority", r->priority);
+    if (r->stmt)
+        json_object_set_new(o, "stmt", json_string(r->stmt));
+    if (r->token[0])
+        json_object_set_new(o, "token", json_string(r->token));
+    if (r->txn[0])
+        json_object_set_new(o, "txn", json_string(r->txn));
+    if (r->age_ms >= 0)
+        json_object_set_new(o, "age_ms", json_integer(r->age_ms));
+    if (r->issued_ms)
+        json_object_set_new(o, "issued_ms", json_integer(r->issued_ms));
+    char *s = json_dumps(o, JSON_COMPACT);
+    if (s)
+        sr_buf_add(out, s, strlen(s));
+    free(s);
+    json_decref(o);
+}
+
 /* ---- answers ---- */
 
 /* JSON text of a string; statements may return any bytes, so what is not UTF-8 is refused by
--- a/caller/caller.h
+++ b/caller/caller.h
@@ -33,6 +33,7 @@
     int64_t deadline_ms;  /* from now */
     int64_t issued_ms;    /* wall clock at the first sending of this id; 0 not given */
     int priority;         /* 0 normal, 1 first within its kind */
+    bool hop;             /* another entry node has forwarded it */
 };
 
 struct cl_answer {
@@ -52,6 +53,8 @@
  * carry it. Free with cl_request_free in any case. */
 bool cl_parse(const char *text, size_t len, struct cl_request *r, struct er_err *err);
 void cl_request_free(struct cl_request *r);
+/* The request as text again, marked as forwarded, with the deadline that is left. */
+void cl_write_request(struct sr_buf *out, const struct cl_request *r, int64_t deadline_ms);
 /* Append the answer's text. */
 void cl_write(struct sr_buf *out, const char *id, const struct cl_answer *a);
 const char *cl_kind_name(enum cl_kind k);
--- a/control/control.c
+++ b/control/control.c
@@ -57,7 +57,7 @@
     ct_groups_sync(n);
     for (struct ct_conn *c = n->conns; c; c = c->next) {
         c->sent_gen = 0;
-        c->shares_hash = 0;
+        c->shares_hash = c->nodes_hash = 0;
     }
     FL_INFO(&n->log, "a quorum vouches for term %llu, generation %llu",
             (unsigned long long)qr_term(n->q), (unsigned long long)n->view.generation);
--- a/control/control.h
+++ b/control/control.h
@@ -39,7 +39,7 @@
     int port;
     uint64_t sent_gen; /* entry: generation sent last */
     int64_t sent_at;   /* when */
-    uint64_t shares_hash;
+    uint64_t shares_hash, nodes_hash;
 };
 
 /* Our connection to another control node; everything we send it goes here. */
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -78,6 +78,28 @@
     free(s);
 }
 
+/* The entry nodes with a lease, if that is news for this one. */
+static void send_nodes(struct ct_conn *to, int64_t now)
+{
+    struct ct_node *n = to->node;
+    struct wr_node *list = sr_alloc(sizeof(*list) * (size_t)(n->n_conns + 1));
+    uint32_t k = 0;
+    uint64_t hash = 1;
+    for (struct ct_conn *c = n->conns; c && k < WR_MAX_NODES; c = c->next) {
+        if (!c->greeted || c->role != WR_ROLE_ENTRY || !ls_node_live(&n->giver, c->id, now))
+            continue;
+        list[k++] = (struct wr_node){sr_from(c->name), sr_from(c->domain), sr_from(c->ip),
+                                     (uint32_t)c->port};
+        hash += XXH64(c->name, strlen(c->name), (uint64_t)c->port); /* in any order */
+    }
+    if (hash != to->nodes_hash) {
+        to->nodes_hash = hash;
+        struct wr_msg m = {.type = WR_NODES, .nodes = {k, list}};
+        ct_send_conn(to, &m);
+    }
+    free(list);
+}
+
 static void not_leader(struct ct_conn *c)
 {
     struct wr_msg m = {.type = WR_NOT_LEADER};
@@ -110,6 +132,8 @@
     send_view(c, r->generation);
     take_shares(c, r, now);
     send_shares(c);
+    if (n->s->holders)
+        send_nodes(c, now);
     ct_send_conn(c, &m);
 }
 
--- a/control/watch.c
+++ b/control/watch.c
@@ -110,7 +110,6 @@
 {
     struct ct_inst *in = ud;
     (void)c;
-    (void)opened;
     in->c = NULL;
     in->open = false;
     in->fence_id = in->promote_id = 0;
@@ -118,7 +117,9 @@
         free(in);
         return;
     }
-    in->next_try = ck_now() + RETRY_US;
+    /* A connection that was good is tried anew at once: a refusal tells that the process died.
+     */
+    in->next_try = ck_now() + (opened ? 0 : RETRY_US);
     enum pr_health h = refused ? PR_REFUSED : PR_SILENT;
     bool news = in->health != h;
     report(in, h);
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -40,6 +40,7 @@
     (void)refused;
     c->net = NULL;
     en_caller_gone(c);
+    en_ups_caller_gone(c);
     en_caller_release(c);
 }
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -44,7 +44,7 @@
 
 bool en_leased(const struct en_node *n)
 {
-    return ls_live(&n->lease, ck_now());
+    return ls_live(&n->lease, ck_now()) || n->s->off_terms;
 }
 
 /* ---- bringing groups in line with the view ---- */
@@ -55,6 +55,7 @@
     g->node = n;
     g->parked_tail = &g->parked;
     g->cfg.primary = -1;
+    g->held = n->s->holders == 0;
     return g;
 }
 
@@ -146,6 +147,21 @@
     n->n_groups = v->n;
     for (int i = 0; i < v->n; i++)
         sync_group(n->groups[i], &v->groups[i]);
+    en_holding_changed(n);
+}
+
+void en_holding_changed(struct en_node *n)
+{
+    for (int i = 0; i < n->n_groups; i++) {
+        struct en_group *g = n->groups[i];
+        bool held = ho_holds(n->nodes, n->n_nodes, g->cfg.name, n->s->holders, n->s->name);
+        if (held == g->held)
+            continue;
+        g->held = held;
+        for (int k = 0; k < g->cfg.n && !held; k++)
+            g->inst[k]->share = 0; /* the pool closes what is idle */
+        en_unpark(g);
+    }
 }
 
 /* A planned change: what runs at the old primary may finish, within a bound. */
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -9,6 +9,7 @@
 #include "lease/lease.h"
 #include "misc/hist.h"
 #include "misc/log.h"
+#include "route/holders.h"
 #include "route/route.h"
 #include "session/token.h"
 #include "settings/settings.h"
@@ -34,11 +35,12 @@
 
 enum en_state {
     EN_NEW,
-    EN_QUEUED,  /* in an instance's admission queue */
-    EN_PARKED,  /* waits for a primary */
-    EN_SENT,    /* at an endpoint */
-    EN_HOLDING, /* done there; waits until enough instances hold it */
-    EN_LATER,   /* taken out of a queue; acted on in the loop's next turn */
+    EN_QUEUED,    /* in an instance's admission queue */
+    EN_PARKED,    /* waits for a primary */
+    EN_SENT,      /* at an endpoint */
+    EN_HOLDING,   /* done there; waits until enough instances hold it */
+    EN_FORWARDED, /* at another entry node, which holds the group */
+    EN_LATER,     /* taken out of a queue; acted on in the loop's next turn */
 };
 
 /* One request, from arrival to its one answer. */
@@ -65,6 +67,8 @@
     struct ps_pos pos; /* what it read or wrote */
     struct sr_buf value;
     bool duplicate;
+    struct en_up *up; /* EN_FORWARDED */
+    int forwards;
     enum er_kind later_kind; /* EN_LATER: ER_NONE routes anew, else the refusal */
     int64_t later_retry;
 };
@@ -125,6 +129,7 @@
     uint64_t serve_term; /* acknowledgements are given for this term only; 0 none */
     int64_t
         drain_until; /* planned change: statements in flight may finish until then; 0 none */
+    bool held;       /* this node holds connections to its instances */
     struct en_inst *inst[VW_MAX_INSTANCES];
     struct rt_group rt;
     struct en_req *parked, **parked_tail;
@@ -137,7 +142,7 @@
     uint64_t requests, ok, not_run, unknown, rejected;
     uint64_t by_reason[ER_COUNT];
     uint64_t reads_primary, reads_replica, reads_behind, writes, commits, rollbacks;
-    uint64_t retries, retry_denied, late_replies, parked, waited, duplicates;
+    uint64_t forwarded, retries, retry_denied, late_replies, parked, waited, duplicates;
     uint64_t bad_tokens, lease_lost, views, snapshots;
 };
 
@@ -167,6 +172,9 @@
     struct en_req *later;
     struct nt_timer later_timer;
     struct en_txn *txns;
+    struct en_up *ups; /* connections to holders */
+    int n_nodes;
+    struct ho_node nodes[HO_MAX_NODES]; /* live entry nodes, as control says */
     int n_reqs, n_callers;
     struct en_caller *callers;
     uint64_t txn_seq;
@@ -201,6 +209,8 @@
 /* Acknowledge the generation once nothing acts on an older one. */
 void en_ack_view(struct en_node *n);
 bool en_leased(const struct en_node *n);
+/* The nodes or the groups have changed: which groups this node holds. */
+void en_holding_changed(struct en_node *n);
 
 /* request.c */
 void en_submit(struct en_caller *c, const char *text, size_t len);
@@ -231,6 +241,15 @@
 bool en_usable(const struct en_inst *in, int64_t now);
 void en_inst_gone(struct en_inst *in);
 
+/* forward.c */
+struct en_up;
+void en_forward(struct en_req *r);
+/* The request is answered otherwise: its answer from the holder goes nowhere. */
+void en_up_forget(struct en_req *r);
+void en_ups_caller_gone(struct en_caller *c);
+/* Pass a holder's answer on as it is. */
+void en_relay(struct en_req *r, const char *text, size_t len, enum er_kind kind);
+
 /* txn.c */
 void en_txn_begun(struct en_req *r, struct en_ep *ep);
 void en_txn_request(struct en_req *r);
--- /dev/null
+++ b/entry/forward.c
@@ -0,0 +1,215 @@
+/* Forwarding to a holder: a group whose instances this node holds no connections to.
+ *
+ * The node acts as a caller of the holder: one connection for each of its own callers and
+ * group, so that transactions stay on one connection, and the holder's answers are passed on as
+ * they are. A request that was forwarded once is never forwarded again. */
+#include <stdlib.h>
+
+#include "entry/entry.h"
+#include "misc/clock.h"
+
+struct en_up {
+    struct en_up *next; /* the node's */
+    struct en_node *node;
+    struct en_caller *caller; /* NULL: gone */
+    struct en_group *group;
+    struct nt_conn *net;
+    char holder[32];
+    bool open, leaving;
+    struct en_req *sent, *unsent; /* by chain */
+};
+
+/* ---- lists ---- */
+
+static void add(struct en_req **list, struct en_req *r)
+{
+    while (*list)
+        list = &(*list)->chain;
+    r->chain = NULL;
+    *list = r;
+}
+
+static struct en_req *take(struct en_req **list, const char *id)
+{
+    while (*list && strcmp((*list)->r.id, id) != 0)
+        list = &(*list)->chain;
+    struct en_req *r = *list;
+    if (r)
+        *list = r->chain;
+    return r;
+}
+
+void en_up_forget(struct en_req *r)
+{
+    struct en_req **lists[] = {&r->up->sent, &r->up->unsent};
+    for (int k = 0; k < 2; k++) {
+        struct en_req **at = lists[k];
+        while (*at && *at != r)
+            at = &(*at)->chain;
+        if (*at)
+            *at = r->chain;
+    }
+    r->chain = NULL;
+    r->up = NULL;
+}
+
+/* ---- sending ---- */
+
+static void send_one(struct en_up *up, struct en_req *r)
+{
+    struct sr_buf b = {0};
+    int64_t left = (r->deadline - ck_now()) / 1000;
+    cl_write_request(&b, &r->r, left > 1 ? left : 1);
+    up->node->c.forwarded++;
+    nt_send(up->net, b.p, b.len);
+    sr_buf_free(&b);
+    add(&up->sent, r);
+}
+
+static void on_open(struct nt_conn *net, void *ud)
+{
+    struct en_up *up = ud;
+    (void)net;
+    up->open = true;
+    while (up->unsent) {
+        struct en_req *r = up->unsent;
+        up->unsent = r->chain;
+        send_one(up, r);
+    }
+}
+
+static enum er_kind kind_of(const json_t *a)
+{
+    const char *reason = json_string_value(json_object_get(a, "reason"));
+    for (int k = 1; reason && k < ER_COUNT; k++) {
+        if (strcmp(reason, er_name((enum er_kind)k)) == 0)
+            return (enum er_kind)k;
+    }
+    return ER_NONE;
+}
+
+static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
+{
+    struct en_up *up = ud;
+    json_t *a = json_loadb(data, len, 0, NULL);
+    const char *id = json_string_value(json_object_get(a, "id"));
+    if (json_object_get(a, "notice"))
+        up->leaving = true;
+    struct en_req *r = id ? take(&up->sent, id) : NULL;
+    if (r) {
+        r->up = NULL;
+        r->chain = NULL;
+        en_relay(r, data, len, kind_of(a));
+    }
+    json_decref(a);
+    if (up->leaving && !up->sent && !up->unsent)
+        nt_close(net, false);
+}
+
+/* What was sent may have run; what was not goes elsewhere. */
+static void fail_all(struct en_up *up)
+{
+    struct en_req *r;
+    while ((r = up->unsent)) {
+        up->unsent = r->chain;
+        r->up = NULL;
+        r->forwards++;
+        en_later(r, ER_NONE, 0);
+    }
+    while ((r = up->sent)) {
+        up->sent = r->chain;
+        r->up = NULL;
+        r->chain = NULL;
+        r->forwards++;
+        if (r->r.txn[0] && r->r.kind != CL_COMMIT)
+            en_fail(r, ER_BAD_TXN, 0, "the transaction was lost with its entry node");
+        else
+            en_lost(r);
+    }
+}
+
+static void on_close(struct nt_conn *net, void *ud, bool opened, bool refused)
+{
+    struct en_up *up = ud, **at = &up->node->ups;
+    (void)net;
+    (void)opened;
+    (void)refused;
+    while (*at != up)
+        at = &(*at)->next;
+    *at = up->next;
+    up->net = NULL;
+    fail_all(up);
+    free(up);
+}
+
+static const struct nt_ops up_ops = {on_open, on_message, on_close};
+
+/* ---- choosing ---- */
+
+/* The holder for this try: those of our own failure domain first. */
+static const struct ho_node *choose(struct en_node *n, const char *group, int attempt)
+{
+    int out[HO_MAX_HOLDERS], order[HO_MAX_HOLDERS], k = 0;
+    int m = ho_pick(n->nodes, n->n_nodes, group, n->s->holders, out);
+    for (int near = 1; near >= 0; near--) {
+        for (int i = 0; i < m; i++) {
+            const struct ho_node *x = &n->nodes[out[i]];
+            if ((strcmp(x->domain, n->s->domain) == 0) == near &&
+                strcmp(x->name, n->s->name) != 0)
+                order[k++] = out[i];
+        }
+    }
+    return k ? &n->nodes[order[attempt % k]] : NULL;
+}
+
+static struct en_up *up_for(struct en_req *r)
+{
+    struct en_node *n = r->caller->node;
+    for (struct en_up *up = n->ups; up; up = up->next) {
+        bool pinned = r->r.txn[0] != 0;
+        if (up->caller == r->caller && up->group == r->group && (!up->leaving || pinned))
+            return up;
+    }
+    const struct ho_node *h = choose(n, r->group->cfg.name, r->forwards);
+    if (!h)
+        return NULL;
+    struct en_up *up = sr_alloc(sizeof(*up));
+    up->node = n;
+    up->caller = r->caller;
+    up->group = r->group;
+    sr_copy(up->holder, sizeof(up->holder), sr_from(h->name));
+    up->next = n->ups;
+    n->ups = up;
+    up->net = nt_connect(n->loop, h->ip, h->port, false, &up_ops, up);
+    return up;
+}
+
+void en_forward(struct en_req *r)
+{
+    enum { MAX_FORWARDS = 4 };
+    if (r->r.hop || r->forwards >= MAX_FORWARDS) {
+        en_fail(r, ER_ENDPOINT, 50, "this node holds no connections to the group");
+        return;
+    }
+    struct en_up *up = up_for(r);
+    if (!up) {
+        en_fail(r, ER_ENDPOINT, 200, "no holder of the group is known");
+        return;
+    }
+    r->state = EN_FORWARDED;
+    r->up = up;
+    if (up->open)
+        send_one(up, r);
+    else
+        add(&up->unsent, r);
+}
+
+void en_ups_caller_gone(struct en_caller *c)
+{
+    for (struct en_up *up = c->node->ups; up; up = up->next) {
+        if (up->caller != c)
+            continue;
+        up->caller = NULL; /* its address may be used again */
+        nt_close(up->net, true);
+    }
+}
--- a/entry/link.c
+++ b/entry/link.c
@@ -49,8 +49,11 @@
     for (int g = 0; g < n->n_groups; g++) {
         for (int i = 0; i < n->groups[g]->cfg.n && k < cap; i++) {
             struct en_inst *in = n->groups[g]->inst[i];
-            shares[k++] = (struct wr_share){sr_from(in->cfg.id), (uint32_t)held(in),
-                                            (uint32_t)wanted(in)};
+            uint32_t has = (uint32_t)held(in), want = (uint32_t)wanted(in);
+            if (!n->groups[g]->held)
+                want = 0;
+            if (has || want)
+                shares[k++] = (struct wr_share){sr_from(in->cfg.id), has, want};
         }
     }
     struct wr_msg m = {.type = WR_RENEW};
@@ -209,6 +212,22 @@
     }
 }
 
+static void on_nodes(struct en_node *n, const struct wr_nodes *m)
+{
+    n->n_nodes = 0;
+    for (uint32_t i = 0; i < m->n && n->n_nodes < HO_MAX_NODES; i++) {
+        const struct wr_node *x = &m->nodes[i];
+        struct ho_node *to = &n->nodes[n->n_nodes];
+        if (!sr_copy(to->name, sizeof(to->name), x->name) ||
+            !sr_copy(to->domain, sizeof(to->domain), x->domain) ||
+            !sr_copy(to->ip, sizeof(to->ip), x->ip))
+            continue;
+        to->port = (int)x->port;
+        n->n_nodes++;
+    }
+    en_holding_changed(n);
+}
+
 static void on_check(struct en_link *l, const struct wr_check *c)
 {
     char id[VW_NAME];
@@ -265,6 +284,10 @@
     case WR_CHECK:
         on_check(l, &m->check);
         break;
+    case WR_NODES:
+        if (is_leader)
+            on_nodes(n, &m->nodes);
+        break;
     default:
         break;
     }
--- a/entry/ops.c
+++ b/entry/ops.c
@@ -51,6 +51,7 @@
         {"writes", c->writes},
         {"commits", c->commits},
         {"rollbacks", c->rollbacks},
+        {"forwarded", c->forwarded},
         {"retries", c->retries},
         {"retry_denied", c->retry_denied},
         {"late_replies", c->late_replies},
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -288,7 +288,7 @@
     note_want(in);
     shrink(in);
     close_stuck(in, now);
-    if (in->n_conns == 0 && in->share > 0 && now >= in->next_open)
+    if (in->n_conns == 0 && in->share > 0 && in->group->held && now >= in->next_open)
         open_one(in);
     struct en_ep *w = in->watch;
     if (!w || !w->open)
@@ -388,7 +388,7 @@
         }
         start(in, ep, r);
     }
-    bool room = in->n_conns < in->share && n_opening(in) < in->q.queued;
+    bool room = in->n_conns < in->share && in->group->held && n_opening(in) < in->q.queued;
     if (in->q.queued > 0 && room && now >= in->next_open)
         open_one(in);
 }
--- a/entry/request.c
+++ b/entry/request.c
@@ -56,6 +56,8 @@
             en_ep_close(r->ep); /* nobody can say how far the transaction is */
     } else if (r->state == EN_QUEUED) {
         ad_remove(&r->inst->q, &r->item);
+    } else if (r->state == EN_FORWARDED && r->up) {
+        en_up_forget(r);
     }
     r->ep = NULL;
     r->state = EN_NEW;
@@ -87,15 +89,12 @@
         nt_send(c->net, b->p, b->len);
 }
 
-void en_answer(struct en_req *r, const struct cl_answer *a)
+static void finish(struct en_req *r, const struct sr_buf *text, enum er_kind kind)
 {
     struct en_caller *c = r->caller;
-    struct sr_buf b = {0};
     detach(r);
-    count(c->node, r, a->kind);
-    cl_write(&b, r->r.id, a);
-    send_text(c, &b, a->kind);
-    sr_buf_free(&b);
+    count(c->node, r, kind);
+    send_text(c, text, kind);
     unlink_req(r);
     if (r->txn && r->txn->busy)
         r->txn->busy = false;
@@ -106,6 +105,20 @@
     en_caller_release(c);
 }
 
+void en_answer(struct en_req *r, const struct cl_answer *a)
+{
+    struct sr_buf b = {0};
+    cl_write(&b, r->r.id, a);
+    finish(r, &b, a->kind);
+    sr_buf_free(&b);
+}
+
+void en_relay(struct en_req *r, const char *text, size_t len, enum er_kind kind)
+{
+    struct sr_buf b = {(char *)text, len, len};
+    finish(r, &b, kind);
+}
+
 void en_fail(struct en_req *r, enum er_kind kind, int64_t retry_ms, const char *detail)
 {
     struct cl_answer a = {.kind = kind, .retry_after_ms = retry_ms, .detail = detail};
@@ -380,7 +393,9 @@
         en_fail(r, ER_ENDPOINT, jitter(r->caller->node, 50), "no instance could serve it");
         return;
     }
-    if (r->r.kind == CL_READ)
+    if (!r->group->held)
+        en_forward(r);
+    else if (r->r.kind == CL_READ)
         route_read(r);
     else
         to_primary(r);
@@ -515,7 +530,8 @@
 
 static enum er_kind past_deadline(const struct en_req *r)
 {
-    if (r->state == EN_SENT || r->state == EN_HOLDING)
+    bool away = r->state == EN_SENT || r->state == EN_HOLDING || r->state == EN_FORWARDED;
+    if (away)
         return r->r.kind == CL_BEGIN ? ER_DEADLINE : ER_LOST;
     return r->state == EN_PARKED ? ER_NO_PRIMARY : ER_DEADLINE;
 }
@@ -588,7 +604,7 @@
         r->has_token = ss_token_read(&n->key, sr_from(r->r.db), sr_from(r->r.token), &r->token);
         n->c.bad_tokens += !r->has_token;
     }
-    if (r->r.txn[0])
+    if (r->r.txn[0] && r->group->held)
         en_txn_request(r);
     else
         en_route(r);
--- a/ferryd/main.c
+++ b/ferryd/main.c
@@ -139,6 +139,8 @@
         FL_FATAL(&d.log, "%s", err.text);
         return err.kind == ER_DISK || err.kind == ER_CORRUPT ? EXIT_DISK_ : EXIT_START_;
     }
+    signal(SIGXFSZ,
+           SIG_IGN); /* a file over its limit is an error of the write, with a message */
     signal(SIGTERM, on_signal);
     signal(SIGINT, on_signal);
     nt_timer_set(d.loop, &stop_timer, 20000, watch_stop, &d);
--- a/include/ferrylanding/ferrylanding.h
+++ b/include/ferrylanding/ferrylanding.h
@@ -12,6 +12,7 @@
 #include "quorum/disk.h"
 #include "quorum/quorum.h"
 #include "quorum/store.h"
+#include "route/holders.h"
 #include "route/route.h"
 #include "session/token.h"
 #include "timeline/timeline.h"
--- a/pool/shares.c
+++ b/pool/shares.c
@@ -133,7 +133,7 @@
             const struct sh_node *n = &in->nodes[i];
             if (now >= n->until)
                 continue;
-            int want = n->want > 1 ? n->want : 1;
+            int want = n->want;
             need += want < level + 1 ? want : level + 1;
             more = more || want > level;
         }
@@ -161,7 +161,7 @@
         struct sh_node *n = &in->nodes[i];
         if (now >= n->until)
             continue;
-        int want = n->want > 1 ? n->want : 1;
+        int want = n->want;
         int next = want < level ? want : level;
         /* Growth only out of what nobody may hold now; shrinking is asked for at once. */
         int grow = next - n->counted;
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -53,6 +53,9 @@
     {"entry.retry_permille", T_INT, AT(retry_permille), 0, 1000, "1/1000", "100",
      "retries allowed per recent success"},
     {"entry.stop_ms", T_INT, AT(stop_ms), 100, 600000, "ms", "10000", "longest planned stop"},
+    {"control.holders", T_INT, AT(holders), 0, 16, "nodes", "0",
+     "entry nodes that hold connections to a group, the others forward to them; 0: all hold; "
+     "the same on all nodes"},
     {"entry.primary_only", T_FLAG, AT(primary_only), 0, 0, "", "false",
      "baseline for measurements: no replica reads"},
     {"entry.first_come", T_FLAG, AT(first_come), 0, 0, "", "false",
--- a/task/net.c
+++ b/task/net.c
@@ -17,6 +17,7 @@
 #define WRITE_BATCH 65536
 #define HEADER_POOL 256
 #define HANDSHAKE_SEC 5
+#define REFUSED_WITHIN_US 1000000
 
 static const struct lg_log nlog = {"net"};
 
@@ -39,6 +40,7 @@
     struct out *head, **tail;
     size_t queued;
     struct sr_buf in;
+    int64_t began;        /* of connecting */
     struct nt_timer late; /* delivers a failed connect from the loop */
     /* plain HTTP */
     char path[256], query[512], method[8];
@@ -447,7 +449,10 @@
         return c ? on_writable(c) : -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
         if (c) {
-            c->refused = in && (strstr(in, "111") || strstr(in, "refused"));
+            /* lws says "Unable to connect" for every failed connect; what fails this fast was
+             * refused by the other side. */
+            c->refused = in && strcmp(in, "Unable to connect") == 0 &&
+                         ck_now() - c->began < REFUSED_WITHIN_US;
             conn_closed(c);
         }
         return 0;
@@ -548,6 +553,7 @@
                           const char *path)
 {
     struct lws_client_connect_info i = {0};
+    c->began = ck_now();
     i.context = c->loop->ctx;
     i.vhost = c->loop->client_vh;
     i.address = ip;
--- a/tests/process/t_config.sh
+++ b/tests/process/t_config.sh
@@ -68,7 +68,16 @@
 cl_post $((CL_BASE + 5)) /vms "[{\"ip\":\"127.0.0.1\",\"port\":$(cl_instance_port 2 "$p"),\"state\":\"leaving\"}]" > /dev/null
 t_check "an intent of the platform does it" t_until t_says 'drain by platform: done' ctl status
 t_check "it is not the primary any more" [ "$(cl_primary 2)" != "$p" ]
-cl_post $((CL_BASE + 5)) /vms "[]" > /dev/null
+t_say "a platform list that is wrong, silent or gone harms nothing"
+before=$(ctl status | grep -c intent)
+for bad in nonsense '{"a":1}' '[1,2,{"state":"leaving"}]' '[{"ip":7,"state":"leaving"}]' '[{"ip":"127.0.0.1","port":1,"state":"leaving"}]' '[]'; do
+    cl_post $((CL_BASE + 5)) /vms "$bad" > /dev/null
+    sleep 0.4
+done
+cl_kill platform STOP; sleep 1.2; cl_kill platform CONT
+cl_kill platform; sleep 1.2
+t_check "no intent came of it" [ "$(ctl status | grep -c intent)" = "$before" ]
+t_check "failures are counted" [ "$(cl_get "$(cl_ops_port "$(cl_leader)")" /metrics | awk '/platform_failures/ {print $2}')" -gt 0 ]
 
 t_say "a group moves to new instances under load; the leader dies on the way"
 for i in 0 1 2; do
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -159,6 +159,40 @@
     remove_dir();
 }
 
+/* Any damage to the log: loaded without it, cut as a tail, or refused; never a crash, and never
+ * an entry that was not written. */
+static void log_fuzz(void)
+{
+    struct rn_rng r = rn_seed(6);
+    struct so_loaded l;
+    struct er_err err;
+    new_dir();
+    fill(12);
+    off_t size = log_size();
+    for (int i = 0; i < 300; i++) {
+        off_t at = (off_t)rn_below(&r, (uint64_t)size);
+        flip(at);
+        struct so_store *s = open_store(&l, &err);
+        for (uint32_t k = 0; s && k < l.restore.n; k++) {
+            char want[32];
+            int n = snprintf(want, sizeof(want), "entry %u", k + 1);
+            CU_ASSERT(l.restore.entries[k].len == (uint32_t)n &&
+                      memcmp(l.restore.entries[k].data, want, (size_t)n) == 0);
+        }
+        bool cut = s && l.torn_bytes;
+        if (s)
+            so_close(s);
+        if (cut) { /* make it whole again */
+            remove_dir();
+            mkdir(dir, 0700);
+            fill(12);
+        } else {
+            flip(at);
+        }
+    }
+    remove_dir();
+}
+
 static void full_disk_is_an_error(void)
 {
     struct so_loaded l;
@@ -219,6 +253,7 @@
     TEST(s, survives_reopening);
     TEST(s, torn_tail_is_cut);
     TEST(s, corrupt_middle_stops_the_voter);
+    TEST(s, log_fuzz);
     TEST(s, full_disk_is_an_error);
     TEST(s, snapshot_replaces_the_log);
 }
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -1,6 +1,8 @@
+#include <stdio.h>
 #include <string.h>
 
 #include "misc/clock.h"
+#include "route/holders.h"
 #include "route/route.h"
 #include "tests/unit/unit.h"
 
@@ -120,6 +122,60 @@
     CU_ASSERT_EQUAL(rt_read(&g, &q, 0, 0).inst, 0);
 }
 
+/* ---- holders ---- */
+
+enum { NODES = 40, GROUPS = 200, HOLD = 6 };
+
+static int make_nodes(struct ho_node *x)
+{
+    for (int i = 0; i < NODES; i++) {
+        snprintf(x[i].name, sizeof(x[i].name), "e%d", i);
+        snprintf(x[i].domain, sizeof(x[i].domain), "d%d", i % 3);
+    }
+    return NODES;
+}
+
+static void holders_are_spread(void)
+{
+    static struct ho_node x[NODES];
+    int n = make_nodes(x), load[NODES] = {0}, most = 0;
+    for (int g = 0; g < GROUPS; g++) {
+        char name[16];
+        int out[HO_MAX_HOLDERS], in[3] = {0};
+        snprintf(name, sizeof(name), "db%d", g);
+        CU_ASSERT_EQUAL(ho_pick(x, n, name, HOLD, out), HOLD);
+        for (int i = 0; i < HOLD; i++) {
+            in[out[i] % 3]++;
+            load[out[i]]++;
+        }
+        CU_ASSERT(in[0] == 2 && in[1] == 2 && in[2] == 2); /* evenly over domains */
+    }
+    for (int i = 0; i < n; i++)
+        most = load[i] > most ? load[i] : most;
+    CU_ASSERT(most < 2 * GROUPS * HOLD / NODES); /* nobody twice the average */
+}
+
+/* One node of forty leaves: only what it held moves. */
+static void a_node_moves_only_its_own(void)
+{
+    static struct ho_node x[NODES];
+    int n = make_nodes(x), moved = 0;
+    for (int g = 0; g < GROUPS; g++) {
+        char name[16];
+        snprintf(name, sizeof(name), "db%d", g);
+        bool had = ho_holds(x, n, name, HOLD, x[n - 1].name);
+        for (int i = 0; i < n - 1; i++) {
+            bool before = ho_holds(x, n, name, HOLD, x[i].name);
+            bool after = ho_holds(x, n - 1, name, HOLD, x[i].name);
+            moved += before != after;
+            CU_ASSERT(had || before == after || i % 3 == (n - 1) % 3);
+        }
+    }
+    CU_ASSERT(moved <= GROUPS * HOLD / NODES * 2);
+    CU_ASSERT_TRUE(ho_holds(x, 3, "g", 5, "anybody")); /* fewer nodes than holders: all */
+    CU_ASSERT_TRUE(ho_holds(x, n, "g", 0, "anybody"));
+}
+
 void route_suite(void)
 {
     CU_pSuite s = CU_add_suite("route", NULL, NULL);
@@ -131,4 +187,6 @@
     TEST(s, draining_and_tried_are_passed_over);
     TEST(s, full_near_replica_yields);
     TEST(s, bounded_wait);
+    TEST(s, holders_are_spread);
+    TEST(s, a_node_moves_only_its_own);
 }
--- a/tests/unit/test_text.c
+++ b/tests/unit/test_text.c
@@ -8,6 +8,7 @@
 #include "misc/rng.h"
 #include "settings/settings.h"
 #include "tests/unit/unit.h"
+#include "view/view.h"
 #include "wire/wire.h"
 
 enum { FUZZ_ROUNDS = 20000 };
@@ -81,6 +82,8 @@
     m[n++] = (struct wr_msg){.type = WR_ACK, .ack = 7};
     m[n++] = (struct wr_msg){.type = WR_SHARES, .shares = {2, shares, 5}};
     m[n++] = (struct wr_msg){.type = WR_CHECK, .check = {9, SR_LIT("i1"), WR_UNKNOWN}};
+    static struct wr_node node = {SR_LIT("e0"), SR_LIT("d"), SR_LIT("127.0.0.1"), 7000};
+    m[n++] = (struct wr_msg){.type = WR_NODES, .nodes = {1, &node}};
     m[n++] = (struct wr_msg){.type = WR_PROBES, .probes = {1, &probe}};
     return n;
 }
@@ -325,9 +328,53 @@
     st_free(&t);
 }
 
+static void settings_fuzz(void)
+{
+    static const char text[] = "{" BASE ",\"control\":{" VOTERS ",\"lease_ms\":3000}}";
+    struct rn_rng r = rn_seed(8);
+    for (int i = 0; i < FUZZ_ROUNDS / 4; i++) {
+        char bad[1024];
+        struct st_settings s;
+        struct er_err err = {0};
+        memcpy(bad, text, sizeof(text));
+        size_t n = damage(&r, bad, sizeof(text) - 1, sizeof(bad));
+        if (st_parse(bad, n, "x", &s, &err))
+            st_free(&s);
+        else
+            CU_ASSERT_EQUAL(err.kind, ER_CONFIG);
+    }
+}
+
+/* What a node is sent as a view or a change: damaged text is refused or still makes sense. */
+static void view_fuzz(void)
+{
+    static const char text[] =
+        "{\"generation\":7,\"groups\":[{\"name\":\"g\",\"phase\":\"serving\",\"term\":3,"
+        "\"primary\":1,\"instances\":[{\"id\":\"a\",\"ip\":\"1.1.1.1\",\"port\":1},"
+        "{\"id\":\"b\",\"ip\":\"1.1.1.1\",\"port\":2}],\"starts\":[[3,9]]}],"
+        "\"intents\":[]}";
+    struct rn_rng r = rn_seed(9);
+    int good = 0;
+    for (int i = 0; i < FUZZ_ROUNDS / 4; i++) {
+        char bad[1024];
+        struct vw_view v = {0};
+        memcpy(bad, text, sizeof(text));
+        json_t *j = json_loadb(bad, damage(&r, bad, sizeof(text) - 1, sizeof(bad)), 0, NULL);
+        bool ok = j && vw_view_parse(j, &v, NULL);
+        for (int g = 0; ok && g < v.n; g++)
+            CU_ASSERT(v.groups[g].primary < v.groups[g].n);
+        good += ok;
+        vw_free(&v);
+        json_decref(j);
+    }
+    CU_ASSERT(good > 0);
+}
+
 void settings_suite(void)
 {
     CU_pSuite s = CU_add_suite("settings", NULL, NULL);
     TEST(s, settings_good_and_bad);
     TEST(s, settings_print_and_reread);
+    TEST(s, settings_fuzz);
+    TEST(s, view_fuzz);
 }
--- a/wire/wire.c
+++ b/wire/wire.c
@@ -152,6 +152,19 @@
     }
 }
 
+static void put_nodes(msgpack_packer *pk, const struct wr_nodes *n)
+{
+    head(pk, WR_NODES, 1);
+    msgpack_pack_array(pk, n->n);
+    for (uint32_t i = 0; i < n->n; i++) {
+        msgpack_pack_array(pk, 4);
+        put_s(pk, n->nodes[i].name);
+        put_s(pk, n->nodes[i].domain);
+        put_s(pk, n->nodes[i].ip);
+        put_u(pk, n->nodes[i].port);
+    }
+}
+
 void wr_encode(struct sr_buf *out, const struct wr_msg *m)
 {
     msgpack_packer pk;
@@ -196,6 +209,9 @@
     case WR_PROBES:
         put_probes(&pk, &m->probes);
         break;
+    case WR_NODES:
+        put_nodes(&pk, &m->nodes);
+        break;
     }
 }
 
@@ -418,6 +434,21 @@
     }
 }
 
+static void get_nodes(struct rd *r, struct wr_nodes *m)
+{
+    struct rd list = get_list(r, WR_MAX_NODES);
+    m->n = list.a->size;
+    m->nodes = room(r, m->n, sizeof(*m->nodes));
+    for (uint32_t i = 0; i < m->n && !r->bad; i++) {
+        struct rd one = get_list(&list, 64);
+        m->nodes[i].name = get_s(&one);
+        m->nodes[i].domain = get_s(&one);
+        m->nodes[i].ip = get_s(&one);
+        m->nodes[i].port = get_max(&one, 65535);
+        r->bad = r->bad || one.bad || list.bad;
+    }
+}
+
 static void get_body(struct rd *r, struct wr_msg *m)
 {
     switch (m->type) {
@@ -456,6 +487,9 @@
     case WR_PROBES:
         get_probes(r, &m->probes);
         break;
+    case WR_NODES:
+        get_nodes(r, &m->nodes);
+        break;
     }
 }
 
@@ -474,7 +508,7 @@
         return er_set(err, ER_BAD_INPUT, "message of %zu bytes: expected a msgpack array", len);
     struct rd r = {&o.via.array, 0, false, &d->zone};
     uint64_t type = get_u(&r);
-    if (r.bad || type < WR_HELLO || type > WR_SUSPECT)
+    if (r.bad || type < WR_HELLO || type > WR_NODES)
         return er_set(err, ER_BAD_INPUT, "message type %llu is not known",
                       (unsigned long long)type);
     m->type = (enum wr_type)type;
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -12,7 +12,7 @@
 #include "misc/str.h"
 #include "quorum/quorum.h"
 
-enum { WR_VERSION = 1, WR_MAX_SHARES = 4096, WR_MAX_PROBES = 4096 };
+enum { WR_VERSION = 1, WR_MAX_SHARES = 4096, WR_MAX_PROBES = 4096, WR_MAX_NODES = 1024 };
 
 enum wr_type {
     WR_HELLO = 1,  /* both ways, first */
@@ -27,6 +27,7 @@
     WR_CHECKED,    /* entry to leader */
     WR_PROBES,     /* control follower to leader: what its probes see */
     WR_SUSPECT,    /* entry to leader: an instance stopped answering */
+    WR_NODES,      /* leader to entry: the entry nodes that hold a lease */
 };
 
 enum wr_role { WR_ROLE_ENTRY = 1, WR_ROLE_CONTROL };
@@ -89,6 +90,16 @@
     struct wr_probe *probes;
 };
 
+struct wr_node {
+    struct sr_str name, domain, ip;
+    uint32_t port; /* for callers */
+};
+
+struct wr_nodes {
+    uint32_t n;
+    struct wr_node *nodes;
+};
+
 struct wr_msg {
     enum wr_type type;
     union {
@@ -102,6 +113,7 @@
         struct wr_shares shares;
         struct wr_check check; /* WR_CHECK, WR_CHECKED, WR_SUSPECT */
         struct wr_probes probes;
+        struct wr_nodes nodes;
     };
 };
 
