entry: a stopping node tells newcomers so; what it held goes elsewhere

Failing test: t_holders, planned stops in turn: 1 commit of unknown outcome, 57 requests refused, gap 2341 ms. Causes, found by a log line at the forwarder: - Requests queued for a group that this node had just ceased to hold stayed in a queue without connections until their deadline; they are routed anew now. - The connections that carry positions closed while writes still waited to be held; they stay. - A stopping node accepted the WebSocket and cut it, losing the request that came with the greeting; it now accepts, says going_away and answers not_run, and the forwarder asks another holder. - A forwarder closed its connection to a stopping holder between two statements of a transaction.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -3,10 +3,14 @@
 
 #include "entry/entry.h"
 
+static const char going_away[] = "{\"notice\":\"going_away\"}";
+
+/* Who comes while this node stops is told so, rather than cut off with a request on its way. */
 static void on_open(struct nt_conn *net, void *ud)
 {
-    (void)net;
-    (void)ud;
+    struct en_caller *c = ud;
+    if (c->node->stopping)
+        nt_send(net, going_away, sizeof(going_away) - 1);
 }
 
 static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
@@ -63,17 +67,16 @@
 static void *on_accept(struct nt_conn *net, void *ud)
 {
     struct en_node *n = ud;
-    if (n->stopping || n->n_callers >= n->s->max_callers)
+    if (n->n_callers >= n->s->max_callers)
         return NULL;
     return caller_new(n, net, false);
 }
 
 void en_callers_notice(struct en_node *n)
 {
-    static const char text[] = "{\"notice\":\"going_away\"}";
     for (struct en_caller *c = n->callers; c; c = c->next) {
         if (c->net && !c->http)
-            nt_send(c->net, text, sizeof(text) - 1);
+            nt_send(c->net, going_away, sizeof(going_away) - 1);
     }
 }
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -159,7 +159,7 @@
             continue;
         g->held = held;
         for (int k = 0; k < g->cfg.n && !held; k++)
-            g->inst[k]->share = 0; /* the pool closes what is idle */
+            en_inst_let_go(g->inst[k]);
         en_unpark(g);
     }
 }
@@ -259,7 +259,6 @@
     n->stopped_ud = ud;
     n->stop_by = ck_now() + CK_MS(n->s->stop_ms);
     n->quiet_since = ck_now();
-    nt_listener_close(n->listener);
     en_callers_notice(n);
     tl_add(n->tl, TL_STOP, "", 0, "planned stop, %d requests to finish", n->n_reqs);
     FL_INFO(&n->log, "stopping: %d requests to finish", n->n_reqs);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -240,6 +240,9 @@
 bool en_ep_send(struct en_ep *ep, struct en_req *r, struct ep_request *q);
 bool en_usable(const struct en_inst *in, int64_t now);
 void en_inst_gone(struct en_inst *in);
+/* This node does not hold the group any more: what waits goes elsewhere, what runs ends here.
+ */
+void en_inst_let_go(struct en_inst *in);
 
 /* forward.c */
 struct en_up;
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -16,6 +16,7 @@
     struct nt_conn *net;
     char holder[32];
     bool open, leaving;
+    int txns;                     /* transactions open at the holder */
     struct en_req *sent, *unsent; /* by chain */
 };
 
@@ -61,9 +62,18 @@
     int64_t left = (r->deadline - ck_now()) / 1000;
     cl_write_request(&b, &r->r, left > 1 ? left : 1);
     up->node->c.forwarded++;
-    nt_send(up->net, b.p, b.len);
+    bool sent = nt_send(up->net, b.p, b.len);
     sr_buf_free(&b);
-    add(&up->sent, r);
+    add(sent ? &up->sent : &up->unsent, r);
+}
+
+static void count_txn(struct en_up *up, const struct en_req *r, enum er_kind kind)
+{
+    if (r->r.kind == CL_BEGIN && kind == ER_NONE)
+        up->txns++;
+    bool ended = r->r.kind == CL_COMMIT || r->r.kind == CL_ROLLBACK || kind == ER_BAD_TXN;
+    if (ended && up->txns > 0)
+        up->txns--;
 }
 
 static void on_open(struct nt_conn *net, void *ud)
@@ -88,6 +98,25 @@
     return ER_NONE;
 }
 
+/* The holder stops, or does not hold the group: certainly not run, so another may. */
+static bool elsewhere(const struct en_req *r, enum er_kind kind)
+{
+    return !r->r.txn[0] && (kind == ER_STOPPING || kind == ER_ENDPOINT);
+}
+
+static void answered(struct en_up *up, struct en_req *r, const char *data, size_t len,
+                     enum er_kind kind)
+{
+    count_txn(up, r, kind);
+    if (elsewhere(r, kind)) {
+        up->leaving = true;
+        r->forwards++;
+        en_later(r, ER_NONE, 0);
+        return;
+    }
+    en_relay(r, data, len, kind);
+}
+
 static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
 {
     struct en_up *up = ud;
@@ -99,10 +128,10 @@
     if (r) {
         r->up = NULL;
         r->chain = NULL;
-        en_relay(r, data, len, kind_of(a));
+        answered(up, r, data, len, kind_of(a));
     }
     json_decref(a);
-    if (up->leaving && !up->sent && !up->unsent)
+    if (up->leaving && !up->sent && !up->unsent && !up->txns)
         nt_close(net, false);
 }
 
@@ -117,6 +146,9 @@
         en_later(r, ER_NONE, 0);
     }
     while ((r = up->sent)) {
+        FL_VERBOSE(&up->node->log, "holder %s closed while it owed an answer to %s %s%s",
+                   up->holder, cl_kind_name(r->r.kind), r->r.id,
+                   up->leaving ? ", leaving" : "");
         up->sent = r->chain;
         r->up = NULL;
         r->chain = NULL;
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -238,6 +238,12 @@
     return NULL;
 }
 
+/* Whether something still waits for positions that come over the watching connections. */
+static bool watch_needed(const struct en_inst *in)
+{
+    return in->share > 0 || in->group->holding || en_writes_in_flight(in->group) > 0;
+}
+
 /* Close an idle connection when there are more than the share. */
 static void shrink(struct en_inst *in)
 {
@@ -248,7 +254,7 @@
             continue;
         }
         bool idle = !e->req_id && !e->txn && !e->req;
-        if (idle && (!e->watching || in->share == 0)) {
+        if (idle && (!e->watching || !watch_needed(in))) {
             en_ep_close(e);
             over--;
         }
@@ -393,6 +399,14 @@
         open_one(in);
 }
 
+void en_inst_let_go(struct en_inst *in)
+{
+    struct ad_item *it;
+    in->share = 0; /* the pool closes what is idle */
+    while ((it = ad_pop_any(&in->q)))
+        en_later((struct en_req *)it, ER_NONE, 0);
+}
+
 /* The instance left the view: what waits is routed anew, what runs may end. */
 void en_inst_gone(struct en_inst *in)
 {
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -24,6 +24,7 @@
     settings_suite();
     check_suite();
     engine_suite();
+    net_suite();
     CU_basic_set_mode(CU_BRM_NORMAL);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_tests_failed();
--- /dev/null
+++ b/tests/unit/test_net.c
@@ -0,0 +1,136 @@
+/* The socket layer on loopback: what the promotions' evidence rests on. */
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "misc/clock.h"
+#include "task/net.h"
+#include "tests/unit/unit.h"
+
+struct seen {
+    struct nt_loop *loop;
+    bool opened, closed, refused;
+    int messages;
+    char last[64];
+};
+
+static void on_open(struct nt_conn *c, void *ud)
+{
+    struct seen *s = ud;
+    s->opened = true;
+    nt_send(c, "hello", 5);
+}
+
+static void on_message(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    struct seen *s = ud;
+    s->messages++;
+    memcpy(s->last, data, len < sizeof(s->last) ? len : sizeof(s->last) - 1);
+    nt_close(c, false);
+}
+
+static void on_close(struct nt_conn *c, void *ud, bool opened, bool refused)
+{
+    struct seen *s = ud;
+    (void)c;
+    (void)opened;
+    s->closed = true;
+    s->refused = refused;
+    nt_stop(s->loop);
+}
+
+static const struct nt_ops ops = {on_open, on_message, on_close};
+
+/* A loopback port that nobody listens on, or (listening) one that never accepts. */
+static int make_port(int *fd, bool listening)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET};
+    socklen_t n = sizeof(a);
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    *fd = socket(AF_INET, SOCK_STREAM, 0);
+    CU_ASSERT_EQUAL(bind(*fd, (struct sockaddr *)&a, sizeof(a)), 0);
+    if (listening)
+        listen(*fd, 1);
+    getsockname(*fd, (struct sockaddr *)&a, &n);
+    return ntohs(a.sin_port);
+}
+
+static void give_up(void *ud)
+{
+    nt_stop(((struct seen *)ud)->loop);
+}
+
+static struct seen connect_to(int port)
+{
+    struct er_err err = {0};
+    struct nt_timer late = {0};
+    struct seen s = {.loop = nt_loop_create(64, &err)};
+    nt_connect(s.loop, "127.0.0.1", port, true, &ops, &s);
+    nt_timer_set(s.loop, &late, CK_MS(400), give_up, &s);
+    nt_run(s.loop);
+    nt_timer_cancel(&late);
+    return s;
+}
+
+static void refused_is_told_from_silent(void)
+{
+    int fd;
+    int port = make_port(&fd, false);
+    struct seen s = connect_to(port);
+    CU_ASSERT(s.closed && s.refused && !s.opened);
+    close(fd);
+    port = make_port(&fd, true);
+    s = connect_to(port); /* the kernel accepts, the process never answers */
+    CU_ASSERT(s.opened && !s.closed);
+    close(fd);
+}
+
+static void *accept_echo(struct nt_conn *c, void *ud)
+{
+    (void)c;
+    return ud;
+}
+
+static void echo(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    (void)ud;
+    nt_send(c, data, len);
+}
+
+static void nothing(struct nt_conn *c, void *ud)
+{
+    (void)c;
+    (void)ud;
+}
+
+static void ended(struct nt_conn *c, void *ud, bool opened, bool refused)
+{
+    (void)c;
+    (void)ud;
+    (void)opened;
+    (void)refused;
+}
+
+static void frames_and_websocket_echo(void)
+{
+    static const struct nt_ops server = {nothing, echo, ended};
+    for (int raw = 0; raw < 2; raw++) {
+        int fd, port = make_port(&fd, false);
+        close(fd);
+        struct er_err err = {0};
+        struct seen s = {.loop = nt_loop_create(64, &err)};
+        struct nt_listen l = {"127.0.0.1", port, raw, &server, accept_echo, NULL, &s};
+        CU_ASSERT_PTR_NOT_NULL_FATAL(nt_listen(s.loop, &l, &err));
+        nt_connect(s.loop, "127.0.0.1", port, raw, &ops, &s);
+        nt_run(s.loop);
+        CU_ASSERT(s.messages == 1 && strcmp(s.last, "hello") == 0);
+    }
+}
+
+void net_suite(void)
+{
+    CU_pSuite s = CU_add_suite("net", NULL, NULL);
+    TEST(s, refused_is_told_from_silent);
+    TEST(s, frames_and_websocket_echo);
+}
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -24,5 +24,6 @@
 void settings_suite(void);
 void check_suite(void);
 void engine_suite(void);
+void net_suite(void);
 
 #endif
