--- a/control/nodes.c
+++ b/control/nodes.c
@@ -51,9 +51,10 @@
         char id[VW_NAME];
         if (!sr_copy(id, sizeof(id), r->shares[i].inst))
             continue;
-        sh_report(&n->shares, id, c->id, (int)r->shares[i].held, (int)r->shares[i].want,
-                  r->shares_seq, until, now);
-        sh_balance(&n->shares, id, now);
+        bool news = sh_report(&n->shares, id, c->id, (int)r->shares[i].held,
+                              (int)r->shares[i].want, r->shares_seq, until, now);
+        if (news)
+            sh_balance(&n->shares, id, now);
     }
 }
 
--- a/endpoint/endpoint.h
+++ b/endpoint/endpoint.h
@@ -98,7 +98,6 @@
 /* WebSocket and JSON, for instances that expose terms and positions. */
 extern const struct ep_driver ep_ws;
 
-const char *ep_op_name(enum ep_op op);
 /* Untrusted text in; false if it is no reply. Strings point into `*keep`, which the caller
  * releases with json_decref. */
 bool ep_reply_parse(const char *data, size_t len, struct ep_reply *r, void **keep,
--- a/endpoint/ws.c
+++ b/endpoint/ws.c
@@ -21,11 +21,6 @@
 
 static const char *const result_names[] = {"ok", "behind", "refused", "bad"};
 
-const char *ep_op_name(enum ep_op op)
-{
-    return op_names[op];
-}
-
 /* ---- reading replies ---- */
 
 static bool get_pos(const json_t *o, const char *key, struct ps_pos *p)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -288,12 +288,3 @@
     nt_timer_set(l, &n->tick, TICK_US, tick, n);
     return n;
 }
-
-void en_destroy(struct en_node *n)
-{
-    nt_timer_cancel(&n->tick);
-    nt_timer_cancel(&n->later_timer);
-    wr_decoder_free(&n->dec);
-    vw_free(&n->view);
-    /* Groups and instances end with the process: their connections' last calls still come. */
-}
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -201,7 +201,6 @@
                           struct er_err *err);
 /* Stop accepting, tell callers to go elsewhere, finish, give the lease back; then done(ud). */
 void en_stop(struct en_node *n, void (*done)(void *ud), void *ud);
-void en_destroy(struct en_node *n);
 struct en_group *en_group(struct en_node *n, const char *name);
 struct en_inst *en_inst(struct en_node *n, const char *id);
 /* The view has changed: bring groups, instances and requests in line. */
--- a/load/check.c
+++ b/load/check.c
@@ -232,14 +232,6 @@
     }
 }
 
-void hc_each(struct hc_check *c, void (*fn)(void *, const char *), void *ud)
-{
-    for (int i = 0; i < BUCKETS; i++) {
-        for (struct write *w = c->writes[i]; w; w = w->next)
-            fn(ud, w->id);
-    }
-}
-
 uint64_t hc_count(const struct hc_check *c, enum hc_fault f)
 {
     return c->faults[f];
--- a/load/check.h
+++ b/load/check.h
@@ -46,7 +46,5 @@
 const char *hc_name(enum hc_fault f);
 /* The first few faults, as text. */
 const char *hc_examples(const struct hc_check *c);
-/* Calls fn for the id of every write. */
-void hc_each(struct hc_check *c, void (*fn)(void *ud, const char *id), void *ud);
 
 #endif
--- a/pool/shares.c
+++ b/pool/shares.c
@@ -6,6 +6,9 @@
 
 #include "misc/str.h"
 
+/* Leases that ran out are looked for at least this often. */
+#define EXPIRY_US CK_MS(500)
+
 void sh_begin(struct sh_table *t, int64_t quiet_until)
 {
     sh_free(t);
@@ -85,13 +88,15 @@
     return in ? sum(in) : 0;
 }
 
-void sh_report(struct sh_table *t, const char *inst, uint64_t node, int held, int want,
+bool sh_report(struct sh_table *t, const char *inst, uint64_t node, int held, int want,
                uint64_t seq, int64_t until, int64_t now)
 {
     struct sh_inst *in = find(t, inst);
     if (!in)
-        return;
+        return false;
     struct sh_node *n = node_of(in, node, true);
+    int counted = n->counted;
+    bool news = n->until == 0 || n->want != want || now >= in->next_expiry;
     n->until = until;
     n->want = want;
     if (held > n->counted) {
@@ -102,6 +107,7 @@
     }
     if (seq >= n->told)
         n->counted = held > n->target ? held : n->target;
+    return news || n->counted != counted || n->counted < want;
 }
 
 /* Nodes whose lease ran out keep one connection for a while, then none. */
@@ -149,6 +155,7 @@
     if (!in || now < t->quiet_until)
         return false;
     expire(in, now);
+    in->next_expiry = now + EXPIRY_US;
     int room = in->limit - in->reserve;
     for (int i = 0; i < in->n; i++) {
         if (now >= in->nodes[i].until)
--- a/pool/shares.h
+++ b/pool/shares.h
@@ -28,6 +28,7 @@
     char id[SH_ID];
     int limit, reserve;
     int n, cap;
+    int64_t next_expiry; /* dealt anew at the latest then */
     struct sh_node *nodes;
 };
 
@@ -43,8 +44,8 @@
 void sh_set_instance(struct sh_table *t, const char *id, int limit, int reserve);
 void sh_drop_instance(struct sh_table *t, const char *id);
 /* A node's renewal: it may hold `held`, would use `want`, has applied message `seq`; its lease
- * runs to `until`. */
-void sh_report(struct sh_table *t, const char *inst, uint64_t node, int held, int want,
+ * runs to `until`. Returns whether dealing anew could change anything. */
+bool sh_report(struct sh_table *t, const char *inst, uint64_t node, int held, int want,
                uint64_t seq, int64_t until, int64_t now);
 /* Deal anew. Returns whether any target changed. */
 bool sh_balance(struct sh_table *t, const char *inst, int64_t now);
--- a/quorum/core.h
+++ b/quorum/core.h
@@ -55,9 +55,33 @@
     bool transfer; /* this election was asked for by the old leader */
 };
 
+/* Small and everywhere: inline, since the parts are translation units of their own. */
+static inline uint64_t qc_last_index(const struct qr *q)
+{
+    return q->snap_index + q->n;
+}
+
+static inline const struct qr_entry *qc_at(const struct qr *q, uint64_t index)
+{
+    if (index <= q->snap_index || index > qc_last_index(q))
+        return NULL;
+    return &q->log[index - q->snap_index - 1];
+}
+
+static inline bool qc_term_at(const struct qr *q, uint64_t index, uint64_t *term)
+{
+    if (index == q->snap_index) {
+        *term = q->snap_term;
+        return true;
+    }
+    const struct qr_entry *e = qc_at(q, index);
+    if (!e)
+        return false;
+    *term = e->term;
+    return true;
+}
+
 /* log.c */
-uint64_t qc_last_index(const struct qr *q);
-bool qc_term_at(const struct qr *q, uint64_t index, uint64_t *term);
 uint64_t qc_last_term(const struct qr *q);
 void qc_refresh_members(struct qr *q);
 void qc_push_entry(struct qr *q, const struct qr_entry *e);
--- a/quorum/lead.c
+++ b/quorum/lead.c
@@ -27,7 +27,7 @@
 {
     uint32_t n = 0, bytes = 0;
     const struct qr_entry *e;
-    while (n < QR_MAX_BATCH && (e = qr_at(q, from + n))) {
+    while (n < QR_MAX_BATCH && (e = qc_at(q, from + n))) {
         bytes += e->len;
         if (n > 0 && bytes > QR_MAX_BATCH_BYTES)
             break;
@@ -50,7 +50,7 @@
                        .commit = q->commit,
                        .round = q->round};
     m.n = empty ? 0 : batch_size(q, p->next);
-    m.entries = m.n ? qr_at(q, p->next) : NULL;
+    m.entries = m.n ? qc_at(q, p->next) : NULL;
     if (!p->probing)
         p->next += m.n;
     p->last_sent = now;
@@ -101,7 +101,7 @@
 void qc_apply_committed(struct qr *q)
 {
     while (q->applied < q->commit) {
-        const struct qr_entry *e = qr_at(q, q->applied + 1);
+        const struct qr_entry *e = qc_at(q, q->applied + 1);
         if (!e)
             return;
         q->applied++;
--- a/quorum/log.c
+++ b/quorum/log.c
@@ -9,31 +9,6 @@
 
 /* ---- the log ---- */
 
-uint64_t qc_last_index(const struct qr *q)
-{
-    return q->snap_index + q->n;
-}
-
-const struct qr_entry *qr_at(const struct qr *q, uint64_t index)
-{
-    if (index <= q->snap_index || index > qc_last_index(q))
-        return NULL;
-    return &q->log[index - q->snap_index - 1];
-}
-
-bool qc_term_at(const struct qr *q, uint64_t index, uint64_t *term)
-{
-    if (index == q->snap_index) {
-        *term = q->snap_term;
-        return true;
-    }
-    const struct qr_entry *e = qr_at(q, index);
-    if (!e)
-        return false;
-    *term = e->term;
-    return true;
-}
-
 uint64_t qc_last_term(const struct qr *q)
 {
     uint64_t t = 0;
@@ -108,7 +83,7 @@
 {
     struct qr_persist p = {.truncate_from = truncate_from};
     p.n = (uint32_t)(qc_last_index(q) - first + 1);
-    p.entries = p.n ? qr_at(q, first) : NULL;
+    p.entries = p.n ? qc_at(q, first) : NULL;
     qc_persist(q, &p);
 }
 
--- a/quorum/quorum.c
+++ b/quorum/quorum.c
@@ -312,8 +312,3 @@
     int64_t heard = qc_quorum_contact(q);
     return heard ? heard + q->cfg.election_us : 0;
 }
-
-int64_t qr_leader_since(const struct qr *q)
-{
-    return q->role == QR_LEADER ? q->leader_since : 0;
-}
--- a/quorum/quorum.h
+++ b/quorum/quorum.h
@@ -162,9 +162,5 @@
  * term is committed yet. Counted from the sending of a round that a quorum answered, plus the
  * shortest election timeout. */
 int64_t qr_vouched_until(const struct qr *q);
-/* Since when this node leads; 0 if it does not. */
-int64_t qr_leader_since(const struct qr *q);
-/* The entry at index, or NULL if it is compacted or not there; for checks. */
-const struct qr_entry *qr_at(const struct qr *q, uint64_t index);
 
 #endif
--- a/task/net.c
+++ b/task/net.c
@@ -243,7 +243,7 @@
     c->wsi = wsi;
     lws_set_opaque_user_data(wsi, c);
     ln->loop->st.accepted++;
-    c->ud = ln->closed ? NULL : ln->what.accept(c, ln->what.ud);
+    c->ud = ln->what.accept(c, ln->what.ud);
     if (!c->ud) {
         c->ops = NULL;
         return -1;
@@ -425,11 +425,6 @@
     return ln;
 }
 
-void nt_listener_close(struct nt_listener *ln)
-{
-    ln->closed = true;
-}
-
 /* ---- loop and timers ---- */
 
 struct timer_sul {
@@ -506,17 +501,6 @@
     return l;
 }
 
-void nt_loop_destroy(struct nt_loop *l)
-{
-    lws_context_destroy(l->ctx);
-    while (l->listeners) {
-        struct nt_listener *ln = l->listeners;
-        l->listeners = ln->next;
-        free(ln);
-    }
-    free(l);
-}
-
 void nt_run(struct nt_loop *l)
 {
     while (!l->stop)
--- a/task/net.h
+++ b/task/net.h
@@ -66,7 +66,6 @@
 };
 
 struct nt_loop *nt_loop_create(int max_fds, struct er_err *err);
-void nt_loop_destroy(struct nt_loop *l);
 /* Serve until nt_stop. */
 void nt_run(struct nt_loop *l);
 void nt_stop(struct nt_loop *l);
@@ -83,8 +82,6 @@
 /* Returns NULL with *err filled if the port can't be bound. */
 struct nt_listener *nt_listen(struct nt_loop *l, const struct nt_listen *what,
                               struct er_err *err);
-/* Stop accepting; open connections go on. */
-void nt_listener_close(struct nt_listener *ln);
 
 /* Start connecting. ops->close follows if it fails, never from within this call. */
 struct nt_conn *nt_connect(struct nt_loop *l, const char *ip, int port, bool raw,
--- a/task/net_priv.h
+++ b/task/net_priv.h
@@ -41,7 +41,6 @@
     struct nt_loop *loop;
     struct nt_listen what;
     struct lws_vhost *vh;
-    bool closed;
     char ip[64];
     struct nt_listener *next;
 };
--- a/timeline/timeline.c
+++ b/timeline/timeline.c
@@ -9,11 +9,6 @@
     "first_write", "parked",  "down",       "replace",    "fenced", "promoted", "primary",
     "leader",      "deposed", "intent",     "members",    "change", "disk"};
 
-const char *tl_kind_name(enum tl_kind k)
-{
-    return names[k];
-}
-
 void tl_add(struct tl_ring *r, enum tl_kind kind, const char *group, uint64_t term,
             const char *fmt, ...)
 {
--- a/timeline/timeline.h
+++ b/timeline/timeline.h
@@ -52,6 +52,5 @@
             const char *fmt, ...) __attribute__((format(printf, 5, 6)));
 /* {"node":…,"lost":events overwritten,"events":[…]} */
 json_t *tl_json(const struct tl_ring *r, const char *node);
-const char *tl_kind_name(enum tl_kind k);
 
 #endif
--- a/view/view.c
+++ b/view/view.c
@@ -16,20 +16,6 @@
     vw_init(v);
 }
 
-void vw_copy(struct vw_view *to, const struct vw_view *from)
-{
-    vw_free(to);
-    *to = *from;
-    size_t groups = sizeof(*from->groups) * (size_t)from->n;
-    size_t intents = sizeof(*from->intents) * (size_t)from->n_intents;
-    to->groups = sr_alloc(groups);
-    to->intents = sr_alloc(intents);
-    if (groups)
-        memcpy(to->groups, from->groups, groups);
-    if (intents)
-        memcpy(to->intents, from->intents, intents);
-}
-
 /* First index whose name is not below `name`. */
 static int lower_bound(const struct vw_view *v, const char *name)
 {
--- a/view/view.h
+++ b/view/view.h
@@ -111,7 +111,6 @@
 
 void vw_init(struct vw_view *v);
 void vw_free(struct vw_view *v);
-void vw_copy(struct vw_view *to, const struct vw_view *from);
 
 /* Apply the change that stands at `index` of the log. False, nothing changed and *err filled
  * if it does not fit. A change at or below the generation is refused: never backwards. */
