--- a/endpoint/ws.c
+++ b/endpoint/ws.c
@@ -5,6 +5,8 @@
 #include "endpoint/endpoint.h"
 #include "misc/log.h"
 
+enum { GREETING_US = 1000000 };
+
 static const struct lg_log elog = {"endpoint"};
 
 struct ws_conn {
@@ -12,6 +14,7 @@
     const struct ep_events *ev;
     struct nt_conn *net;
     bool open;
+    struct nt_timer greeting; /* the instance has so long to greet */
     char who[64];
 };
 
@@ -147,6 +150,7 @@
         nt_close(net, true);
     } else if (!c->open) {
         c->open = true;
+        nt_timer_cancel(&c->greeting);
         c->ev->open(&c->base, c->base.ud);
     } else if (r.id == 0) {
         c->ev->push(&c->base, c->base.ud, &r);
@@ -162,12 +166,21 @@
     (void)net;
     (void)opened;
     c->net = NULL;
+    nt_timer_cancel(&c->greeting);
     c->ev->close(&c->base, c->base.ud, c->open, refused);
     free(c);
 }
 
 static const struct nt_ops ws_ops = {on_open, on_message, on_close};
 
+/* It accepted and says nothing: without this the connection would stay half open for good. */
+static void no_greeting(void *ud)
+{
+    struct ws_conn *c = ud;
+    if (c->net)
+        nt_close(c->net, true);
+}
+
 static struct ep_conn *ws_open(struct nt_loop *l, const char *ip, int port, const char *who,
                                const struct ep_events *ev, void *ud)
 {
@@ -176,6 +189,7 @@
     c->ev = ev;
     sr_copy(c->who, sizeof(c->who), sr_from(who));
     c->net = nt_connect(l, ip, port, false, &ws_ops, c);
+    nt_timer_set(l, &c->greeting, GREETING_US, no_greeting, c);
     return &c->base;
 }
 
--- a/tests/process/t_endpoints.sh
+++ b/tests/process/t_endpoints.sh
@@ -15,6 +15,21 @@
 done
 t_check "late replies were counted" [ "$(for e in 0 1 2; do cl_get "$(cl_entry_port $e)" /metrics | awk '$1 == "ferry_late_replies_total" {print $2}'; done | awk '{n += $1} END {print n}')" -gt 0 ]
 
+t_say "a replica accepts connections and says nothing, then recovers; then the primary is killed"
+p=$(cl_primary 2); q=$(((p + 1) % 3))
+cl_fault 2 $q '{"cut":"entry,control","shut":"entry,control"}'
+sleep 0.1
+cl_fault 2 $q '{"shut":""}' # new connections reach it now and get no greeting
+sleep 2.5
+cl_fault 2 $q '{"cut":""}'
+sleep 1.5
+t_load --seconds 4 --seed 9
+sleep 1; cl_kill "i2$p"
+t_load_end
+t_check "the group goes on with the recovered one" t_until t_serving
+t_check "nothing was refused" [ "$(t_report not_run)" = 0 ]
+cl_instance 2 "$p"; t_until t_serving
+
 t_say "an instance at its connection limit refuses more: the shares keep within it"
 for i in 0 1 2; do
     peak=$(cl_get "$(cl_instance_port 1 $i)" /state | sed -n 's/.*"peak_conns":\([0-9]*\).*/\1/p')
--- a/tests/standin/instance.c
+++ b/tests/standin/instance.c
@@ -44,6 +44,8 @@
         nt_close(c->net, true);
         return;
     }
+    if (listed(in->o.cut, c->from))
+        return; /* no greeting */
     if (strcmp(c->from, "replica") == 0) {
         c->ready = true;
         in->n_conns--;
