--- a/admit/admit.c
+++ b/admit/admit.c
@@ -148,11 +148,11 @@
     if (q->queued == 0 || q->in_flight >= (int)q->limit || q->in_flight >= q->max)
         return NULL;
     struct ad_item *it = ad_pop_any(q);
+    if (q->in_flight == 0)
+        q->last_done = now; /* a busy time begins: the idle time before it is no pace */
     q->in_flight++;
     for (int c = 0; c < AD_CLASSES; c++)
         q->above[c] += WEIGHT / 20 * (((int)it->cls < c) - q->above[c]);
-    if (q->last_done == 0)
-        q->last_done = now;
     return it;
 }
 
--- a/control/control.h
+++ b/control/control.h
@@ -160,6 +160,8 @@
 
 /* nodes.c: entry nodes */
 void ct_renewed(struct ct_conn *c, const struct wr_renew *r);
+/* This node leads now: entry nodes need not look for it. */
+void ct_say_leading(struct ct_conn *c);
 void ct_push_view(struct ct_node *n);
 void ct_check_nodes(struct ct_node *n, struct ct_group *g, const char *inst);
 
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -108,6 +108,13 @@
     ct_send_conn(c, &m);
 }
 
+void ct_say_leading(struct ct_conn *c)
+{
+    struct wr_msg m = {.type = WR_NOT_LEADER, .leader = sr_from(c->node->s->name)};
+    if (c->greeted && c->role == WR_ROLE_ENTRY)
+        ct_send_conn(c, &m);
+}
+
 void ct_renewed(struct ct_conn *c, const struct wr_renew *r)
 {
     struct ct_node *n = c->node;
--- a/entry/link.c
+++ b/entry/link.c
@@ -271,7 +271,8 @@
             on_grant(n, &m->grant);
         break;
     case WR_NOT_LEADER:
-        if (is_leader)
+        /* A node that names itself has just been elected. */
+        if (is_leader || sr_eq(m->leader, sr_from(l->peer.name)))
             on_not_leader(n, m->leader);
         break;
     case WR_VIEW:
--- a/load/sending.c
+++ b/load/sending.c
@@ -50,6 +50,9 @@
 void ld_note_write_gap(struct run *r, int db, int64_t now)
 {
     struct ld_result *x = r->r;
+    /* After the end nothing new is written: late resends are no gap. */
+    if (now > r->end && r->start)
+        return;
     int64_t gap = x->last_write[db] ? now - x->last_write[db] : 0;
     if (gap > x->gap_us[db]) {
         x->gap_us[db] = gap;
--- a/tests/unit/test_admit.c
+++ b/tests/unit/test_admit.c
@@ -110,6 +110,23 @@
     CU_ASSERT(q.limit >= 1);
 }
 
+/* A long idle time says nothing of how fast the instance serves. */
+static void idle_time_is_no_service_time(void)
+{
+    fresh(1);
+    int64_t now = 0;
+    for (int round = 0; round < 20; round++) {
+        now += CK_SEC(100);
+        CU_ASSERT_PTR_NOT_NULL(offer(AD_WRITE, 1, now, now + CK_SEC(1)));
+        ad_next(&q, now);
+        CU_ASSERT_PTR_NOT_NULL(offer(AD_WRITE, 1, now, now + CK_SEC(1)));
+        ad_done(&q, 1000, now + 1000);
+        ad_next(&q, now + 1000);
+        ad_done(&q, 1000, now + 2000);
+    }
+    CU_ASSERT(q.gap_us < 10000);
+}
+
 static void removed_item_is_gone(void)
 {
     fresh(1);
@@ -132,5 +149,6 @@
     TEST(s, what_became_hopeless_is_given_back);
     TEST(s, queue_is_bounded);
     TEST(s, limit_follows_queueing_delay);
+    TEST(s, idle_time_is_no_service_time);
     TEST(s, removed_item_is_gone);
 }
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -19,7 +19,7 @@
     WR_QUORUM,     /* control to control: struct qr_msg */
     WR_RENEW,      /* entry to leader */
     WR_GRANT,      /* leader to entry */
-    WR_NOT_LEADER, /* control to entry */
+    WR_NOT_LEADER, /* control to entry: who leads, as far as known; itself: just elected */
     WR_VIEW,       /* leader to entry: changes or a snapshot */
     WR_ACK,        /* entry to leader: the generation applied */
     WR_SHARES,     /* leader to entry: connections it may hold */
