control: push views to nodes that were up to date at their first renewal with this leader

Cause: after a change of leader the next primary was announced 310 ms late (time line: announced at 377 ms, in force on entry nodes at 687..693). Pushes went only to connections to which this leader had already sent a view; a node that had everything got none, and so no push until its next renewal. What a node reports counts as sent now.

--- a/control/nodes.c
+++ b/control/nodes.c
@@ -31,7 +31,7 @@
 static void note_generation(struct ct_conn *c, uint64_t has, int64_t now)
 {
     bool late = now - c->sent_at > CK_MS(c->node->s->lease_ms) / 2;
-    if (has == 0 || (has < c->sent_gen && late))
+    if (has == 0 || has > c->sent_gen || late)
         c->sent_gen = has;
 }
 
