--- a/promote/promote.c
+++ b/promote/promote.c
@@ -163,10 +163,15 @@
     return v;
 }
 
+static bool says_down(const struct verdict *v)
+{
+    return v->domains >= 2 && v->up == 0;
+}
+
 static bool looks_down(const struct pr_inst *in, int64_t now)
 {
     struct verdict v = judge(in, now);
-    return v.domains >= 2 && v.up == 0;
+    return says_down(&v);
 }
 
 /* ---- actions ---- */
@@ -300,11 +305,12 @@
     if (p->step != PR_IDLE)
         note_end(p, now);
     keep_following(p, g, now, out);
-    if (!looks_down(&p->inst[g->primary], now))
+    struct verdict v = judge(&p->inst[g->primary], now);
+    if (!says_down(&v))
         p->recheck = RECHECK_US;
-    if (held_down(p, judge(&p->inst[g->primary], now).refused, now))
+    if (held_down(p, v.refused, now))
         return;
-    if (looks_down(&p->inst[g->primary], now)) {
+    if (says_down(&v)) {
         begin_check(p, g, now, out);
     } else if (lost_role(p, g, now)) {
         snprintf(p->why, sizeof(p->why), "%s lost its role", g->inst[g->primary].id);
@@ -390,6 +396,15 @@
     act(out, PR_DO_PRIMARY, p->chosen, p->term, p->inst[p->chosen].fenced_pos.pos);
 }
 
+/* What an unplanned and a planned change have in common once enough instances are fenced. */
+static void after_fencing_tick(struct pr_group *p, int64_t now, struct pr_actions *out)
+{
+    if (p->step == PR_PROMOTING)
+        promoting_tick(p, now, out);
+    else if (p->step == PR_CONCLUDING)
+        concluding_tick(p, now, out);
+}
+
 static void begin_attempt(struct pr_group *p, uint64_t term, int64_t now)
 {
     p->term = term;
@@ -435,19 +450,10 @@
 {
     if (!attempt_goes_on(p, g, now, out))
         return;
-    switch (p->step) {
-    case PR_FENCING:
+    if (p->step == PR_FENCING)
         fencing_tick(p, g, dropped, now, out);
-        break;
-    case PR_PROMOTING:
-        promoting_tick(p, now, out);
-        break;
-    case PR_CONCLUDING:
-        concluding_tick(p, now, out);
-        break;
-    default:
-        break;
-    }
+    else
+        after_fencing_tick(p, now, out);
 }
 
 /* ---- handing: a planned change ---- */
@@ -497,19 +503,10 @@
         act(out, PR_DO_ABANDON, g->target, g->term, 0);
         return;
     }
-    switch (p->step) {
-    case PR_FENCING:
+    if (p->step == PR_FENCING)
         handing_fence_tick(p, g, dropped, now, out);
-        break;
-    case PR_PROMOTING:
-        promoting_tick(p, now, out);
-        break;
-    case PR_CONCLUDING:
-        concluding_tick(p, now, out);
-        break;
-    default:
-        break;
-    }
+    else
+        after_fencing_tick(p, now, out);
 }
 
 void pr_tick(struct pr_group *p, const struct vw_group *g, bool dropped, int64_t now,
