entry: a repeatable write that was sent once is never called not_run

Cause, found by reading: a write marked repeat_safe whose answer was lost is routed again; refused there (no primary, overload) it was answered not_run though its first sending may have run. It is answered unknown now.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -69,6 +69,7 @@
     bool duplicate;
     struct en_up *up; /* EN_FORWARDED */
     int forwards;
+    bool may_have_run;       /* a write that may be repeated was sent and its answer lost */
     enum er_kind later_kind; /* EN_LATER: ER_NONE routes anew, else the refusal */
     int64_t later_retry;
 };
--- a/entry/replies.c
+++ b/entry/replies.c
@@ -159,6 +159,7 @@
         return;
     }
     if (may_retry(r)) {
+        r->may_have_run |= r->r.kind == CL_WRITE;
         r->tried |= r->r.kind == CL_READ && r->inst ? 1u << r->inst->at : 0;
         en_route(r);
         return;
--- a/entry/request.c
+++ b/entry/request.c
@@ -119,6 +119,9 @@
 
 void en_fail(struct en_req *r, enum er_kind kind, int64_t retry_ms, const char *detail)
 {
+    /* Refused at the second try: the first may have run all the same. */
+    if (r->may_have_run && er_answer(kind) == ER_ANS_NOT_RUN)
+        kind = ER_LOST;
     struct cl_answer a = {.kind = kind, .retry_after_ms = retry_ms, .detail = detail};
     en_answer(r, &a);
 }
