entry: nobody is let in while a stopping node gives its lease back

Between the last caller's leaving and the exit a node gives its lease back (50 ms) and still accepted callers. Callers that had closed at the notice reconnect after 50 ms too, so they came just before the exit; one that sent before it had read its notice was cut off. Ruled out: callers that linger (none is pinned), the exit's bound (not reached), a crash (exit 0). Mend: from may_end on, whoever connects is closed before its handshake is answered (nt_refuse_new), so it can't have sent. Test: unit net/refusing_listener_opens_nobody, seen failing with the check out.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -243,6 +243,8 @@
     }
     en_ack_view(n);
     if (n->stopping && may_end(n, now)) {
+        /* Whoever came while the lease goes back would be cut off with its first request. */
+        nt_refuse_new(n->listener);
         en_give_back(n);
         nt_timer_set(n->loop, &n->tick, FLUSH_US, stopped, n);
         return;
--- a/task/net.c
+++ b/task/net.c
@@ -271,6 +271,9 @@
     if (c && c->kind == K_HTTP_CLIENT)
         return np_client_http(c, why, in, len);
     switch (why) {
+    case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
+    case LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION:
+        return ln && ln->refuses ? -1 : 0;
     case LWS_CALLBACK_HTTP:
         return ln ? np_http_start(ln, wsi, in, len) : -1;
     case LWS_CALLBACK_HTTP_BODY:
@@ -425,6 +428,11 @@
     return ln;
 }
 
+void nt_refuse_new(struct nt_listener *ln)
+{
+    ln->refuses = true;
+}
+
 /* ---- loop and timers ---- */
 
 struct timer_sul {
--- a/task/net.h
+++ b/task/net.h
@@ -83,6 +83,10 @@
 struct nt_listener *nt_listen(struct nt_loop *l, const struct nt_listen *what,
                               struct er_err *err);
 
+/* From now on a peer that connects is closed before its handshake is answered, so that it can't
+ * have sent a message. Open connections go on. */
+void nt_refuse_new(struct nt_listener *ln);
+
 /* Start connecting. ops->close follows if it fails, never from within this call. */
 struct nt_conn *nt_connect(struct nt_loop *l, const char *ip, int port, bool raw,
                            const struct nt_ops *ops, void *ud);
--- a/task/net_priv.h
+++ b/task/net_priv.h
@@ -42,6 +42,7 @@
     struct nt_listen what;
     struct lws_vhost *vh;
     char ip[64];
+    bool refuses; /* whoever comes now */
     struct nt_listener *next;
 };
 
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -128,9 +128,48 @@
     }
 }
 
+struct refusing {
+    struct seen client;
+    struct nt_listener *ln;
+    int ln_port;
+    struct nt_timer soon, late;
+};
+
+static void on_late(void *ud)
+{
+    struct refusing *t = ud;
+    nt_stop(t->client.loop);
+}
+
+/* Whoever comes now must not be able to send: it is closed before it counts as open. */
+static void refuse_and_connect(void *ud)
+{
+    struct refusing *t = ud;
+    nt_refuse_new(t->ln);
+    nt_connect(t->client.loop, "127.0.0.1", t->ln_port, false, &ops, &t->client);
+}
+
+static void refusing_listener_opens_nobody(void)
+{
+    static const struct nt_ops server = {nothing, echo, ended};
+    int fd;
+    struct er_err err = {0};
+    struct refusing t = {.ln_port = make_port(&fd, false)};
+    close(fd);
+    t.client.loop = nt_loop_create(64, &err);
+    struct nt_listen l = {"127.0.0.1", t.ln_port, false, &server, accept_echo, NULL, &t};
+    t.ln = nt_listen(t.client.loop, &l, &err);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(t.ln);
+    nt_timer_set(t.client.loop, &t.soon, CK_MS(1), refuse_and_connect, &t);
+    nt_timer_set(t.client.loop, &t.late, CK_MS(400), on_late, &t);
+    nt_run(t.client.loop);
+    CU_ASSERT(t.client.closed && !t.client.opened);
+}
+
 void net_suite(void)
 {
     CU_pSuite s = CU_add_suite("net", NULL, NULL);
     TEST(s, refused_is_told_from_silent);
     TEST(s, frames_and_websocket_echo);
+    TEST(s, refusing_listener_opens_nobody);
 }
