--- a/quorum/store.c
+++ b/quorum/store.c
@@ -21,7 +21,10 @@
 
 enum rec_type { REC_HARD = 1, REC_ENTRY, REC_TRUNCATE, REC_SNAPSHOT };
 
+static const struct so_files system_files = {write, fdatasync, fsync, rename};
+
 struct so_store {
+    const struct so_files *f;
     char dir[512];
     int dir_fd, log_fd;
     uint64_t log_bytes;
@@ -90,10 +93,11 @@
     snprintf(out, cap, "%s/%s", s->dir, name);
 }
 
-static bool write_all(int fd, const char *p, size_t n, const char *what, struct er_err *err)
+static bool write_all(const struct so_store *s, int fd, const char *p, size_t n,
+                      const char *what, struct er_err *err)
 {
     while (n > 0) {
-        ssize_t k = write(fd, p, n);
+        ssize_t k = s->f->write(fd, p, n);
         if (k < 0 && errno == EINTR)
             continue;
         if (k <= 0)
@@ -134,13 +138,13 @@
     int fd = open(tmp, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     if (fd < 0)
         return er_set(err, ER_DISK, "%s: %s", tmp, strerror(errno));
-    bool ok = write_all(fd, b->p, b->len, tmp, err);
-    if (ok && fsync(fd) < 0)
+    bool ok = write_all(s, fd, b->p, b->len, tmp, err);
+    if (ok && s->f->sync(fd) < 0)
         ok = er_set(err, ER_DISK, "%s: sync failed: %s", tmp, strerror(errno));
     close(fd);
-    if (ok && rename(tmp, to) < 0)
+    if (ok && s->f->rename(tmp, to) < 0)
         ok = er_set(err, ER_DISK, "%s: rename failed: %s", to, strerror(errno));
-    if (ok && fsync(s->dir_fd) < 0)
+    if (ok && s->f->sync(s->dir_fd) < 0)
         ok = er_set(err, ER_DISK, "%s: sync failed: %s", s->dir, strerror(errno));
     return ok;
 }
@@ -231,7 +235,7 @@
         encode_truncate(&out, p->truncate_from);
     for (uint32_t i = 0; i < p->n; i++)
         encode_entry(&out, &p->entries[i]);
-    bool ok = write_all(s->log_fd, out.p, out.len, "log", err);
+    bool ok = write_all(s, s->log_fd, out.p, out.len, "log", err);
     s->log_bytes += out.len;
     sr_buf_free(&out);
     return ok;
@@ -239,11 +243,16 @@
 
 bool so_sync(struct so_store *s, struct er_err *err)
 {
-    if (fdatasync(s->log_fd) < 0)
+    if (s->f->datasync(s->log_fd) < 0)
         return er_set(err, ER_DISK, "log: sync failed: %s", strerror(errno));
     return true;
 }
 
+void so_use(struct so_store *s, const struct so_files *f)
+{
+    s->f = f;
+}
+
 /* ---- loading ---- */
 
 static void drop_from(struct so_store *s, uint64_t index)
@@ -409,6 +418,7 @@
 {
     struct so_store *s = sr_alloc(sizeof(*s));
     memset(out, 0, sizeof(*out));
+    s->f = &system_files;
     s->log_fd = -1;
     snprintf(s->dir, sizeof(s->dir), "%s", dir);
     if (mkdir(dir, 0700) < 0 && errno != EEXIST) {
--- a/quorum/store.h
+++ b/quorum/store.h
@@ -12,6 +12,17 @@
 
 #include "quorum/quorum.h"
 
+#include <sys/types.h>
+
+/* The system's calls that can fail, as the store uses them; tests put failing ones in. They
+ * return what write(2), fdatasync(2), fsync(2) and rename(2) return, with errno. */
+struct so_files {
+    ssize_t (*write)(int fd, const void *p, size_t n);
+    int (*datasync)(int fd);
+    int (*sync)(int fd);
+    int (*rename)(const char *from, const char *to);
+};
+
 struct so_store;
 
 /* What is on the disk. `fresh`: the folder was empty and a new identity was made. */
@@ -32,6 +43,8 @@
 bool so_write(struct so_store *s, const struct qr_persist *p, struct er_err *err);
 /* Make everything written durable. */
 bool so_sync(struct so_store *s, struct er_err *err);
+/* From now on use other calls; `f` must outlive the store. */
+void so_use(struct so_store *s, const struct so_files *f);
 /* Bytes of the log file, for capacity measurements. */
 uint64_t so_log_bytes(const struct so_store *s);
 void so_close(struct so_store *s);
