ferryctl: the time line's parts as they were, an election is waited for, a wrong age is refused

Causes: (1) the last fence that came counted, also after the promotion, so a part was -1 ms; unseen parts were -1 ms too. Now the fence that the promotion waited for, and a dash. (2) a command in the middle of an election failed with not_leader though nothing had been done: found when the machine was busy in t_config. (3) 'rule G soon' set 0 ms.

--- a/ferryctl/ctl.h
+++ b/ferryctl/ctl.h
@@ -32,7 +32,8 @@
 /* http.c: one request, waits for the answer. Status 0: none came. */
 int ctl_request(const struct addr *a, const char *method, const char *path, const char *body,
                 json_t **answer, char **text);
-/* Ask one control node after another until one answers; the leader if `leader`. */
+/* Ask one control node after another until one answers; the leader if `leader`. What no leader
+ * took (an election, a lost quorum) was not done: it is asked again for 3 s. */
 int ctl_ask(const struct ctl *c, bool leader, const char *method, const char *path,
             const char *body, json_t **answer, char **text, struct addr *from);
 bool ctl_parse_addr(const char *s, struct addr *a);
--- a/ferryctl/http.c
+++ b/ferryctl/http.c
@@ -2,12 +2,13 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "misc/clock.h"
 #include "misc/str.h"
 #include "task/net.h"
 
-enum { GIVE_UP_US = 8000000 };
+enum { GIVE_UP_US = 8000000, ELECTION_TRIES = 15, ELECTION_WAIT_US = 200000 };
 
 struct wait {
     struct nt_loop *loop;
@@ -70,8 +71,8 @@
     return yes;
 }
 
-int ctl_ask(const struct ctl *c, bool leader, const char *method, const char *path,
-            const char *body, json_t **answer, char **text, struct addr *from)
+static int ask_once(const struct ctl *c, bool leader, const char *method, const char *path,
+                    const char *body, json_t **answer, char **text, struct addr *from)
 {
     int status = 0;
     for (int round = 0; round < 2 && status == 0; round++) {
@@ -85,3 +86,21 @@
     }
     return status;
 }
+
+int ctl_ask(const struct ctl *c, bool leader, const char *method, const char *path,
+            const char *body, json_t **answer, char **text, struct addr *from)
+{
+    int status = ask_once(c, leader, method, path, body, answer, text, from);
+    for (int i = 0; i < ELECTION_TRIES; i++) {
+        bool electing = status == er_http(ER_NOT_LEADER) || status == er_http(ER_NO_QUORUM);
+        if (!leader || !electing)
+            break;
+        if (answer)
+            json_decref(*answer);
+        if (text)
+            free(*text);
+        usleep(ELECTION_WAIT_US);
+        status = ask_once(c, leader, method, path, body, answer, text, from);
+    }
+    return status;
+}
--- a/ferryctl/main.c
+++ b/ferryctl/main.c
@@ -17,7 +17,7 @@
     {"control", 'c', "IP:PORT,...", 0,
      "operators' ports of the control nodes (or environment FERRY_CONTROL)", 0},
     {"json", O_JSON, NULL, 0, "answer as JSON", 0},
-    {"yes", 'y', NULL, 0, "confirm the plan at once (drain, move, rule, replace)", 0},
+    {"yes", 'y', NULL, 0, "confirm the plan at once (drain, undrain, move, rule, replace)", 0},
     {"who", O_WHO, "NAME", 0, "your name, for others who plan (default: $USER)", 0},
     {"id", O_ID, "ID", 0, "id of the intent; the same id is done at most once", 0},
     {"output", 'o', "FILE", 0, "plan: write it to FILE for confirm", 0},
@@ -31,10 +31,11 @@
     "Commands:\n"
     "  status | members | nodes | metrics | timeline     reading changes nothing\n"
     "  drain GROUP INSTANCE        plan to take an instance out\n"
+    "  undrain GROUP INSTANCE      plan to give it work again\n"
     "  rule GROUP MAX_AGE_MS       plan another accepted age\n"
     "  move GROUP FILE             plan to move to the instances listed in FILE (JSON)\n"
     "  replace OLD_ID FILE         plan to replace a control node by the one in FILE (JSON)\n"
-    "  plan drain|rule|move|replace ...  the same, never confirms\n"
+    "  plan drain|undrain|rule|move|replace ...  the same, never confirms\n"
     "  confirm FILE                confirm a plan written with --output\n"
     "  intent ID                   what became of an intent\n"
     "\vExit codes: 0 done, 1 refused, 64 usage, 69 no control node answers, 75 may have been "
@@ -171,15 +172,25 @@
 
 /* ---- planning and confirming ---- */
 
+static json_t *rule_args(const char *group, const char *age)
+{
+    char *end;
+    json_int_t ms = strtoll(age, &end, 10);
+    if (*age && !*end && ms >= 0)
+        return json_pack("{s:s,s:s,s:I}", "kind", "rule", "group", group, "max_age_ms", ms);
+    fprintf(stderr, "ferryctl: age: \"%s\", expected a whole number of milliseconds\n", age);
+    return NULL;
+}
+
 static json_t *args_of(const struct ctl *c, int first)
 {
     int n = c->n_args - first;
     char *const *w = &c->args[first];
-    if (n == 3 && strcmp(w[0], "drain") == 0)
-        return json_pack("{s:s,s:s,s:s}", "kind", "drain", "group", w[1], "instance", w[2]);
+    bool drain = strcmp(w[0], "drain") == 0 || strcmp(w[0], "undrain") == 0;
+    if (n == 3 && drain)
+        return json_pack("{s:s,s:s,s:s}", "kind", w[0], "group", w[1], "instance", w[2]);
     if (n == 3 && strcmp(w[0], "rule") == 0)
-        return json_pack("{s:s,s:s,s:I}", "kind", "rule", "group", w[1], "max_age_ms",
-                         (json_int_t)atoll(w[2]));
+        return rule_args(w[1], w[2]);
     json_t *file = n == 3 ? json_load_file(w[2], 0, NULL) : NULL;
     if (file && strcmp(w[0], "move") == 0)
         return json_pack("{s:s,s:s,s:o}", "kind", "move", "group", w[1], "instances", file);
@@ -279,7 +290,7 @@
         return confirm_file(c, c->args[1]);
     if (strcmp(cmd, "plan") == 0 && c->n_args > 1)
         return plan(c, 1, false);
-    static const char *const intents[] = {"drain", "rule", "move", "replace"};
+    static const char *const intents[] = {"drain", "undrain", "rule", "move", "replace"};
     for (size_t i = 0; i < sizeof(intents) / sizeof(intents[0]); i++) {
         if (strcmp(cmd, intents[i]) == 0)
             return plan(c, 0, true);
--- a/ferryctl/timeline.c
+++ b/ferryctl/timeline.c
@@ -127,7 +127,8 @@
     } else if (strcmp(e->kind, "replace") == 0) {
         set_once(&f->replace, ms);
     } else if (strcmp(e->kind, "fenced") == 0) {
-        f->fenced = ms; /* the last one counted */
+        if (!f->promoted)
+            f->fenced = ms; /* the last one that the promotion waited for */
     } else if (strcmp(e->kind, "promoted") == 0) {
         set_once(&f->promoted, ms);
     } else if (strcmp(e->kind, "primary") == 0) {
@@ -173,21 +174,30 @@
     return n;
 }
 
-static long long part(int64_t from, int64_t to)
+/* " -> what N ms"; "-" for what no process that answers has seen. */
+static void show_part(const char *what, int64_t from, int64_t to)
 {
-    return from && to ? (long long)(to - from) : -1;
+    if (from && to)
+        printf(" -> %s %lld ms", what, (long long)(to - from));
+    else
+        printf(" -> %s -", what);
 }
 
 static void show_failover(const struct failover *f)
 {
     int64_t began = f->suspect ? f->suspect : f->down ? f->down : f->replace;
     printf("%s term %llu: %s\n", f->group, (unsigned long long)f->term,
-           f->why[0] ? f->why : "planned");
-    printf("  first suspicion -> decided %lld ms -> in the log %lld ms -> fenced %lld ms -> "
-           "promoted %lld ms -> announced %lld ms -> first write %lld ms; in all %lld ms\n",
-           part(f->suspect, f->down), part(f->down, f->replace), part(f->replace, f->fenced),
-           part(f->fenced, f->promoted), part(f->promoted, f->primary),
-           part(f->primary, f->first_write), part(began, f->first_write));
+           f->why[0] ? f->why : "planned, or its beginning is not kept any more");
+    printf("  first suspicion");
+    show_part("decided", f->suspect, f->down);
+    show_part("in the log", f->down, f->replace);
+    show_part("fenced", f->replace, f->fenced);
+    show_part("promoted", f->fenced, f->promoted);
+    show_part("announced", f->promoted, f->primary);
+    show_part("first write", f->primary, f->first_write);
+    if (began && f->first_write)
+        printf("; in all %lld ms", (long long)(f->first_write - began));
+    printf("\n");
 }
 
 /* ---- output ---- */
--- a/tests/process/t_control.sh
+++ b/tests/process/t_control.sh
@@ -8,6 +8,8 @@
 t_say "control leader killed: callers do not notice"
 t_load --seconds 5 --seed 31
 sleep 1.5; l=$(cl_leader); cl_kill "c$l"
+ctl --yes --who ann rule "${CL_GROUPS[1]}" 7000 > /dev/null
+t_check "an operator's change in the middle of the election is taken" [ $? = 0 ]
 t_load_end
 t_check "nothing refused" [ "$(t_report not_run)" = 0 ]
 cl_control "$l"
