intent: undrain; view: instance ids are unique, a change that can't be read back is not proposed

Undoing a drain needed a move. Now 'undrain': one change, and the instance gets work as a replica. Found on the way: (1) two groups could have instances of the same id, and shares, probes and evidence go by the id: refused now, at the plan and at the change. (2) the reader of intents knew four kinds by number, so the new one was committed and applied nowhere; t_config found it, the unit test goes over all kinds now (seen failing), and a proposal is read back before it is made.

--- a/control/agree.c
+++ b/control/agree.c
@@ -185,10 +185,14 @@
         return false;
     json_t *j = vw_change_json(ch);
     char *s = json_dumps(j, JSON_COMPACT);
+    struct vw_change back;
+    /* What can't be read back would be committed and then applied nowhere. */
+    bool readable = vw_change_parse(j, &back, err);
     json_decref(j);
-    bool ok = strlen(s) <= VW_CHANGE_MAX
-                  ? qr_propose(n->q, s, (uint32_t)strlen(s), ck_now(), &at, err)
-                  : er_set(err, ER_TOO_LARGE, "a change of %zu bytes", strlen(s));
+    bool fits = strlen(s) <= VW_CHANGE_MAX;
+    if (!fits)
+        er_set(err, ER_TOO_LARGE, "a change of %zu bytes", strlen(s));
+    bool ok = readable && fits && qr_propose(n->q, s, (uint32_t)strlen(s), ck_now(), &at, err);
     free(s);
     n->c.proposals += ok;
     if (ok && index)
--- a/intent/intent.c
+++ b/intent/intent.c
@@ -62,13 +62,13 @@
 static bool parse_kind(const json_t *o, enum vw_intent_kind *kind, struct er_err *err)
 {
     const char *s = json_string_value(json_object_get(o, "kind"));
-    for (int k = VW_IT_MOVE; s && k <= VW_IT_REPLACE; k++) {
+    for (int k = VW_IT_MOVE; s && k < VW_IT_COUNT; k++) {
         if (strcmp(s, vw_intent_name(k)) == 0) {
             *kind = (enum vw_intent_kind)k;
             return true;
         }
     }
-    return er_set(err, ER_BAD_INPUT, "kind: expected move, drain, rule or replace");
+    return er_set(err, ER_BAD_INPUT, "kind: expected move, drain, undrain, rule or replace");
 }
 
 bool it_parse(const json_t *o, struct it_request *r, struct er_err *err)
@@ -80,7 +80,7 @@
         return parse_member(o, r, err);
     if (!text(o, "group", r->group, sizeof(r->group), err))
         return false;
-    if (r->kind == VW_IT_DRAIN)
+    if (r->kind == VW_IT_DRAIN || r->kind == VW_IT_UNDRAIN)
         return text(o, "instance", r->instance, sizeof(r->instance), err);
     if (r->kind == VW_IT_MOVE)
         return parse_instances(o, r, err);
@@ -135,8 +135,20 @@
     return true;
 }
 
-static bool plan_move(const struct vw_group *g, const struct it_request *r, struct it_plan *p,
-                      struct er_err *err)
+static bool plan_undrain(const struct vw_group *g, const struct it_request *r,
+                         struct it_plan *p, struct er_err *err)
+{
+    int i = vw_instance(g, r->instance);
+    if (i < 0)
+        return er_set(err, ER_BAD_INPUT, "group %s has no instance %s", g->name, r->instance);
+    if (!g->inst[i].draining)
+        return er_set(err, ER_BAD_INPUT, "%s is not drained", r->instance);
+    step(p, "%s gets work again, as a replica", r->instance);
+    return true;
+}
+
+static bool plan_move(const struct vw_view *v, const struct vw_group *g,
+                      const struct it_request *r, struct it_plan *p, struct er_err *err)
 {
     int added = 0, gone = 0;
     if (r->n < g->copies)
@@ -144,6 +156,10 @@
     for (int i = 0; i < r->n; i++) {
         if (vw_instance(g, r->inst[i].id) >= 0)
             continue;
+        const struct vw_group *owner = vw_owner(v, r->inst[i].id);
+        if (owner)
+            return er_set(err, ER_CONFLICT, "instance %s is in group %s already", r->inst[i].id,
+                          owner->name);
         added++;
         step(p, "add %s (%s:%d, %s) as a replica", r->inst[i].id, r->inst[i].ip,
              r->inst[i].port, r->inst[i].domain);
@@ -222,8 +238,10 @@
             return er_set(err, ER_NO_DATABASE, "no group %s", r->group);
         if (r->kind == VW_IT_DRAIN) {
             ok = plan_drain(g, r, p, err);
+        } else if (r->kind == VW_IT_UNDRAIN) {
+            ok = plan_undrain(g, r, p, err);
         } else if (r->kind == VW_IT_MOVE) {
-            ok = plan_move(g, r, p, err);
+            ok = plan_move(v, g, r, p, err);
         } else {
             step(p, "reads of %s may accept an age of up to %lld ms (now %lld)", g->name,
                  (long long)r->max_age_ms, (long long)g->max_age_ms);
@@ -294,6 +312,15 @@
     }
 }
 
+static void next_undrain(const struct vw_group *g, const struct it_request *r,
+                         struct it_action *a)
+{
+    int i = vw_instance(g, r->instance);
+    a->kind = IT_DONE;
+    if (i >= 0 && g->inst[i].draining)
+        change(a, VW_CH_DRAIN, g, r->instance); /* without the flag: not any more */
+}
+
 static bool move_add(const struct vw_group *g, const struct it_request *r, struct it_action *a)
 {
     for (int i = 0; i < r->n; i++) {
@@ -400,6 +427,8 @@
         snprintf(a->note, sizeof(a->note), "group %s is gone", r->group);
     } else if (r->kind == VW_IT_DRAIN) {
         next_drain(g, r, f, a);
+    } else if (r->kind == VW_IT_UNDRAIN) {
+        next_undrain(g, r, a);
     } else if (r->kind == VW_IT_MOVE) {
         next_move(g, r, f, a);
     } else {
--- a/intent/intent.h
+++ b/intent/intent.h
@@ -15,7 +15,7 @@
 struct it_request {
     enum vw_intent_kind kind;
     char group[VW_NAME];
-    char instance[VW_NAME]; /* drain */
+    char instance[VW_NAME]; /* drain, undrain */
     int64_t max_age_ms;     /* rule */
     int n;                  /* move: the group's new instances */
     struct vw_instance inst[VW_MAX_INSTANCES];
--- a/tests/process/cluster.sh
+++ b/tests/process/cluster.sh
@@ -14,10 +14,12 @@
     case $1 in
     spokeline) CL_DOMAINS=(burnaby-a richmond-b surrey-c) CL_GROUPS=(dispatch1 dispatch2 dispatch3) CL_CONNS=25 CL_SHIP=1500 ;;
     oikonomou) CL_DOMAINS=(marousi piraeus koropi) CL_GROUPS=(register1 register2 register3) CL_CONNS=40 CL_SHIP=1000 ;;
+    regions) CL_DOMAINS=(west/a west/b east/c) CL_GROUPS=(db1 db2 db3) CL_CONNS=25 CL_SHIP=1500 ;;
     *) echo "unknown deployment $1" >&2; return 2 ;;
     esac
 }
 
+cl_instance_id() { echo "${CL_GROUPS[$1]}-${CL_DOMAINS[$2]//\//-}"; } # group, instance
 cl_instance_port() { echo $((CL_BASE + 100 + $1 * 10 + $2)); }
 cl_ops_port() { echo $((CL_BASE + 20 + $1)); }
 cl_entry_port() { echo $((CL_BASE + 30 + $1)); }
@@ -28,8 +30,8 @@
     for g in 0 1 2; do
         printf '%s{"name":"%s","copies":2,"max_age_ms":60000,"instances":[' "$sep" "${CL_GROUPS[$g]}"
         for i in 0 1 2; do
-            printf '%s{"id":"%s-%s","ip":"127.0.0.1","port":%d,"domain":"%s","max_conns":%d,"slots":3}' \
-                "$([ $i -gt 0 ] && echo ,)" "${CL_GROUPS[$g]}" "${CL_DOMAINS[$i]}" \
+            printf '%s{"id":"%s","ip":"127.0.0.1","port":%d,"domain":"%s","max_conns":%d,"slots":3}' \
+                "$([ $i -gt 0 ] && echo ,)" "$(cl_instance_id $g $i)" \
                 "$(cl_instance_port $g $i)" "${CL_DOMAINS[$i]}" "$CL_CONNS"
         done
         printf ']}'
@@ -117,6 +119,21 @@
 # Cut nodes off from all control nodes and, if control nodes, from everybody: names, "" heals.
 cl_cut() { cl_post $((CL_BASE + 6)) /cut "$1" > /dev/null; }
 
+# Damage every eighth frame between processes: double, late, reorder, truncate, noise; "" ends it.
+cl_mangle() { cl_post $((CL_BASE + 6)) /mangle "$1" > /dev/null; }
+
+cl_digest() { sed -n 's/.*"digest":"\([^"]*\)".*/\1/p' <<< "$1"; } # of a plan
+# Plan and confirm an accepted age of group 0 over HTTP; the world may move in between, then again.
+cl_one_rule() { # operators' port, age
+    local body="{\"kind\":\"rule\",\"group\":\"${CL_GROUPS[0]}\",\"max_age_ms\":$2}" try plan n
+    for try in 1 2 3 4 5 6 7 8; do
+        plan=$(cl_post "$1" /v1/plan "$body")
+        n=$(sed -n 's/.*"number":\([0-9]*\).*/\1/p' <<< "$plan")
+        cl_post "$1" /v1/confirm "{\"id\":\"bulk$2\",\"who\":\"ann\",\"number\":$n,\"digest\":\"$(cl_digest "$plan")\",\"args\":$body}" | grep -q '"state"' && return
+    done
+    echo "rule $2 was not taken" >&2
+}
+
 cl_ready() { cl_get "$1" /readyz 2> /dev/null | grep -q '"ready":true'; }
 
 # Until every entry node is ready and every group has a primary.
@@ -150,7 +167,7 @@
     local id
     id=$("$CL_BUILD/ferryctl" status | awk -v g="${CL_GROUPS[$1]}" '$1 == g {on = 1; next} /^[^ ]/ {on = 0} on && / primary/ {print $1; exit}')
     local i
-    for i in 0 1 2; do [ "$id" = "${CL_GROUPS[$1]}-${CL_DOMAINS[$i]}" ] && echo $i; done
+    for i in 0 1 2; do [ "$id" = "$(cl_instance_id "$1" $i)" ] && echo $i; done
 }
 # Which control node (0..2) leads.
 cl_leader() { "$CL_BUILD/ferryctl" members | awk '/leader$/ {print substr($2, 2)}'; }
--- a/tests/process/t_config.sh
+++ b/tests/process/t_config.sh
@@ -10,16 +10,7 @@
 t_say "hundreds of changes pass a node by: one cut off, one stopped"
 cl_cut e1; cl_kill e2
 port=$(cl_ops_port "$(cl_leader)")
-digest() { sed -n 's/.*"digest":"\([^"]*\)".*/\1/p' <<< "$1"; }
-one_rule() { # number: plan and confirm; the world may move in between, then again
-    local body="{\"kind\":\"rule\",\"group\":\"${CL_GROUPS[0]}\",\"max_age_ms\":$1}" try plan n
-    for try in 1 2 3 4 5 6 7 8; do
-        plan=$(cl_post "$port" /v1/plan "$body")
-        n=$(sed -n 's/.*"number":\([0-9]*\).*/\1/p' <<< "$plan")
-        cl_post "$port" /v1/confirm "{\"id\":\"bulk$1\",\"who\":\"ann\",\"number\":$n,\"digest\":\"$(digest "$plan")\",\"args\":$body}" | grep -q '"state"' && return
-    done
-}
-for ((k = 1; k <= 170; k++)); do one_rule $k; done
+for ((k = 1; k <= 170; k++)); do cl_one_rule "$port" $k; done
 t_check "the last one is applied" t_until t_says 'age up to 170 ms' ctl status
 before=$(gen_of "$(cl_entry_port 0)")
 t_check "over 500 changes" [ "$before" -gt 500 ]
@@ -32,20 +23,20 @@
 b="{\"kind\":\"rule\",\"group\":\"${CL_GROUPS[2]}\",\"max_age_ms\":2222}"
 pa=$(cl_post "$port" /v1/plan "$a"); pb=$(cl_post "$port" /v1/plan "$b")
 number=$(sed -n 's/.*"number":\([0-9]*\).*/\1/p' <<< "$pa")
-ra=$(cl_post "$port" /v1/confirm "{\"id\":\"A\",\"who\":\"ann\",\"number\":$number,\"digest\":\"$(digest "$pa")\",\"args\":$a}")
-rb=$(cl_post "$port" /v1/confirm "{\"id\":\"B\",\"who\":\"bob\",\"number\":$number,\"digest\":\"$(digest "$pb")\",\"args\":$b}")
+ra=$(cl_post "$port" /v1/confirm "{\"id\":\"A\",\"who\":\"ann\",\"number\":$number,\"digest\":\"$(cl_digest "$pa")\",\"args\":$a}")
+rb=$(cl_post "$port" /v1/confirm "{\"id\":\"B\",\"who\":\"bob\",\"number\":$number,\"digest\":\"$(cl_digest "$pb")\",\"args\":$b}")
 t_check "the first is taken" grep -q '"id":"A"' <<< "$ra"
 t_check "the second is told: $rb" grep -q 'conflict.*ann' <<< "$rb"
 
 t_say "an intent resent after its answer was lost gives the same answer"
-again=$(cl_post "$port" /v1/confirm "{\"id\":\"A\",\"who\":\"ann\",\"number\":$number,\"digest\":\"$(digest "$pa")\",\"args\":$a}")
+again=$(cl_post "$port" /v1/confirm "{\"id\":\"A\",\"who\":\"ann\",\"number\":$number,\"digest\":\"$(cl_digest "$pa")\",\"args\":$a}")
 t_check "the same intent" grep -q '"id":"A".*"number":'"$number" <<< "$again"
 t_check "known once" [ "$(ctl status | grep -c 'intent A ')" = 1 ]
 
 t_say "a plan whose world has moved is refused"
 pc=$(cl_post "$port" /v1/plan "$a")
 ctl --yes --who bob rule "${CL_GROUPS[1]}" 99 > /dev/null; sleep 0.3
-rc=$(cl_post "$port" /v1/confirm "{\"id\":\"C\",\"who\":\"ann\",\"number\":9999,\"digest\":\"$(digest "$pc")\",\"args\":$a}")
+rc=$(cl_post "$port" /v1/confirm "{\"id\":\"C\",\"who\":\"ann\",\"number\":9999,\"digest\":\"$(cl_digest "$pc")\",\"args\":$a}")
 t_check "refused: $rc" grep -q stale_plan <<< "$rc"
 
 t_say "the primary's endpoint drains under load: writes parked, none refused"
@@ -63,6 +54,16 @@
 t_check "nothing refused" [ "$(t_report not_run)" = 0 ]
 t_check "nothing of unknown outcome" [ "$(t_report unknown)" = 0 ]
 
+t_say "the drained instance gets work again"
+t_check "what is not drained can't be undrained" t_says 'is not drained' bash -c "$CL_BUILD/ferryctl plan undrain ${CL_GROUPS[1]} ${CL_GROUPS[1]}-${CL_DOMAINS[0]} 2>&1"
+t_check "a wrong age is refused" t_says 'whole number' bash -c "$CL_BUILD/ferryctl plan rule ${CL_GROUPS[1]} soon 2>&1"
+ctl --yes --who ann --id un1 undrain "${CL_GROUPS[0]}" "${CL_GROUPS[0]}-${CL_DOMAINS[$p]}" > /dev/null
+t_check "the intent ends" t_until t_says ': done' ctl intent un1
+t_load --seconds 3 --seed 43 --reads 0.9
+t_load_end
+s3=$(cl_get "$(cl_instance_port 0 "$p")" /state | sed -n 's/.*"statements":\([0-9]*\).*/\1/p')
+t_check "it serves again ($s2, $s3)" [ "$s3" -gt "$s2" ]
+
 t_say "the platform says that an endpoint's VM is leaving: it is drained"
 p=$(cl_primary 2)
 cl_post $((CL_BASE + 5)) /vms "[{\"ip\":\"127.0.0.1\",\"port\":$(cl_instance_port 2 "$p"),\"state\":\"leaving\"}]" > /dev/null
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -103,6 +103,15 @@
         json_decref(j);
         json_decref(again);
     }
+    for (int k = 0; k < VW_IT_COUNT; k++) {
+        struct vw_change ch = {.kind = VW_CH_INTENT}, back;
+        strcpy(ch.intent.id, "id");
+        ch.intent.kind = (enum vw_intent_kind)k;
+        json_t *j = vw_change_json(&ch);
+        CU_ASSERT_TRUE(vw_change_parse(j, &back, &err));
+        CU_ASSERT_EQUAL(back.intent.kind, ch.intent.kind);
+        json_decref(j);
+    }
 }
 
 static struct vw_change intent(const char *id, const char *who, uint64_t number)
@@ -214,7 +223,7 @@
 {
     struct it_request r = request(text);
     struct it_facts f = {say_caught_up, true, &members, learner_ready, NULL};
-    uint64_t index = 100;
+    uint64_t index = v.generation + 1;
     caught_up = true;
     for (int step = 0; step < 40; step++) {
         struct it_action a;
@@ -239,6 +248,45 @@
     CU_ASSERT_EQUAL(run(drain_a), 0); /* again: nothing left to do */
 }
 
+/* Shares and evidence go by the instance's id: two groups can't have the same one. */
+static void instance_ids_are_unique(void)
+{
+    struct it_request r = request(
+        "{\"kind\":\"move\",\"group\":\"g\",\"instances\":[{\"id\":\"o1\",\"ip\":\"127.0.0.1\","
+        "\"port\":11},{\"id\":\"b\",\"ip\":\"127.0.0.1\",\"port\":2}]}");
+    struct it_plan p;
+    struct er_err err = {0};
+    fresh();
+    CU_ASSERT_FALSE(apply(9, make_group("h"))); /* a, b and c are g's */
+    struct vw_change other = make_group("h");
+    for (int i = 0; i < other.def.n; i++)
+        snprintf(other.def.inst[i].id, VW_NAME, "o%d", i);
+    CU_ASSERT_TRUE(apply(9, other));
+    CU_ASSERT_FALSE(it_plan(&v, &members, &r, &p, &err));
+    CU_ASSERT_EQUAL(err.kind, ER_CONFLICT);
+    struct vw_change add = change(VW_CH_ADD, "", 0);
+    add.inst = other.def.inst[0];
+    CU_ASSERT_FALSE(apply(10, add));
+    strcpy(other.def.name, "k");
+    strcpy(other.def.inst[0].id, "k");
+    strcpy(other.def.inst[1].id, "k");
+    CU_ASSERT_FALSE(apply(10, other)); /* nor twice in one */
+}
+
+static void undrain_gives_work_again(void)
+{
+    static const char undrain_a[] = "{\"kind\":\"undrain\",\"group\":\"g\",\"instance\":\"a\"}";
+    struct it_request r = request(undrain_a);
+    struct it_plan p;
+    struct er_err err = {0};
+    fresh();
+    CU_ASSERT_FALSE(it_plan(&v, &members, &r, &p, &err)); /* it is not drained */
+    run(drain_a);
+    CU_ASSERT_EQUAL(run(undrain_a), 1);
+    CU_ASSERT_FALSE(vw_group(&v, "g")->inst[0].draining);
+    CU_ASSERT_NOT_EQUAL(vw_group(&v, "g")->primary, 0); /* as a replica */
+}
+
 static void move_runs_to_its_end(void)
 {
     fresh();
@@ -314,6 +362,8 @@
     CU_pSuite s = CU_add_suite("intent", NULL, NULL);
     TEST(s, plan_moves_with_the_world);
     TEST(s, drain_runs_to_its_end);
+    TEST(s, undrain_gives_work_again);
+    TEST(s, instance_ids_are_unique);
     TEST(s, move_runs_to_its_end);
     TEST(s, move_waits);
     TEST(s, replace_adds_before_it_removes);
--- a/view/json.c
+++ b/view/json.c
@@ -8,7 +8,8 @@
 static const char *const change_names[VW_CH_COUNT] = {
     "group", "replace", "hand",   "abandon", "primary", "drain",
     "rule",  "add",     "remove", "intent",  "progress"};
-static const char *const intent_names[] = {"move", "drain", "rule", "replace"};
+static const char *const intent_names[VW_IT_COUNT] = {"move", "drain", "rule", "replace",
+                                                      "undrain"};
 static const char *const state_names[] = {"running", "done", "failed"};
 
 const char *vw_phase_name(enum vw_phase p)
@@ -191,7 +192,7 @@
         !get_int(j, "step", 0, VW_MAX_STEPS, &step, err) ||
         !get_int(j, "steps", 0, VW_MAX_STEPS, &steps, err) ||
         !get_int(j, "confirmed_at", 0, INT64_MAX, &at, err) ||
-        !get_enum(j, "kind", intent_names, 4, &kind, err) ||
+        !get_enum(j, "kind", intent_names, VW_IT_COUNT, &kind, err) ||
         !get_enum(j, "state", state_names, 3, &state, err))
         return false;
     it->number = (uint64_t)number;
--- a/view/view.c
+++ b/view/view.c
@@ -47,6 +47,15 @@
     return -1;
 }
 
+const struct vw_group *vw_owner(const struct vw_view *v, const char *id)
+{
+    for (int i = 0; i < v->n; i++) {
+        if (vw_instance(&v->groups[i], id) >= 0)
+            return &v->groups[i];
+    }
+    return NULL;
+}
+
 const struct vw_intent *vw_intent(const struct vw_view *v, const char *id)
 {
     for (int i = 0; i < v->n_intents; i++) {
@@ -70,6 +79,13 @@
     if (d->copies < 1 || d->copies > d->n)
         return er_set(err, ER_BAD_INPUT, "group %s: copies %d, expected 1..%d", d->name,
                       d->copies, d->n);
+    for (int i = 0; i < d->n; i++) {
+        const char *id = d->inst[i].id;
+        const struct vw_group *owner = vw_owner(v, id);
+        if (owner || vw_instance(d, id) != i)
+            return er_set(err, ER_CONFLICT, "instance %s is in group %s already", id,
+                          owner ? owner->name : d->name);
+    }
     return true;
 }
 
@@ -152,6 +168,9 @@
         if (g->n >= VW_MAX_INSTANCES || vw_instance(g, ch->inst.id) >= 0)
             return er_set(err, ER_CONFLICT, "group %s: %s is there or %d are the most", g->name,
                           ch->inst.id, VW_MAX_INSTANCES);
+        if (vw_owner(v, ch->inst.id))
+            return er_set(err, ER_CONFLICT, "instance %s is in group %s already", ch->inst.id,
+                          vw_owner(v, ch->inst.id)->name);
         return true;
     case VW_CH_REMOVE:
         return check_remove(g, i, err);
--- a/view/view.h
+++ b/view/view.h
@@ -58,7 +58,14 @@
     bool degraded;                         /* confirmed: accept writes with fewer copies */
 };
 
-enum vw_intent_kind { VW_IT_MOVE, VW_IT_DRAIN, VW_IT_RULE, VW_IT_REPLACE };
+enum vw_intent_kind {
+    VW_IT_MOVE,
+    VW_IT_DRAIN,
+    VW_IT_RULE,
+    VW_IT_REPLACE,
+    VW_IT_UNDRAIN,
+    VW_IT_COUNT
+};
 enum vw_intent_state { VW_RUNNING, VW_DONE, VW_FAILED };
 
 struct vw_intent {
@@ -121,6 +128,9 @@
 
 struct vw_group *vw_group(const struct vw_view *v, const char *name);
 int vw_instance(const struct vw_group *g, const char *id);
+/* The group that has an instance of that id, NULL none: ids are unique in a cluster, since
+ * shares, probes and evidence go by them. */
+const struct vw_group *vw_owner(const struct vw_view *v, const char *id);
 const struct vw_intent *vw_intent(const struct vw_view *v, const char *id);
 
 /* As text. Decoders take untrusted bytes; unknown keys are ignored. */
