admit: priority orders an account's own requests

A request with priority goes before its account's others of the class, behind earlier ones with priority; accounts take turns all the same, so nobody gains from another.

--- a/admit/admit.c
+++ b/admit/admit.c
@@ -21,8 +21,10 @@
     q->service_us = START_SERVICE_US;
     q->gap_us = START_SERVICE_US;
     for (int c = 0; c < AD_CLASSES; c++) {
-        for (int a = 0; a < AD_ACCOUNTS; a++)
-            q->lane[c].by[a].tail = &q->lane[c].by[a].head;
+        for (int a = 0; a < AD_ACCOUNTS; a++) {
+            struct ad_fifo *f = &q->lane[c].by[a];
+            f->tail = f->after_first = &f->head;
+        }
     }
 }
 
@@ -67,6 +69,32 @@
     return ms < MAX_RETRY_MS ? (int64_t)ms : MAX_RETRY_MS;
 }
 
+/* Link the item in at `at`. */
+static void put(struct ad_fifo *f, struct ad_item *it, struct ad_item **at)
+{
+    bool first = at == f->after_first && it->first;
+    bool last = at == f->tail;
+    it->next = *at;
+    *at = it;
+    if (last)
+        f->tail = &it->next;
+    if (first)
+        f->after_first = &it->next;
+}
+
+/* Take the item at `at` out. */
+static struct ad_item *take(struct ad_fifo *f, struct ad_item **at)
+{
+    struct ad_item *it = *at;
+    *at = it->next;
+    if (f->tail == &it->next)
+        f->tail = at;
+    if (f->after_first == &it->next)
+        f->after_first = at;
+    it->next = NULL;
+    return it;
+}
+
 bool ad_offer(struct ad_queue *q, struct ad_item *it, int64_t now, int64_t *retry_ms)
 {
     int ahead = ahead_of(q, it->cls, it->account);
@@ -80,9 +108,7 @@
     struct ad_lane *l = &q->lane[q->cfg.fifo ? 0 : it->cls];
     struct ad_fifo *f = &l->by[q->cfg.fifo ? 0 : it->account % AD_ACCOUNTS];
     it->offered = now;
-    it->next = NULL;
-    *f->tail = it;
-    f->tail = &it->next;
+    put(f, it, it->first && !q->cfg.fifo ? f->after_first : f->tail);
     if (f->n++ == 0)
         l->active++;
     l->n++;
@@ -92,15 +118,11 @@
 
 static struct ad_item *pop(struct ad_queue *q, struct ad_lane *l, struct ad_fifo *f)
 {
-    struct ad_item *it = f->head;
-    f->head = it->next;
-    if (!f->head)
-        f->tail = &f->head;
+    struct ad_item *it = take(f, &f->head);
     if (--f->n == 0)
         l->active--;
     l->n--;
     q->queued--;
-    it->next = NULL;
     return it;
 }
 
@@ -113,14 +135,11 @@
         at = &(*at)->next;
     if (!*at)
         return;
-    *at = it->next;
-    if (f->tail == &it->next)
-        f->tail = at;
+    take(f, at);
     if (--f->n == 0)
         l->active--;
     l->n--;
     q->queued--;
-    it->next = NULL;
 }
 
 /* One item per account in turn. */
--- a/admit/admit.h
+++ b/admit/admit.h
@@ -21,12 +21,14 @@
 struct ad_item {
     struct ad_item *next;
     enum ad_class cls;
+    bool first;       /* before its account's others of the class; no turn of another's */
     uint64_t account; /* hash of the client account */
     int64_t deadline, offered;
 };
 
 struct ad_fifo {
     struct ad_item *head, **tail;
+    struct ad_item **after_first; /* where the next item that goes first is put */
     int n;
 };
 
--- a/tests/unit/test_admit.c
+++ b/tests/unit/test_admit.c
@@ -44,6 +44,37 @@
     CU_ASSERT_PTR_EQUAL(ad_next(&q, 3000), aged);
 }
 
+static struct ad_item *offer_first(uint64_t account)
+{
+    struct ad_item *it = &items[used++];
+    int64_t retry;
+    *it = (struct ad_item){.cls = AD_SESSION, .account = account, .deadline = CK_SEC(9)};
+    it->first = true;
+    CU_ASSERT_TRUE(ad_offer(&q, it, 0, &retry));
+    return it;
+}
+
+/* Priority orders a client account's own requests; it takes no turn from another account. */
+static void priority_is_within_an_account(void)
+{
+    fresh(1);
+    struct ad_item *a1 = offer(AD_SESSION, 1, 0, CK_SEC(9));
+    struct ad_item *a2 = offer(AD_SESSION, 1, 0, CK_SEC(9));
+    struct ad_item *b = offer(AD_SESSION, 2, 0, CK_SEC(9));
+    struct ad_item *p1 = offer_first(1), *p2 = offer_first(1), *p3 = offer_first(1);
+    ad_remove(&q, p3);
+    p3 = offer_first(1);
+    ad_remove(&q, p2);
+    struct ad_item *expected[] = {p1, b, p3, a1, a2};
+    for (int i = 0; i < 5; i++) {
+        CU_ASSERT_PTR_EQUAL(ad_next(&q, 0), expected[i]);
+        ad_done(&q, 1000, 1000);
+    }
+    CU_ASSERT_PTR_NULL(ad_next(&q, 0));
+    struct ad_item *last = offer(AD_SESSION, 1, 0, CK_SEC(9)); /* the ends are in order */
+    CU_ASSERT_PTR_EQUAL(ad_next(&q, 0), last);
+}
+
 static void accounts_take_turns(void)
 {
     fresh(1);
@@ -144,6 +175,7 @@
 {
     CU_pSuite s = CU_add_suite("admit", NULL, NULL);
     TEST(s, classes_in_order);
+    TEST(s, priority_is_within_an_account);
     TEST(s, accounts_take_turns);
     TEST(s, hopeless_is_refused_at_once);
     TEST(s, what_became_hopeless_is_given_back);
