--- a/control/control.h
+++ b/control/control.h
@@ -191,8 +191,13 @@
 void ct_probes(struct ct_conn *c, const struct wr_probes *p);
 void ct_checked(struct ct_node *n, const struct wr_check *c);
 void ct_suspected(struct ct_conn *c, const struct wr_check *m);
+/* Send one operation; its number, 0 if it could not be sent. */
+uint64_t ct_send_op(struct ct_inst *in, struct ep_request *q);
+void ct_probe(struct ct_inst *in, int64_t now);
 struct ct_group *ct_group_of(struct ct_node *n, const char *name);
 bool ct_caught_up(void *ud, const char *group, const char *inst);
+
+/* promotions.c */
 void ct_group_tick(struct ct_node *n, struct ct_group *g);
 /* Tick the groups that changed in the loop's next turn: safe from within the core's callbacks.
  */
--- /dev/null
+++ b/control/promotions.c
@@ -0,0 +1,105 @@
+/* Promotions: what promote/ decides for each group, carried out. */
+#include <stdlib.h>
+
+#include "control/control.h"
+#include "misc/clock.h"
+
+static void propose(struct ct_node *n, struct ct_group *g, enum vw_change_kind kind,
+                    const struct pr_action *a)
+{
+    struct vw_change ch = {.kind = kind, .term = a->term, .pos = a->pos};
+    struct er_err err = {0};
+    sr_copy(ch.group, sizeof(ch.group), sr_from(g->name));
+    if (a->inst >= 0)
+        sr_copy(ch.instance, sizeof(ch.instance), sr_from(g->inst[a->inst]->id));
+    if (kind == VW_CH_REPLACE)
+        tl_add(n->tl, TL_DOWN, g->name, a->term, "%s",
+               g->pr.why[0] ? g->pr.why : "no primary yet");
+    if (!ct_propose(n, &ch, NULL, &err))
+        FL_WARN(&n->log, "%s: %s: %s", g->name, vw_change_name(kind), err.text);
+}
+
+static void do_follow(struct ct_node *n, struct ct_group *g, const struct pr_action *a)
+{
+    const struct vw_group *v = vw_group(&n->view, g->name);
+    if (v->primary < 0)
+        return;
+    struct ep_request q = {.op = EP_DO_FOLLOW,
+                           .term = a->term,
+                           .ip = sr_from(v->inst[v->primary].ip),
+                           .port = v->inst[v->primary].port};
+    ct_send_op(g->inst[a->inst], &q);
+}
+
+static void do_action(struct ct_node *n, struct ct_group *g, const struct pr_action *a)
+{
+    struct ct_inst *in = a->inst >= 0 && a->inst < g->n ? g->inst[a->inst] : NULL;
+    struct ep_request q = {.term = a->term};
+    switch (a->kind) {
+    case PR_DO_CHECK:
+        ct_check_nodes(n, g, in->id);
+        break;
+    case PR_DO_REPLACE:
+        propose(n, g, VW_CH_REPLACE, a);
+        break;
+    case PR_DO_ABANDON:
+        propose(n, g, VW_CH_ABANDON, a);
+        break;
+    case PR_DO_PRIMARY:
+        n->c.promotions++;
+        propose(n, g, VW_CH_PRIMARY, a);
+        break;
+    case PR_DO_FENCE:
+        q.op = EP_DO_FENCE;
+        in->fence_term = a->term;
+        in->fence_id = ct_send_op(in, &q);
+        break;
+    case PR_DO_PROMOTE:
+        q.op = EP_DO_PROMOTE;
+        in->promote_term = a->term;
+        in->promote_id = ct_send_op(in, &q);
+        break;
+    case PR_DO_FOLLOW:
+        do_follow(n, g, a);
+        break;
+    case PR_DO_PROBE:
+        ct_probe(in, ck_now());
+        break;
+    }
+}
+
+static void act_on(struct ct_node *n, struct ct_group *g, const struct pr_actions *acts)
+{
+    for (int i = 0; i < acts->n; i++)
+        do_action(n, g, &acts->a[i]);
+}
+
+void ct_group_tick(struct ct_node *n, struct ct_group *g)
+{
+    const struct vw_group *v = vw_group(&n->view, g->name);
+    struct pr_actions acts;
+    if (!v || !n->leading || !ct_vouched(n))
+        return;
+    if (v->primary < 0 && v->phase == VW_SERVING)
+        return;
+    bool polite = n->s->fence && v->phase == VW_HANDING;
+    bool dropped = polite ? ls_known_have(&n->giver, g->phase_gen, ck_now())
+                          : ls_all_have(&n->giver, g->phase_gen, ck_now());
+    pr_tick(&g->pr, v, dropped, ck_now(), &acts);
+    act_on(n, g, &acts);
+}
+
+static void tick_groups(void *ud)
+{
+    struct ct_node *n = ud;
+    for (int g = 0; g < n->n_groups; g++) {
+        if (n->groups[g]->due)
+            ct_group_tick(n, n->groups[g]);
+        n->groups[g]->due = false;
+    }
+}
+
+void ct_groups_soon(struct ct_node *n)
+{
+    nt_timer_set(n->loop, &n->soon, 1, tick_groups, n);
+}
--- a/control/watch.c
+++ b/control/watch.c
@@ -1,4 +1,4 @@
-/* Instances: probes, and the promotions that follow from them. */
+/* Instances: connections, probes, and the evidence that comes from them. */
 #include <stdlib.h>
 
 #include <xxhash.h>
@@ -39,7 +39,7 @@
 
 /* ---- connections to instances ---- */
 
-static uint64_t send_op(struct ct_inst *in, struct ep_request *q)
+uint64_t ct_send_op(struct ct_inst *in, struct ep_request *q)
 {
     q->id = ++in->last_id;
     if (!in->c || !in->open || !in->node->driver->send(in->c, q))
@@ -145,7 +145,7 @@
     return three > set ? three : set;
 }
 
-static void probe(struct ct_inst *in, int64_t now)
+void ct_probe(struct ct_inst *in, int64_t now)
 {
     struct ep_request q = {.op = EP_STATUS};
     /* The first goes out at once, the next at a time of the instance's own: thousands that were
@@ -153,7 +153,7 @@
     int64_t every = probe_every(in->node);
     int64_t offset = (int64_t)(XXH64(in->id, strlen(in->id), 0) % (uint64_t)every);
     in->probed = in->probed ? now : now - offset;
-    send_op(in, &q);
+    ct_send_op(in, &q);
 }
 
 /* Probes go out on time whether or not the last one was answered: slow is not silent. */
@@ -170,7 +170,7 @@
     if (!in->open)
         return;
     if (now - in->probed >= probe_every(in->node))
-        probe(in, now);
+        ct_probe(in, now);
     if (now - in->answered > silent_after(in->node) && in->health != PR_SILENT) {
         report(in, PR_SILENT);
         send_probes(in->node);
@@ -293,108 +293,6 @@
     }
 }
 
-/* ---- promotions ---- */
-
-static void propose(struct ct_node *n, struct ct_group *g, enum vw_change_kind kind,
-                    const struct pr_action *a)
-{
-    struct vw_change ch = {.kind = kind, .term = a->term, .pos = a->pos};
-    struct er_err err = {0};
-    sr_copy(ch.group, sizeof(ch.group), sr_from(g->name));
-    if (a->inst >= 0)
-        sr_copy(ch.instance, sizeof(ch.instance), sr_from(g->inst[a->inst]->id));
-    if (kind == VW_CH_REPLACE)
-        tl_add(n->tl, TL_DOWN, g->name, a->term, "%s",
-               g->pr.why[0] ? g->pr.why : "no primary yet");
-    if (!ct_propose(n, &ch, NULL, &err))
-        FL_WARN(&n->log, "%s: %s: %s", g->name, vw_change_name(kind), err.text);
-}
-
-static void do_follow(struct ct_node *n, struct ct_group *g, const struct pr_action *a)
-{
-    const struct vw_group *v = vw_group(&n->view, g->name);
-    if (v->primary < 0)
-        return;
-    struct ep_request q = {.op = EP_DO_FOLLOW,
-                           .term = a->term,
-                           .ip = sr_from(v->inst[v->primary].ip),
-                           .port = v->inst[v->primary].port};
-    send_op(g->inst[a->inst], &q);
-}
-
-static void do_action(struct ct_node *n, struct ct_group *g, const struct pr_action *a)
-{
-    struct ct_inst *in = a->inst >= 0 && a->inst < g->n ? g->inst[a->inst] : NULL;
-    struct ep_request q = {.term = a->term};
-    switch (a->kind) {
-    case PR_DO_CHECK:
-        ct_check_nodes(n, g, in->id);
-        break;
-    case PR_DO_REPLACE:
-        propose(n, g, VW_CH_REPLACE, a);
-        break;
-    case PR_DO_ABANDON:
-        propose(n, g, VW_CH_ABANDON, a);
-        break;
-    case PR_DO_PRIMARY:
-        n->c.promotions++;
-        propose(n, g, VW_CH_PRIMARY, a);
-        break;
-    case PR_DO_FENCE:
-        q.op = EP_DO_FENCE;
-        in->fence_term = a->term;
-        in->fence_id = send_op(in, &q);
-        break;
-    case PR_DO_PROMOTE:
-        q.op = EP_DO_PROMOTE;
-        in->promote_term = a->term;
-        in->promote_id = send_op(in, &q);
-        break;
-    case PR_DO_FOLLOW:
-        do_follow(n, g, a);
-        break;
-    case PR_DO_PROBE:
-        probe(in, ck_now());
-        break;
-    }
-}
-
-static void act_on(struct ct_node *n, struct ct_group *g, const struct pr_actions *acts)
-{
-    for (int i = 0; i < acts->n; i++)
-        do_action(n, g, &acts->a[i]);
-}
-
-void ct_group_tick(struct ct_node *n, struct ct_group *g)
-{
-    const struct vw_group *v = vw_group(&n->view, g->name);
-    struct pr_actions acts;
-    if (!v || !n->leading || !ct_vouched(n))
-        return;
-    if (v->primary < 0 && v->phase == VW_SERVING)
-        return;
-    bool polite = n->s->fence && v->phase == VW_HANDING;
-    bool dropped = polite ? ls_known_have(&n->giver, g->phase_gen, ck_now())
-                          : ls_all_have(&n->giver, g->phase_gen, ck_now());
-    pr_tick(&g->pr, v, dropped, ck_now(), &acts);
-    act_on(n, g, &acts);
-}
-
-static void tick_groups(void *ud)
-{
-    struct ct_node *n = ud;
-    for (int g = 0; g < n->n_groups; g++) {
-        if (n->groups[g]->due)
-            ct_group_tick(n, n->groups[g]);
-        n->groups[g]->due = false;
-    }
-}
-
-void ct_groups_soon(struct ct_node *n)
-{
-    nt_timer_set(n->loop, &n->soon, 1, tick_groups, n);
-}
-
 /* ---- evidence from others ---- */
 
 static enum pr_health health_of(enum wr_health h)
--- /dev/null
+++ b/promote/evidence.c
@@ -0,0 +1,146 @@
+/* What is known of a group's instances, and whether it says that one is down. */
+#include "promote/evidence.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum { REPORT_STALE_US = 1000000 };
+
+struct pr_inst *pe_inst(struct pr_group *p, const char *id)
+{
+    for (int i = 0; i < p->n; i++) {
+        if (strcmp(p->inst[i].id, id) == 0)
+            return &p->inst[i];
+    }
+    return NULL;
+}
+
+/* Let our list follow the view's order, keeping what is known. */
+void pe_sync(struct pr_group *p, const struct vw_group *g)
+{
+    struct pr_inst next[VW_MAX_INSTANCES];
+    bool same = p->n == g->n;
+    for (int i = 0; i < g->n && same; i++)
+        same = strcmp(p->inst[i].id, g->inst[i].id) == 0;
+    if (same)
+        return;
+    memset(next, 0, sizeof(next));
+    for (int i = 0; i < g->n; i++) {
+        const struct pr_inst *old = pe_inst(p, g->inst[i].id);
+        if (old)
+            next[i] = *old;
+        else
+            snprintf(next[i].id, sizeof(next[i].id), "%s", g->inst[i].id);
+    }
+    memcpy(p->inst, next, sizeof(next));
+    p->n = g->n;
+}
+
+void pr_probed(struct pr_group *p, const char *inst, uint64_t vantage, const char *domain,
+               enum pr_health health, int64_t now)
+{
+    struct pr_inst *in = pe_inst(p, inst);
+    if (!in)
+        return;
+    struct pr_report *r = NULL;
+    for (int i = 0; i < PR_VANTAGES; i++) {
+        if (in->by[i].vantage == vantage) {
+            r = &in->by[i];
+            break;
+        }
+        if (!r && (in->by[i].vantage == 0 || now - in->by[i].at > REPORT_STALE_US))
+            r = &in->by[i];
+    }
+    if (!r)
+        return;
+    bool was_down = r->vantage == vantage && r->health >= PR_SILENT;
+    if (health >= PR_SILENT && !was_down)
+        r->down_at = now;
+    r->vantage = vantage;
+    snprintf(r->domain, sizeof(r->domain), "%s", domain);
+    r->health = health;
+    r->at = now;
+}
+
+void pr_said(struct pr_group *p, const char *inst, bool primary, uint64_t term,
+             uint64_t following, struct ps_pos held, int64_t now)
+{
+    struct pr_inst *in = pe_inst(p, inst);
+    if (!in)
+        return;
+    in->primary = primary;
+    in->term = term;
+    in->following = following;
+    in->held = held;
+    in->said_at = now;
+}
+
+void pr_checking(struct pr_group *p, int n)
+{
+    p->checks_out = n;
+}
+
+void pr_checked(struct pr_group *p, uint64_t nonce, enum pr_health health)
+{
+    if (p->step != PR_CHECKING || nonce != p->nonce)
+        return;
+    p->checks_out--;
+    if (health == PR_UP)
+        p->checks_ok++;
+    else if (health >= PR_SILENT)
+        p->checks_bad++;
+}
+
+void pr_fenced(struct pr_group *p, const char *inst, uint64_t term, struct ps_pos held)
+{
+    struct pr_inst *in = pe_inst(p, inst);
+    if (!in || term < in->fenced)
+        return;
+    in->fenced = term;
+    in->fenced_pos = held;
+}
+
+void pr_promoted(struct pr_group *p, const char *inst, uint64_t term, struct ps_pos start)
+{
+    struct pr_inst *in = pe_inst(p, inst);
+    if (!in || p->step != PR_PROMOTING || term != p->term || in != &p->inst[p->chosen])
+        return;
+    in->fenced_pos = start;
+    p->step = PR_CONCLUDING;
+    p->step_at = 0;
+}
+
+/* ---- detection ---- */
+
+struct pe_verdict pe_judge(const struct pr_inst *in, int64_t now)
+{
+    struct pe_verdict v = {0};
+    const char *seen[PR_VANTAGES];
+    for (int i = 0; i < PR_VANTAGES; i++) {
+        const struct pr_report *r = &in->by[i];
+        if (!r->vantage || now - r->at > REPORT_STALE_US)
+            continue;
+        if (r->health == PR_UP)
+            v.up++;
+        if (r->health < PR_SILENT)
+            continue;
+        v.refused = v.refused || r->health == PR_REFUSED;
+        bool fresh = true;
+        for (int k = 0; k < v.domains; k++)
+            fresh = fresh && strcmp(seen[k], r->domain) != 0;
+        if (fresh)
+            seen[v.domains++] = r->domain;
+    }
+    return v;
+}
+
+bool pe_says_down(const struct pe_verdict *v)
+{
+    return v->domains >= 2 && v->up == 0;
+}
+
+bool pe_looks_down(const struct pr_inst *in, int64_t now)
+{
+    struct pe_verdict v = pe_judge(in, now);
+    return pe_says_down(&v);
+}
--- a/promote/promote.c
+++ b/promote/promote.c
@@ -1,12 +1,13 @@
 #include "promote/promote.h"
 
+#include "promote/evidence.h"
+
 #include <stdio.h>
 #include <string.h>
 
 enum {
     MAX_HOLD_US = 10000000,
     CALM_US = 60000000,
-    REPORT_STALE_US = 1000000,
     RECHECK_US = 20000,
     MAX_RECHECK_US = 1000000,
     HAND_PROBE_US = 2000
@@ -27,153 +28,6 @@
     return g->n - g->copies + 1;
 }
 
-/* ---- keeping what is known ---- */
-
-static struct pr_inst *find(struct pr_group *p, const char *id)
-{
-    for (int i = 0; i < p->n; i++) {
-        if (strcmp(p->inst[i].id, id) == 0)
-            return &p->inst[i];
-    }
-    return NULL;
-}
-
-/* Let our list follow the view's order, keeping what is known. */
-static void sync_instances(struct pr_group *p, const struct vw_group *g)
-{
-    struct pr_inst next[VW_MAX_INSTANCES];
-    bool same = p->n == g->n;
-    for (int i = 0; i < g->n && same; i++)
-        same = strcmp(p->inst[i].id, g->inst[i].id) == 0;
-    if (same)
-        return;
-    memset(next, 0, sizeof(next));
-    for (int i = 0; i < g->n; i++) {
-        const struct pr_inst *old = find(p, g->inst[i].id);
-        if (old)
-            next[i] = *old;
-        else
-            snprintf(next[i].id, sizeof(next[i].id), "%s", g->inst[i].id);
-    }
-    memcpy(p->inst, next, sizeof(next));
-    p->n = g->n;
-}
-
-void pr_probed(struct pr_group *p, const char *inst, uint64_t vantage, const char *domain,
-               enum pr_health health, int64_t now)
-{
-    struct pr_inst *in = find(p, inst);
-    if (!in)
-        return;
-    struct pr_report *r = NULL;
-    for (int i = 0; i < PR_VANTAGES; i++) {
-        if (in->by[i].vantage == vantage) {
-            r = &in->by[i];
-            break;
-        }
-        if (!r && (in->by[i].vantage == 0 || now - in->by[i].at > REPORT_STALE_US))
-            r = &in->by[i];
-    }
-    if (!r)
-        return;
-    bool was_down = r->vantage == vantage && r->health >= PR_SILENT;
-    if (health >= PR_SILENT && !was_down)
-        r->down_at = now;
-    r->vantage = vantage;
-    snprintf(r->domain, sizeof(r->domain), "%s", domain);
-    r->health = health;
-    r->at = now;
-}
-
-void pr_said(struct pr_group *p, const char *inst, bool primary, uint64_t term,
-             uint64_t following, struct ps_pos held, int64_t now)
-{
-    struct pr_inst *in = find(p, inst);
-    if (!in)
-        return;
-    in->primary = primary;
-    in->term = term;
-    in->following = following;
-    in->held = held;
-    in->said_at = now;
-}
-
-void pr_checking(struct pr_group *p, int n)
-{
-    p->checks_out = n;
-}
-
-void pr_checked(struct pr_group *p, uint64_t nonce, enum pr_health health)
-{
-    if (p->step != PR_CHECKING || nonce != p->nonce)
-        return;
-    p->checks_out--;
-    if (health == PR_UP)
-        p->checks_ok++;
-    else if (health >= PR_SILENT)
-        p->checks_bad++;
-}
-
-void pr_fenced(struct pr_group *p, const char *inst, uint64_t term, struct ps_pos held)
-{
-    struct pr_inst *in = find(p, inst);
-    if (!in || term < in->fenced)
-        return;
-    in->fenced = term;
-    in->fenced_pos = held;
-}
-
-void pr_promoted(struct pr_group *p, const char *inst, uint64_t term, struct ps_pos start)
-{
-    struct pr_inst *in = find(p, inst);
-    if (!in || p->step != PR_PROMOTING || term != p->term || in != &p->inst[p->chosen])
-        return;
-    in->fenced_pos = start;
-    p->step = PR_CONCLUDING;
-    p->step_at = 0;
-}
-
-/* ---- detection ---- */
-
-struct verdict {
-    int domains; /* failure domains from which it is down */
-    int up;      /* vantages that see it up */
-    bool refused;
-};
-
-static struct verdict judge(const struct pr_inst *in, int64_t now)
-{
-    struct verdict v = {0};
-    const char *seen[PR_VANTAGES];
-    for (int i = 0; i < PR_VANTAGES; i++) {
-        const struct pr_report *r = &in->by[i];
-        if (!r->vantage || now - r->at > REPORT_STALE_US)
-            continue;
-        if (r->health == PR_UP)
-            v.up++;
-        if (r->health < PR_SILENT)
-            continue;
-        v.refused = v.refused || r->health == PR_REFUSED;
-        bool fresh = true;
-        for (int k = 0; k < v.domains; k++)
-            fresh = fresh && strcmp(seen[k], r->domain) != 0;
-        if (fresh)
-            seen[v.domains++] = r->domain;
-    }
-    return v;
-}
-
-static bool says_down(const struct verdict *v)
-{
-    return v->domains >= 2 && v->up == 0;
-}
-
-static bool looks_down(const struct pr_inst *in, int64_t now)
-{
-    struct verdict v = judge(in, now);
-    return says_down(&v);
-}
-
 /* ---- actions ---- */
 
 static void act(struct pr_actions *out, enum pr_action_kind kind, int inst, uint64_t term,
@@ -224,7 +78,7 @@
 static void begin_check(struct pr_group *p, const struct vw_group *g, int64_t now,
                         struct pr_actions *out)
 {
-    struct verdict v = judge(&p->inst[g->primary], now);
+    struct pe_verdict v = pe_judge(&p->inst[g->primary], now);
     snprintf(p->why, sizeof(p->why), "%s %s from %d failure domains", g->inst[g->primary].id,
              v.refused ? "refuses" : "is silent", v.domains);
     p->nonce++;
@@ -237,7 +91,7 @@
 static void check_tick(struct pr_group *p, const struct vw_group *g, int64_t now,
                        struct pr_actions *out)
 {
-    if (p->checks_ok > 0 || !looks_down(&p->inst[g->primary], now)) {
+    if (p->checks_ok > 0 || !pe_looks_down(&p->inst[g->primary], now)) {
         /* Entry nodes still get answers: it serves, though control can't reach it. Or one had
          * not noticed yet that its connection broke: ask again, soon at first. */
         if (now - p->step_at > p->recheck) {
@@ -305,12 +159,12 @@
     if (p->step != PR_IDLE)
         note_end(p, now);
     keep_following(p, g, now, out);
-    struct verdict v = judge(&p->inst[g->primary], now);
-    if (!says_down(&v))
+    struct pe_verdict v = pe_judge(&p->inst[g->primary], now);
+    if (!pe_says_down(&v))
         p->recheck = RECHECK_US;
     if (held_down(p, v.refused, now))
         return;
-    if (says_down(&v)) {
+    if (pe_says_down(&v)) {
         begin_check(p, g, now, out);
     } else if (lost_role(p, g, now)) {
         snprintf(p->why, sizeof(p->why), "%s lost its role", g->inst[g->primary].id);
@@ -513,7 +367,7 @@
              struct pr_actions *out)
 {
     out->n = 0;
-    sync_instances(p, g);
+    pe_sync(p, g);
     switch (g->phase) {
     case VW_SERVING:
         serving_tick(p, g, now, out);
--- /dev/null
+++ b/task/loop.c
@@ -0,0 +1,127 @@
+/* The loop and its timers: libwebsockets on libuv. */
+#include "task/net_priv.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#include "misc/clock.h"
+#include "misc/log.h"
+
+#define HEADER_POOL 256
+#define MAX_FD_TABLE 131072
+
+static const struct lg_log nlog = {"net"};
+
+struct timer_sul {
+    lws_sorted_usec_list_t sul;
+    struct nt_timer *t;
+};
+
+static void timer_fired(lws_sorted_usec_list_t *sul)
+{
+    struct timer_sul *s = lws_container_of(sul, struct timer_sul, sul);
+    struct nt_timer *t = s->t;
+    t->due = 0;
+    t->fn(t->ud);
+}
+
+void nt_timer_set(struct nt_loop *l, struct nt_timer *t, int64_t us, void (*fn)(void *),
+                  void *ud)
+{
+    struct timer_sul *s = t->sul;
+    if (!s) {
+        s = sr_alloc(sizeof(*s));
+        s->t = t;
+        t->sul = s;
+    }
+    t->fn = fn;
+    t->ud = ud;
+    t->due = ck_now() + us;
+    lws_sul_schedule(l->ctx, 0, &s->sul, timer_fired, us > 0 ? us : 1);
+}
+
+void nt_timer_cancel(struct nt_timer *t)
+{
+    struct timer_sul *s = t->sul;
+    if (!s)
+        return;
+    lws_sul_cancel(&s->sul);
+    free(s);
+    t->sul = NULL;
+    t->due = 0;
+}
+
+static void lws_log(int level, const char *line)
+{
+    FL_DBG(&nlog, "lws %d: %.*s", level, (int)strcspn(line, "\n"), line);
+}
+
+/* lws has a table of sockets by number, of the size of the process's limit of open files (0),
+ * or a shorter one that it searches at every event. Searching is for limits where the table
+ * would take memory: 16 bytes an open file. */
+static unsigned fd_table(int max_fds)
+{
+    struct rlimit lim;
+    bool small = getrlimit(RLIMIT_NOFILE, &lim) == 0 && lim.rlim_cur <= MAX_FD_TABLE;
+    return small && (rlim_t)max_fds <= lim.rlim_cur ? 0 : (unsigned)max_fds;
+}
+
+struct nt_loop *nt_loop_create(int max_fds, struct er_err *err)
+{
+    signal(SIGPIPE, SIG_IGN);
+    lws_set_log_level(LLL_ERR | LLL_WARN, lws_log);
+    struct nt_loop *l = sr_alloc(sizeof(*l));
+    uv_loop_init(&l->uv);
+    struct lws_context_creation_info info = {0};
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_LIBUV;
+    info.fd_limit_per_thread = fd_table(max_fds);
+    info.max_http_header_pool = HEADER_POOL;
+    info.pt_serv_buf_size = SERVICE_BUF;
+    void *loops[1] = {&l->uv};
+    info.foreign_loops = loops;
+    info.user = l;
+    l->ctx = lws_create_context(&info);
+    if (!l->ctx) {
+        free(l);
+        er_set(err, ER_IO, "can't create the event loop for %d sockets", max_fds);
+        return NULL;
+    }
+    struct lws_context_creation_info vh = {0};
+    vh.port = CONTEXT_PORT_NO_LISTEN;
+    vh.protocols = np_protocols;
+    vh.vhost_name = "client";
+    vh.connect_timeout_secs = HANDSHAKE_SEC;
+    vh.timeout_secs = HANDSHAKE_SEC;
+    l->client_vh = lws_create_vhost(l->ctx, &vh);
+    return l;
+}
+
+void nt_run(struct nt_loop *l)
+{
+    while (!l->stop)
+        uv_run(&l->uv, UV_RUN_ONCE);
+}
+
+void nt_stop(struct nt_loop *l)
+{
+    l->stop = true;
+    lws_cancel_service(l->ctx);
+}
+
+void nt_wake(struct nt_loop *l)
+{
+    lws_cancel_service(l->ctx);
+}
+
+void nt_on_wake(struct nt_loop *l, void (*fn)(void *), void *ud)
+{
+    l->wake = fn;
+    l->wake_ud = ud;
+}
+
+const struct nt_counters *nt_stats(const struct nt_loop *l)
+{
+    return &l->st;
+}
--- a/task/net_priv.h
+++ b/task/net_priv.h
@@ -8,6 +8,8 @@
 #include "misc/str.h"
 #include "task/net.h"
 
+#define SERVICE_BUF 16384
+#define HANDSHAKE_SEC 5
 struct out {
     struct out *next;
     size_t len;
@@ -58,6 +60,8 @@
     struct nt_listener *listeners;
 };
 
+extern const struct lws_protocols np_protocols[];
+
 struct nt_conn *np_conn_new(struct nt_loop *l, enum kind kind, const struct nt_ops *ops,
                             void *ud);
 void np_conn_closed(struct nt_conn *c);
--- /dev/null
+++ b/wire/decode.c
@@ -0,0 +1,313 @@
+/* Messages out of msgpack: untrusted. wire/wire.h is the contract. */
+#include "wire/wire.h"
+
+#include <stdlib.h>
+
+/* A cursor over an array; `bad` is set by the first element of a wrong type. */
+struct rd {
+    const msgpack_object_array *a;
+    uint32_t i;
+    bool bad;
+    msgpack_zone *zone;
+};
+
+static const msgpack_object *next(struct rd *r)
+{
+    return r->i < r->a->size ? &r->a->ptr[r->i++] : NULL;
+}
+
+static uint64_t get_u(struct rd *r)
+{
+    const msgpack_object *o = next(r);
+    if (!o)
+        return 0;
+    if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+        r->bad = true;
+    return r->bad ? 0 : o->via.u64;
+}
+
+/* An unsigned number with an upper bound. */
+static uint32_t get_max(struct rd *r, uint64_t max)
+{
+    uint64_t v = get_u(r);
+    if (v > max)
+        r->bad = true;
+    return r->bad ? 0 : (uint32_t)v;
+}
+
+static bool get_b(struct rd *r)
+{
+    const msgpack_object *o = next(r);
+    if (!o)
+        return false;
+    if (o->type != MSGPACK_OBJECT_BOOLEAN)
+        r->bad = true;
+    return !r->bad && o->via.boolean;
+}
+
+static struct sr_str get_s(struct rd *r)
+{
+    const msgpack_object *o = next(r);
+    if (!o)
+        return SR_LIT("");
+    if (o->type != MSGPACK_OBJECT_BIN) {
+        r->bad = true;
+        return SR_LIT("");
+    }
+    return (struct sr_str){o->via.bin.ptr ? o->via.bin.ptr : "", o->via.bin.size};
+}
+
+static void get_field(struct rd *r, char *dst, size_t cap)
+{
+    if (!sr_copy(dst, cap, get_s(r)))
+        r->bad = true;
+}
+
+static struct rd get_list(struct rd *r, uint32_t max)
+{
+    static const msgpack_object_array none;
+    const msgpack_object *o = next(r);
+    struct rd in = {&none, 0, false, r->zone};
+    if (!o)
+        return in;
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size > max) {
+        r->bad = true;
+        return in;
+    }
+    in.a = &o->via.array;
+    return in;
+}
+
+static void *room(struct rd *r, size_t n, size_t size)
+{
+    void *p = msgpack_zone_malloc(r->zone, n * size + 1);
+    if (!p)
+        abort();
+    memset(p, 0, n * size + 1);
+    return p;
+}
+
+static void get_hello(struct rd *r, struct wr_hello *h)
+{
+    h->version = get_max(r, UINT32_MAX);
+    h->cluster = get_s(r);
+    h->name = get_s(r);
+    h->domain = get_s(r);
+    h->ip = get_s(r);
+    h->port = get_max(r, 65535);
+    h->role = (enum wr_role)get_max(r, WR_ROLE_CONTROL);
+    h->id = get_u(r);
+    h->expect = get_u(r);
+}
+
+static const struct qr_members *get_members(struct rd *r)
+{
+    struct rd list = get_list(r, QR_MAX_MEMBERS);
+    struct qr_members *m = room(r, 1, sizeof(*m));
+    for (uint32_t i = 0; i < list.a->size && !r->bad; i++) {
+        struct rd one = get_list(&list, 64);
+        struct qr_member *p = &m->m[m->n++];
+        p->id = get_u(&one);
+        p->voter = get_b(&one);
+        get_field(&one, p->name, sizeof(p->name));
+        get_field(&one, p->ip, sizeof(p->ip));
+        p->port = (int)get_max(&one, 65535);
+        get_field(&one, p->domain, sizeof(p->domain));
+        r->bad = r->bad || one.bad || list.bad;
+    }
+    return m;
+}
+
+static void get_entries(struct rd *r, struct qr_msg *m)
+{
+    struct rd list = get_list(r, QR_MAX_BATCH);
+    struct qr_entry *e = room(r, list.a->size, sizeof(*e));
+    m->n = list.a->size;
+    m->entries = e;
+    for (uint32_t i = 0; i < m->n && !r->bad; i++) {
+        struct rd one = get_list(&list, 64);
+        e[i].index = get_u(&one);
+        e[i].term = get_u(&one);
+        e[i].type = (enum qr_entry_type)get_max(&one, QR_MEMBERS);
+        if (e[i].type == QR_MEMBERS) {
+            e[i].data = (char *)get_members(&one);
+            e[i].len = sizeof(struct qr_members);
+        } else {
+            struct sr_str s = get_s(&one);
+            e[i].data = (char *)s.p;
+            e[i].len = (uint32_t)s.len;
+        }
+        bool order = e[i].index == m->index + 1 + i && e[i].len <= QR_MAX_ENTRY;
+        r->bad = r->bad || one.bad || list.bad || !order;
+    }
+}
+
+static void get_quorum(struct rd *r, struct qr_msg *m)
+{
+    m->type = (enum qr_msg_type)get_max(r, QR_TIMEOUT_NOW);
+    m->from = get_u(r);
+    m->to = get_u(r);
+    m->term = get_u(r);
+    m->index = get_u(r);
+    m->log_term = get_u(r);
+    m->commit = get_u(r);
+    m->round = get_u(r);
+    m->ok = get_b(r);
+    m->transfer = get_b(r);
+    get_entries(r, m);
+    m->members = get_members(r);
+    struct sr_str s = get_s(r);
+    m->data = s.p;
+    m->len = (uint32_t)s.len;
+}
+
+static struct wr_share *get_shares(struct rd *r, uint32_t *n)
+{
+    struct rd list = get_list(r, WR_MAX_SHARES);
+    struct wr_share *s = room(r, list.a->size, sizeof(*s));
+    *n = list.a->size;
+    for (uint32_t i = 0; i < *n && !r->bad; i++) {
+        struct rd one = get_list(&list, 64);
+        s[i].inst = get_s(&one);
+        s[i].held = get_max(&one, 100000);
+        s[i].want = get_max(&one, 100000);
+        r->bad = r->bad || one.bad || list.bad;
+    }
+    return s;
+}
+
+static void get_renew(struct rd *r, struct wr_renew *m)
+{
+    m->seq = get_u(r);
+    m->generation = get_u(r);
+    m->hlc = get_u(r);
+    m->stopping = get_b(r);
+    m->shares = get_shares(r, &m->n);
+    m->shares_seq = get_u(r);
+}
+
+static void get_grant(struct rd *r, struct wr_grant *g)
+{
+    g->seq = get_u(r);
+    g->hlc = get_u(r);
+    g->duration_ms = get_max(r, 3600 * 1000);
+    g->generation = get_u(r);
+}
+
+static void get_check(struct rd *r, struct wr_check *c)
+{
+    c->nonce = get_u(r);
+    c->inst = get_s(r);
+    c->health = (enum wr_health)get_max(r, WR_REFUSED);
+}
+
+static void get_probes(struct rd *r, struct wr_probes *p)
+{
+    struct rd list = get_list(r, WR_MAX_PROBES);
+    p->n = list.a->size;
+    p->probes = room(r, p->n, sizeof(*p->probes));
+    for (uint32_t i = 0; i < p->n && !r->bad; i++) {
+        struct rd one = get_list(&list, 64);
+        struct wr_probe *x = &p->probes[i];
+        x->inst = get_s(&one);
+        x->health = (enum wr_health)get_max(&one, WR_REFUSED);
+        x->primary = get_b(&one);
+        x->term = get_u(&one);
+        x->last_term = get_u(&one);
+        x->pos = get_u(&one);
+        x->following = get_u(&one);
+        r->bad = r->bad || one.bad || list.bad;
+    }
+}
+
+static void get_nodes(struct rd *r, struct wr_nodes *m)
+{
+    struct rd list = get_list(r, WR_MAX_NODES);
+    m->n = list.a->size;
+    m->nodes = room(r, m->n, sizeof(*m->nodes));
+    for (uint32_t i = 0; i < m->n && !r->bad; i++) {
+        struct rd one = get_list(&list, 64);
+        m->nodes[i].name = get_s(&one);
+        m->nodes[i].domain = get_s(&one);
+        m->nodes[i].ip = get_s(&one);
+        m->nodes[i].port = get_max(&one, 65535);
+        r->bad = r->bad || one.bad || list.bad;
+    }
+}
+
+static void get_body(struct rd *r, struct wr_msg *m)
+{
+    switch (m->type) {
+    case WR_HELLO:
+        get_hello(r, &m->hello);
+        break;
+    case WR_QUORUM:
+        get_quorum(r, &m->quorum);
+        break;
+    case WR_RENEW:
+        get_renew(r, &m->renew);
+        break;
+    case WR_GRANT:
+        get_grant(r, &m->grant);
+        break;
+    case WR_NOT_LEADER:
+        m->leader = get_s(r);
+        break;
+    case WR_VIEW:
+        m->view.from = get_u(r);
+        m->view.to = get_u(r);
+        m->view.text = get_s(r);
+        break;
+    case WR_ACK:
+        m->ack = get_u(r);
+        break;
+    case WR_SHARES:
+        m->shares.shares = get_shares(r, &m->shares.n);
+        m->shares.seq = get_u(r);
+        break;
+    case WR_CHECK:
+    case WR_CHECKED:
+    case WR_SUSPECT:
+        get_check(r, &m->check);
+        break;
+    case WR_PROBES:
+        get_probes(r, &m->probes);
+        break;
+    case WR_NODES:
+        get_nodes(r, &m->nodes);
+        break;
+    }
+}
+
+bool wr_decode(struct wr_decoder *d, const char *data, size_t len, struct wr_msg *m,
+               struct er_err *err)
+{
+    if (!d->ready)
+        d->ready = msgpack_zone_init(&d->zone, 4096);
+    else
+        msgpack_zone_clear(&d->zone);
+    msgpack_object o;
+    size_t off = 0;
+    memset(m, 0, sizeof(*m));
+    msgpack_unpack_return rc = msgpack_unpack(data, len, &off, &d->zone, &o);
+    if (rc != MSGPACK_UNPACK_SUCCESS || o.type != MSGPACK_OBJECT_ARRAY || o.via.array.size < 1)
+        return er_set(err, ER_BAD_INPUT, "message of %zu bytes: expected a msgpack array", len);
+    struct rd r = {&o.via.array, 0, false, &d->zone};
+    uint64_t type = get_u(&r);
+    if (r.bad || type < WR_HELLO || type > WR_NODES)
+        return er_set(err, ER_BAD_INPUT, "message type %llu is not known",
+                      (unsigned long long)type);
+    m->type = (enum wr_type)type;
+    get_body(&r, m);
+    if (r.bad)
+        return er_set(err, ER_BAD_INPUT, "message type %d: a field of a wrong type or size",
+                      (int)m->type);
+    return true;
+}
+
+void wr_decoder_free(struct wr_decoder *d)
+{
+    if (d->ready)
+        msgpack_zone_destroy(&d->zone);
+    d->ready = false;
+}
--- /dev/null
+++ b/wire/encode.c
@@ -0,0 +1,215 @@
+/* Messages into msgpack. wire/wire.h is the contract. */
+#include "wire/wire.h"
+
+#include <stdlib.h>
+
+static int append(void *ud, const char *p, size_t n)
+{
+    sr_buf_add(ud, p, n);
+    return 0;
+}
+
+static void put_u(msgpack_packer *pk, uint64_t v)
+{
+    msgpack_pack_uint64(pk, v);
+}
+
+static void put_b(msgpack_packer *pk, bool v)
+{
+    if (v)
+        msgpack_pack_true(pk);
+    else
+        msgpack_pack_false(pk);
+}
+
+static void put_s(msgpack_packer *pk, struct sr_str s)
+{
+    msgpack_pack_bin(pk, s.len);
+    msgpack_pack_bin_body(pk, s.p, s.len);
+}
+
+static void head(msgpack_packer *pk, enum wr_type type, size_t fields)
+{
+    msgpack_pack_array(pk, fields + 1);
+    put_u(pk, type);
+}
+
+static void put_hello(msgpack_packer *pk, const struct wr_hello *h)
+{
+    head(pk, WR_HELLO, 9);
+    put_u(pk, h->version);
+    put_s(pk, h->cluster);
+    put_s(pk, h->name);
+    put_s(pk, h->domain);
+    put_s(pk, h->ip);
+    put_u(pk, h->port);
+    put_u(pk, h->role);
+    put_u(pk, h->id);
+    put_u(pk, h->expect);
+}
+
+static void put_members(msgpack_packer *pk, const struct qr_members *m)
+{
+    msgpack_pack_array(pk, m ? m->n : 0);
+    for (uint32_t i = 0; m && i < m->n; i++) {
+        const struct qr_member *p = &m->m[i];
+        msgpack_pack_array(pk, 6);
+        put_u(pk, p->id);
+        put_b(pk, p->voter);
+        put_s(pk, sr_from(p->name));
+        put_s(pk, sr_from(p->ip));
+        put_u(pk, (uint64_t)p->port);
+        put_s(pk, sr_from(p->domain));
+    }
+}
+
+static void put_entry(msgpack_packer *pk, const struct qr_entry *e)
+{
+    msgpack_pack_array(pk, 4);
+    put_u(pk, e->index);
+    put_u(pk, e->term);
+    put_u(pk, e->type);
+    if (e->type == QR_MEMBERS)
+        put_members(pk, (const struct qr_members *)e->data);
+    else
+        put_s(pk, (struct sr_str){e->data, e->len});
+}
+
+static void put_quorum(msgpack_packer *pk, const struct qr_msg *m)
+{
+    head(pk, WR_QUORUM, 13);
+    put_u(pk, m->type);
+    put_u(pk, m->from);
+    put_u(pk, m->to);
+    put_u(pk, m->term);
+    put_u(pk, m->index);
+    put_u(pk, m->log_term);
+    put_u(pk, m->commit);
+    put_u(pk, m->round);
+    put_b(pk, m->ok);
+    put_b(pk, m->transfer);
+    msgpack_pack_array(pk, m->n);
+    for (uint32_t i = 0; i < m->n; i++)
+        put_entry(pk, &m->entries[i]);
+    put_members(pk, m->members);
+    put_s(pk, (struct sr_str){m->data ? m->data : "", m->len});
+}
+
+static void put_shares(msgpack_packer *pk, const struct wr_share *s, uint32_t n)
+{
+    msgpack_pack_array(pk, n);
+    for (uint32_t i = 0; i < n; i++) {
+        msgpack_pack_array(pk, 3);
+        put_s(pk, s[i].inst);
+        put_u(pk, s[i].held);
+        put_u(pk, s[i].want);
+    }
+}
+
+static void put_renew(msgpack_packer *pk, const struct wr_renew *r)
+{
+    head(pk, WR_RENEW, 6);
+    put_u(pk, r->seq);
+    put_u(pk, r->generation);
+    put_u(pk, r->hlc);
+    put_b(pk, r->stopping);
+    put_shares(pk, r->shares, r->n);
+    put_u(pk, r->shares_seq);
+}
+
+static void put_grant(msgpack_packer *pk, const struct wr_grant *g)
+{
+    head(pk, WR_GRANT, 4);
+    put_u(pk, g->seq);
+    put_u(pk, g->hlc);
+    put_u(pk, g->duration_ms);
+    put_u(pk, g->generation);
+}
+
+static void put_check(msgpack_packer *pk, enum wr_type type, const struct wr_check *c)
+{
+    head(pk, type, 3);
+    put_u(pk, c->nonce);
+    put_s(pk, c->inst);
+    put_u(pk, c->health);
+}
+
+static void put_probes(msgpack_packer *pk, const struct wr_probes *p)
+{
+    head(pk, WR_PROBES, 1);
+    msgpack_pack_array(pk, p->n);
+    for (uint32_t i = 0; i < p->n; i++) {
+        const struct wr_probe *x = &p->probes[i];
+        msgpack_pack_array(pk, 7);
+        put_s(pk, x->inst);
+        put_u(pk, x->health);
+        put_b(pk, x->primary);
+        put_u(pk, x->term);
+        put_u(pk, x->last_term);
+        put_u(pk, x->pos);
+        put_u(pk, x->following);
+    }
+}
+
+static void put_nodes(msgpack_packer *pk, const struct wr_nodes *n)
+{
+    head(pk, WR_NODES, 1);
+    msgpack_pack_array(pk, n->n);
+    for (uint32_t i = 0; i < n->n; i++) {
+        msgpack_pack_array(pk, 4);
+        put_s(pk, n->nodes[i].name);
+        put_s(pk, n->nodes[i].domain);
+        put_s(pk, n->nodes[i].ip);
+        put_u(pk, n->nodes[i].port);
+    }
+}
+
+void wr_encode(struct sr_buf *out, const struct wr_msg *m)
+{
+    msgpack_packer pk;
+    msgpack_packer_init(&pk, out, append);
+    switch (m->type) {
+    case WR_HELLO:
+        put_hello(&pk, &m->hello);
+        break;
+    case WR_QUORUM:
+        put_quorum(&pk, &m->quorum);
+        break;
+    case WR_RENEW:
+        put_renew(&pk, &m->renew);
+        break;
+    case WR_GRANT:
+        put_grant(&pk, &m->grant);
+        break;
+    case WR_NOT_LEADER:
+        head(&pk, WR_NOT_LEADER, 1);
+        put_s(&pk, m->leader);
+        break;
+    case WR_VIEW:
+        head(&pk, WR_VIEW, 3);
+        put_u(&pk, m->view.from);
+        put_u(&pk, m->view.to);
+        put_s(&pk, m->view.text);
+        break;
+    case WR_ACK:
+        head(&pk, WR_ACK, 1);
+        put_u(&pk, m->ack);
+        break;
+    case WR_SHARES:
+        head(&pk, WR_SHARES, 2);
+        put_shares(&pk, m->shares.shares, m->shares.n);
+        put_u(&pk, m->shares.seq);
+        break;
+    case WR_CHECK:
+    case WR_CHECKED:
+    case WR_SUSPECT:
+        put_check(&pk, m->type, &m->check);
+        break;
+    case WR_PROBES:
+        put_probes(&pk, &m->probes);
+        break;
+    case WR_NODES:
+        put_nodes(&pk, &m->nodes);
+        break;
+    }
+}
