--- a/tests/standin/relay.c
+++ b/tests/standin/relay.c
@@ -1,7 +1,9 @@
-/* ferry-relay: stands in front of the control nodes' ports and cuts nodes off.
+/* ferry-relay: stands in front of the control nodes' ports, cuts nodes off and damages frames.
  *
  * A connection is known by the name in its greeting. POST /cut with a list of names
- * ("c2,e1"; empty heals): frames to or from these nodes go nowhere, connections stay open. */
+ * ("c2,e1"; empty heals): frames to or from these nodes go nowhere, connections stay open.
+ * POST /mangle with "double", "late", "reorder", "truncate" or "noise" (empty ends it): every
+ * eighth frame in each direction, but for greetings. */
 #include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,7 +12,7 @@
 #include "task/net.h"
 #include "wire/wire.h"
 
-enum { MAX_PAIRS = 8 };
+enum { MAX_PAIRS = 8, MANGLE_EVERY = 8, LATE_US = 300000 };
 
 struct relay;
 
@@ -27,13 +29,25 @@
     struct sr_buf early[8]; /* frames that came before the far side was open */
     int n_early;
     bool open;
+    struct side {
+        unsigned frames;
+        struct sr_buf held; /* reorder: waits for the next one */
+    } side[2];              /* towards the node behind, and back */
+    int late;               /* frames under way: the link stays */
+};
+
+struct late {
+    struct nt_timer t;
+    struct link *l;
+    bool back;
+    struct sr_buf frame;
 };
 
 struct relay {
     struct nt_loop *loop;
     int http, n;
     struct pair pairs[MAX_PAIRS];
-    char cut[256];
+    char cut[256], mangle[16];
     struct wr_decoder dec;
 };
 
@@ -59,6 +73,73 @@
         sr_copy(l->from, sizeof(l->from), m.hello.name);
 }
 
+static void maybe_free(struct link *l)
+{
+    if (l->in || l->out || l->late)
+        return;
+    for (int i = 0; i < l->n_early; i++)
+        sr_buf_free(&l->early[i]);
+    for (int i = 0; i < 2; i++)
+        sr_buf_free(&l->side[i].held);
+    free(l);
+}
+
+static struct nt_conn *towards(const struct link *l, bool back)
+{
+    return back ? l->in : l->out;
+}
+
+static void send_late(void *ud)
+{
+    struct late *x = ud;
+    struct link *l = x->l;
+    if (towards(l, x->back))
+        nt_send(towards(l, x->back), x->frame.p, x->frame.len);
+    l->late--;
+    sr_buf_free(&x->frame);
+    nt_timer_cancel(&x->t);
+    free(x);
+    maybe_free(l);
+}
+
+static void hold_back(struct link *l, bool back, const char *data, size_t len)
+{
+    struct late *x = sr_alloc(sizeof(*x));
+    x->l = l;
+    x->back = back;
+    sr_buf_add(&x->frame, data, len);
+    l->late++;
+    nt_timer_set(l->pair->r->loop, &x->t, LATE_US, send_late, x);
+}
+
+/* Pass a frame on, or what is left of it. */
+static void pass(struct link *l, bool back, const char *data, size_t len)
+{
+    struct nt_conn *to = towards(l, back);
+    struct side *s = &l->side[back];
+    const char *how = l->pair->r->mangle;
+    bool hit = how[0] && s->frames > 0 && s->frames % MANGLE_EVERY == 0;
+    s->frames++;
+    if (hit && strcmp(how, "late") == 0) {
+        hold_back(l, back, data, len);
+        return;
+    }
+    if (hit && strcmp(how, "reorder") == 0 && !s->held.len) {
+        sr_buf_add(&s->held, data, len);
+        return;
+    }
+    if (hit && strcmp(how, "noise") == 0)
+        nt_send(to, "\xc1\xc1\xc1\xc1", 4);
+    else
+        nt_send(to, data, hit && strcmp(how, "truncate") == 0 ? (len + 1) / 2 : len);
+    if (hit && strcmp(how, "double") == 0)
+        nt_send(to, data, len);
+    if (s->held.len) {
+        nt_send(to, s->held.p, s->held.len);
+        s->held.len = 0;
+    }
+}
+
 static void in_open(struct nt_conn *c, void *ud)
 {
     (void)c;
@@ -73,20 +154,11 @@
     if (dead(l) || !l->out)
         return;
     if (l->open)
-        nt_send(l->out, data, len);
+        pass(l, false, data, len);
     else if (l->n_early < 8)
         sr_buf_add(&l->early[l->n_early++], data, len);
 }
 
-static void maybe_free(struct link *l)
-{
-    if (l->in || l->out)
-        return;
-    for (int i = 0; i < l->n_early; i++)
-        sr_buf_free(&l->early[i]);
-    free(l);
-}
-
 static void in_close(struct nt_conn *c, void *ud, bool opened, bool refused)
 {
     struct link *l = ud;
@@ -112,7 +184,7 @@
     struct link *l = ud;
     (void)c;
     if (l->in && !dead(l))
-        nt_send(l->in, data, len);
+        pass(l, true, data, len);
 }
 
 static void out_close(struct nt_conn *c, void *ud, bool opened, bool refused)
@@ -143,8 +215,11 @@
 static void on_http(const struct nt_http *req)
 {
     struct relay *r = req->ud;
-    if (strcmp(req->method, "POST") == 0)
-        sr_copy(r->cut, sizeof(r->cut), (struct sr_str){req->body, req->body_len});
+    struct sr_str body = {req->body, req->body_len};
+    if (strcmp(req->path, "/mangle") == 0)
+        sr_copy(r->mangle, sizeof(r->mangle), body);
+    else if (strcmp(req->method, "POST") == 0)
+        sr_copy(r->cut, sizeof(r->cut), body);
     nt_http_reply(req->conn, 200, "text/plain", r->cut, strlen(r->cut));
 }
 
@@ -174,7 +249,7 @@
 int main(int argc, char **argv)
 {
     static const struct argp_option options[] = {
-        {"http", 'h', "PORT", 0, "port for POST /cut", 0}, {0}};
+        {"http", 'h', "PORT", 0, "port for POST /cut and /mangle", 0}, {0}};
     static struct relay r;
     struct argp argp = {options, parse, "NAME:LISTEN:TARGET...", "A relay that cuts.", NULL,
                         NULL,    NULL};
