--- a/bench/bench.h
+++ b/bench/bench.h
@@ -11,5 +11,9 @@
 void bn_decision_names(void);
 /* Bytes and memory of states and messages, as slopes. */
 int bn_sizes(void);
+/* The bytes that have a bound, a line each: name and number. */
+int bn_bytes(void);
+/* Messages and log entries of one change of primary with the pure module, a line each. */
+int bn_messages(void);
 
 #endif
--- a/bench/decisions.c
+++ b/bench/decisions.c
@@ -11,6 +11,7 @@
 #include "pool/shares.h"
 #include "promote/promote.h"
 #include "quorum/quorum.h"
+#include "route/holders.h"
 #include "route/route.h"
 #include "session/token.h"
 #include "wire/wire.h"
@@ -84,6 +85,46 @@
     }
 }
 
+/* A renewal that names one of 2,820 instances, each held by 8 nodes. */
+static void share_at_target(int n)
+{
+    enum { INSTANCES = 2820, HOLDERS = 8 };
+    static struct sh_table t;
+    char id[16];
+    sh_begin(&t, 0);
+    for (int i = 0; i < INSTANCES; i++) {
+        snprintf(id, sizeof(id), "db%d", i);
+        sh_set_instance(&t, id, 25, 4);
+        for (uint64_t k = 1; k <= HOLDERS; k++)
+            sh_report(&t, id, k, 1, 1, UINT64_MAX - 1, CK_SEC(100), 0);
+        sh_balance(&t, id, 0);
+    }
+    for (int i = 0; i < n; i++) {
+        uint64_t node = (uint64_t)(i % HOLDERS) + 1;
+        snprintf(id, sizeof(id), "db%d", i * 7 % INSTANCES);
+        keep += sh_report(&t, id, node, 1, 1, UINT64_MAX - 1, CK_SEC(100), 0);
+        keep += sh_untold(&t, id, node);
+    }
+}
+
+/* Eight holders of a group among 460 nodes in five failure domains. */
+static void holders_of_460(int n)
+{
+    enum { NODES = 460, DOMAINS = 5, HOLDERS = 8 };
+    static struct ho_node nodes[NODES];
+    int out[HO_MAX_HOLDERS];
+    char group[16];
+    for (int i = 0; i < NODES; i++) {
+        snprintf(nodes[i].name, sizeof(nodes[i].name), "e%d", i);
+        snprintf(nodes[i].domain, sizeof(nodes[i].domain), "d%d", i % DOMAINS);
+    }
+    ho_prepare(nodes, NODES);
+    for (int i = 0; i < n; i++) {
+        snprintf(group, sizeof(group), "db%d", i % 940);
+        keep += (uint64_t)ho_pick(nodes, NODES, group, HOLDERS, out) + (uint64_t)out[0];
+    }
+}
+
 static void promote(int n)
 {
     static struct pr_group p;
@@ -219,6 +260,8 @@
                  {"admit", admit},
                  {"lease_of_460", lease},
                  {"share_of_12", share},
+                 {"share_at_target", share_at_target},
+                 {"holders_of_460", holders_of_460},
                  {"promote_tick", promote},
                  {"parse_request", parse_request},
                  {"write_answer", write_answer},
--- a/bench/main.c
+++ b/bench/main.c
@@ -16,6 +16,10 @@
         return bn_overload();
     if (argc == 2 && strcmp(argv[1], "sizes") == 0)
         return bn_sizes();
+    if (argc == 2 && strcmp(argv[1], "bytes") == 0)
+        return bn_bytes();
+    if (argc == 2 && strcmp(argv[1], "messages") == 0)
+        return bn_messages();
     if (argc == 2 && strcmp(argv[1], "decisions") == 0) {
         bn_decision_names();
         return 0;
@@ -23,6 +27,7 @@
     if (argc == 4 && strcmp(argv[1], "decision") == 0)
         return bn_decision(argv[2], atoi(argv[3]));
     fprintf(stderr,
-            "usage: ferry-bench reads | overload | sizes | decisions | decision NAME N\n");
+            "usage: ferry-bench reads | overload | sizes | bytes | messages | decisions | "
+            "decision NAME N\n");
     return 64;
 }
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -40,5 +40,7 @@
 part "sizes" "$CL_BUILD/ferry-bench" sizes
 part "the cost of an entry node" latency
 part "capacity" bash bench/capacity.sh
+part "the target's size" bash bench/target.sh
+part "catching up" bash bench/catchup.sh
 part "failover" bash bench/failover.sh 5
 exit $failed
--- a/bench/sizes.c
+++ b/bench/sizes.c
@@ -137,3 +137,17 @@
     printf("control: per node and instance     %8zu bytes (share)\n", sizeof(struct sh_node));
     return 0;
 }
+
+int bn_bytes(void)
+{
+    struct wr_msg grant = {.type = WR_GRANT, .grant = {100000, 1ull << 60, 2000, 40000}};
+    printf("renewal_of_51 %zu\n", renew_bytes(51));
+    printf("grant %zu\n", encoded(&grant));
+    printf("heartbeat %zu\n", heartbeat_bytes());
+    printf("change %zu\n", change_bytes());
+    printf("view_of_940 %zu\n", view_text(940));
+    printf("entry_group %zu\n", sizeof(struct en_group));
+    printf("entry_request %zu\n", sizeof(struct en_req));
+    printf("promotion %zu\n", sizeof(struct pr_group));
+    return 0;
+}
--- a/caller/caller.c
+++ b/caller/caller.c
@@ -4,6 +4,8 @@
 
 #include <jansson.h>
 
+#define TAG_FIELD ",\"tag\":"
+
 static const char *const kind_names[] = {"read", "write", "begin", "commit", "rollback"};
 
 const char *cl_kind_name(enum cl_kind k)
@@ -82,20 +84,22 @@
 
 static bool parse_fields(const json_t *o, struct cl_request *r, struct er_err *err)
 {
-    int64_t priority = 0;
+    int64_t priority = 0, tag = 0;
     if (!get_text(o, "id", r->id, sizeof(r->id), true, err) ||
         !get_text(o, "account", r->account, sizeof(r->account), true, err) ||
         !get_text(o, "db", r->db, sizeof(r->db), true, err) || !get_kind(o, &r->kind, err) ||
         !get_text(o, "token", r->token, sizeof(r->token), false, err) ||
         !get_text(o, "txn", r->txn, sizeof(r->txn), false, err) ||
         !get_flag(o, "repeat_safe", &r->repeat_safe, err) ||
-        !get_flag(o, "hop", &r->hop, err) ||
+        !get_flag(o, "resend", &r->resend, err) || !get_flag(o, "hop", &r->hop, err) ||
         !get_int(o, "age_ms", 0, INT64_MAX / 2000, &r->age_ms, err) ||
         !get_int(o, "deadline_ms", 1, CL_MAX_DEADLINE_MS, &r->deadline_ms, err) ||
         !get_int(o, "issued_ms", 0, INT64_MAX, &r->issued_ms, err) ||
-        !get_int(o, "priority", 0, 1, &priority, err) || !get_stmt(o, r, err))
+        !get_int(o, "priority", 0, 1, &priority, err) ||
+        !get_int(o, "tag", 0, INT64_MAX, &tag, err) || !get_stmt(o, r, err))
         return false;
     r->priority = (int)priority;
+    r->tag = (uint64_t)tag;
     if (r->txn[0] == 0 && (r->kind == CL_COMMIT || r->kind == CL_ROLLBACK))
         return er_set(err, ER_BAD_INPUT, "txn: %s needs it", kind_names[r->kind]);
     return true;
@@ -124,10 +128,10 @@
 
 void cl_write_request(struct sr_buf *out, const struct cl_request *r, int64_t deadline_ms)
 {
-    json_t *o =
-        json_pack("{s:s,s:s,s:s,s:s,s:I,s:b,s:b,s:i}", "id", r->id, "account", r->account, "db",
-                  r->db, "kind", kind_names[r->kind], "deadline_ms", (json_int_t)deadline_ms,
-                  "hop", 1, "repeat_safe", r->repeat_safe, "priority", r->priority);
+    json_t *o = json_pack("{s:s,s:s,s:s,s:s,s:I,s:b,s:b,s:b,s:i}", "id", r->id, "account",
+                          r->account, "db", r->db, "kind", kind_names[r->kind], "deadline_ms",
+                          (json_int_t)deadline_ms, "hop", 1, "repeat_safe", r->repeat_safe,
+                          "resend", r->resend, "priority", r->priority);
     if (r->stmt)
         json_object_set_new(o, "stmt", json_string(r->stmt));
     if (r->token[0])
@@ -138,6 +142,8 @@
         json_object_set_new(o, "age_ms", json_integer(r->age_ms));
     if (r->issued_ms)
         json_object_set_new(o, "issued_ms", json_integer(r->issued_ms));
+    if (r->tag)
+        json_object_set_new(o, "tag", json_integer((json_int_t)r->tag));
     char *s = json_dumps(o, JSON_COMPACT);
     if (s)
         sr_buf_add(out, s, strlen(s));
@@ -193,5 +199,23 @@
     if (ans == ER_ANS_NOT_RUN)
         sr_buf_printf(out, ",\"retry_after_ms\":%lld",
                       (long long)(a->retry_after_ms > 0 ? a->retry_after_ms : 1));
+    if (a->tag)
+        sr_buf_printf(out, TAG_FIELD "%llu", (unsigned long long)a->tag);
     sr_buf_add(out, "}", 1);
 }
+
+uint64_t cl_untag(const char *text, size_t *len)
+{
+    size_t n = *len, digits = 0;
+    if (n == 0 || text[n - 1] != '}')
+        return 0;
+    n--;
+    while (digits < n && text[n - 1 - digits] >= '0' && text[n - 1 - digits] <= '9')
+        digits++;
+    size_t field = sizeof(TAG_FIELD) - 1;
+    if (digits == 0 || n < digits + field ||
+        memcmp(text + n - digits - field, TAG_FIELD, field) != 0)
+        return 0;
+    *len = n - digits - field;
+    return strtoull(text + n - digits, NULL, 10);
+}
--- a/caller/caller.h
+++ b/caller/caller.h
@@ -33,6 +33,8 @@
     int64_t deadline_ms;  /* from now */
     int64_t issued_ms;    /* wall clock at the first sending of this id; 0 not given */
     int priority;         /* 0 normal, 1 first within its kind */
+    bool resend;          /* this id may have been sent before */
+    uint64_t tag;         /* of a forwarded request; its answer carries it; 0 none */
     bool hop;             /* another entry node has forwarded it */
 };
 
@@ -47,6 +49,7 @@
     bool durable;          /* held by enough instances */
     int64_t retry_after_ms;
     const char *detail;
+    uint64_t tag; /* 0 none */
 };
 
 /* Untrusted text in. The request's id is filled as soon as it is known, so that the refusal can
@@ -55,8 +58,11 @@
 void cl_request_free(struct cl_request *r);
 /* The request as text again, marked as forwarded, with the deadline that is left. */
 void cl_write_request(struct sr_buf *out, const struct cl_request *r, int64_t deadline_ms);
-/* Append the answer's text. */
+/* Append the answer's text. A tag stands last, where cl_untag finds it. */
 void cl_write(struct sr_buf *out, const char *id, const struct cl_answer *a);
+/* The tag of an answer's text, 0 none; *len becomes the length of the text without its tag,
+ * less the closing brace. */
+uint64_t cl_untag(const char *text, size_t *len);
 const char *cl_kind_name(enum cl_kind k);
 
 #endif
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -11,8 +11,6 @@
     DRAIN_US = 1000000,
     FLUSH_US = 50000,
     LINGER_US = 1000000,
-    NEAR = 0,
-    FAR = 1,
     SAMPLES_LAG = -1
 };
 
@@ -86,7 +84,7 @@
         }
         in->at = i;
         in->cfg = v->inst[i];
-        rt[i].distance = strcmp(in->cfg.domain, g->node->s->domain) == 0 ? NEAR : FAR;
+        rt[i].distance = rt_distance(g->node->s->domain, in->cfg.domain);
         next[i] = in;
     }
     for (int i = 0; i < VW_MAX_INSTANCES; i++) {
@@ -153,11 +151,24 @@
         en_holding_changed(n);
 }
 
+/* Whether this node is one of the group's holders. */
+static bool pick_holders(struct en_node *n, struct en_group *g)
+{
+    int out[HO_MAX_HOLDERS], k = n->s->holders;
+    bool all = k <= 0 || n->n_nodes <= k, held = all;
+    g->n_holders = all ? 0 : (uint16_t)ho_pick(n->nodes, n->n_nodes, g->cfg.name, k, out);
+    for (int i = 0; i < g->n_holders; i++) {
+        g->holders[i] = (uint16_t)out[i];
+        held = held || strcmp(n->nodes[out[i]].name, n->s->name) == 0;
+    }
+    return held;
+}
+
 void en_holding_changed(struct en_node *n)
 {
     for (int i = 0; i < n->n_groups; i++) {
         struct en_group *g = n->groups[i];
-        bool held = ho_holds(n->nodes, n->n_nodes, g->cfg.name, n->s->holders, n->s->name);
+        bool held = pick_holders(n, g);
         if (held == g->held)
             continue;
         g->held = held;
@@ -279,6 +290,8 @@
     n->stopped_ud = ud;
     n->stop_by = ck_now() + CK_MS(n->s->stop_ms);
     n->quiet_since = ck_now();
+    if (n->s->off_finish)
+        n->stop_by = 0;
     en_callers_notice(n);
     tl_add(n->tl, TL_STOP, "", 0, "planned stop, %d requests to finish", n->n_reqs);
     FL_INFO(&n->log, "stopping: %d requests to finish", n->n_reqs);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -68,6 +68,7 @@
     struct sr_buf value;
     bool duplicate;
     struct en_up *up; /* EN_FORWARDED */
+    uint64_t up_tag;  /* what the holder's answer will carry */
     int forwards;
     bool may_have_run;       /* a write that may be repeated was sent and its answer lost */
     enum er_kind later_kind; /* EN_LATER: ER_NONE routes anew, else the refusal */
@@ -104,6 +105,7 @@
     struct en_ep *eps;
     struct en_ep *watch;
     struct ps_pos held, applied;
+    uint64_t following;         /* term of the primary whose log it takes */
     int64_t heard, status_sent; /* last sign of life; last unanswered status */
     int64_t next_open;          /* no new connection before */
     int64_t suspected;          /* last told to control */
@@ -132,7 +134,8 @@
     int64_t
         drain_until; /* planned change: statements in flight may finish until then; 0 none */
     bool rests;      /* nothing to do for it in a tick */
-    bool held;       /* this node holds connections to its instances */
+    uint16_t n_holders, holders[HO_MAX_HOLDERS]; /* in the node's `nodes`, best first */
+    bool held; /* this node holds connections to its instances */
     struct en_inst *inst[VW_MAX_INSTANCES];
     struct rt_group rt;
     struct en_req *parked, **parked_tail;
@@ -177,6 +180,7 @@
     struct nt_timer later_timer;
     struct en_txn *txns;
     struct en_up *ups; /* connections to holders */
+    uint64_t up_tags;  /* drawn so far */
     int n_nodes;
     struct ho_node nodes[HO_MAX_NODES]; /* live entry nodes, as control says */
     int n_reqs, n_callers;
@@ -263,7 +267,7 @@
 /* The request is answered otherwise: its answer from the holder goes nowhere. */
 void en_up_forget(struct en_req *r);
 void en_ups_caller_gone(struct en_caller *c);
-/* Pass a holder's answer on as it is. */
+/* Pass a holder's answer on as it is; `text` lacks its closing brace (cl_untag). */
 void en_relay(struct en_req *r, const char *text, size_t len, enum er_kind kind);
 
 /* txn.c */
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -1,8 +1,10 @@
 /* Forwarding to a holder: a group whose instances this node holds no connections to.
  *
- * The node acts as a caller of the holder: one connection for each of its own callers and
- * group, so that transactions stay on one connection, and the holder's answers are passed on as
- * they are. A request that was forwarded once is never forwarded again. */
+ * The node acts as a caller of the holder. One connection a holder carries the statements of
+ * all its own callers, told apart by tags, since callers choose their ids themselves; a
+ * transaction has a connection of its own, for its caller and group, so that it ends with its
+ * caller. The holder's answers are passed on as they are. A request that was forwarded once is
+ * never forwarded again. */
 #include <stdlib.h>
 
 #include "entry/entry.h"
@@ -11,8 +13,9 @@
 struct en_up {
     struct en_up *next; /* the node's */
     struct en_node *node;
-    struct en_caller *caller; /* NULL: gone */
-    struct en_group *group;
+    bool shared;              /* by all callers; else a caller's for transactions of a group */
+    struct en_caller *caller; /* NULL: gone, or shared */
+    struct en_group *group;   /* not of a shared one */
     struct nt_conn *net;
     char holder[32];
     bool open, leaving;
@@ -30,9 +33,9 @@
     *list = r;
 }
 
-static struct en_req *take(struct en_req **list, const char *id)
+static struct en_req *take(struct en_req **list, uint64_t tag)
 {
-    while (*list && strcmp((*list)->r.id, id) != 0)
+    while (*list && (*list)->up_tag != tag)
         list = &(*list)->chain;
     struct en_req *r = *list;
     if (r)
@@ -59,8 +62,10 @@
 static void send_one(struct en_up *up, struct en_req *r)
 {
     struct sr_buf b = {0};
+    struct cl_request q = r->r;
     int64_t left = (r->deadline - ck_now()) / 1000;
-    cl_write_request(&b, &r->r, left > 1 ? left : 1);
+    q.tag = r->up_tag = ++up->node->up_tags;
+    cl_write_request(&b, &q, left > 1 ? left : 1);
     up->node->c.forwarded++;
     bool sent = nt_send(up->net, b.p, b.len);
     sr_buf_free(&b);
@@ -121,14 +126,17 @@
 {
     struct en_up *up = ud;
     json_t *a = json_loadb(data, len, 0, NULL);
-    const char *id = json_string_value(json_object_get(a, "id"));
+    size_t rest = len;
+    uint64_t tag = cl_untag(data, &rest);
     if (json_object_get(a, "notice"))
         up->leaving = true;
-    struct en_req *r = id ? take(&up->sent, id) : NULL;
+    struct en_req *r = a && tag ? take(&up->sent, tag) : NULL;
     if (r) {
         r->up = NULL;
         r->chain = NULL;
-        answered(up, r, data, len, kind_of(a));
+        answered(up, r, data, rest, kind_of(a));
+    } else if (tag) {
+        up->node->c.late_replies++; /* its request was given up */
     }
     json_decref(a);
     if (up->leaving && !up->sent && !up->unsent && !up->txns)
@@ -179,16 +187,16 @@
 /* ---- choosing ---- */
 
 /* The holder for this try: those of our own failure domain first. */
-static const struct ho_node *choose(struct en_node *n, const char *group, int attempt)
+static const struct ho_node *choose(const struct en_node *n, const struct en_group *g,
+                                    int attempt)
 {
-    int out[HO_MAX_HOLDERS], order[HO_MAX_HOLDERS], k = 0;
-    int m = ho_pick(n->nodes, n->n_nodes, group, n->s->holders, out);
+    int order[HO_MAX_HOLDERS], k = 0;
     for (int near = 1; near >= 0; near--) {
-        for (int i = 0; i < m; i++) {
-            const struct ho_node *x = &n->nodes[out[i]];
+        for (int i = 0; i < g->n_holders; i++) {
+            const struct ho_node *x = &n->nodes[g->holders[i]];
             if ((strcmp(x->domain, n->s->domain) == 0) == near &&
                 strcmp(x->name, n->s->name) != 0)
-                order[k++] = out[i];
+                order[k++] = g->holders[i];
         }
     }
     return k ? &n->nodes[order[attempt % k]] : NULL;
@@ -197,18 +205,21 @@
 static struct en_up *up_for(struct en_req *r)
 {
     struct en_node *n = r->caller->node;
+    bool pinned = r->r.txn[0] != 0, own = pinned || r->r.kind == CL_BEGIN;
+    const struct ho_node *h = choose(n, r->group, r->forwards);
     for (struct en_up *up = n->ups; up; up = up->next) {
-        bool pinned = r->r.txn[0] != 0;
-        if (up->caller == r->caller && up->group == r->group && (!up->leaving || pinned))
+        bool mine = own && up->caller == r->caller && up->group == r->group;
+        bool common = !own && up->shared && h && strcmp(up->holder, h->name) == 0;
+        if ((mine || common) && (!up->leaving || pinned))
             return up;
     }
-    const struct ho_node *h = choose(n, r->group->cfg.name, r->forwards);
     if (!h)
         return NULL;
     struct en_up *up = sr_alloc(sizeof(*up));
     up->node = n;
-    up->caller = r->caller;
-    up->group = r->group;
+    up->shared = !own;
+    up->caller = own ? r->caller : NULL;
+    up->group = own ? r->group : NULL;
     sr_copy(up->holder, sizeof(up->holder), sr_from(h->name));
     up->next = n->ups;
     n->ups = up;
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -41,6 +41,7 @@
     in->heard = now;
     in->held = r->held;
     in->applied = r->applied;
+    in->following = r->following;
     rt_applied(&g->rt, in->at, r->applied, now);
     en_held_moved(g);
 }
@@ -122,7 +123,8 @@
         on_status(ep, r, now);
         return;
     }
-    if (r->id != ep->req_id || !ep->req_id) {
+    bool ours = r->id == ep->req_id || in->node->s->off_own_id;
+    if (!ep->req_id || !ours) {
         in->node->c.late_replies++;
         return;
     }
@@ -207,12 +209,13 @@
 static void open_one(struct en_inst *in)
 {
     struct en_ep *ep = sr_alloc(sizeof(*ep));
+    char who[64];
+    snprintf(who, sizeof(who), "entry:%s", in->node->s->name);
     ep->inst = in;
     ep->next = in->eps;
     in->eps = ep;
     in->n_conns++;
-    ep->c =
-        in->node->driver->open(in->node->loop, in->cfg.ip, in->cfg.port, "entry", &events, ep);
+    ep->c = in->node->driver->open(in->node->loop, in->cfg.ip, in->cfg.port, who, &events, ep);
 }
 
 void en_ep_close(struct en_ep *ep)
@@ -233,8 +236,9 @@
 
 static struct en_ep *idle_ep(const struct en_inst *in)
 {
+    bool pinned = !in->node->s->off_pinning;
     for (struct en_ep *e = in->eps; e; e = e->next) {
-        if (e->open && !e->closing && !e->req_id && !e->txn && !e->req)
+        if (e->open && !e->closing && !e->req_id && !(e->txn && pinned) && !e->req)
             return e;
     }
     return NULL;
@@ -295,6 +299,8 @@
 static int64_t poll_every(const struct en_inst *in, int64_t now)
 {
     const struct en_group *g = in->group;
+    if (g->holding && !in->node->s->pushes)
+        return 0; /* writes wait for what this instance holds: ask again and again */
     if (now - g->used > IDLE_AFTER_US)
         return STATUS_IDLE_US;
     return in->at == g->cfg.primary ? STATUS_US : STATUS_REPLICA_US;
@@ -361,9 +367,12 @@
     q->op = ops[r->r.kind];
     q->stmt = sr_from(r->r.stmt);
     q->term = r->term;
-    q->min = r->min;
-    q->wait_us = r->wait_us;
-    if (r->r.kind == CL_WRITE && !r->r.repeat_safe && !r->caller->node->s->off_once) {
+    const struct st_settings *s = r->caller->node->s;
+    if (s->minpos) {
+        q->min = r->min;
+        q->wait_us = r->wait_us;
+    }
+    if (r->r.kind == CL_WRITE && !r->r.repeat_safe && s->claims && !s->off_once) {
         snprintf(claim, cap, "%s:%s", r->r.account, r->r.id);
         q->claim = sr_from(claim);
     }
--- a/entry/replies.c
+++ b/entry/replies.c
@@ -95,6 +95,16 @@
     en_park(r);
 }
 
+/* The replica read before it had applied what the read needs: where the instance does not check
+ * that (MINPOS), the position in its reply tells. */
+static bool came_too_early(const struct en_req *r, const struct ep_reply *rep)
+{
+    const struct vw_group *g = &r->group->cfg;
+    if (r->r.kind != CL_READ || r->at_primary || !r->min.pos)
+        return false;
+    return !ps_covers(rep->pos, r->min, g->starts, g->n_starts);
+}
+
 void en_reply(struct en_req *r, struct en_ep *ep, const struct ep_reply *rep)
 {
     struct en_inst *in = ep->inst;
@@ -121,6 +131,12 @@
     case EP_OK:
         break;
     }
+    if (came_too_early(r, rep)) {
+        in->node->c.reads_behind++;
+        r->tried |= 1u << in->at;
+        en_route(r);
+        return;
+    }
     sr_buf_add(&r->value, rep->value.p, rep->value.len);
     r->duplicate = rep->duplicate;
     if (r->r.kind == CL_READ) {
@@ -164,5 +180,9 @@
         en_route(r);
         return;
     }
+    if (r->caller->node->s->off_not_run) {
+        en_fail(r, ER_ENDPOINT, 1, NULL);
+        return;
+    }
     en_fail(r, ER_LOST, 0, "the connection was lost after the statement was sent");
 }
--- a/entry/request.c
+++ b/entry/request.c
@@ -106,15 +106,22 @@
 void en_answer(struct en_req *r, const struct cl_answer *a)
 {
     struct sr_buf b = {0};
-    cl_write(&b, r->r.id, a);
+    struct cl_answer tagged = *a;
+    tagged.tag = r->r.tag;
+    cl_write(&b, r->r.id, &tagged);
     finish(r, &b, a->kind);
     sr_buf_free(&b);
 }
 
 void en_relay(struct en_req *r, const char *text, size_t len, enum er_kind kind)
 {
-    struct sr_buf b = {(char *)text, len, len};
+    struct sr_buf b = {0};
+    sr_buf_add(&b, text, len);
+    if (r->r.tag)
+        sr_buf_printf(&b, ",\"tag\":%llu", (unsigned long long)r->r.tag);
+    sr_buf_add(&b, "}", 1);
     finish(r, &b, kind);
+    sr_buf_free(&b);
 }
 
 void en_fail(struct en_req *r, enum er_kind kind, int64_t retry_ms, const char *detail)
@@ -227,10 +234,20 @@
 
 /* ---- arrival ---- */
 
+static bool is_unsafe(const struct cl_request *r)
+{
+    return !r->repeat_safe && (r->kind == CL_WRITE || r->kind == CL_COMMIT);
+}
+
+/* Instances that remember no ids can't tell whether the first sending ran. */
+static bool cannot_resend(const struct en_node *n, const struct cl_request *r)
+{
+    return r->resend && is_unsafe(r) && !n->s->claims;
+}
+
 static bool id_expired(const struct en_node *n, const struct cl_request *r)
 {
-    bool unsafe = !r->repeat_safe && (r->kind == CL_WRITE || r->kind == CL_COMMIT);
-    if (!unsafe || !r->issued_ms)
+    if (!is_unsafe(r) || !r->issued_ms)
         return false;
     return ck_wall_ms() - r->issued_ms > (int64_t)n->s->resend_window_s * 1000;
 }
@@ -256,6 +273,10 @@
         en_fail(r, ER_ID_EXPIRED, 0, "issued_ms is older than the resend window");
         return;
     }
+    if (cannot_resend(n, &r->r)) {
+        en_fail(r, ER_LOST, 0, "the database remembers no request ids: look before you resend");
+        return;
+    }
     if (r->r.token[0]) {
         r->has_token = ss_token_read(&n->key, sr_from(r->r.db), sr_from(r->r.token), &r->token);
         n->c.bad_tokens += !r->has_token;
--- a/entry/routing.c
+++ b/entry/routing.c
@@ -86,6 +86,15 @@
 
 /* ---- routing ---- */
 
+/* An instance that checks positions itself also refuses while its log may still lose its end.
+ * One that does not is asked only when it is known to follow the term in force. */
+static bool follows(const struct en_inst *in)
+{
+    const struct en_group *g = in->group;
+    bool checks = in->node->s->minpos;
+    return checks || in->at == g->cfg.primary || in->following == g->serve_term;
+}
+
 static void refresh_route(struct en_group *g, int64_t now)
 {
     struct rt_group *rt = &g->rt;
@@ -94,7 +103,7 @@
         struct en_inst *in = g->inst[i];
         /* A primary on its way out may hold what nobody else does and nobody ever will. */
         bool leaving = g->cfg.phase != VW_SERVING && i == g->cfg.primary;
-        rt->inst[i].usable = en_usable(in, now) && !leaving;
+        rt->inst[i].usable = en_usable(in, now) && !leaving && follows(in);
         rt->inst[i].draining = g->cfg.inst[i].draining;
         rt->inst[i].in_flight = in->q.in_flight + in->q.queued;
         rt->inst[i].limit = in->q.limit >= 1 ? (int)in->q.limit : 1;
@@ -116,6 +125,7 @@
     r->item.cls = class_of(r);
     r->item.account = XXH64(r->r.account, strlen(r->r.account), 0);
     r->item.deadline = r->deadline;
+    r->item.first = r->r.priority > 0;
     if (ad_offer(&in->q, &r->item, now, &retry)) {
         r->state = EN_QUEUED;
         en_pump(in);
--- a/entry/txn.c
+++ b/entry/txn.c
@@ -97,7 +97,7 @@
     struct ep_request q = {.stmt = sr_from(r->r.stmt), .term = t->term, .txn = true};
     static const enum ep_op ops[] = {EP_READ, EP_WRITE, EP_BEGIN, EP_COMMIT, EP_ROLLBACK};
     q.op = ops[r->r.kind];
-    if (r->r.kind == CL_COMMIT && !r->r.repeat_safe) {
+    if (r->r.kind == CL_COMMIT && !r->r.repeat_safe && r->caller->node->s->claims) {
         snprintf(claim, sizeof(claim), "%s:%s", r->r.account, r->r.id);
         q.claim = sr_from(claim);
     }
@@ -131,7 +131,7 @@
         en_fail(r, ER_BAD_TXN, 0, "the transaction was lost and rolled back");
         return;
     }
-    if (t->busy) {
+    if (t->busy || t->ep->req) {
         en_fail(r, ER_BAD_TXN, 0, "a statement of this transaction is running");
         return;
     }
--- a/load/sending.c
+++ b/load/sending.c
@@ -112,6 +112,8 @@
         json_object_set_new(q, "txn", json_string(s->txn));
     if (s->tokens[s->db][0] && s->op != OP_VERIFY)
         json_object_set_new(q, "token", json_string(s->tokens[s->db]));
+    if (claim && s->resends > 0)
+        json_object_set_new(q, "resend", json_true());
     if (s->aged && s->op == OP_READ)
         json_object_set_new(q, "age_ms", json_integer(o->age_ms));
     char *text = json_dumps(q, JSON_COMPACT);
--- a/route/route.c
+++ b/route/route.c
@@ -78,6 +78,15 @@
     return (int64_t)a->in_flight * b->limit < (int64_t)b->in_flight * a->limit;
 }
 
+int rt_distance(const char *a, const char *b)
+{
+    if (strcmp(a, b) == 0)
+        return 0;
+    const char *end_a = strchr(a, '/'), *end_b = strchr(b, '/');
+    size_t n = end_a ? (size_t)(end_a - a) : 0, m = end_b ? (size_t)(end_b - b) : 0;
+    return n == m && memcmp(a, b, n) == 0 ? 1 : 2;
+}
+
 static struct rt_choice to_primary(const struct rt_group *g, unsigned skip)
 {
     struct rt_choice c = {.inst = -1, .primary = true, .why = ER_NO_PRIMARY};
--- a/route/route.h
+++ b/route/route.h
@@ -63,6 +63,9 @@
  * primary was not asked within that time. */
 bool rt_age_floor(const struct rt_group *g, int64_t max_age_us, int64_t now,
                   struct ps_pos *floor);
+/* How far failure domain `b` is from `a`: 0 the same, 1 of the same region, 2 of another. A
+ * domain is called "region/name", or "name" alone where there is one region. */
+int rt_distance(const char *a, const char *b);
 /* `skip`: bits of instances already tried. */
 struct rt_choice rt_read(const struct rt_group *g, const struct rt_query *q, unsigned skip,
                          int64_t now);
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -1,123 +1,13 @@
 #include "settings/settings.h"
 
+#include "settings/table.h"
+
 #include <arpa/inet.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-enum type { T_TEXT, T_IP, T_INT, T_FLAG, T_ROLES, T_PEERS, T_GROUPS };
-
-struct option {
-    const char *key; /* dotted path */
-    enum type type;
-    size_t at, size; /* field in struct st_settings */
-    long lo, hi;
-    const char *unit;
-    const char *def; /* as JSON text */
-    const char *help;
-};
-
-#define AT(f) offsetof(struct st_settings, f), sizeof(((struct st_settings *)0)->f)
-
-static const struct option table[] = {
-    {"cluster", T_TEXT, AT(cluster), 1, 63, "", NULL,
-     "name of the cluster; processes of another are refused"},
-    {"secret", T_TEXT, AT(secret), 0, 127, "", "\"\"",
-     "key of session tokens, the same on all nodes"},
-    {"secret_file", T_TEXT, AT(secret_file), 0, 255, "", "\"\"",
-     "file whose first line is the secret, in place of `secret`"},
-    {"node.name", T_TEXT, AT(name), 1, 31, "", NULL, "name of this node"},
-    {"node.domain", T_TEXT, AT(domain), 1, 31, "", NULL, "failure domain of this VM"},
-    {"node.region", T_TEXT, AT(region), 0, 31, "", "\"\"", "region of this VM"},
-    {"roles", T_ROLES, AT(entry), 0, 0, "", NULL, "list of \"entry\" and \"control\""},
-    {"entry.ip", T_IP, AT(entry_ip), 0, 0, "", "\"127.0.0.1\"", "address for callers"},
-    {"entry.port", T_INT, AT(entry_port), 1, 65535, "", "7000",
-     "port for callers: WebSocket, HTTP, health, metrics"},
-    {"entry.max_callers", T_INT, AT(max_callers), 1, 1000000, "connections", "10000",
-     "caller connections held at once"},
-    {"entry.max_outstanding", T_INT, AT(max_outstanding), 1, 1000000, "requests", "20000",
-     "requests held at once"},
-    {"entry.queue", T_INT, AT(queue), 1, 1000000, "requests", "1000",
-     "requests that wait for one instance"},
-    {"entry.target_ms", T_INT, AT(target_ms), 1, 10000, "ms", "5",
-     "queueing delay at an instance that the limiter aims at"},
-    {"entry.read_wait_ms", T_INT, AT(read_wait_ms), 0, 10000, "ms", "10",
-     "longest wait at a nearly caught-up replica before the primary is asked"},
-    {"entry.park_ms", T_INT, AT(park_ms), 0, 60000, "ms", "3000",
-     "longest wait for a primary during a change of primary"},
-    {"entry.txn_idle_ms", T_INT, AT(txn_idle_ms), 100, 3600000, "ms", "10000",
-     "an idle transaction is rolled back after this"},
-    {"entry.resend_window_s", T_INT, AT(resend_window_s), 1, 86400, "s", "600",
-     "how long a resend of an unsafe request finds its first run"},
-    {"entry.retry_permille", T_INT, AT(retry_permille), 0, 1000, "1/1000", "100",
-     "retries allowed per recent success"},
-    {"entry.stop_ms", T_INT, AT(stop_ms), 100, 600000, "ms", "10000", "longest planned stop"},
-    {"control.holders", T_INT, AT(holders), 0, 16, "nodes", "0",
-     "entry nodes that hold connections to a group, the others forward to them; 0: all hold; "
-     "the same on all nodes"},
-    {"entry.primary_only", T_FLAG, AT(primary_only), 0, 0, "", "false",
-     "baseline for measurements: no replica reads"},
-    {"entry.first_come", T_FLAG, AT(first_come), 0, 0, "", "false",
-     "baseline for measurements: plain queue, no limiter"},
-    {"control.ip", T_IP, AT(control_ip), 0, 0, "", "\"127.0.0.1\"",
-     "address for other processes and operators"},
-    {"control.port", T_INT, AT(control_port), 1, 65535, "", "7100",
-     "port for our own processes"},
-    {"control.ops_port", T_INT, AT(ops_port), 1, 65535, "", "7200", "port for operators"},
-    {"control.data", T_TEXT, AT(data), 0, 255, "", "\"\"", "data folder"},
-    {"control.voters", T_PEERS, AT(n_voters), 0, 0, "", "[]",
-     "control nodes: name, ip, port, domain; entry nodes connect to these"},
-    {"control.groups", T_GROUPS, AT(groups), 0, 0, "", "[]",
-     "database groups that the first leader creates"},
-    {"control.lease_ms", T_INT, AT(lease_ms), 200, 60000, "ms", "2000", "entry nodes' lease"},
-    {"control.election_ms", T_INT, AT(election_ms), 50, 10000, "ms", "250",
-     "shortest election timeout"},
-    {"control.heartbeat_ms", T_INT, AT(heartbeat_ms), 5, 5000, "ms", "50",
-     "between heartbeats"},
-    {"control.probe_ms", T_INT, AT(probe_ms), 10, 10000, "ms", "50",
-     "between probes of an instance"},
-    {"control.silence_ms", T_INT, AT(silence_ms), 50, 60000, "ms", "300",
-     "unanswered for so long an instance counts as silent"},
-    {"control.check_ms", T_INT, AT(check_ms), 10, 10000, "ms", "100",
-     "how long entry nodes have to object to a replacement"},
-    {"control.hold_ms", T_INT, AT(hold_ms), 0, 60000, "ms", "500",
-     "least time between two replacements in a group; doubles while they repeat"},
-    {"control.hand_ms", T_INT, AT(hand_ms), 100, 60000, "ms", "3000",
-     "longest planned change of primary"},
-    {"control.attempt_ms", T_INT, AT(attempt_ms), 50, 60000, "ms", "500",
-     "an attempt at a promotion starts over after this"},
-    {"control.snapshot_entries", T_INT, AT(snapshot_entries), 16, 1000000, "entries", "2000",
-     "log entries kept before a snapshot"},
-    {"control.conn_reserve", T_INT, AT(conn_reserve), 1, 100, "connections", "4",
-     "connections of an instance kept for control's probes"},
-    {"control.fence", T_FLAG, AT(fence), 0, 0, "", "true",
-     "instances obey fences; false waits for the entry nodes' leases"},
-    {"control.lease_failover", T_FLAG, AT(lease_failover), 0, 0, "", "false",
-     "baseline for measurements: always wait for the leases"},
-    {"control.probe_rate", T_INT, AT(probe_rate), 10, 1000000, "1/s", "2000",
-     "most probes a second of a control node; with more instances than that allows they are "
-     "probed less often"},
-    {"switched_off.tokens", T_FLAG, AT(off_tokens), 0, 0, "", "false",
-     "only to see tests fail: reads ignore the session's token"},
-    {"switched_off.copies", T_FLAG, AT(off_copies), 0, 0, "", "false",
-     "only to see tests fail: writes are acknowledged before other instances hold them"},
-    {"switched_off.terms", T_FLAG, AT(off_terms), 0, 0, "", "false",
-     "only to see tests fail: acknowledgements check neither lease nor term"},
-    {"switched_off.once", T_FLAG, AT(off_once), 0, 0, "", "false",
-     "only to see tests fail: unsafe writes carry no claim and are sent again"},
-    {"switched_off.best", T_FLAG, AT(off_best), 0, 0, "", "false",
-     "only to see tests fail: the first instance that answers is promoted"},
-    {"platform.ip", T_IP, AT(platform_ip), 0, 0, "", "\"127.0.0.1\"",
-     "address of the platform's VM list"},
-    {"platform.port", T_INT, AT(platform_port), 0, 65535, "", "0", "its port; 0: none"},
-    {"log.level", T_TEXT, AT(log_level), 1, 127, "", "\"info\"",
-     "fatal, error, warn, info, verbose, debug, trace; per module: info,quorum=debug"},
-    {"log.json", T_FLAG, AT(log_json), 0, 0, "", "false", "JSON lines in place of text"},
-};
-
-enum { N_OPTIONS = sizeof(table) / sizeof(table[0]) };
-
 static const char *const type_names[] = {"text",  "IP number", "whole number", "true or false",
                                          "roles", "list",      "list"};
 
@@ -135,14 +25,14 @@
     return false;
 }
 
-static void *field(struct st_settings *s, const struct option *o)
+static void *field(struct st_settings *s, const struct st_option *o)
 {
     return (char *)s + o->at;
 }
 
 /* ---- one value ---- */
 
-static bool set_text(const struct check *c, const struct option *o, void *f, const json_t *v)
+static bool set_text(const struct check *c, const struct st_option *o, void *f, const json_t *v)
 {
     char expected[64];
     size_t n = json_string_length(v);
@@ -162,7 +52,7 @@
     return sr_copy(f, cap, sr_from(s));
 }
 
-static bool set_int(const struct check *c, const struct option *o, void *f, const json_t *v)
+static bool set_int(const struct check *c, const struct st_option *o, void *f, const json_t *v)
 {
     char expected[64];
     snprintf(expected, sizeof(expected), "a whole number %ld..%ld", o->lo, o->hi);
@@ -172,7 +62,7 @@
     return true;
 }
 
-static bool set_roles(const struct check *c, const struct option *o, struct st_settings *s,
+static bool set_roles(const struct check *c, const struct st_option *o, struct st_settings *s,
                       const json_t *v)
 {
     size_t i;
@@ -209,7 +99,7 @@
     return true;
 }
 
-static bool set_peers(const struct check *c, const struct option *o, struct st_settings *s,
+static bool set_peers(const struct check *c, const struct st_option *o, struct st_settings *s,
                       const json_t *v)
 {
     if (!json_is_array(v) || json_array_size(v) > ST_MAX_PEERS)
@@ -229,7 +119,7 @@
     return true;
 }
 
-static bool set_value(const struct check *c, const struct option *o, struct st_settings *s,
+static bool set_value(const struct check *c, const struct st_option *o, struct st_settings *s,
                       const json_t *v)
 {
     void *f = field(s, o);
@@ -271,11 +161,11 @@
     return json_object_get(json_object_get(root, head), dot + 1);
 }
 
-static const struct option *option_of(const char *key)
+static const struct st_option *option_of(const char *key)
 {
-    for (int i = 0; i < N_OPTIONS; i++) {
-        if (strcmp(table[i].key, key) == 0)
-            return &table[i];
+    for (int i = 0; i < st_n_options; i++) {
+        if (strcmp(st_table[i].key, key) == 0)
+            return &st_table[i];
     }
     return NULL;
 }
@@ -283,8 +173,8 @@
 static bool is_section(const char *key)
 {
     size_t n = strlen(key);
-    for (int i = 0; i < N_OPTIONS; i++) {
-        if (strncmp(table[i].key, key, n) == 0 && table[i].key[n] == '.')
+    for (int i = 0; i < st_n_options; i++) {
+        if (strncmp(st_table[i].key, key, n) == 0 && st_table[i].key[n] == '.')
             return true;
     }
     return false;
@@ -357,8 +247,8 @@
 
 static bool apply_all(const struct check *c, const json_t *root, struct st_settings *s)
 {
-    for (int i = 0; i < N_OPTIONS; i++) {
-        const struct option *o = &table[i];
+    for (int i = 0; i < st_n_options; i++) {
+        const struct st_option *o = &st_table[i];
         const json_t *v = lookup(root, o->key);
         if (!v && !o->def)
             return wrong(c, o->key, NULL, type_names[o->type]);
@@ -424,7 +314,7 @@
     return a;
 }
 
-static json_t *value_json(const struct st_settings *s, const struct option *o)
+static json_t *value_json(const struct st_settings *s, const struct st_option *o)
 {
     const void *f = (const char *)s + o->at;
     switch (o->type) {
@@ -456,10 +346,10 @@
 json_t *st_json(const struct st_settings *s)
 {
     json_t *root = json_object();
-    for (int i = 0; i < N_OPTIONS; i++) {
-        const char *dot = strchr(table[i].key, '.');
+    for (int i = 0; i < st_n_options; i++) {
+        const char *dot = strchr(st_table[i].key, '.');
         json_t *into = root;
-        const char *key = table[i].key;
+        const char *key = st_table[i].key;
         if (dot) {
             char head[32];
             snprintf(head, sizeof(head), "%.*s", (int)(dot - key), key);
@@ -470,7 +360,7 @@
             }
             key = dot + 1;
         }
-        json_object_set_new(into, key, value_json(s, &table[i]));
+        json_object_set_new(into, key, value_json(s, &st_table[i]));
     }
     return root;
 }
@@ -481,8 +371,8 @@
                        "settings/settings.c by `ferryd --help-settings`.\n\n"
                        "| key | type | range | unit | default | what it is |\n"
                        "| --- | --- | --- | --- | --- | --- |\n");
-    for (int i = 0; i < N_OPTIONS; i++) {
-        const struct option *o = &table[i];
+    for (int i = 0; i < st_n_options; i++) {
+        const struct st_option *o = &st_table[i];
         char range[48] = "";
         if (o->type == T_INT)
             snprintf(range, sizeof(range), "%ld to %ld", o->lo, o->hi);
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -19,7 +19,7 @@
 
 struct st_settings {
     char cluster[64], secret[ST_TEXT], secret_file[256];
-    char name[32], domain[32], region[32];
+    char name[32], domain[32];
     bool entry, control;
     char entry_ip[46];
     int entry_port;
@@ -39,7 +39,9 @@
     int retry_permille, snapshot_entries, conn_reserve, probe_rate;
     /* Mechanisms switched off, so that a test can be seen failing; never otherwise. */
     bool off_tokens, off_copies, off_terms, off_once, off_best;
-    bool fence;          /* trust the driver's FENCE */
+    bool off_own_id, off_pinning, off_not_run, off_finish;
+    /* What the endpoints can: the driver's capabilities, less those set to false. */
+    bool fence, minpos, claims, pushes;
     bool primary_only;   /* baseline: no read goes to a replica */
     bool lease_failover; /* baseline: wait for leases before promoting */
     bool first_come;     /* baseline: plain first-come queue */
--- a/tests/process/t_endpoints.sh
+++ b/tests/process/t_endpoints.sh
@@ -4,7 +4,7 @@
 . "$(dirname "$0")/lib.sh"
 cl_setup "$T_DIR/c" 29500 spokeline 3
 cl_start || { t_fail start; exit 1; }
-for how in double wrong_id crossed late truncate noise; do
+for how in double wrong_id crossed late truncate noise lose; do
     t_say "replies: $how"
     t_load --seconds 3 --rate 150 --seed 5 --deadline-ms 500
     sleep 0.7
--- a/tests/process/t_holders.sh
+++ b/tests/process/t_holders.sh
@@ -11,6 +11,21 @@
 t_check "two nodes hold an instance's connections" [ "$(conns "${CL_GROUPS[0]}-${CL_DOMAINS[0]}")" = 2 ]
 t_check "requests were forwarded" [ "$(for e in 0 1 2 3; do cl_get "$(cl_entry_port $e)" /metrics; done | awk '$1 == "ferry_forwarded_total" {n += $2} END {print n}')" -gt 100 ]
 
+t_say "callers of one node that choose the same id share a connection to the holder: each gets its own"
+for k in 0 1 2 3 4 5 6 7; do
+    cl_post "$(cl_entry_port 0)" /v1/request "{\"id\":\"k$k\",\"account\":\"a$k\",\"db\":\"${CL_GROUPS[0]}\",\"kind\":\"write\",\"stmt\":\"mark k$k own$k\"}" > /dev/null
+done
+ask_all() { # entry: 40 reads at once, five of each key, all with one id; prints what does not fit
+    local k j
+    for j in 1 2 3 4 5; do for k in 0 1 2 3 4 5 6 7; do
+        cl_post "$(cl_entry_port "$1")" /v1/request "{\"id\":\"same\",\"account\":\"a$k\",\"db\":\"${CL_GROUPS[0]}\",\"kind\":\"read\",\"stmt\":\"get own$k\"}" | grep -q "\"id\":\"same\",\"value\":\"own$k=1\".*}" || echo "own$k" &
+    done; done
+    wait # in a subshell: for these only
+}
+for e in 0 1 2 3; do
+    t_check "through e$e: nobody another's answer" [ -z "$(ask_all $e)" ]
+done
+
 t_say "a primary is killed"
 t_load --seconds 4 --seed 62
 sleep 1.5; p=$(cl_primary 0); cl_kill "i0$p"
--- a/tests/standin/instance.c
+++ b/tests/standin/instance.c
@@ -46,7 +46,7 @@
     }
     if (listed(in->o.cut, c->from))
         return; /* no greeting */
-    if (strcmp(c->from, "replica") == 0) {
+    if (strncmp(c->from, "replica", 7) == 0) {
         c->ready = true;
         in->n_conns--;
         c->counted = false;
@@ -189,7 +189,9 @@
     O_APPLY,
     O_DATA,
     O_NOFENCE,
-    O_NOCLAIM
+    O_NOCLAIM,
+    O_NOMINPOS,
+    O_NOPUSH
 };
 
 static const struct argp_option options[] = {
@@ -204,6 +206,8 @@
     {"data", O_DATA, "FILE", 0, "keep the log in FILE", 0},
     {"no-fence", O_NOFENCE, NULL, 0, "do not obey fences", 0},
     {"no-claim", O_NOCLAIM, NULL, 0, "ignore claims", 0},
+    {"no-minpos", O_NOMINPOS, NULL, 0, "ignore the position that a read needs", 0},
+    {"no-push", O_NOPUSH, NULL, 0, "push no positions", 0},
     {0}};
 
 static error_t parse(int key, char *arg, struct argp_state *st)
@@ -243,6 +247,12 @@
     case O_NOCLAIM:
         o->no_claim = true;
         break;
+    case O_NOMINPOS:
+        o->no_minpos = true;
+        break;
+    case O_NOPUSH:
+        o->no_push = true;
+        break;
     default:
         return ARGP_ERR_UNKNOWN;
     }
--- a/tests/standin/instance.h
+++ b/tests/standin/instance.h
@@ -85,6 +85,8 @@
 json_t *in_positions(struct in_instance *in, json_t *into);
 void in_append(struct in_instance *in, uint64_t term, const char *text, const char *claim,
                const char *answer);
+/* mangle.c: send the reply `s` damaged in the way that is set */
+void in_send_mangled(struct in_conn *c, char *s);
 /* replicate.c */
 void in_follow(struct in_instance *in, uint64_t term, const char *ip, int port);
 void in_unfollow(struct in_instance *in);
--- a/tests/standin/replicate.c
+++ b/tests/standin/replicate.c
@@ -186,7 +186,9 @@
     for (int i = 0; i < n; i++)
         json_array_append_new(
             a, json_pack("[I,I]", (json_int_t)starts[i].term, (json_int_t)starts[i].pos));
-    json_t *hello = json_pack("{s:s,s:s}", "op", "hello", "from", "replica");
+    char who[32];
+    snprintf(who, sizeof(who), "replica:%d", in->o.port);
+    json_t *hello = json_pack("{s:s,s:s}", "op", "hello", "from", who);
     json_t *o =
         json_pack("{s:s,s:I,s:I,s:o}", "op", "replicate", "term", (json_int_t)in->up_term,
                   "last", (json_int_t)eg_held(in->eng).pos, "starts", a);
--- a/tests/standin/serve.c
+++ b/tests/standin/serve.c
@@ -30,75 +30,13 @@
     return o;
 }
 
-static bool mangles(const struct in_instance *in, const char *how)
-{
-    return strcmp(in->o.mangle, how) == 0;
-}
-
-struct late {
-    struct nt_timer t;
-    struct in_conn *c;
-    struct in_instance *in;
-    char *text;
-};
-
-static bool still_there(const struct in_instance *in, const struct in_conn *c)
-{
-    for (const struct in_conn *x = in->conns; x; x = x->next) {
-        if (x == c)
-            return true;
-    }
-    return false;
-}
-
-static void send_late(void *ud)
-{
-    struct late *l = ud;
-    if (still_there(l->in, l->c) && l->c->net)
-        nt_send(l->c->net, l->text, strlen(l->text));
-    free(l->text);
-    nt_timer_cancel(&l->t);
-    free(l);
-}
-
-/* Damage every eighth reply to an entry node, in the way that is set. */
-static void send_mangled(struct in_conn *c, char *s)
-{
-    struct in_instance *in = c->in;
-    size_t n = strlen(s);
-    if (mangles(in, "double")) {
-        nt_send(c->net, s, n);
-        nt_send(c->net, s, n);
-    } else if (mangles(in, "truncate")) {
-        nt_send(c->net, s, n / 2);
-    } else if (mangles(in, "noise")) {
-        nt_send(c->net, "\x01\x02nonsense", 10);
-    } else if (mangles(in, "wrong_id")) {
-        nt_send(c->net, "{\"id\":99999999,\"result\":\"ok\",\"value\":\"x=9\"}", 43);
-    } else if (mangles(in, "late")) {
-        struct late *l = sr_alloc(sizeof(*l));
-        *l = (struct late){.c = c, .in = in, .text = strdup(s)};
-        nt_timer_set(in->loop, &l->t, 700000, send_late, l);
-    } else if (mangles(in, "crossed") && in->held_back && still_there(in, in->held_for)) {
-        nt_send(c->net, in->held_back, strlen(in->held_back)); /* to the wrong connection */
-        free(in->held_back);
-        in->held_back = NULL;
-        nt_send(c->net, s, n);
-    } else if (mangles(in, "crossed")) {
-        free(in->held_back);
-        in->held_back = strdup(s);
-        in->held_for = c;
-        nt_send(c->net, s, n);
-    }
-}
-
 void in_reply(struct in_conn *c, json_t *reply)
 {
     if (c && c->net) {
         char *s = json_dumps(reply, JSON_COMPACT);
         bool entry = strncmp(c->from, "entry", 5) == 0 && json_object_get(reply, "value");
         if (c->in->o.mangle[0] && entry && ++c->in->mangled % 8 == 0)
-            send_mangled(c, s);
+            in_send_mangled(c, s);
         else
             nt_send(c->net, s, strlen(s));
         free(s);
@@ -142,6 +80,12 @@
     return in->primary && term == in->term;
 }
 
+/* As in a database: what comes over a connection with an open transaction belongs to it. */
+static bool in_txn(const struct in_conn *c, const json_t *req)
+{
+    return (c && c->txn) || json_is_true(json_object_get(req, "txn"));
+}
+
 static void run_read(struct in_job *j)
 {
     struct in_instance *in = j->in;
@@ -150,7 +94,7 @@
         return;
     char out[192];
     const char *stmt = text(j->req, "stmt");
-    bool txn = json_is_true(json_object_get(j->req, "txn"));
+    bool txn = in_txn(c, j->req);
     if (txn && (!c->txn || !may_write(in, c->txn_term))) {
         refuse(c, j->req, "no such transaction in this term");
         return;
@@ -188,7 +132,7 @@
     struct in_conn *c = j->conn;
     const char *stmt = text(j->req, "stmt");
     char out[192];
-    if (json_is_true(json_object_get(j->req, "txn"))) {
+    if (in_txn(c, j->req)) {
         if (!c)
             return;
         if (!c->txn || !may_write(in, c->txn_term)) {
@@ -350,7 +294,7 @@
     j->req = json_incref(req);
     c->busy = true;
     bool read = strcmp(text(req, "op"), "read") == 0;
-    if (!read || json_is_true(json_object_get(req, "txn")) || covered(in, req)) {
+    if (!read || in_txn(c, req) || covered(in, req)) {
         enqueue(in, j);
         return;
     }
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -122,6 +122,23 @@
     CU_ASSERT_EQUAL(rt_read(&g, &q, 0, 0).inst, 0);
 }
 
+/* Near ones first: this domain, this region, then the rest. */
+static void region_comes_before_the_rest(void)
+{
+    static const struct {
+        const char *a, *b;
+        int distance;
+    } rows[] = {{"west/a", "west/a", 0}, {"west/a", "west/b", 1}, {"west/a", "east/a", 2},
+                {"a", "a", 0},           {"a", "b", 1},           {"a", "west/a", 2},
+                {"west/a", "wes/a", 2}};
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+        CU_ASSERT_EQUAL(rt_distance(rows[i].a, rows[i].b), rows[i].distance);
+    struct rt_group g = three();
+    struct rt_query q = token_at(90);
+    g.inst[1].distance = 2;
+    CU_ASSERT_EQUAL(rt_read(&g, &q, 0, 0).inst, 2);
+}
+
 /* ---- holders ---- */
 
 enum { NODES = 40, GROUPS = 200, HOLD = 6 };
@@ -188,6 +205,7 @@
     TEST(s, draining_and_tried_are_passed_over);
     TEST(s, full_near_replica_yields);
     TEST(s, bounded_wait);
+    TEST(s, region_comes_before_the_rest);
     TEST(s, holders_are_spread);
     TEST(s, a_node_moves_only_its_own);
 }
--- a/tests/unit/test_text.c
+++ b/tests/unit/test_text.c
@@ -224,6 +224,33 @@
     }
 }
 
+/* The tag of a forwarded request's answer is found where it was put, and nowhere else. */
+static void tags_are_told_apart(void)
+{
+    static const struct {
+        const char *text;
+        uint64_t tag;
+        const char *rest;
+    } rows[] = {{"{\"id\":\"a\",\"tag\":17}", 17, "{\"id\":\"a\""},
+                {"{\"id\":\"a\"}", 0, NULL},
+                {"{\"id\":\"a\",\"value\":\",\\\"tag\\\":5\"}", 0, NULL},
+                {"{\"id\":\"a\",\"retry_after_ms\":17}", 0, NULL},
+                {"{\"tag\":}", 0, NULL},
+                {"", 0, NULL},
+                {"}", 0, NULL},
+                {"17}", 0, NULL}};
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        size_t len = strlen(rows[i].text);
+        CU_ASSERT_EQUAL(cl_untag(rows[i].text, &len), rows[i].tag);
+        CU_ASSERT_EQUAL(len, strlen(rows[i].rest ? rows[i].rest : rows[i].text));
+    }
+    struct cl_answer a = {.value = SR_LIT("x=1"), .durable = true, .tag = UINT64_MAX / 2};
+    struct sr_buf b = {0};
+    cl_write(&b, "id", &a);
+    CU_ASSERT_EQUAL(cl_untag(b.p, &b.len), UINT64_MAX / 2);
+    sr_buf_free(&b);
+}
+
 static void caller_fuzz(void)
 {
     struct rn_rng r = rn_seed(3);
@@ -263,6 +290,7 @@
     TEST(s, caller_good_and_bad);
     TEST(s, caller_too_long_fields);
     TEST(s, caller_answers_are_json);
+    TEST(s, tags_are_told_apart);
     TEST(s, caller_fuzz);
     TEST(s, endpoint_fuzz);
 }
