intent: a planned change of primary waits until a new leader deals out connections

A leader that has just been elected deals out no shares for a lease (its predecessor's may be out); instances added just before its election have none, so entry nodes could not open connections to the new primary and parked writes until then. Ruled out: detection and election (0.3 s), fencing in a planned change (known nodes only), replication. Mend: hand_off waits until shares are dealt; a planned change can wait, callers can't. Test: planned_change_waits_for_connections.

--- a/intent/intent.c
+++ b/intent/intent.c
@@ -280,6 +280,10 @@
 static void hand_off(const struct vw_group *g, const struct it_request *r,
                      const struct it_facts *f, struct it_action *a)
 {
+    if (!f->settled) {
+        wait_for(a, "a new leader deals out no connections yet; %s can wait", g->name);
+        return;
+    }
     for (int i = 0; i < g->n; i++) {
         const struct vw_instance *in = &g->inst[i];
         bool wanted = r->kind != VW_IT_MOVE || in_new(r, in->id);
--- a/intent/intent.h
+++ b/intent/intent.h
@@ -37,6 +37,9 @@
     bool (*caught_up)(void *ud, const char *group, const char *inst);
     /* Whether every entry node acts on the current view. */
     bool in_force;
+    /* Whether this leader deals out connections already: for a lease after its election it does
+     * not, and a primary on an instance that was just added could not be reached. */
+    bool settled;
     const struct qr_members *members;
     /* Whether the learner holds all that is committed. */
     bool (*learner_ready)(void *ud, uint64_t id);
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -222,7 +222,7 @@
 static int run(const char *text)
 {
     struct it_request r = request(text);
-    struct it_facts f = {say_caught_up, true, &members, learner_ready, NULL};
+    struct it_facts f = {say_caught_up, true, true, &members, learner_ready, NULL};
     uint64_t index = v.generation + 1;
     caught_up = true;
     for (int step = 0; step < 40; step++) {
@@ -296,12 +296,30 @@
     CU_ASSERT(vw_instance(g, "x") >= 0 && vw_instance(g, "a") < 0);
 }
 
+/* A planned change is not begun while a new leader can't deal out connections: writes would be
+ * parked until it can. */
+static void planned_change_waits_for_connections(void)
+{
+    fresh();
+    struct it_request r = request(drain_a);
+    struct it_facts f = {say_caught_up, true, false, &members, learner_ready, NULL};
+    struct it_action a;
+    caught_up = true;
+    apply(30,
+          (struct vw_change){.kind = VW_CH_DRAIN, .group = "g", .instance = "a", .flag = true});
+    it_next(&v, &r, &f, &a);
+    CU_ASSERT_EQUAL(a.kind, IT_WAIT);
+    f.settled = true;
+    it_next(&v, &r, &f, &a);
+    CU_ASSERT(a.kind == IT_CHANGE && a.change.kind == VW_CH_HAND);
+}
+
 /* Nothing is removed before the new instances hold everything and everybody knows. */
 static void move_waits(void)
 {
     fresh();
     struct it_request r = request(move_all);
-    struct it_facts f = {say_caught_up, false, &members, learner_ready, NULL};
+    struct it_facts f = {say_caught_up, false, true, &members, learner_ready, NULL};
     struct it_action a;
     caught_up = false;
     for (int i = 0; i < 3; i++) {
@@ -318,7 +336,7 @@
     struct it_request r = request("{\"kind\":\"replace\",\"old\":\"a1\",\"new\":{\"id\":\"b2\","
                                   "\"name\":\"c9\",\"ip\":\"127.0.0.1\",\"port\":9,"
                                   "\"domain\":\"d\"}}");
-    struct it_facts f = {say_caught_up, true, &members, learner_ready, NULL};
+    struct it_facts f = {say_caught_up, true, true, &members, learner_ready, NULL};
     struct it_action a;
     members = (struct qr_members){1, {{.id = 0xa1, .voter = true}}};
     it_next(&v, &r, &f, &a);
@@ -366,6 +384,7 @@
     TEST(s, instance_ids_are_unique);
     TEST(s, move_runs_to_its_end);
     TEST(s, move_waits);
+    TEST(s, planned_change_waits_for_connections);
     TEST(s, replace_adds_before_it_removes);
     TEST(s, wrong_intents_are_refused);
 }
