--- a/bench/catchup.sh
+++ b/bench/catchup.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")/.." || exit 2
 . tests/process/cluster.sh
-RULES=${1:-380}
+RULES=${1:-400}
 trap cl_end EXIT
 export CL_RELAY=1
 cl_setup "$(mktemp -d "${TMPDIR:-/tmp}/ferry-catchup.XXXXXX")" 15000 oikonomou 3
