entry: a shared connection to a holder outlives one group's going elsewhere

Read as a newcomer: an answer "this node holds no connections to the group" took the whole shared connection out of use; only a stopping holder does now.

--- a/entry/forward.c
+++ b/entry/forward.c
@@ -114,7 +114,8 @@
 {
     count_txn(up, r, kind);
     if (elsewhere(r, kind)) {
-        up->leaving = true;
+        /* A holder that gave up one group goes on with what it holds of others. */
+        up->leaving = up->leaving || !up->shared || kind == ER_STOPPING;
         r->forwards++;
         en_later(r, ER_NONE, 0);
         return;
@@ -202,6 +203,17 @@
     return k ? &n->nodes[order[attempt % k]] : NULL;
 }
 
+/* Shared ones first: they are looked for at every statement, past none of the thousands that
+ * callers' transactions may have. */
+static void link_up(struct en_node *n, struct en_up *up)
+{
+    struct en_up **at = &n->ups;
+    while (!up->shared && *at)
+        at = &(*at)->next;
+    up->next = *at;
+    *at = up;
+}
+
 static struct en_up *up_for(struct en_req *r)
 {
     struct en_node *n = r->caller->node;
@@ -221,8 +233,7 @@
     up->caller = own ? r->caller : NULL;
     up->group = own ? r->group : NULL;
     sr_copy(up->holder, sizeof(up->holder), sr_from(h->name));
-    up->next = n->ups;
-    n->ups = up;
+    link_up(n, up);
     up->net = nt_connect(n->loop, h->ip, h->port, false, &up_ops, up);
     return up;
 }
