--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -57,3 +57,22 @@
 ok=$(awk '$1 == "\"ok\":" {gsub(/,/, "", $2); print $2}' "$OUT/r.json")
 echo "$a $b $ok" | awk -v t="$TICKS" '{printf "%d statements, %.1f us of processor time each, so %.0f/s a core\n", $3, ($2 - $1) * 1e6 / t / $3, $3 * t / ($2 - $1)}'
 cl_end
+
+echo "== a statement that is forwarded: two entry nodes, one holder a group"
+CL_CONTROL_JSON='"holders": 1, ' cl_setup "$OUT/forward" 30300 spokeline 2
+CL_INSTANCE_ARGS="--service-us 100" cl_start || exit 1
+sleep 1.5
+db=""
+for g in 0 1 2; do # one that e1 holds and e0 does not
+    cl_get "$(cl_entry_port 0)" /metrics | grep -q "^ferry_instance_connections{instance=\"${CL_GROUPS[$g]}-${CL_DOMAINS[0]}\"} 0" && db=${CL_GROUPS[$g]}
+done
+if [ -z "$db" ]; then
+    echo "e0 holds all three groups: not measured"
+else
+    a0=$(cpu "${CL_PID[e0]}"); a1=$(cpu "${CL_PID[e1]}")
+    "$CL_BUILD/ferry-load" --entries "127.0.0.1:$(cl_entry_port 0)" --dbs "$db" --seconds 6 --rate 3000 --sessions 300 --reads 0.95 --txns 0 --json "$OUT/r.json" > /dev/null
+    b0=$(cpu "${CL_PID[e0]}"); b1=$(cpu "${CL_PID[e1]}")
+    ok=$(awk '$1 == "\"ok\":" {gsub(/,/, "", $2); print $2}' "$OUT/r.json")
+    echo "$a0 $b0 $a1 $b1 $ok" | awk -v t="$TICKS" '{printf "%d statements: %.1f us of processor time at the node that forwards, %.1f us at the holder\n", $5, ($2 - $1) * 1e6 / t / $5, ($4 - $3) * 1e6 / t / $5}'
+fi
+cl_end
