--- a/tests/process/t_examples.sh
+++ b/tests/process/t_examples.sh
@@ -34,6 +34,12 @@
     esac
 done < docs/INTERFACES.md
 t_check "there are examples" [ $n -ge 7 ]
+# What the operators' pages tell people to look at is there.
+{ cl_get "$(cl_entry_port 0)" /metrics; cl_get "$(port_of control)" /metrics; } > "$T_DIR/metrics"
+missing=$(grep -oh 'ferry_[a-z_]*' docs/operators/*.md | sort -u | while read -r m; do grep -q "^$m[ {]" "$T_DIR/metrics" || echo "$m"; done)
+t_check "every metric of docs/operators is served ${missing//$'\n'/ }" [ -z "$missing" ]
+pages=$(grep -oh '[a-z]*\.md' <(sed -n '/^\*\*When it goes wrong/,/^$/p' docs/OPERATIONS.md) | sort | xargs)
+t_check "OPERATIONS.md names every page" [ "$pages" = "$(cd docs/operators && ls | sort | xargs)" ]
 "$CL_BUILD/ferryd" --help-settings > "$T_DIR/settings.md"
 t_check "docs/SETTINGS.md is what ferryd prints (make docs)" cmp -s "$T_DIR/settings.md" docs/SETTINGS.md
 exit $T_BAD
