promote: what was asked over a lost connection is asked anew when it is open again

Cause: primary and best replica killed together, the replica back after 1 s: 134 to 242 ms passed after its return. A fence is sent again after 100 ms, and one that found the connection closed counted as sent. Ruled out: reconnecting (30 ms) and the stand-in's 10 ms to accept, which remain. Test: fence_goes_over_a_new_connection_at_once.

--- a/control/watch.c
+++ b/control/watch.c
@@ -64,6 +64,11 @@
     in->open = true;
     in->answered = ck_now();
     in->probed = 0;
+    if (in->gone)
+        return;
+    pr_reached(&in->group->pr, in->id, ck_now());
+    if (in->node->leading)
+        ct_group_tick(in->node, in->group);
 }
 
 static void on_reply(struct ep_conn *c, void *ud, const struct ep_reply *r)
--- a/promote/evidence.c
+++ b/promote/evidence.c
@@ -110,6 +110,13 @@
     p->step_at = 0;
 }
 
+void pr_reached(struct pr_group *p, const char *inst, int64_t now)
+{
+    struct pr_inst *in = pe_inst(p, inst);
+    if (in)
+        in->asked_at = now - p->cfg.resend_us;
+}
+
 /* ---- detection ---- */
 
 struct pe_verdict pe_judge(const struct pr_inst *in, int64_t now)
--- a/promote/promote.h
+++ b/promote/promote.h
@@ -115,6 +115,9 @@
 /* Answers of instances. */
 void pr_fenced(struct pr_group *p, const char *inst, uint64_t term, struct ps_pos held);
 void pr_promoted(struct pr_group *p, const char *inst, uint64_t term, struct ps_pos start);
+/* A connection to the instance is open again: what was asked over the last one is lost, and is
+ * asked anew at the next tick in place of after cfg.resend_us. */
+void pr_reached(struct pr_group *p, const char *inst, int64_t now);
 /* Decide. `g` is the group in the committed view; `dropped` says that no entry node acts on a
  * view older than the change that began this phase. */
 void pr_tick(struct pr_group *p, const struct vw_group *g, bool dropped, int64_t now,
--- a/tests/unit/test_promote.c
+++ b/tests/unit/test_promote.c
@@ -80,6 +80,24 @@
     pr_checking(&p, 2);
 }
 
+/* An instance that comes back in the middle of a change is fenced at once. */
+static void fence_goes_over_a_new_connection_at_once(void)
+{
+    fresh(&cfg);
+    g.phase = VW_REPLACING;
+    g.term = 2;
+    tick(true, CK_SEC(11)); /* another leader's attempt: above it */
+    g.term = acts.a[find(PR_DO_REPLACE)].term;
+    tick(true, CK_SEC(11));
+    CU_ASSERT(find(PR_DO_FENCE) >= 0);
+    tick(true, CK_MS(11010));
+    CU_ASSERT_EQUAL(find(PR_DO_FENCE), -1); /* they are on their way */
+    pr_reached(&p, "b", CK_MS(11020));
+    tick(true, CK_MS(11020));
+    int i = find(PR_DO_FENCE);
+    CU_ASSERT(i >= 0 && acts.a[i].inst == 1);
+}
+
 /* Cut off from control only: entry nodes still get answers. */
 static void entry_nodes_veto(void)
 {
@@ -297,6 +315,7 @@
     CU_pSuite s = CU_add_suite("promote", NULL, NULL);
     TEST(s, one_vantage_is_not_enough);
     TEST(s, one_that_sees_it_up_vetoes);
+    TEST(s, fence_goes_over_a_new_connection_at_once);
     TEST(s, entry_nodes_veto);
     TEST(s, objections_are_asked_again);
     TEST(s, silent_entry_nodes_are_waited_for_within_a_bound);
