--- a/tests/process/switched_off.sh
+++ b/tests/process/switched_off.sh
@@ -51,8 +51,8 @@
     cl_load_wait
     local n
     n=$(t_report fault_count)
-    [ "$1" = finish ] && n=$(t_report unanswered)
-    if [ "$7" = off ]; then t_check "$1 off: found $(faults)" [ "$n" -gt 0 ]; else t_check "$1 on: none found" [ "$n" = 0 ]; fi
+    [ "$1" = finish ] && n=$(t_report unanswered) # requests cut off
+    if [ "$7" = off ]; then t_check "$1 off: found $n: $(faults)" [ "$n" -gt 0 ]; else t_check "$1 on: none found" [ "$n" = 0 ]; fi
     cl_end
 }
 
