--- a/quorum/follow.c
+++ b/quorum/follow.c
@@ -106,6 +106,17 @@
     q->cfg.sink->restore(q->cfg.ud, m->index, q->snap, q->snap_len);
 }
 
+/* The log agrees with the leader's up to `index`, which is committed. */
+static void note_agreed(struct qr *q, uint64_t index)
+{
+    if (index > q->matched)
+        q->matched = index;
+    if (index > q->commit) {
+        q->commit = index;
+        qc_apply_committed(q);
+    }
+}
+
 void qc_on_snapshot(struct qr *q, const struct qr_msg *m, int64_t now)
 {
     if (m->term < q->term) {
@@ -113,9 +124,14 @@
         return;
     }
     follow(q, m, now);
-    if (m->index > q->commit)
+    uint64_t have;
+    bool agrees = qc_term_at(q, m->index, &have) && have == m->log_term;
+    if (m->index > q->commit && !agrees) {
         take_snapshot(q, m);
-    else if (m->index > q->matched)
-        q->matched = m->index;
+    } else {
+        /* The log holds what the snapshot does. What stands behind it stays: it may have been
+         * acknowledged, and committed by that. */
+        note_agreed(q, m->index);
+    }
     qc_reply_append(q, m->from, true, qc_acked(q), m->round);
 }
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -97,6 +97,41 @@
     qr_destroy(q);
 }
 
+/* A snapshot that comes late takes nothing away: entries behind it were acknowledged to the
+ * leader and may be committed by that. Found by the exploration, seed 144900. */
+static void late_snapshot_keeps_acknowledged_entries(void)
+{
+    struct qr *q = three(2);
+    struct qr_entry e[] = {
+        {1, 1, QR_DATA, 1, "a"}, {2, 1, QR_DATA, 1, "b"}, {3, 1, QR_DATA, 1, "c"}};
+    struct qr_msg append = {
+        .type = QR_APPEND, .from = 1, .to = 2, .term = 1, .n = 3, .entries = e};
+    struct qr_members m = *qr_members(q);
+    struct qr_msg snap = {.type = QR_SNAP,
+                          .from = 1,
+                          .to = 2,
+                          .term = 1,
+                          .index = 2,
+                          .log_term = 1,
+                          .members = &m,
+                          .data = "s",
+                          .len = 1};
+    qr_receive(q, &append, CK_SEC(1));
+    qr_persisted(q, last_seq, CK_SEC(1));
+    CU_ASSERT(sent[n_sent - 1].type == QR_APPEND_R && sent[n_sent - 1].index == 3);
+    qr_receive(q, &snap, CK_SEC(1));
+    CU_ASSERT_EQUAL(qr_last(q), 3);
+    CU_ASSERT_EQUAL(qr_commit(q), 2); /* what the snapshot holds is committed */
+    qr_destroy(q);
+    q = three(2); /* a log that does not agree with it goes */
+    e[1].term = e[2].term = 1;
+    qr_receive(q, &append, CK_SEC(1));
+    snap.term = snap.log_term = 2;
+    qr_receive(q, &snap, CK_SEC(1));
+    CU_ASSERT_EQUAL(qr_last(q), 2);
+    qr_destroy(q);
+}
+
 /* A node that was cut off comes back with a high term and disturbs nobody. */
 static void returning_node_does_not_disturb(void)
 {
@@ -219,6 +254,7 @@
 {
     CU_pSuite s = CU_add_suite("quorum", NULL, NULL);
     TEST(s, nothing_leaves_before_the_disk);
+    TEST(s, late_snapshot_keeps_acknowledged_entries);
     TEST(s, returning_node_does_not_disturb);
     TEST(s, leader_without_quorum_steps_down);
     TEST(s, vouching_is_counted_from_the_sending);
