--- a/bench/run.sh
+++ b/bench/run.sh
@@ -33,7 +33,7 @@
 }
 
 part "decisions: instructions and bounds" bash bench/bounds.sh
-part "agreement: random schedules" "$CL_BUILD/explore" 20000
+part "agreement: random schedules" "$CL_BUILD/explore" 200000
 part "reads by replicas, simulated, with an oracle" "$CL_BUILD/ferry-bench" reads
 part "reads by replicas, real processes, sessions that roam" replicas
 part "admission" "$CL_BUILD/ferry-bench" overload
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -44,7 +44,7 @@
 }
 
 binary unit "$CL_BUILD/unit-tests"
-binary explore "$CL_BUILD/explore" 2000
+binary explore "$CL_BUILD/explore" 10000
 binary bounds bash bench/bounds.sh
 for t in tests/process/t_*.sh; do
     [ -e "$t" ] || continue
