--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -194,14 +194,21 @@
     remove_dir();
 }
 
+/* A new folder with n synced entries, open. */
+static struct so_store *filled_store(int n, struct so_loaded *l, struct er_err *err)
+{
+    new_dir();
+    fill(n);
+    struct so_store *s = open_store(l, err);
+    so_release(s);
+    return s;
+}
+
 static void full_disk_is_an_error(void)
 {
     struct so_loaded l;
     struct er_err err;
-    new_dir();
-    fill(3);
-    struct so_store *s = open_store(&l, &err);
-    so_release(s);
+    struct so_store *s = filled_store(3, &l, &err);
     struct rlimit old, tight;
     getrlimit(RLIMIT_FSIZE, &old);
     tight = old;
@@ -348,10 +355,7 @@
         const struct disk_fault *f = &disk_faults[i];
         struct so_loaded l;
         struct er_err err;
-        new_dir();
-        fill(3);
-        struct so_store *s = open_store(&l, &err);
-        so_release(s);
+        struct so_store *s = filled_store(3, &l, &err);
         so_use(s, &bad_files);
         failing.f = f;
         failing.uses = 0;
