view, task: documents, instances that join and leave; byte streams, headers and redirects

Cause: the users' platform keeps no list of instances and no groups made by operators: instances register themselves and operators send whole documents; its wire is a stream of lines. Ruled out: the document as differences in the log: it is read back as it was sent.

--- a/control/agree.c
+++ b/control/agree.c
@@ -18,13 +18,13 @@
 
 /* ---- the history of changes ---- */
 
-static void remember(struct ct_node *n, uint64_t index, const char *text)
+static void remember(struct ct_node *n, uint64_t index, const char *text, uint32_t len)
 {
     struct ct_past *p = &n->past[n->n_past % CT_HISTORY];
     if (n->n_past >= CT_HISTORY)
         n->past_floor = p->index;
     free(p->text);
-    p->text = strdup(text);
+    p->text = strndup(text, len);
     p->index = index;
     n->n_past++;
 }
@@ -87,7 +87,8 @@
         [VW_CH_GROUP] = TL_CHANGE,   [VW_CH_REPLACE] = TL_REPLACE, [VW_CH_HAND] = TL_REPLACE,
         [VW_CH_ABANDON] = TL_CHANGE, [VW_CH_PRIMARY] = TL_PRIMARY, [VW_CH_DRAIN] = TL_CHANGE,
         [VW_CH_RULE] = TL_CHANGE,    [VW_CH_ADD] = TL_CHANGE,      [VW_CH_REMOVE] = TL_CHANGE,
-        [VW_CH_INTENT] = TL_INTENT,  [VW_CH_PROGRESS] = TL_INTENT};
+        [VW_CH_INTENT] = TL_INTENT,  [VW_CH_PROGRESS] = TL_INTENT, [VW_CH_DOCUMENT] = TL_CHANGE,
+        [VW_CH_JOIN] = TL_CHANGE,    [VW_CH_LEAVE] = TL_CHANGE};
     if (ch->kind == VW_CH_INTENT || ch->kind == VW_CH_PROGRESS)
         tl_add(n->tl, TL_INTENT, "", 0, "%s %s by %s: %s", vw_change_name(ch->kind),
                ch->intent.id, ch->intent.who, vw_state_name(ch->intent.state));
@@ -107,12 +108,9 @@
         json_decref(j);
         return;
     }
-    json_decref(j);
     n->c.applied++;
     if (vw_apply(&n->view, index, &ch, &err)) {
-        char text[VW_CHANGE_MAX + 1];
-        snprintf(text, sizeof(text), "%.*s", (int)len, data);
-        remember(n, index, text);
+        remember(n, index, data, len);
         note_change(n, &ch);
         ct_group_sync(n, ch.kind == VW_CH_GROUP ? ch.def.name : ch.group);
         if (n->leading) {
@@ -129,6 +127,7 @@
                    vw_change_name(ch.kind), err.text);
     }
     ct_ops_applied(n, &ch, &err);
+    json_decref(j);
 }
 
 static void on_apply(void *ud, const struct qr_entry *e)
@@ -189,7 +188,7 @@
     /* What can't be read back would be committed and then applied nowhere. */
     bool readable = vw_change_parse(j, &back, err);
     json_decref(j);
-    bool fits = strlen(s) <= VW_CHANGE_MAX;
+    bool fits = ch->kind == VW_CH_DOCUMENT || strlen(s) <= VW_CHANGE_MAX;
     if (!fits)
         er_set(err, ER_TOO_LARGE, "a change of %zu bytes", strlen(s));
     bool ok = readable && fits && qr_propose(n->q, s, (uint32_t)strlen(s), ck_now(), &at, err);
--- a/control/ops.c
+++ b/control/ops.c
@@ -333,8 +333,12 @@
 bool ct_ops_listen(struct ct_node *n, struct er_err *err)
 {
     static const struct nt_ops none = {NULL, NULL, waiter_closed};
-    struct nt_listen l = {n->s->control_ip, n->s->ops_port, false, &none,
-                          no_sockets,       on_http,        n};
+    struct nt_listen l = {.ip = n->s->control_ip,
+                          .port = n->s->ops_port,
+                          .ops = &none,
+                          .accept = no_sockets,
+                          .http = on_http,
+                          .ud = n};
     n->ops_listener = nt_listen(n->loop, &l, err);
     return n->ops_listener != NULL;
 }
--- a/control/peers.c
+++ b/control/peers.c
@@ -253,8 +253,12 @@
 
 bool ct_peers_listen(struct ct_node *n, struct er_err *err)
 {
-    struct nt_listen l = {
-        n->s->control_ip, n->s->control_port, true, &conn_ops, conn_accept, NULL, n};
+    struct nt_listen l = {.ip = n->s->control_ip,
+                          .port = n->s->control_port,
+                          .raw = true,
+                          .ops = &conn_ops,
+                          .accept = conn_accept,
+                          .ud = n};
     n->peer_listener = nt_listen(n->loop, &l, err);
     return n->peer_listener != NULL;
 }
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -98,8 +98,12 @@
 
 bool en_callers_listen(struct en_node *n, struct er_err *err)
 {
-    struct nt_listen l = {n->s->entry_ip, n->s->entry_port, false, &caller_ops,
-                          on_accept,      on_http,          n};
+    struct nt_listen l = {.ip = n->s->entry_ip,
+                          .port = n->s->entry_port,
+                          .ops = &caller_ops,
+                          .accept = on_accept,
+                          .http = on_http,
+                          .ud = n};
     n->listener = nt_listen(n->loop, &l, err);
     return n->listener != NULL;
 }
--- a/misc/err.c
+++ b/misc/err.c
@@ -34,6 +34,14 @@
     [ER_CONFIG] = {"config", ER_ANS_REJECTED, 400},
     [ER_IO] = {"io", ER_ANS_NOT_RUN, 500},
     [ER_VERSION] = {"version", ER_ANS_REJECTED, 400},
+    [ER_BEHIND] = {"behind", ER_ANS_NOT_RUN, 503},
+    [ER_BUSY] = {"busy", ER_ANS_NOT_RUN, 503},
+    [ER_TOO_MANY] = {"too_many", ER_ANS_NOT_RUN, 503},
+    [ER_WRONG_INSTANCE] = {"wrong_instance", ER_ANS_NOT_RUN, 503},
+    [ER_NO_STATEMENT] = {"no_statement", ER_ANS_REJECTED, 404},
+    [ER_FAILED] = {"failed", ER_ANS_REJECTED, 500},
+    [ER_TIMEOUT] = {"timeout", ER_ANS_UNKNOWN, 504},
+    [ER_ABORTED] = {"aborted", ER_ANS_NOT_RUN, 409},
 };
 
 bool er_set(struct er_err *err, enum er_kind kind, const char *fmt, ...)
--- a/misc/err.h
+++ b/misc/err.h
@@ -10,29 +10,37 @@
 /* Every way something can fail. Add here and in the table of err.c only. */
 enum er_kind {
     ER_NONE,
-    ER_BAD_INPUT,   /* the caller's request can't be understood */
-    ER_TOO_LARGE,   /* a frame, field or queue is over its bound */
-    ER_NO_DATABASE, /* the request names a database that the view lacks */
-    ER_BAD_TXN,     /* no such open transaction on this connection */
-    ER_ID_EXPIRED,  /* an unsafe request id is older than the resend window */
-    ER_NO_LEASE,    /* this node holds no live lease */
-    ER_NO_PRIMARY,  /* the group has no primary in force */
-    ER_OVERLOAD,    /* queue full, or the deadline can't be met */
-    ER_DEADLINE,    /* the deadline passed before anything was sent */
-    ER_STOPPING,    /* this node is stopping */
-    ER_TERM,        /* the endpoint refused: other term, or not the primary */
-    ER_ENDPOINT,    /* an endpoint can't be reached; nothing was sent */
-    ER_LOST,        /* the answer was lost after a byte may have left */
-    ER_REPLACED,    /* the primary was replaced before the write was held by enough */
-    ER_NOT_LEADER,  /* this control node does not lead */
-    ER_NO_QUORUM,   /* the leader has not heard from a quorum lately */
-    ER_CONFLICT,    /* another intent holds the number */
-    ER_STALE_PLAN,  /* the world moved since the plan was made */
-    ER_DISK,        /* the data folder failed */
-    ER_CORRUPT,     /* a stored record fails its checksum */
-    ER_CONFIG,      /* a setting is wrong */
-    ER_IO,          /* a socket call failed */
-    ER_VERSION,     /* the peer speaks another version or belongs to another cluster */
+    ER_BAD_INPUT,      /* the caller's request can't be understood */
+    ER_TOO_LARGE,      /* a frame, field or queue is over its bound */
+    ER_NO_DATABASE,    /* the request names a database that the view lacks */
+    ER_BAD_TXN,        /* no such open transaction on this connection */
+    ER_ID_EXPIRED,     /* an unsafe request id is older than the resend window */
+    ER_NO_LEASE,       /* this node holds no live lease */
+    ER_NO_PRIMARY,     /* the group has no primary in force */
+    ER_OVERLOAD,       /* queue full, or the deadline can't be met */
+    ER_DEADLINE,       /* the deadline passed before anything was sent */
+    ER_STOPPING,       /* this node is stopping */
+    ER_TERM,           /* the endpoint refused: other term, or not the primary */
+    ER_ENDPOINT,       /* an endpoint can't be reached; nothing was sent */
+    ER_LOST,           /* the answer was lost after a byte may have left */
+    ER_REPLACED,       /* the primary was replaced before the write was held by enough */
+    ER_NOT_LEADER,     /* this control node does not lead */
+    ER_NO_QUORUM,      /* the leader has not heard from a quorum lately */
+    ER_CONFLICT,       /* another intent holds the number */
+    ER_STALE_PLAN,     /* the world moved since the plan was made */
+    ER_DISK,           /* the data folder failed */
+    ER_CORRUPT,        /* a stored record fails its checksum */
+    ER_CONFIG,         /* a setting is wrong */
+    ER_IO,             /* a socket call failed */
+    ER_VERSION,        /* the peer speaks another version or belongs to another cluster */
+    ER_BEHIND,         /* an instance lacks a position that the statement must see; not run */
+    ER_BUSY,           /* an instance's queue is full; not run */
+    ER_TOO_MANY,       /* an instance has no connection free */
+    ER_WRONG_INSTANCE, /* another instance answers at the address; not run */
+    ER_NO_STATEMENT,   /* no prepared statement of that name; not run */
+    ER_FAILED,         /* the statement ran and failed; it has no effect */
+    ER_TIMEOUT,        /* no answer in the statement's time; it may still run */
+    ER_ABORTED,        /* the transaction was rolled back: nothing of it is kept */
     ER_COUNT
 };
 
--- a/task/http.c
+++ b/task/http.c
@@ -25,8 +25,8 @@
     c->ud = ud;
 }
 
-void nt_http_reply(struct nt_conn *c, int status, const char *type, const char *body,
-                   size_t len)
+static void reply(struct nt_conn *c, int status, const char *type, const char *body, size_t len,
+                  const char *location)
 {
     if (c->dead || c->replied || c->kind != K_HTTP_SERVER)
         return;
@@ -35,6 +35,9 @@
     unsigned char head[LWS_PRE + 1024];
     unsigned char *start = head + LWS_PRE, *p = start, *end = head + sizeof(head) - 1;
     if (lws_add_http_common_headers(c->wsi, (unsigned)status, type, len, &p, end) ||
+        (location && lws_add_http_header_by_token(c->wsi, WSI_TOKEN_HTTP_LOCATION,
+                                                  (const unsigned char *)location,
+                                                  (int)strlen(location), &p, end)) ||
         lws_finalize_write_http_header(c->wsi, start, &p, end)) {
         c->hard = true;
     }
@@ -49,6 +52,17 @@
     lws_callback_on_writable(c->wsi);
 }
 
+void nt_http_reply(struct nt_conn *c, int status, const char *type, const char *body,
+                   size_t len)
+{
+    reply(c, status, type, body, len, NULL);
+}
+
+void nt_http_redirect(struct nt_conn *c, const char *url)
+{
+    reply(c, 307, "text/plain", "elsewhere\n", 10, url);
+}
+
 int np_http_writable(struct nt_conn *c)
 {
     if (c->hard)
@@ -112,9 +126,15 @@
         c->status = (int)lws_http_client_http_response(c->wsi);
         return 0;
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
+        unsigned char **p = in, *end = *p + len;
+        for (int i = 0; i < c->n_headers; i++) {
+            if (lws_add_http_header_by_name(c->wsi, (unsigned char *)c->header_name[i],
+                                            (unsigned char *)c->header_value[i],
+                                            (int)strlen(c->header_value[i]), p, end))
+                return -1;
+        }
         if (!c->in.len)
             return 0;
-        unsigned char **p = in, *end = *p + len;
         char n[16];
         int k = snprintf(n, sizeof(n), "%zu", c->in.len);
         if (lws_add_http_header_by_token(c->wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
@@ -167,9 +187,23 @@
 void nt_http_get(struct nt_loop *l, const char *ip, int port, const char *method,
                  const char *path, const char *body,
                  void (*done)(void *, int, const char *, size_t), void *ud)
+{
+    nt_http_call(l, ip, port, method, path, NULL, body, done, ud);
+}
+
+void nt_http_call(struct nt_loop *l, const char *ip, int port, const char *method,
+                  const char *path, const struct nt_header *headers, const char *body,
+                  void (*done)(void *, int, const char *, size_t), void *ud)
 {
     struct nt_conn *c = np_conn_new(l, K_HTTP_CLIENT, NULL, ud);
     c->done = done;
+    for (; headers && headers->name && c->n_headers < NP_MAX_HEADERS; headers++) {
+        sr_copy(c->header_name[c->n_headers], sizeof(c->header_name[0]),
+                sr_from(headers->name));
+        sr_copy(c->header_value[c->n_headers], sizeof(c->header_value[0]),
+                sr_from(headers->value));
+        c->n_headers++;
+    }
     if (body)
         sr_buf_add(&c->in, body, strlen(body));
     np_start_connect(c, ip, port, method, path);
--- a/task/net.c
+++ b/task/net.c
@@ -1,6 +1,8 @@
 #include "task/net_priv.h"
 
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,9 +13,36 @@
 #define FRAME_HEADER 4
 #define WRITE_BATCH 65536
 #define REFUSED_WITHIN_US 1000000
+/* A peer that acknowledges nothing for this long is gone. Above the longest pause that a live
+ * one takes (a disk or processor stall under load), below the time in which another node must
+ * have taken over. */
+#define PEER_SILENT_MS 2500
+/* Idle connections are probed after, and every, so many seconds; three lost probes close one.
+ */
+#define PROBE_AFTER_S 2
+#define PROBE_EVERY_S 1
+#define PROBE_TRIES 3
+
+static const struct lg_log nlog = {"net"};
 
 /* ---- connections ---- */
 
+void np_watch_peer(struct nt_conn *c)
+{
+    int fd = c->wsi ? lws_get_socket_fd(c->wsi) : -1;
+    int on = 1, after = PROBE_AFTER_S, every = PROBE_EVERY_S, tries = PROBE_TRIES;
+    unsigned silent = PEER_SILENT_MS;
+    if (fd < 0)
+        return;
+    bool ok = setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof(silent)) == 0 &&
+              setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) == 0 &&
+              setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &after, sizeof(after)) == 0 &&
+              setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof(every)) == 0 &&
+              setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &tries, sizeof(tries)) == 0;
+    if (!ok)
+        LG_MSG(&nlog, LG_DEBUG, "a connection can't be probed; its end is noticed by its user");
+}
+
 struct nt_conn *np_conn_new(struct nt_loop *l, enum kind kind, const struct nt_ops *ops,
                             void *ud)
 {
@@ -204,7 +233,7 @@
 {
     if (c->hard)
         return -1;
-    int rc = c->kind == K_RAW ? write_raw(c) : write_ws(c);
+    int rc = c->kind == K_WS ? write_ws(c) : write_raw(c);
     if (rc < 0)
         return -1;
     if (c->head)
@@ -252,6 +281,10 @@
 static int on_raw_data(struct nt_conn *c, const void *in, size_t len)
 {
     c->loop->st.bytes_in += len;
+    if (c->kind == K_STREAM) {
+        deliver(c, in, len);
+        return c->closing && c->hard ? -1 : 0;
+    }
     sr_buf_add(&c->in, in, len);
     return cut_frames(c);
 }
@@ -287,6 +320,8 @@
         return -1;
     }
     c->opened = true;
+    if (kind != K_WS)
+        np_watch_peer(c);
     c->ops->open(c, c->ud);
     return 0;
 }
@@ -325,7 +360,7 @@
     case LWS_CALLBACK_ESTABLISHED:
         return ln ? accept_peer(ln, wsi, K_WS) : -1;
     case LWS_CALLBACK_RAW_ADOPT:
-        return ln ? accept_peer(ln, wsi, K_RAW) : 0;
+        return ln ? accept_peer(ln, wsi, ln->what.stream ? K_STREAM : K_RAW) : 0;
     case LWS_CALLBACK_CLIENT_ESTABLISHED:
     case LWS_CALLBACK_RAW_CONNECTED:
         if (!c || c->opened)
@@ -333,6 +368,8 @@
         if (c->closing)
             return -1;
         c->opened = true;
+        if (c->kind != K_WS)
+            np_watch_peer(c);
         if (c->ops)
             c->ops->open(c, c->ud);
         return 0;
@@ -429,6 +466,20 @@
     return c;
 }
 
+struct nt_conn *nt_connect_stream(struct nt_loop *l, const char *ip, int port,
+                                  const struct nt_ops *ops, void *ud)
+{
+    struct nt_conn *c = np_conn_new(l, K_STREAM, ops, ud);
+    np_start_connect(c, ip, port, "RAW", "/");
+    return c;
+}
+
+void nt_pause_reading(struct nt_conn *c, bool pause)
+{
+    if (c->wsi && !c->dead)
+        lws_rx_flow_control(c->wsi, pause ? 0 : 1);
+}
+
 /* ---- listeners ---- */
 
 struct nt_listener *nt_listen(struct nt_loop *l, const struct nt_listen *what,
@@ -447,7 +498,7 @@
     info.keepalive_timeout = 30;
     info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
     info.vhost_name = ln->ip;
-    if (what->raw) {
+    if (what->raw || what->stream) {
         info.options |= LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
         info.listen_accept_role = "raw-skt";
         info.listen_accept_protocol = "ferry";
--- a/task/net.h
+++ b/task/net.h
@@ -49,6 +49,7 @@
     void *(*accept)(struct nt_conn *c, void *ud);
     void (*http)(const struct nt_http *req); /* NULL: 404 */
     void *ud;
+    bool stream; /* bytes over TCP: message() gets what has come, not NUL-ended */
 };
 
 /* Counters of what the sockets refused; for /metrics. */
@@ -90,6 +91,22 @@
 /* Start connecting. ops->close follows if it fails, never from within this call. */
 struct nt_conn *nt_connect(struct nt_loop *l, const char *ip, int port, bool raw,
                            const struct nt_ops *ops, void *ud);
+/* The same for a stream of bytes without framing: message() gets what has come, whole or in
+ * part, and not NUL-ended; nt_send's bytes go out as they are. */
+struct nt_conn *nt_connect_stream(struct nt_loop *l, const char *ip, int port,
+                                  const struct nt_ops *ops, void *ud);
+/* Stop delivering what the peer sends, or go on: bounds what a fast sender can make us hold. */
+void nt_pause_reading(struct nt_conn *c, bool pause);
+
+/* A header of a request of our own; the list ends with name NULL. Names are lower case and end
+ * with a colon. */
+struct nt_header {
+    const char *name, *value;
+};
+/* One HTTP request with headers; `done` as below. */
+void nt_http_call(struct nt_loop *l, const char *ip, int port, const char *method,
+                  const char *path, const struct nt_header *headers, const char *body,
+                  void (*done)(void *ud, int status, const char *body, size_t len), void *ud);
 /* One HTTP request; `done` is called once, with status 0 if no answer came. */
 void nt_http_get(struct nt_loop *l, const char *ip, int port, const char *method,
                  const char *path, const char *body,
@@ -109,5 +126,7 @@
 void nt_http_watch(struct nt_conn *c, const struct nt_ops *ops, void *ud);
 void nt_http_reply(struct nt_conn *c, int status, const char *type, const char *body,
                    size_t len);
+/* Answer that the request is to be sent to `url` instead, method and body kept (307). */
+void nt_http_redirect(struct nt_conn *c, const char *url);
 
 #endif
--- a/task/net_priv.h
+++ b/task/net_priv.h
@@ -17,7 +17,8 @@
     unsigned char data[]; /* LWS_PRE bytes of room, then the message */
 };
 
-enum kind { K_WS, K_RAW, K_HTTP_SERVER, K_HTTP_CLIENT };
+enum kind { K_WS, K_RAW, K_STREAM, K_HTTP_SERVER, K_HTTP_CLIENT };
+enum { NP_MAX_HEADERS = 4 };
 
 struct nt_conn {
     struct nt_loop *loop;
@@ -38,6 +39,8 @@
     void (*done)(void *, int, const char *, size_t);
     int status;
     bool replied;
+    int n_headers; /* of a request of ours */
+    char header_name[NP_MAX_HEADERS][32], header_value[NP_MAX_HEADERS][64];
 };
 
 struct nt_listener {
@@ -66,6 +69,8 @@
                             void *ud);
 void np_conn_closed(struct nt_conn *c);
 void np_pop_out(struct nt_conn *c);
+/* The connection is open: bound how long a peer that went silent is believed to be there. */
+void np_watch_peer(struct nt_conn *c);
 void np_start_connect(struct nt_conn *c, const char *ip, int port, const char *method,
                       const char *path);
 int np_http_writable(struct nt_conn *c);
--- a/tests/standin/crowd.c
+++ b/tests/standin/crowd.c
@@ -182,7 +182,12 @@
     argp_parse(&argp, argc, argv, 0, NULL, &w);
     struct er_err err = {0};
     w.loop = nt_loop_create(MAX_FDS, &err);
-    struct nt_listen l = {"0.0.0.0", w.port, false, &ops, on_accept, on_http, &w};
+    struct nt_listen l = {.ip = "0.0.0.0",
+                          .port = w.port,
+                          .ops = &ops,
+                          .accept = on_accept,
+                          .http = on_http,
+                          .ud = &w};
     if (!w.loop || !nt_listen(w.loop, &l, &err)) {
         fprintf(stderr, "ferry-crowd: %s\n", err.text);
         return 1;
--- a/tests/standin/instance.c
+++ b/tests/standin/instance.c
@@ -285,7 +285,12 @@
     in.arrivals_tail = &in.arrivals;
     signal(SIGTERM, on_term);
     in_load(&in);
-    struct nt_listen l = {in.o.ip, in.o.port, false, &ops, on_accept, on_http, &in};
+    struct nt_listen l = {.ip = in.o.ip,
+                          .port = in.o.port,
+                          .ops = &ops,
+                          .accept = on_accept,
+                          .http = on_http,
+                          .ud = &in};
     if (!in.loop || !nt_listen(in.loop, &l, &err)) {
         fprintf(stderr, "ferry-instance: %s\n", err.text);
         return 1;
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -89,7 +89,12 @@
     struct er_err err = {0};
     static const struct nt_ops none = {NULL, NULL, ignore_close};
     struct nt_loop *l = nt_loop_create(256, &err);
-    struct nt_listen what = {p.ip, p.port, false, &none, no_sockets, on_http, &p};
+    struct nt_listen what = {.ip = p.ip,
+                             .port = p.port,
+                             .ops = &none,
+                             .accept = no_sockets,
+                             .http = on_http,
+                             .ud = &p};
     if (!l || !nt_listen(l, &what, &err)) {
         fprintf(stderr, "ferry-platform: %s\n", err.text);
         return 1;
--- a/tests/standin/relay.c
+++ b/tests/standin/relay.c
@@ -256,11 +256,20 @@
     argp_parse(&argp, argc, argv, 0, NULL, &r);
     struct er_err err = {0};
     r.loop = nt_loop_create(1024, &err);
-    struct nt_listen http = {"127.0.0.1", r.http, false, &in_ops, no_sockets, on_http, &r};
+    struct nt_listen http = {.ip = "127.0.0.1",
+                             .port = r.http,
+                             .ops = &in_ops,
+                             .accept = no_sockets,
+                             .http = on_http,
+                             .ud = &r};
     bool ok = r.loop && nt_listen(r.loop, &http, &err);
     for (int i = 0; ok && i < r.n; i++) {
-        struct nt_listen l = {"127.0.0.1", r.pairs[i].listen, true, &in_ops, on_accept,
-                              NULL,        &r.pairs[i]};
+        struct nt_listen l = {.ip = "127.0.0.1",
+                              .port = r.pairs[i].listen,
+                              .raw = true,
+                              .ops = &in_ops,
+                              .accept = on_accept,
+                              .ud = &r.pairs[i]};
         ok = nt_listen(r.loop, &l, &err) != NULL;
     }
     if (!ok) {
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -120,7 +120,12 @@
         close(fd);
         struct er_err err = {0};
         struct seen s = {.loop = nt_loop_create(64, &err)};
-        struct nt_listen l = {"127.0.0.1", port, raw, &server, accept_echo, NULL, &s};
+        struct nt_listen l = {.ip = "127.0.0.1",
+                              .port = port,
+                              .raw = raw,
+                              .ops = &server,
+                              .accept = accept_echo,
+                              .ud = &s};
         CU_ASSERT_PTR_NOT_NULL_FATAL(nt_listen(s.loop, &l, &err));
         nt_connect(s.loop, "127.0.0.1", port, raw, &ops, &s);
         nt_run(s.loop);
@@ -157,7 +162,8 @@
     struct refusing t = {.ln_port = make_port(&fd, false)};
     close(fd);
     t.client.loop = nt_loop_create(64, &err);
-    struct nt_listen l = {"127.0.0.1", t.ln_port, false, &server, accept_echo, NULL, &t};
+    struct nt_listen l = {
+        .ip = "127.0.0.1", .port = t.ln_port, .ops = &server, .accept = accept_echo, .ud = &t};
     t.ln = nt_listen(t.client.loop, &l, &err);
     CU_ASSERT_PTR_NOT_NULL_FATAL(t.ln);
     nt_timer_set(t.client.loop, &t.soon, CK_MS(1), refuse_and_connect, &t);
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -74,6 +74,86 @@
 }
 
 /* The view and every kind of change survive their text; cut text is refused, not crashed on. */
+static bool join(struct vw_view *w, uint64_t at, const char *id, int port, bool primary)
+{
+    struct vw_change ch = {.kind = VW_CH_JOIN, .group = "reg", .flag = primary};
+    struct er_err err = {0};
+    ch.inst = (struct vw_instance){.ip = "10.0.0.1", .port = port, .max_conns = 9, .slots = 3};
+    strcpy(ch.inst.id, id);
+    return vw_apply(w, at, &ch, &err);
+}
+
+static bool leave(struct vw_view *w, uint64_t at, const char *id)
+{
+    struct vw_change ch = {.kind = VW_CH_LEAVE, .group = "reg"};
+    struct er_err err = {0};
+    strcpy(ch.instance, id);
+    return vw_apply(w, at, &ch, &err);
+}
+
+/* A group that never had a primary takes an instance's word; later ones are chosen by control.
+ */
+static void instances_register_themselves(void)
+{
+    struct vw_view w;
+    vw_init(&w);
+    CU_ASSERT_TRUE(join(&w, 1, "a", 1, false));
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->primary, -1);
+    CU_ASSERT_TRUE(join(&w, 2, "b", 2, true));
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->primary, 1);
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->term, 1);
+    CU_ASSERT_TRUE(join(&w, 3, "c", 3, true));
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->primary, 1);
+    /* Another at an address that was used: the old one is gone. */
+    CU_ASSERT_TRUE(join(&w, 4, "d", 1, false));
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->n, 3);
+    CU_ASSERT_EQUAL(vw_instance(vw_group(&w, "reg"), "a"), -1);
+    CU_ASSERT_EQUAL(vw_instance(vw_group(&w, "reg"), "b"), vw_group(&w, "reg")->primary);
+    /* The primary leaves: no primary under a new term. */
+    CU_ASSERT_TRUE(leave(&w, 5, "b"));
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->primary, -1);
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->phase, VW_REPLACING);
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->term, 2);
+    CU_ASSERT_FALSE(leave(&w, 6, "b"));
+    CU_ASSERT_TRUE(leave(&w, 6, "c") && leave(&w, 7, "d"));
+    /* A group whose instances have all left is read back as it is. */
+    json_t *j = vw_view_json(&w);
+    struct vw_view back = {0};
+    struct er_err err = {0};
+    CU_ASSERT_TRUE(vw_view_parse(j, &back, &err));
+    CU_ASSERT_EQUAL(back.n, 1);
+    CU_ASSERT_EQUAL(back.groups[0].n, 0);
+    json_decref(j);
+    vw_free(&back);
+    vw_free(&w);
+}
+
+static bool document(struct vw_view *w, uint64_t at, uint64_t version, const char *text)
+{
+    struct vw_change ch = {.kind = VW_CH_DOCUMENT, .version = version, .text = sr_from(text)};
+    struct er_err err = {0};
+    return vw_apply(w, at, &ch, &err);
+}
+
+static void highest_document_holds(void)
+{
+    struct vw_view w, back = {0};
+    struct er_err err = {0};
+    vw_init(&w);
+    CU_ASSERT_TRUE(document(&w, 1, 7, "seven"));
+    CU_ASSERT_FALSE(document(&w, 2, 7, "another seven"));
+    CU_ASSERT_FALSE(document(&w, 2, 6, "six"));
+    CU_ASSERT_STRING_EQUAL(w.doc.text, "seven");
+    CU_ASSERT_TRUE(document(&w, 3, 9, "nine"));
+    json_t *j = vw_view_json(&w);
+    CU_ASSERT_TRUE(vw_view_parse(j, &back, &err));
+    CU_ASSERT_EQUAL(back.doc.version, 9);
+    CU_ASSERT_STRING_EQUAL(back.doc.text, "nine");
+    json_decref(j);
+    vw_free(&back);
+    vw_free(&w);
+}
+
 static void text_round_trip(void)
 {
     fresh();
@@ -96,6 +176,8 @@
         ch.inst.max_conns = 1;
         ch.inst.slots = 1;
         strcpy(ch.intent.id, "id");
+        ch.version = 7;
+        ch.text = SR_LIT("{\"a\": 1}");
         json_t *j = vw_change_json(&ch);
         CU_ASSERT_TRUE(vw_change_parse(j, &back, &err));
         json_t *again = vw_change_json(&back);
@@ -161,6 +243,8 @@
     TEST(s, phases);
     TEST(s, removing_keeps_the_primary_right);
     TEST(s, text_round_trip);
+    TEST(s, instances_register_themselves);
+    TEST(s, highest_document_holds);
     TEST(s, equal_numbers_name_the_winner);
     TEST(s, running_intents_are_not_forgotten);
 }
--- a/view/json.c
+++ b/view/json.c
@@ -6,8 +6,8 @@
 
 static const char *const phase_names[] = {"serving", "replacing", "handing"};
 static const char *const change_names[VW_CH_COUNT] = {
-    "group", "replace", "hand",   "abandon", "primary", "drain",
-    "rule",  "add",     "remove", "intent",  "progress"};
+    "group", "replace", "hand",   "abandon",  "primary",  "drain", "rule",
+    "add",   "remove",  "intent", "progress", "document", "join",  "leave"};
 static const char *const intent_names[VW_IT_COUNT] = {"move", "drain", "rule", "replace",
                                                       "undrain"};
 static const char *const state_names[] = {"running", "done", "failed"};
@@ -133,7 +133,8 @@
     return true;
 }
 
-bool vw_group_parse(const json_t *j, struct vw_group *g, struct er_err *err)
+/* `least`: instances it must have; one whose instances have all left has none. */
+static bool group_parse(const json_t *j, size_t least, struct vw_group *g, struct er_err *err)
 {
     memset(g, 0, sizeof(*g));
     const json_t *inst = json_object_get(j, "instances");
@@ -142,13 +143,14 @@
     int phase = VW_REPLACING;
     if (!get_str(j, "name", g->name, sizeof(g->name), true, err))
         return false;
-    if (n < 1 || n > VW_MAX_INSTANCES)
-        return er_set(err, ER_BAD_INPUT, "instances: %zu, expected 1..%d", n, VW_MAX_INSTANCES);
+    if (n < least || n > VW_MAX_INSTANCES)
+        return er_set(err, ER_BAD_INPUT, "instances: %zu, expected %zu..%d", n, least,
+                      VW_MAX_INSTANCES);
     if (!get_int(j, "term", 0, INT64_MAX, &term, err) ||
         !get_int(j, "primary", -1, (int64_t)n - 1, &primary, err) ||
         !get_int(j, "target", -1, (int64_t)n - 1, &target, err) ||
         !get_int(j, "max_age_ms", 0, INT64_MAX, &age, err) ||
-        !get_int(j, "copies", 1, (int64_t)n, &copies, err))
+        !get_int(j, "copies", 1, n ? (int64_t)n : 1, &copies, err))
         return false;
     if (json_object_get(j, "phase") && !get_enum(j, "phase", phase_names, 3, &phase, err))
         return false;
@@ -167,6 +169,11 @@
     return starts_parse(json_object_get(j, "starts"), g, err);
 }
 
+bool vw_group_parse(const json_t *j, struct vw_group *g, struct er_err *err)
+{
+    return group_parse(j, 1, g, err);
+}
+
 /* ---- intents ---- */
 
 static json_t *intent_json(const struct vw_intent *it)
@@ -204,6 +211,29 @@
     return true;
 }
 
+/* ---- the document ---- */
+
+static void document_put(json_t *j, uint64_t version, struct sr_str text)
+{
+    json_object_set_new(j, "version", json_integer((json_int_t)version));
+    json_object_set_new(j, "text", json_stringn(text.p, text.len));
+}
+
+/* `text` points into `j`. */
+static bool document_parse(const json_t *j, uint64_t *version, struct sr_str *text,
+                           struct er_err *err)
+{
+    const json_t *t = json_object_get(j, "text");
+    int64_t v = 0;
+    if (!get_int(j, "version", 1, INT64_MAX, &v, err))
+        return false;
+    if (!json_is_string(t) || v == 0)
+        return er_set(err, ER_BAD_INPUT, "document: expected a version and a text");
+    *version = (uint64_t)v;
+    *text = (struct sr_str){json_string_value(t), json_string_length(t)};
+    return true;
+}
+
 /* ---- changes ---- */
 
 json_t *vw_change_json(const struct vw_change *ch)
@@ -223,8 +253,10 @@
         json_object_set_new(j, "max_age_ms", json_integer(ch->max_age_ms));
     if (ch->kind == VW_CH_GROUP)
         json_object_set_new(j, "def", vw_group_json(&ch->def));
-    if (ch->kind == VW_CH_ADD)
+    if (ch->kind == VW_CH_ADD || ch->kind == VW_CH_JOIN)
         json_object_set_new(j, "inst", instance_json(&ch->inst));
+    if (ch->kind == VW_CH_DOCUMENT)
+        document_put(j, ch->version, ch->text);
     if (ch->kind == VW_CH_INTENT || ch->kind == VW_CH_PROGRESS)
         json_object_set_new(j, "intent", intent_json(&ch->intent));
     return j;
@@ -249,7 +281,9 @@
     ch->flag = json_is_true(json_object_get(j, "flag"));
     if (ch->kind == VW_CH_GROUP)
         return vw_group_parse(json_object_get(j, "def"), &ch->def, err);
-    if (ch->kind == VW_CH_ADD)
+    if (ch->kind == VW_CH_DOCUMENT)
+        return document_parse(j, &ch->version, &ch->text, err);
+    if (ch->kind == VW_CH_ADD || ch->kind == VW_CH_JOIN)
         return instance_parse(json_object_get(j, "inst"), &ch->inst, err);
     if (ch->kind == VW_CH_INTENT || ch->kind == VW_CH_PROGRESS)
         return intent_parse(json_object_get(j, "intent"), &ch->intent, err);
@@ -265,8 +299,14 @@
         json_array_append_new(groups, vw_group_json(&v->groups[i]));
     for (int i = 0; i < v->n_intents; i++)
         json_array_append_new(intents, intent_json(&v->intents[i]));
-    return json_pack("{s:I,s:o,s:o}", "generation", (json_int_t)v->generation, "groups", groups,
-                     "intents", intents);
+    json_t *j = json_pack("{s:I,s:o,s:o}", "generation", (json_int_t)v->generation, "groups",
+                          groups, "intents", intents);
+    if (v->doc.version) {
+        json_t *doc = json_object();
+        document_put(doc, v->doc.version, (struct sr_str){v->doc.text, v->doc.len});
+        json_object_set_new(j, "document", doc);
+    }
+    return j;
 }
 
 bool vw_view_parse(const json_t *j, struct vw_view *v, struct er_err *err)
@@ -279,9 +319,18 @@
     if (json_array_size(groups) > VW_MAX_GROUPS || json_array_size(intents) > VW_MAX_INTENTS)
         return er_set(err, ER_TOO_LARGE, "view: too many groups or intents");
     vw_free(v);
+    const json_t *doc = json_object_get(j, "document");
+    struct sr_str text;
+    if (doc && !document_parse(doc, &v->doc.version, &text, err))
+        return false;
+    if (doc) {
+        v->doc.text = sr_alloc(text.len + 1);
+        memcpy(v->doc.text, text.p, text.len);
+        v->doc.len = text.len;
+    }
     for (size_t i = 0; i < json_array_size(groups); i++) {
         struct vw_group g;
-        if (!vw_group_parse(json_array_get(groups, i), &g, err))
+        if (!group_parse(json_array_get(groups, i), 0, &g, err))
             return false;
         int at = v->n;
         v->groups = sr_realloc(v->groups, sizeof(g) * (size_t)(v->n + 1));
--- a/view/view.c
+++ b/view/view.c
@@ -13,6 +13,7 @@
 {
     free(v->groups);
     free(v->intents);
+    free(v->doc.text);
     vw_init(v);
 }
 
@@ -134,6 +135,42 @@
     return true;
 }
 
+static bool check_document(const struct vw_view *v, const struct vw_change *ch,
+                           struct er_err *err)
+{
+    if (ch->version <= v->doc.version)
+        return er_set(err, ER_STALE_PLAN, "document %llu is not above %llu",
+                      (unsigned long long)ch->version, (unsigned long long)v->doc.version);
+    if (ch->text.len > VW_DOCUMENT_MAX)
+        return er_set(err, ER_TOO_LARGE, "a document of %zu bytes, expected at most %d",
+                      ch->text.len, VW_DOCUMENT_MAX);
+    return true;
+}
+
+/* An instance that comes for another at the same address takes its place. */
+static int at_address(const struct vw_group *g, const struct vw_instance *in)
+{
+    for (int i = 0; i < g->n; i++) {
+        if (g->inst[i].port == in->port && strcmp(g->inst[i].ip, in->ip) == 0)
+            return i;
+    }
+    return -1;
+}
+
+static bool check_join(const struct vw_view *v, const struct vw_change *ch, struct er_err *err)
+{
+    const struct vw_group *g = vw_group(v, ch->group), *owner = vw_owner(v, ch->inst.id);
+    if (owner && owner != g)
+        return er_set(err, ER_CONFLICT, "instance %s is in group %s already", ch->inst.id,
+                      owner->name);
+    if (!ch->group[0] || (!g && v->n >= VW_MAX_GROUPS))
+        return er_set(err, ER_TOO_LARGE, "group \"%s\": %d groups are the most", ch->group,
+                      VW_MAX_GROUPS);
+    if (g && !owner && g->n >= VW_MAX_INSTANCES && at_address(g, &ch->inst) < 0)
+        return er_set(err, ER_CONFLICT, "group %s has %d instances, the most", g->name, g->n);
+    return true;
+}
+
 static bool check_on_group(const struct vw_view *v, const struct vw_change *ch,
                            struct er_err *err)
 {
@@ -142,7 +179,8 @@
         return er_set(err, ER_NO_DATABASE, "no group %s", ch->group);
     int i = vw_instance(g, ch->instance);
     bool needs_instance = ch->kind == VW_CH_HAND || ch->kind == VW_CH_PRIMARY ||
-                          ch->kind == VW_CH_DRAIN || ch->kind == VW_CH_REMOVE;
+                          ch->kind == VW_CH_DRAIN || ch->kind == VW_CH_REMOVE ||
+                          ch->kind == VW_CH_LEAVE;
     if (needs_instance && i < 0)
         return er_set(err, ER_BAD_INPUT, "group %s has no instance %s", ch->group,
                       ch->instance);
@@ -184,6 +222,10 @@
     switch (ch->kind) {
     case VW_CH_GROUP:
         return check_group_def(v, &ch->def, err);
+    case VW_CH_DOCUMENT:
+        return check_document(v, ch, err);
+    case VW_CH_JOIN:
+        return check_join(v, ch, err);
     case VW_CH_INTENT:
         return check_intent(v, &ch->intent, err);
     case VW_CH_PROGRESS: {
@@ -254,6 +296,21 @@
     add_start(g, (struct ps_start){term, pos});
 }
 
+/* It is gone. If it was the primary, the group has none until one is chosen under the next
+ * term. */
+static void apply_leave(struct vw_group *g, const char *id)
+{
+    int i = vw_instance(g, id);
+    bool led = i == g->primary;
+    remove_instance(g, i);
+    if (!led)
+        return;
+    g->primary = -1;
+    g->target = -1;
+    g->phase = VW_REPLACING;
+    g->term++;
+}
+
 static void apply_on_group(struct vw_group *g, const struct vw_change *ch)
 {
     int i = vw_instance(g, ch->instance);
@@ -286,11 +343,43 @@
     case VW_CH_REMOVE:
         remove_instance(g, i);
         break;
+    case VW_CH_LEAVE:
+        apply_leave(g, ch->instance);
+        break;
     default:
         break;
     }
 }
 
+static void apply_join(struct vw_view *v, const struct vw_change *ch)
+{
+    struct vw_group *g = vw_group(v, ch->group);
+    if (!g) {
+        struct vw_group fresh = {.phase = VW_SERVING, .primary = -1, .target = -1, .copies = 1};
+        sr_copy(fresh.name, sizeof(fresh.name), sr_from(ch->group));
+        insert_group(v, &fresh);
+        g = vw_group(v, ch->group);
+    }
+    int i = vw_instance(g, ch->inst.id);
+    int other = i < 0 ? at_address(g, &ch->inst) : -1;
+    if (other >= 0)
+        apply_leave(g, g->inst[other].id);
+    if (i < 0)
+        i = g->n++;
+    g->inst[i] = ch->inst;
+    /* Only a group that never had a primary takes an instance's word for it. */
+    if (ch->flag && g->term == 0)
+        set_primary(g, i, 1, 0);
+}
+
+static void apply_document(struct vw_view *v, const struct vw_change *ch)
+{
+    char *text = sr_alloc(ch->text.len + 1);
+    memcpy(text, ch->text.p, ch->text.len);
+    free(v->doc.text);
+    v->doc = (struct vw_document){ch->version, text, ch->text.len};
+}
+
 static void apply_progress(struct vw_view *v, const struct vw_intent *from)
 {
     for (int i = 0; i < v->n_intents; i++) {
@@ -314,6 +403,12 @@
     case VW_CH_GROUP:
         insert_group(v, &ch->def);
         break;
+    case VW_CH_DOCUMENT:
+        apply_document(v, ch);
+        break;
+    case VW_CH_JOIN:
+        apply_join(v, ch);
+        break;
     case VW_CH_INTENT:
         insert_intent(v, &ch->intent, index);
         break;
--- a/view/view.h
+++ b/view/view.h
@@ -23,7 +23,8 @@
     VW_MAX_INTENTS = 256,
     VW_MAX_STEPS = 16,
     VW_NAME = 48,
-    VW_CHANGE_MAX = 8192, /* bytes of a change as text */
+    VW_CHANGE_MAX = 8192,         /* bytes of a change as text, but for a document */
+    VW_DOCUMENT_MAX = 256 * 1024, /* bytes of a document */
 };
 
 struct vw_instance {
@@ -81,8 +82,17 @@
     char note[160];  /* why it failed, or what it waits for */
 };
 
+/* A configuration that operators send as a whole. The text is kept as it came, since it is read
+ * back as it was sent; catalog/ says what it means. */
+struct vw_document {
+    uint64_t version; /* the operators' number, only grows; 0: none yet */
+    char *text;       /* owned; NUL-ended */
+    size_t len;
+};
+
 struct vw_view {
     uint64_t generation;
+    struct vw_document doc;
     int n;
     struct vw_group *groups; /* sorted by name */
     int n_intents;
@@ -101,6 +111,10 @@
     VW_CH_REMOVE,   /* group, instance */
     VW_CH_INTENT,   /* an operator confirmed `intent` */
     VW_CH_PROGRESS, /* intent id, step, state, note */
+    VW_CH_DOCUMENT, /* version, text: the configuration document, whole */
+    VW_CH_JOIN,  /* group, inst, flag (it says that it is the primary): an instance registered
+                    itself; the group is made if need be */
+    VW_CH_LEAVE, /* group, instance: it is gone, whatever it was */
     VW_CH_COUNT
 };
 
@@ -112,7 +126,9 @@
     bool flag;
     int64_t max_age_ms;
     struct vw_group def;     /* VW_CH_GROUP */
-    struct vw_instance inst; /* VW_CH_ADD */
+    struct vw_instance inst; /* VW_CH_ADD, VW_CH_JOIN */
+    uint64_t version;        /* VW_CH_DOCUMENT */
+    struct sr_str text;      /* VW_CH_DOCUMENT; belongs to what it was parsed from */
     struct vw_intent intent; /* VW_CH_INTENT, VW_CH_PROGRESS */
 };
 
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -274,6 +274,7 @@
         get_probes(r, &m->probes);
         break;
     case WR_NODES:
+    case WR_CONTROLS:
         get_nodes(r, &m->nodes);
         break;
     }
@@ -294,7 +295,7 @@
         return er_set(err, ER_BAD_INPUT, "message of %zu bytes: expected a msgpack array", len);
     struct rd r = {&o.via.array, 0, false, &d->zone};
     uint64_t type = get_u(&r);
-    if (r.bad || type < WR_HELLO || type > WR_NODES)
+    if (r.bad || type < WR_HELLO || type > WR_CONTROLS)
         return er_set(err, ER_BAD_INPUT, "message type %llu is not known",
                       (unsigned long long)type);
     m->type = (enum wr_type)type;
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -151,9 +151,9 @@
     }
 }
 
-static void put_nodes(msgpack_packer *pk, const struct wr_nodes *n)
+static void put_nodes(msgpack_packer *pk, enum wr_type type, const struct wr_nodes *n)
 {
-    head(pk, WR_NODES, 1);
+    head(pk, type, 1);
     msgpack_pack_array(pk, n->n);
     for (uint32_t i = 0; i < n->n; i++) {
         msgpack_pack_array(pk, 4);
@@ -209,7 +209,8 @@
         put_probes(&pk, &m->probes);
         break;
     case WR_NODES:
-        put_nodes(&pk, &m->nodes);
+    case WR_CONTROLS:
+        put_nodes(&pk, m->type, &m->nodes);
         break;
     }
 }
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -28,6 +28,7 @@
     WR_PROBES,     /* control follower to leader: what its probes see */
     WR_SUSPECT,    /* entry to leader: an instance stopped answering */
     WR_NODES,      /* leader to entry: the entry nodes that hold a lease */
+    WR_CONTROLS,   /* control to whoever connects: where the control nodes are, as it knows */
 };
 
 enum wr_role { WR_ROLE_ENTRY = 1, WR_ROLE_CONTROL };
