--- a/control/agree.c
+++ b/control/agree.c
@@ -112,6 +112,8 @@
     if (vw_apply(&n->view, index, &ch, &err)) {
         remember(n, index, data, len);
         note_change(n, &ch);
+        if (ch.kind == VW_CH_DOCUMENT)
+            ct_document_changed(n);
         ct_group_sync(n, ch.kind == VW_CH_GROUP ? ch.def.name : ch.group);
         if (n->leading) {
             if (!n->force_gen) {
@@ -139,6 +141,7 @@
         const struct qr_members *m = (const struct qr_members *)e->data;
         tl_add(n->tl, TL_MEMBERS, "", e->term, "%u members", m->n);
     }
+    ct_orders_applied(n, e);
 }
 
 static void on_restore(void *ud, uint64_t index, const char *data, uint32_t len)
@@ -150,6 +153,7 @@
         FL_ERR(&n->log, "snapshot %llu: %s", (unsigned long long)index, err.text);
     json_decref(j);
     forget_all(n, n->view.generation);
+    ct_document_changed(n);
     ct_groups_sync(n);
     FL_INFO(&n->log, "restored from a snapshot up to %llu", (unsigned long long)index);
 }
@@ -162,6 +166,8 @@
         return;
     n->was_leader = leads;
     n->leading = false; /* until a quorum vouches and this term's first entry is applied */
+    if (!leads)
+        ct_orders_lost(n);
     tl_add(n->tl, leads ? TL_LEADER : TL_DEPOSED, "", qr_term(n->q),
            leads ? "elected in term %llu" : "no longer leads, term %llu",
            (unsigned long long)qr_term(n->q));
--- a/control/control.c
+++ b/control/control.c
@@ -124,6 +124,8 @@
     force_tick(n, now);
     ct_intents_tick(n, now);
     ct_platform_tick(n, now);
+    ct_members_tick(n, now);
+    ct_orders_tick(n, now);
     ct_ops_tick(n, now);
     ct_compact_tick(n);
     if (n->stopping && (qr_role(n->q) != QR_LEADER || now > n->stop_by)) {
@@ -166,11 +168,22 @@
     }
 }
 
+/* Whether this node is one of the first voters, where the seeds are these. */
+static bool is_seed(const struct st_settings *s)
+{
+    for (int i = 0; i < s->n_voters; i++) {
+        if (strcmp(s->voters[i].name, s->name) == 0)
+            return true;
+    }
+    return false;
+}
+
 static bool open_store(struct ct_node *n, bool bootstrap, struct so_loaded *disk,
                        struct er_err *err)
 {
     const struct st_settings *s = n->s;
-    uint64_t wanted = bootstrap ? first_identity(s, s->name) : 0;
+    bool among = !s->registers || is_seed(s);
+    uint64_t wanted = bootstrap && among ? first_identity(s, s->name) : 0;
     n->store = so_open(s->data, s->cluster, wanted, disk, err);
     if (!n->store)
         return false;
@@ -178,16 +191,23 @@
     if (disk->torn_bytes)
         FL_WARN(&n->log, "%llu bytes of an unfinished write were cut off the log",
                 (unsigned long long)disk->torn_bytes);
-    if (disk->fresh && !bootstrap)
+    if (disk->fresh && !bootstrap && !s->registers)
         FL_WARN(&n->log,
                 "%s was empty: this is a new member, id %llx; it votes once an operator has "
                 "let it in (ferryctl plan replace)",
                 s->data, (unsigned long long)n->id);
-    /* One of the first voters, without a snapshot: the list is that of the settings. */
+    /* One of the first voters, without a snapshot: the list is that of the settings, as they
+     * were then. */
     bool founder = n->id == first_identity(s, s->name);
-    if (founder && disk->restore.snap_index == 0)
+    if (!founder || disk->restore.snap_index != 0)
+        return true;
+    if (!s->registers) {
+        first_members(s, &disk->restore.members);
+        return true;
+    }
+    if (bootstrap && disk->fresh)
         first_members(s, &disk->restore.members);
-    return true;
+    return ct_founders(n, bootstrap && disk->fresh, &disk->restore.members, err);
 }
 
 static void restore_view(struct ct_node *n, const struct so_loaded *disk)
@@ -203,8 +223,8 @@
 }
 
 struct ct_node *ct_create(struct nt_loop *l, const struct st_settings *s, struct tl_ring *tl,
-                          bool bootstrap, void (*stopped)(void *, bool), void *ud,
-                          struct er_err *err)
+                          const struct ct_interface *outside, bool bootstrap,
+                          void (*stopped)(void *, bool), void *ud, struct er_err *err)
 {
     struct ct_node *n = sr_alloc(sizeof(*n));
     struct so_loaded disk;
@@ -212,7 +232,9 @@
     n->s = s;
     n->loop = l;
     n->tl = tl;
-    n->driver = &ep_ws;
+    n->outside = outside;
+    n->driver = outside ? outside->endpoints : &ep_ws;
+    n->steering = outside ? &ct_by_takeover : &ct_by_promote;
     n->stopped = stopped;
     n->stopped_ud = ud;
     vw_init(&n->view);
@@ -232,6 +254,7 @@
     randombytes_buf(&cfg.seed, sizeof(cfg.seed));
     n->q = qr_create(&cfg, &disk.restore, ck_now());
     so_release(n->store);
+    ct_document_changed(n);
     ct_groups_sync(n);
     tl_add(tl, TL_START, "", qr_term(n->q), "control node %llx", (unsigned long long)n->id);
     nt_timer_set(l, &n->tick, TICK_US, tick, n);
--- a/control/control.h
+++ b/control/control.h
@@ -3,6 +3,7 @@
 #ifndef FL_CONTROL_CONTROL_H
 #define FL_CONTROL_CONTROL_H
 
+#include "catalog/catalog.h"
 #include "endpoint/endpoint.h"
 #include "intent/intent.h"
 #include "lease/lease.h"
@@ -11,7 +12,9 @@
 #include "pool/shares.h"
 #include "promote/promote.h"
 #include "quorum/disk.h"
+#include "registry/registry.h"
 #include "settings/settings.h"
+#include "takeover/takeover.h"
 #include "task/net.h"
 #include "timeline/timeline.h"
 #include "view/view.h"
@@ -20,6 +23,56 @@
 enum { CT_HISTORY = 4096, CT_MAX_CONNS = 2048, CT_MAX_WAITING = 64 };
 
 struct ct_node;
+struct ct_group;
+
+/* What an outside platform's interface brings; ferryd gives it to ct_create. Callbacks run on
+ * the loop's thread. */
+struct ct_interface {
+    const struct ep_driver *endpoints;
+    const struct cg_codec *documents;
+    /* Whether the request was one of the platform's; it is answered then, now or later. */
+    bool (*http)(struct ct_node *n, const struct nt_http *req);
+    /* Order a change of primary; `done` is called once, also if no answer came. */
+    void (*promote)(struct ct_node *n, const char *group, const char *id, uint64_t token,
+                    void (*done)(struct ct_node *n, const char *group, uint64_t token,
+                                 enum tk_outcome what));
+};
+
+/* How changes of primary are decided: promote/ (instances obey fences) or takeover/ (the
+ * platform carries them out). `g`'s state is the steering's own. */
+struct ct_steering {
+    void (*begin)(struct ct_node *n, struct ct_group *g);
+    /* What a vantage sees of the instance; 0 is this node. */
+    void (*probed)(struct ct_group *g, const char *inst, uint64_t vantage, const char *domain,
+                   enum pr_health health);
+    void (*said)(struct ct_group *g, const char *inst, const struct ep_reply *r);
+    /* A connection to the instance is open again. */
+    void (*reached)(struct ct_group *g, const char *inst);
+    void (*checked)(struct ct_group *g, uint64_t nonce, enum pr_health health);
+    /* Decide and act. */
+    void (*tick)(struct ct_node *n, struct ct_group *g);
+    bool (*busy)(const struct ct_group *g); /* something is under way */
+};
+
+extern const struct ct_steering ct_by_promote, ct_by_takeover;
+
+/* An outside request that waits for an entry of the log. */
+struct ct_order {
+    struct ct_node *node;
+    struct nt_conn *conn; /* NULL: the caller went away; the entry stands all the same */
+    uint64_t index, term; /* 0: free */
+    int64_t until;
+    /* err->kind ER_NONE: committed. ER_NO_QUORUM: may or may not be in force. */
+    void (*done)(struct ct_node *n, struct nt_conn *c, const struct er_err *err);
+};
+
+enum { CT_MAX_ORDERS = 64, CT_MAX_SEQS = 512 };
+
+/* The newest call of an instance that registers itself. */
+struct ct_seq {
+    char id[VW_NAME];
+    uint64_t seq;
+};
 
 /* A change as it was committed, for nodes that missed some. */
 struct ct_past {
@@ -37,9 +90,10 @@
     uint64_t id;
     char name[48], domain[48], ip[46];
     int port;
-    uint64_t sent_gen; /* entry: generation sent last */
-    int64_t sent_at;   /* when */
-    bool shares_told;  /* the node knows all its shares but for those that changed since */
+    uint64_t told_controls; /* hash of the list of control nodes it was told */
+    uint64_t sent_gen;      /* entry: generation sent last */
+    int64_t sent_at;        /* when */
+    bool shares_told;       /* the node knows all its shares but for those that changed since */
     uint64_t nodes_hash;
 };
 
@@ -47,14 +101,13 @@
 struct ct_peer {
     struct ct_peer *next;
     struct ct_node *node;
-    struct qr_member m;
+    struct qr_member m; /* id 0: an address only; who answers there greets us itself */
     struct nt_conn *net;
     bool open, wanted;
-    int64_t next_try;
+    int64_t next_try, tried;
+    int64_t began; /* when it was heard of, or open last */
 };
 
-struct ct_group;
-
 /* A probed instance. */
 struct ct_inst {
     struct ct_node *node;
@@ -63,7 +116,7 @@
     int port;
     struct ep_conn *c;
     bool open, gone;
-    int64_t next_try, answered, probed;
+    int64_t next_try, answered, probed, opening;
     int64_t changed; /* when `health` changed */
     enum pr_health health;
     uint64_t last_id;
@@ -74,7 +127,8 @@
 
 struct ct_group {
     char name[VW_NAME];
-    struct pr_group pr;
+    struct pr_group pr; /* of ct_by_promote */
+    struct tk_group tk; /* of ct_by_takeover */
     int n;
     struct ct_inst *inst[VW_MAX_INSTANCES];
     uint64_t phase_gen; /* generation that began the group's phase */
@@ -97,6 +151,14 @@
     struct nt_loop *loop;
     struct tl_ring *tl;
     const struct ep_driver *driver;
+    const struct ct_interface *outside; /* NULL: our own interfaces only */
+    const struct ct_steering *steering;
+    struct cg_catalog catalog; /* what the document in force says */
+    struct ct_order orders[CT_MAX_ORDERS];
+    struct ct_seq seqs[CT_MAX_SEQS];
+    struct ix_index seq_at;
+    int n_seqs;
+    int64_t next_member_step;
     struct so_store *store;
     struct dk_disk *disk;
     uint64_t id;
@@ -149,8 +211,8 @@
 
 /* control.c */
 struct ct_node *ct_create(struct nt_loop *l, const struct st_settings *s, struct tl_ring *tl,
-                          bool bootstrap, void (*stopped)(void *ud, bool failed), void *ud,
-                          struct er_err *err);
+                          const struct ct_interface *outside, bool bootstrap,
+                          void (*stopped)(void *ud, bool failed), void *ud, struct er_err *err);
 void ct_stop(struct ct_node *n);
 void ct_destroy(struct ct_node *n);
 /* Whether this node leads and a quorum vouches for it now. */
@@ -180,7 +242,8 @@
 /* This node leads now: entry nodes need not look for it. */
 void ct_say_leading(struct ct_conn *c);
 void ct_push_view(struct ct_node *n);
-void ct_check_nodes(struct ct_node *n, struct ct_group *g, const char *inst);
+/* Ask all entry nodes whether the instance answers them; how many were asked. */
+int ct_check_nodes(struct ct_node *n, uint64_t nonce, const char *inst);
 
 /* watch.c: instances and promotions */
 void ct_groups_sync(struct ct_node *n);
@@ -209,6 +272,46 @@
 /* platform.c */
 void ct_platform_tick(struct ct_node *n, int64_t now);
 
+/* orders.c: outside requests that wait for the log */
+/* `done` is called once the entry at `index`, just proposed, is committed or given up. */
+void ct_await(struct ct_node *n, struct nt_conn *c, uint64_t index,
+              void (*done)(struct ct_node *n, struct nt_conn *c, const struct er_err *err));
+void ct_orders_applied(struct ct_node *n, const struct qr_entry *e);
+/* This node stopped leading: what was not committed under it may or may not be. */
+void ct_orders_lost(struct ct_node *n);
+void ct_orders_tick(struct ct_node *n, int64_t now);
+/* Whether this node may answer for the newest state. False with *err (ER_NOT_LEADER: another
+ * may, ct_leader_ip names it; ER_NO_QUORUM: nobody is known to). */
+bool ct_may_answer(const struct ct_node *n, struct er_err *err);
+/* IP number of the leader as far as known, "" if not. */
+const char *ct_leader_ip(const struct ct_node *n);
+
+/* registrations.c: instances that register themselves. True: answer now; false with err->kind
+ * ER_NONE: `done` answers; else refused. */
+bool ct_register(struct ct_node *n, const struct rg_beat *b, struct nt_conn *c,
+                 void (*done)(struct ct_node *n, struct nt_conn *c, const struct er_err *err),
+                 struct er_err *err);
+bool ct_deregister(struct ct_node *n, const char *id, struct nt_conn *c,
+                   void (*done)(struct ct_node *n, struct nt_conn *c, const struct er_err *err),
+                   struct er_err *err);
+
+/* documents.c: whole configurations; returns as above. */
+bool ct_configure(struct ct_node *n, struct sr_str text, struct nt_conn *c,
+                  void (*done)(struct ct_node *n, struct nt_conn *c, const struct er_err *err),
+                  struct er_err *err);
+/* The document in force, as it was sent. */
+bool ct_document(const struct ct_node *n, struct sr_str *text, struct er_err *err);
+/* The view has another document. */
+void ct_document_changed(struct ct_node *n);
+
+/* members.c: voters are added and replaced without an operator */
+void ct_members_tick(struct ct_node *n, int64_t now);
+/* Tell whoever is connected where the control nodes are, if that is news. */
+void ct_tell_controls(struct ct_conn *c);
+
+/* founders.c: the first voters, as they were when the cluster was made */
+bool ct_founders(struct ct_node *n, bool found, struct qr_members *m, struct er_err *err);
+
 /* ops.c */
 bool ct_ops_listen(struct ct_node *n, struct er_err *err);
 /* A change was applied, or refused with `err`: answer who waits for it. */
--- /dev/null
+++ b/control/documents.c
@@ -0,0 +1,69 @@
+/* Configuration documents: checked whole before they are proposed, acknowledged when committed. */
+#include "control/control.h"
+#include "member/member.h"
+#include "misc/clock.h"
+
+static int voters(const struct ct_node *n)
+{
+    const struct qr_members *m = qr_members(n->q);
+    int k = 0;
+    for (uint32_t i = 0; i < m->n; i++)
+        k += m->m[i].voter;
+    return k;
+}
+
+bool ct_configure(struct ct_node *n, struct sr_str text, struct nt_conn *c,
+                  void (*done)(struct ct_node *, struct nt_conn *, const struct er_err *),
+                  struct er_err *err)
+{
+    struct cg_catalog cat;
+    struct vw_change ch = {.kind = VW_CH_DOCUMENT, .text = text};
+    uint64_t index;
+    /* Not valid here is not valid anywhere: no leader is needed to say so. */
+    if (!cg_read(n->outside->documents, text, &cat, err)) {
+        FL_INFO(&n->log, "a document is refused: %s", err->text);
+        return false;
+    }
+    ch.version = cat.version;
+    cg_free(&cat);
+    if (!ct_may_answer(n, err))
+        return false;
+    if (ch.version <= n->view.doc.version)
+        return true; /* the higher one holds; this one changes nothing */
+    if (voters(n) < mb_needed(n->s->tolerates))
+        return er_set(err, ER_NO_QUORUM, "%d voters, expected %d before anything is promised",
+                      voters(n), mb_needed(n->s->tolerates));
+    if (!ct_propose(n, &ch, &index, err))
+        return false;
+    ct_await(n, c, index, done);
+    return false;
+}
+
+bool ct_document(const struct ct_node *n, struct sr_str *text, struct er_err *err)
+{
+    if (!ct_may_answer(n, err))
+        return false;
+    if (!n->view.doc.version)
+        return er_set(err, ER_NO_QUORUM, "no document is in force yet");
+    *text = (struct sr_str){n->view.doc.text, n->view.doc.len};
+    return true;
+}
+
+void ct_document_changed(struct ct_node *n)
+{
+    struct cg_catalog cat;
+    struct er_err err = {0};
+    if (!n->outside || n->view.doc.version == n->catalog.version)
+        return;
+    struct sr_str text = {n->view.doc.text, n->view.doc.len};
+    if (!cg_read(n->outside->documents, text, &cat, &err)) {
+        FL_ERR(&n->log, "document %llu is in the log but can't be read: %s",
+               (unsigned long long)n->view.doc.version, err.text);
+        return;
+    }
+    cg_free(&n->catalog);
+    n->catalog = cat;
+    FL_INFO(&n->log, "document %llu is in force, %d routes", (unsigned long long)cat.version,
+            cat.n_routes);
+    ct_groups_sync(n);
+}
--- /dev/null
+++ b/control/members.c
@@ -0,0 +1,123 @@
+/* Voters come and go without an operator: what member/ decides, carried out by the leader. And
+ * where the control nodes are, told to whoever is connected. */
+#include <xxhash.h>
+
+#include "control/control.h"
+#include "member/member.h"
+#include "misc/clock.h"
+
+enum { EVERY_US = 100000 };
+
+static void add_members(struct ct_node *n, struct mb_state *s, int64_t now)
+{
+    const struct qr_members *m = qr_members(n->q);
+    for (uint32_t i = 0; i < m->n; i++) {
+        const struct qr_member *x = &m->m[i];
+        bool self = x->id == n->id;
+        uint64_t match = qr_match(n->q, x->id);
+        s->node[s->n++] = (struct mb_node){.id = x->id,
+                                           .ip = x->ip,
+                                           .member = true,
+                                           .voter = x->voter,
+                                           .connected = self,
+                                           .caught_up = match > 0 && match >= qr_commit(n->q),
+                                           .heard_us = self ? 0 : now - qr_heard(n->q, x->id)};
+    }
+}
+
+static bool listed(const struct mb_state *s, uint64_t id)
+{
+    for (int i = 0; i < s->n; i++) {
+        if (s->node[i].id == id)
+            return true;
+    }
+    return false;
+}
+
+static struct ct_conn *control_conn(struct ct_node *n, uint64_t id)
+{
+    for (struct ct_conn *c = n->conns; c; c = c->next) {
+        if (c->greeted && c->role == WR_ROLE_CONTROL && c->id == id)
+            return c;
+    }
+    return NULL;
+}
+
+static void add_strangers(struct ct_node *n, struct mb_state *s)
+{
+    for (struct ct_conn *c = n->conns; c && s->n < MB_MAX; c = c->next) {
+        if (!c->greeted || c->role != WR_ROLE_CONTROL || listed(s, c->id))
+            continue;
+        s->node[s->n++] = (struct mb_node){.id = c->id, .ip = c->ip, .connected = true};
+    }
+}
+
+static bool add(struct ct_node *n, uint64_t id, int64_t now, struct er_err *err)
+{
+    const struct ct_conn *c = control_conn(n, id);
+    struct qr_member m = {.id = id, .port = c->port};
+    sr_copy(m.name, sizeof(m.name), sr_from(c->name));
+    sr_copy(m.ip, sizeof(m.ip), sr_from(c->ip));
+    sr_copy(m.domain, sizeof(m.domain), sr_from(c->domain));
+    return qr_add_learner(n->q, &m, now, err);
+}
+
+static void carry_out(struct ct_node *n, const struct mb_action *a, int64_t now)
+{
+    static const char *const names[] = {"", "learns", "votes", "is removed"};
+    struct er_err err = {0};
+    bool ok = true;
+    switch (a->step) {
+    case MB_NONE:
+        return;
+    case MB_ADD:
+        ok = add(n, a->id, now, &err);
+        break;
+    case MB_VOTER:
+        ok = qr_promote_learner(n->q, a->id, now, &err);
+        break;
+    case MB_REMOVE:
+        ok = qr_remove(n->q, a->id, now, &err);
+        break;
+    }
+    if (ok)
+        FL_INFO(&n->log, "member %llx %s: %s", (unsigned long long)a->id, names[a->step], a->why);
+    else
+        FL_DBG(&n->log, "member %llx: %s; tried again", (unsigned long long)a->id, err.text);
+}
+
+void ct_members_tick(struct ct_node *n, int64_t now)
+{
+    if (!n->s->registers || now < n->next_member_step)
+        return;
+    n->next_member_step = now + EVERY_US;
+    for (struct ct_conn *c = n->conns; c; c = c->next)
+        ct_tell_controls(c);
+    if (!n->leading || !ct_vouched(n))
+        return;
+    struct mb_state s = {.self = n->id, .tolerates = n->s->tolerates};
+    add_members(n, &s, now);
+    add_strangers(n, &s);
+    struct mb_action a = mb_next(&s);
+    carry_out(n, &a, now);
+}
+
+void ct_tell_controls(struct ct_conn *c)
+{
+    struct ct_node *n = c->node;
+    const struct qr_members *m = qr_members(n->q);
+    struct wr_node nodes[QR_MAX_MEMBERS];
+    uint64_t hash = 1;
+    if (!n->s->registers || !c->greeted || m->n == 0)
+        return;
+    for (uint32_t i = 0; i < m->n; i++) {
+        nodes[i] = (struct wr_node){sr_from(m->m[i].name), sr_from(m->m[i].domain),
+                                    sr_from(m->m[i].ip), (uint32_t)m->m[i].port};
+        hash += XXH64(m->m[i].ip, strlen(m->m[i].ip), m->m[i].id);
+    }
+    if (hash == c->told_controls)
+        return;
+    c->told_controls = hash;
+    struct wr_msg msg = {.type = WR_CONTROLS, .nodes = {m->n, nodes}};
+    ct_send_conn(c, &msg);
+}
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -173,10 +173,10 @@
     ct_send_conn(c, &m);
 }
 
-void ct_check_nodes(struct ct_node *n, struct ct_group *g, const char *inst)
+int ct_check_nodes(struct ct_node *n, uint64_t nonce, const char *inst)
 {
     struct wr_msg m = {.type = WR_CHECK};
-    m.check.nonce = g->pr.nonce;
+    m.check.nonce = nonce;
     m.check.inst = sr_from(inst);
     int asked = 0;
     for (struct ct_conn *c = n->conns; c; c = c->next) {
@@ -185,5 +185,5 @@
         ct_send_conn(c, &m);
         asked++;
     }
-    pr_checking(&g->pr, asked);
+    return asked;
 }
--- a/control/ops.c
+++ b/control/ops.c
@@ -315,6 +315,8 @@
 {
     struct ct_node *n = req->ud;
     bool post = strcmp(req->method, "POST") == 0;
+    if (n->outside && n->outside->http(n, req))
+        return;
     if (post && strcmp(req->path, "/v1/plan") == 0)
         do_plan(n, req);
     else if (post && strcmp(req->path, "/v1/confirm") == 0)
--- a/control/peers.c
+++ b/control/peers.c
@@ -5,7 +5,12 @@
 #include "control/control.h"
 #include "misc/clock.h"
 
-enum { RECONNECT_US = 100000, MAX_QUEUED_TO_PEER = 4 << 20 };
+enum {
+    RECONNECT_US = 100000,
+    OPEN_US = 1000000,    /* a connection that is not open by then is tried anew */
+    FORGET_US = 10000000, /* an address where nobody of ours answers is forgotten */
+    MAX_QUEUED_TO_PEER = 4 << 20
+};
 
 static void send_on(struct nt_conn *net, const struct wr_msg *m)
 {
@@ -59,16 +64,25 @@
 {
     struct ct_peer *p = ud;
     p->open = true;
+    p->began = ck_now();
     hello(p->node, net, p->m.id);
 }
 
+static void learn_addresses(struct ct_node *n, const struct wr_nodes *list);
+
+/* Answers of the agreement come on the other side's own connection; here it only tells where
+ * control nodes are. */
 static void peer_message(struct nt_conn *net, void *ud, const char *data, size_t len)
 {
-    /* Answers come on the other side's own connection. */
-    (void)net;
-    (void)ud;
-    (void)data;
-    (void)len;
+    struct ct_peer *p = ud;
+    struct wr_msg m;
+    struct er_err err = {0};
+    if (!wr_decode(&p->node->dec, data, len, &m, &err)) {
+        FL_WARN(&p->node->log, "from %s: %s; closing", p->m.ip, err.text);
+        nt_close(net, true);
+    } else if (m.type == WR_CONTROLS) {
+        learn_addresses(p->node, &m.nodes);
+    }
 }
 
 static void peer_close(struct nt_conn *net, void *ud, bool opened, bool refused)
@@ -94,6 +108,59 @@
     return p;
 }
 
+static struct ct_peer *peer_at(struct ct_node *n, const char *ip, int port)
+{
+    for (struct ct_peer *p = n->peers; p; p = p->next) {
+        if (p->m.port == port && strcmp(p->m.ip, ip) == 0)
+            return p;
+    }
+    return NULL;
+}
+
+/* An address where a control node is said to be; who is there greets us by its own connection.
+ */
+static void add_address(struct ct_node *n, const char *name, const char *ip, int port)
+{
+    struct qr_member m = {.port = port};
+    if (peer_at(n, ip, port) ||
+        (strcmp(ip, n->s->control_ip) == 0 && port == n->s->control_port))
+        return;
+    sr_copy(m.name, sizeof(m.name), sr_from(name));
+    sr_copy(m.ip, sizeof(m.ip), sr_from(ip));
+    peer_add(n, &m)->began = ck_now();
+}
+
+static void learn_addresses(struct ct_node *n, const struct wr_nodes *list)
+{
+    for (uint32_t i = 0; i < list->n && i < QR_MAX_MEMBERS; i++) {
+        char name[32], ip[46];
+        if (sr_copy(name, sizeof(name), list->nodes[i].name) &&
+            sr_copy(ip, sizeof(ip), list->nodes[i].ip))
+            add_address(n, name, ip, (int)list->nodes[i].port);
+    }
+}
+
+static void drop_peer(struct ct_node *n, struct ct_peer *p)
+{
+    struct ct_peer **at = &n->peers;
+    while (*at != p)
+        at = &(*at)->next;
+    *at = p->next;
+    free(p);
+}
+
+/* Members change and addresses are used again: what is no member and did not answer for long is
+ * forgotten; seeds are tried again as long as the settings name them. */
+static bool outdated(struct ct_node *n, const struct ct_peer *p, int64_t now)
+{
+    const struct qr_members *ms = qr_members(n->q);
+    for (uint32_t i = 0; p->m.id && i < ms->n; i++) {
+        if (ms->m[i].id == p->m.id)
+            return false;
+    }
+    return n->s->registers && !p->net && now - p->began > FORGET_US;
+}
+
 void ct_peers_sync(struct ct_node *n)
 {
     const struct qr_members *ms = qr_members(n->q);
@@ -101,8 +168,15 @@
         if (ms->m[i].id == n->id)
             continue;
         struct ct_peer *p = peer_of(n, ms->m[i].id);
-        if (!p)
+        if (!p) {
+            p = peer_at(n, ms->m[i].ip, ms->m[i].port);
+            if (p && p->m.id)
+                p = NULL; /* of another identity */
+        }
+        if (!p) {
             p = peer_add(n, &ms->m[i]);
+            p->began = ck_now();
+        }
         p->m = ms->m[i];
     }
 }
@@ -110,9 +184,18 @@
 void ct_peers_tick(struct ct_node *n, int64_t now)
 {
     ct_peers_sync(n);
-    for (struct ct_peer *p = n->peers; p; p = p->next) {
-        if (!p->net && now >= p->next_try)
+    for (int i = 0; n->s->registers && i < n->s->n_voters; i++)
+        add_address(n, n->s->voters[i].name, n->s->voters[i].ip, n->s->voters[i].port);
+    for (struct ct_peer *p = n->peers, *next; p; p = next) {
+        next = p->next;
+        if (outdated(n, p, now)) {
+            drop_peer(n, p);
+        } else if (!p->net && now >= p->next_try) {
             p->net = nt_connect(n->loop, p->m.ip, p->m.port, true, &peer_ops, p);
+            p->tried = now;
+        } else if (p->net && !p->open && now - p->tried > OPEN_US) {
+            nt_close(p->net, true);
+        }
     }
 }
 
@@ -154,8 +237,10 @@
         struct qr_member m = {.id = c->id, .port = c->port};
         sr_copy(m.name, sizeof(m.name), sr_from(c->name));
         sr_copy(m.ip, sizeof(m.ip), sr_from(c->ip));
-        peer_add(n, &m); /* a node without members yet must be able to answer */
+        /* a node without members yet must be able to answer */
+        peer_add(n, &m)->began = ck_now();
     }
+    ct_tell_controls(c);
 }
 
 static void from_control(struct ct_conn *c, const struct wr_msg *m)
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -37,7 +37,7 @@
     struct ep_request q = {.term = a->term};
     switch (a->kind) {
     case PR_DO_CHECK:
-        ct_check_nodes(n, g, in->id);
+        pr_checking(&g->pr, ct_check_nodes(n, g->pr.nonce, in->id));
         break;
     case PR_DO_REPLACE:
         propose(n, g, VW_CH_REPLACE, a);
@@ -74,14 +74,10 @@
         do_action(n, g, &acts->a[i]);
 }
 
-void ct_group_tick(struct ct_node *n, struct ct_group *g)
+static void decide(struct ct_node *n, struct ct_group *g)
 {
     const struct vw_group *v = vw_group(&n->view, g->name);
     struct pr_actions acts;
-    if (!v || !n->leading || !ct_vouched(n))
-        return;
-    if (v->primary < 0 && v->phase == VW_SERVING)
-        return;
     bool polite = n->s->fence && v->phase == VW_HANDING;
     bool dropped = polite ? ls_known_have(&n->giver, g->phase_gen, ck_now())
                           : ls_all_have(&n->giver, g->phase_gen, ck_now());
@@ -89,6 +85,66 @@
     act_on(n, g, &acts);
 }
 
+static struct pr_config pr_config_of(const struct st_settings *s)
+{
+    return (struct pr_config){
+        .silence_us = CK_MS(s->silence_ms),
+        .check_us = CK_MS(s->check_ms),
+        .resend_us = CK_MS(s->probe_ms) * 2,
+        .attempt_us = CK_MS(s->attempt_ms),
+        .hold_us = CK_MS(s->hold_ms),
+        .hand_us = CK_MS(s->hand_ms),
+        .fenced_endpoints = s->fence,
+
+        .fault = {.wait_leases = s->lease_failover, .any_replica = s->off_best}};
+}
+
+static void begin(struct ct_node *n, struct ct_group *g)
+{
+    struct pr_config cfg = pr_config_of(n->s);
+    pr_begin(&g->pr, &cfg, ck_now());
+}
+
+static void probed(struct ct_group *g, const char *inst, uint64_t vantage, const char *domain,
+                   enum pr_health health)
+{
+    pr_probed(&g->pr, inst, vantage, domain, health, ck_now());
+}
+
+static void said(struct ct_group *g, const char *inst, const struct ep_reply *r)
+{
+    pr_said(&g->pr, inst, r->primary, r->term, r->following, r->held, ck_now());
+}
+
+static void reached(struct ct_group *g, const char *inst)
+{
+    pr_reached(&g->pr, inst, ck_now());
+}
+
+static void checked(struct ct_group *g, uint64_t nonce, enum pr_health health)
+{
+    pr_checked(&g->pr, nonce, health);
+}
+
+static bool busy(const struct ct_group *g)
+{
+    return g->pr.step != PR_IDLE;
+}
+
+const struct ct_steering ct_by_promote = {begin, probed, said, reached, checked, decide, busy};
+
+/* ---- when ---- */
+
+void ct_group_tick(struct ct_node *n, struct ct_group *g)
+{
+    const struct vw_group *v = vw_group(&n->view, g->name);
+    if (!v || !n->leading || !ct_vouched(n))
+        return;
+    if (v->primary < 0 && v->phase == VW_SERVING)
+        return;
+    n->steering->tick(n, g);
+}
+
 static void tick_groups(void *ud)
 {
     struct ct_node *n = ud;
--- /dev/null
+++ b/control/registrations.c
@@ -0,0 +1,61 @@
+/* Instances that register themselves. What they tell is agreed before it is acknowledged. */
+#include "control/control.h"
+#include "misc/clock.h"
+
+/* The newest call that this node took of an instance; 0 none. Soft: another leader starts
+ * without it, and what matters (drained, left) is in the view. */
+static struct ct_seq *seq_of(struct ct_node *n, const char *id)
+{
+    int i = ix_get(&n->seq_at, id);
+    if (i != IX_NONE)
+        return &n->seqs[i];
+    if (n->n_seqs == CT_MAX_SEQS) {
+        ix_free(&n->seq_at);
+        n->seq_at = (struct ix_index){0};
+        n->n_seqs = 0;
+    }
+    struct ct_seq *s = &n->seqs[n->n_seqs];
+    *s = (struct ct_seq){.seq = 0};
+    sr_copy(s->id, sizeof(s->id), sr_from(id));
+    ix_set(&n->seq_at, id, n->n_seqs++);
+    return s;
+}
+
+static bool take(struct ct_node *n, enum rg_need need, const struct vw_change *ch,
+                 struct nt_conn *c,
+                 void (*done)(struct ct_node *, struct nt_conn *, const struct er_err *),
+                 struct er_err *err)
+{
+    uint64_t index;
+    if (need == RG_NOTHING || need == RG_LATE)
+        return true;
+    if (need == RG_REFUSE || !ct_propose(n, ch, &index, err))
+        return false;
+    FL_INFO(&n->log, "instance %s of %s: %s", ch->instance, ch->group, vw_change_name(ch->kind));
+    ct_await(n, c, index, done);
+    return false;
+}
+
+bool ct_register(struct ct_node *n, const struct rg_beat *b, struct nt_conn *c,
+                 void (*done)(struct ct_node *, struct nt_conn *, const struct er_err *),
+                 struct er_err *err)
+{
+    struct vw_change ch;
+    if (!ct_may_answer(n, err))
+        return false;
+    struct ct_seq *s = seq_of(n, b->inst.id);
+    enum rg_need need = rg_beat(&n->view, b, s->seq, &ch, err);
+    if (need != RG_LATE && need != RG_REFUSE)
+        s->seq = b->seq;
+    return take(n, need, &ch, c, done, err);
+}
+
+bool ct_deregister(struct ct_node *n, const char *id, struct nt_conn *c,
+                   void (*done)(struct ct_node *, struct nt_conn *, const struct er_err *),
+                   struct er_err *err)
+{
+    struct vw_change ch;
+    if (!ct_may_answer(n, err))
+        return false;
+    return take(n, rg_leave(&n->view, id, &ch), &ch, c, done, err);
+}
--- /dev/null
+++ b/control/takeovers.c
@@ -0,0 +1,141 @@
+/* Changes of primary that the platform carries out: what takeover/ decides, carried out. */
+#include "control/control.h"
+#include "misc/clock.h"
+
+enum {
+    /* Origin of each: measured days on the users' bench; docs/design/platform.md. */
+    ANSWER_US = 1000000, /* the platform answers in milliseconds or not at all */
+    LEAD_US = 3000000,   /* it takes 300 to 600 ms until the instance leads */
+    SETTLE_US = 800000,  /* replicas receive within a network trip; deaf ones not for seconds */
+    RECHECK_US = 250000,
+};
+
+static void begin(struct ct_node *n, struct ct_group *g)
+{
+    const struct st_settings *s = n->s;
+    struct tk_config cfg = {.silence_us = CK_MS(s->silence_ms),
+                            .check_us = CK_MS(s->check_ms),
+                            .answer_us = ANSWER_US,
+                            .lead_us = LEAD_US,
+                            .settle_us = SETTLE_US,
+                            .recheck_us = RECHECK_US};
+    tk_begin(&g->tk, &cfg, ck_now());
+}
+
+static enum tk_health health_of(enum pr_health h)
+{
+    static const enum tk_health map[] = {[PR_UNKNOWN] = TK_UNKNOWN,
+                                         [PR_UP] = TK_UP,
+                                         [PR_SILENT] = TK_SILENT,
+                                         [PR_REFUSED] = TK_REFUSED};
+    return map[h];
+}
+
+/* This node's own probes are evidence; what entry nodes report only leads to all being asked. */
+static void probed(struct ct_group *g, const char *inst, uint64_t vantage, const char *domain,
+                   enum pr_health health)
+{
+    (void)domain;
+    bool primary = g->primary >= 0 && strcmp(g->inst[g->primary]->id, inst) == 0;
+    if (vantage == g->inst[0]->node->id)
+        tk_seen(&g->tk, inst, health_of(health), ck_now());
+    else if (primary && health >= PR_SILENT)
+        tk_suspected(&g->tk, inst, ck_now());
+}
+
+static void said(struct ct_group *g, const char *inst, const struct ep_reply *r)
+{
+    tk_said(&g->tk, inst, r->primary, r->term, r->held, ck_now());
+}
+
+static void reached(struct ct_group *g, const char *inst)
+{
+    tk_seen(&g->tk, inst, TK_UP, ck_now());
+}
+
+static void checked(struct ct_group *g, uint64_t nonce, enum pr_health health)
+{
+    tk_checked(&g->tk, nonce, health_of(health));
+}
+
+static bool busy(const struct ct_group *g)
+{
+    return g->tk.step != TK_IDLE;
+}
+
+/* ---- acting ---- */
+
+static void propose(struct ct_node *n, struct ct_group *g, enum vw_change_kind kind,
+                    const struct tk_action *a)
+{
+    struct vw_change ch = {.kind = kind, .term = a->term};
+    struct er_err err = {0};
+    sr_copy(ch.group, sizeof(ch.group), sr_from(g->name));
+    if (a->inst >= 0)
+        sr_copy(ch.instance, sizeof(ch.instance), sr_from(g->inst[a->inst]->id));
+    if (kind != VW_CH_PRIMARY) {
+        tl_add(n->tl, TL_DOWN, g->name, a->term, "%s", g->tk.why);
+        FL_INFO(&n->log, "group %s: change of primary to term %llu: %s", g->name,
+                (unsigned long long)a->term, g->tk.why[0] ? g->tk.why : "tried again");
+    }
+    if (!ct_propose(n, &ch, NULL, &err))
+        FL_WARN(&n->log, "%s: %s: %s", g->name, vw_change_name(kind), err.text);
+}
+
+static void on_called(struct ct_node *n, const char *group, uint64_t token, enum tk_outcome what)
+{
+    static const char *const names[] = {"carried out", "refused", "no answer"};
+    struct ct_group *g = ct_group_of(n, group);
+    if (!g)
+        return;
+    tl_add(n->tl, TL_PROMOTED, group, token, "order %s", names[what]);
+    FL_INFO(&n->log, "group %s: the order under token %llu: %s", group,
+            (unsigned long long)token, names[what]);
+    tk_called(&g->tk, token, what, ck_now());
+    ct_group_tick(n, g);
+}
+
+static void order(struct ct_node *n, struct ct_group *g, const struct tk_action *a)
+{
+    const char *id = g->inst[a->inst]->id;
+    n->c.promotions++;
+    tl_add(n->tl, TL_FENCED, g->name, a->term, "%s is ordered to take over", id);
+    FL_INFO(&n->log, "group %s: %s is ordered to take over under token %llu", g->name, id,
+            (unsigned long long)a->term);
+    n->outside->promote(n, g->name, id, a->term, on_called);
+}
+
+static void do_action(struct ct_node *n, struct ct_group *g, const struct tk_action *a)
+{
+    switch (a->kind) {
+    case TK_DO_CHECK:
+        tk_checking(&g->tk, ct_check_nodes(n, g->tk.nonce, g->inst[a->inst]->id));
+        break;
+    case TK_DO_REPLACE:
+        propose(n, g, VW_CH_REPLACE, a);
+        break;
+    case TK_DO_HAND:
+        propose(n, g, VW_CH_HAND, a);
+        break;
+    case TK_DO_PRIMARY:
+        propose(n, g, VW_CH_PRIMARY, a);
+        break;
+    case TK_DO_CALL:
+        order(n, g, a);
+        break;
+    case TK_DO_PROBE:
+        ct_probe(g->inst[a->inst], ck_now());
+        break;
+    }
+}
+
+static void decide(struct ct_node *n, struct ct_group *g)
+{
+    const struct vw_group *v = vw_group(&n->view, g->name);
+    struct tk_actions acts;
+    tk_tick(&g->tk, v, ls_all_have(&n->giver, g->phase_gen, ck_now()), ck_now(), &acts);
+    for (int i = 0; i < acts.n; i++)
+        do_action(n, g, &acts.a[i]);
+}
+
+const struct ct_steering ct_by_takeover = {begin, probed, said, reached, checked, decide, busy};
--- a/control/watch.c
+++ b/control/watch.c
@@ -54,7 +54,7 @@
         in->changed = ck_now();
     in->health = health;
     if (!in->gone)
-        pr_probed(&in->group->pr, in->id, n->id, n->s->domain, health, ck_now());
+        n->steering->probed(in->group, in->id, n->id, n->s->domain, health);
 }
 
 static void on_open(struct ep_conn *c, void *ud)
@@ -66,7 +66,7 @@
     in->probed = 0;
     if (in->gone)
         return;
-    pr_reached(&in->group->pr, in->id, ck_now());
+    in->node->steering->reached(in->group, in->id);
     if (in->node->leading)
         ct_group_tick(in->node, in->group);
 }
@@ -84,7 +84,8 @@
     if (in->gone)
         return;
     report(in, PR_UP);
-    pr_said(&g->pr, in->id, r->primary, r->term, r->following, r->held, now);
+    if (r->result == EP_OK)
+        n->steering->said(g, in->id, r);
     bool event = g->phase != VW_SERVING;
     if (r->id == in->fence_id && r->result == EP_OK) {
         tl_add(n->tl, TL_FENCED, g->name, in->fence_term, "%s at %llu/%llu", in->id,
@@ -161,17 +162,33 @@
     ct_send_op(in, &q);
 }
 
+/* Where connections to instances are scarce only the leader has one. */
+static bool watches(const struct ct_node *n)
+{
+    return !n->outside || n->leading;
+}
+
 /* Probes go out on time whether or not the last one was answered: slow is not silent. */
 static void inst_tick(struct ct_inst *in, int64_t now)
 {
     const struct st_settings *s = in->node->s;
+    if (!watches(in->node)) {
+        if (in->c)
+            in->node->driver->close(in->c);
+        return;
+    }
     if (!in->c) {
         char who[64];
         snprintf(who, sizeof(who), "control:%s", s->name);
+        struct ep_target to = {in->ip, in->port, in->group->name, in->id};
         if (now >= in->next_try)
-            in->c = in->node->driver->open(in->node->loop, in->ip, in->port, who, &events, in);
+            in->c = in->node->driver->open(in->node->loop, &to, who, &events, in);
+        if (in->c)
+            in->opening = now;
         return;
     }
+    if (!in->open && now - in->opening > silent_after(in->node))
+        report(in, PR_SILENT);
     if (!in->open)
         return;
     if (now - in->probed >= probe_every(in->node))
@@ -210,6 +227,14 @@
         free(in);
 }
 
+/* As the document in force says, else as the instance's entry does. */
+static int max_conns(const struct ct_node *n, const struct ct_group *g,
+                     const struct vw_instance *in)
+{
+    const struct cg_service *s = cg_service(&n->catalog, g->name);
+    return s && s->max_conns > 0 ? s->max_conns : in->max_conns;
+}
+
 static void sync_instances(struct ct_node *n, struct ct_group *g, const struct vw_group *v)
 {
     struct ct_inst *next[VW_MAX_INSTANCES] = {0};
@@ -225,7 +250,8 @@
             ix_set(&n->inst_at, v->inst[i].id, ix_get(&n->group_at, g->name));
             n->n_insts++;
         }
-        sh_set_instance(&n->shares, v->inst[i].id, v->inst[i].max_conns, n->s->conn_reserve);
+        sh_set_instance(&n->shares, v->inst[i].id, max_conns(n, g, &v->inst[i]),
+                        n->s->conn_reserve);
     }
     for (int k = 0; k < g->n; k++) {
         if (g->inst[k])
@@ -235,27 +261,12 @@
     g->n = v->n;
 }
 
-static struct pr_config pr_config_of(const struct st_settings *s)
-{
-    return (struct pr_config){
-        .silence_us = CK_MS(s->silence_ms),
-        .check_us = CK_MS(s->check_ms),
-        .resend_us = CK_MS(s->probe_ms) * 2,
-        .attempt_us = CK_MS(s->attempt_ms),
-        .hold_us = CK_MS(s->hold_ms),
-        .hand_us = CK_MS(s->hand_ms),
-        .fenced_endpoints = s->fence,
-
-        .fault = {.wait_leases = s->lease_failover, .any_replica = s->off_best}};
-}
-
 static struct ct_group *group_new(struct ct_node *n, const char *name)
 {
     struct ct_group *g = sr_alloc(sizeof(*g));
-    struct pr_config cfg = pr_config_of(n->s);
     sr_copy(g->name, sizeof(g->name), sr_from(name));
     g->phase = VW_SERVING;
-    pr_begin(&g->pr, &cfg, ck_now());
+    n->steering->begin(n, g);
     n->groups = sr_realloc(n->groups, sizeof(*n->groups) * (size_t)(n->n_groups + 1));
     ix_set(&n->group_at, name, n->n_groups);
     n->groups[n->n_groups++] = g;
@@ -291,9 +302,8 @@
 
 void ct_watch_begin(struct ct_node *n)
 {
-    struct pr_config cfg = pr_config_of(n->s);
     for (int i = 0; i < n->n_groups; i++) {
-        pr_begin(&n->groups[i]->pr, &cfg, ck_now());
+        n->steering->begin(n, n->groups[i]);
         n->groups[i]->phase_gen = n->view.generation;
     }
 }
@@ -314,7 +324,7 @@
         struct ct_group *g = group_with(n, p->probes[i].inst, id);
         if (!g)
             continue;
-        pr_probed(&g->pr, id, c->id, c->domain, health_of(p->probes[i].health), ck_now());
+        n->steering->probed(g, id, c->id, c->domain, health_of(p->probes[i].health));
         if (n->leading && p->probes[i].health >= WR_SILENT)
             ct_group_tick(n, g);
     }
@@ -326,7 +336,7 @@
     struct ct_group *g = group_with(n, m->inst, id);
     if (!g)
         return;
-    pr_checked(&g->pr, m->nonce, health_of(m->health));
+    n->steering->checked(g, m->nonce, health_of(m->health));
     ct_group_tick(n, g);
 }
 
@@ -337,7 +347,7 @@
     struct ct_group *g = group_with(n, m->inst, id);
     if (!g || m->health < WR_SILENT)
         return;
-    pr_probed(&g->pr, id, c->id, c->domain, health_of(m->health), ck_now());
+    n->steering->probed(g, id, c->id, c->domain, health_of(m->health));
     ct_group_tick(n, g);
 }
 
@@ -354,7 +364,7 @@
     static const enum wr_health map[] = {WR_UNKNOWN, WR_OK, WR_SILENT, WR_REFUSED};
     uint64_t leader = qr_leader(n->q);
     int64_t now = ck_now();
-    if (!leader || leader == n->id)
+    if (!leader || leader == n->id || !watches(n))
         return;
     struct wr_probe *p = sr_alloc(sizeof(*p) * (size_t)n->n_groups * VW_MAX_INSTANCES);
     uint32_t k = 0;
@@ -391,9 +401,9 @@
 
 /* Nothing is under way and the primary answers: whatever ends that is news, which ticks the
  * group at once. Every group at every tick would be 7 % of a core for 940 of them. */
-static bool calm(const struct ct_group *g)
+static bool calm(const struct ct_node *n, const struct ct_group *g)
 {
-    if (g->phase != VW_SERVING || g->pr.step != PR_IDLE || g->primary < 0)
+    if (g->phase != VW_SERVING || n->steering->busy(g) || g->primary < 0)
         return false;
     return g->inst[g->primary]->health == PR_UP;
 }
@@ -404,7 +414,7 @@
         for (int i = 0; i < n->groups[g]->n; i++)
             inst_tick(n->groups[g]->inst[i], now);
         bool turn = (n->ticks + (unsigned)g) % CALM_EVERY == 0;
-        if (turn || !calm(n->groups[g]))
+        if (turn || !calm(n, n->groups[g]))
             ct_group_tick(n, n->groups[g]);
     }
     n->ticks++;
--- a/endpoint/endpoint.h
+++ b/endpoint/endpoint.h
@@ -77,11 +77,18 @@
     void (*close)(struct ep_conn *c, void *ud, bool opened, bool refused);
 };
 
+/* Which instance a connection is for. */
+struct ep_target {
+    const char *ip;
+    int port;
+    const char *group, *id; /* a driver may tell them, so that another instance refuses */
+};
+
 struct ep_driver {
     const char *name;
     unsigned caps;
     /* Connect and introduce ourselves as `who` ("entry:e0", "control:c1"); open() follows. */
-    struct ep_conn *(*open)(struct nt_loop *l, const char *ip, int port, const char *who,
+    struct ep_conn *(*open)(struct nt_loop *l, const struct ep_target *to, const char *who,
                             const struct ep_events *ev, void *ud);
     /* False if nothing was queued: certainly not run. */
     bool (*send)(struct ep_conn *c, const struct ep_request *r);
--- a/endpoint/ws.c
+++ b/endpoint/ws.c
@@ -181,14 +181,14 @@
         nt_close(c->net, true);
 }
 
-static struct ep_conn *ws_open(struct nt_loop *l, const char *ip, int port, const char *who,
+static struct ep_conn *ws_open(struct nt_loop *l, const struct ep_target *to, const char *who,
                                const struct ep_events *ev, void *ud)
 {
     struct ws_conn *c = sr_alloc(sizeof(*c));
     c->base = (struct ep_conn){&ep_ws, ud};
     c->ev = ev;
     sr_copy(c->who, sizeof(c->who), sr_from(who));
-    c->net = nt_connect(l, ip, port, false, &ws_ops, c);
+    c->net = nt_connect(l, to->ip, to->port, false, &ws_ops, c);
     nt_timer_set(l, &c->greeting, GREETING_US, no_greeting, c);
     return &c->base;
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -136,6 +136,10 @@
 void en_view_changed(struct en_node *n)
 {
     const struct vw_view *v = &n->view;
+    if (n->px) {
+        px_view(n->px, v);
+        return;
+    }
     struct en_group **next = sr_alloc(sizeof(*next) * (size_t)v->n);
     for (int i = 0; i < v->n; i++) {
         struct en_group *g = en_group(n, v->groups[i].name);
@@ -194,7 +198,7 @@
 
 void en_ack_view(struct en_node *n)
 {
-    if (n->acked == n->view.generation)
+    if (n->acked == n->view.generation || (n->px && !px_settled(n->px)))
         return;
     for (int i = 0; i < n->n_groups; i++) {
         if (n->groups[i]->drain_until)
@@ -211,7 +215,10 @@
     if (!n->had_lease || en_leased(n))
         return;
     n->had_lease = false;
+    n->lease_lost_at = ck_now();
     n->c.lease_lost++;
+    if (n->px)
+        px_lease_lost(n->px);
     tl_add(n->tl, TL_LEASE_LOST, "", 0, "lease lost");
     FL_WARN(&n->log, "lease lost: writes and primary reads are refused until control answers");
     /* Without a lease one connection is kept for reads that need none. */
@@ -236,6 +243,8 @@
 {
     if (now > n->stop_by)
         return true;
+    if (n->px)
+        return px_stopped(n->px, now);
     if (n->n_reqs > 0 || n->txns)
         n->quiet_since = now;
     return n->n_callers == 0 || now - n->quiet_since > LINGER_US;
@@ -264,6 +273,8 @@
     en_links_tick(n, now);
     en_sweep(n, now);
     en_txn_sweep(n, now);
+    if (n->px)
+        px_tick(n->px, now);
     for (int g = 0; g < n->n_groups; g++) {
         struct en_group *group = n->groups[g];
         drain_tick(group, now);
@@ -293,12 +304,45 @@
     if (n->s->off_finish)
         n->stop_by = 0;
     en_callers_notice(n);
+    if (n->px)
+        px_stop(n->px, ck_now());
     tl_add(n->tl, TL_STOP, "", 0, "planned stop, %d requests to finish", n->n_reqs);
     FL_INFO(&n->log, "stopping: %d requests to finish", n->n_reqs);
 }
 
+static bool host_leased(void *ud)
+{
+    return en_leased(ud);
+}
+
+static void host_suspect(void *ud, const char *inst, enum wr_health health)
+{
+    en_tell_suspicion(ud, inst, health);
+}
+
+static bool start_proxy(struct en_node *n, struct er_err *err)
+{
+    const struct st_settings *s = n->s;
+    if (!s->sessions.port)
+        return true;
+    if (!n->outside)
+        return er_set(err, ER_CONFIG, "entry.sessions needs an interface that speaks lines");
+    struct px_config cfg = {.name = s->name,
+                            .domain = s->domain,
+                            .ip = s->sessions.ip,
+                            .port = s->sessions.port,
+                            .max_sessions = s->max_callers,
+                            .grace_us = CK_MS(s->grace_ms ? s->grace_ms : s->stop_ms),
+                            .seed = n->id,
+                            .codec = n->outside->sessions,
+                            .documents = n->outside->documents,
+                            .host = {host_leased, host_suspect, n}};
+    n->px = px_create(n->loop, &cfg, err);
+    return n->px != NULL;
+}
+
 struct en_node *en_create(struct nt_loop *l, const struct st_settings *s, struct tl_ring *tl,
-                          struct er_err *err)
+                          const struct en_interface *outside, struct er_err *err)
 {
     struct en_node *n = sr_alloc(sizeof(*n));
     n->log.prefix = "entry";
@@ -310,10 +354,15 @@
     randombytes_buf(&n->id, sizeof(n->id));
     n->id |= 1;
     n->rng = rn_seed(n->id);
-    ss_key_from(&n->key, sr_from(s->secret));
+    n->outside = outside;
+    n->lease_lost_at = INT64_MIN / 2;
+    if (s->secret[0])
+        ss_key_from(&n->key, sr_from(s->secret));
+    else /* sessions carry no tokens: nobody has to read this one's */
+        randombytes_buf(&n->key, sizeof(n->key));
     vw_init(&n->view);
     en_links_start(n);
-    if (!en_callers_listen(n, err)) {
+    if (!en_callers_listen(n, err) || !start_proxy(n, err)) {
         free(n);
         return NULL;
     }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -9,6 +9,7 @@
 #include "lease/lease.h"
 #include "misc/hist.h"
 #include "misc/log.h"
+#include "proxy/proxy.h"
 #include "route/holders.h"
 #include "route/route.h"
 #include "session/token.h"
@@ -24,6 +25,14 @@
 struct en_req;
 struct en_txn;
 
+/* What an outside platform's interface brings; ferryd gives it to en_create. */
+struct en_interface {
+    const struct px_codec *sessions;
+    const struct cg_codec *documents;
+    /* Whether the request was one of the platform's; it is answered then. */
+    bool (*http)(struct en_node *n, const struct nt_http *req);
+};
+
 /* A caller's connection, or one plain HTTP request. */
 struct en_caller {
     struct en_caller *prev, *next; /* the node's */
@@ -156,12 +165,15 @@
 /* A connection to one control node. */
 struct en_link {
     struct en_node *node;
+    bool used, seed; /* seed: named by the settings, tried for ever */
     struct st_peer peer;
     struct nt_conn *net;
     bool open;
-    int64_t next_try;
+    int64_t next_try, tried;
 };
 
+enum { EN_MAX_LINKS = 2 * ST_MAX_PEERS };
+
 struct en_node {
     struct lg_log log;
     const struct st_settings *s;
@@ -173,6 +185,7 @@
     struct vw_view view;
     struct ls_holder lease;
     bool had_lease;
+    int64_t lease_lost_at; /* 0 never had one: not ready at all */
     int n_groups;
     struct en_group **groups;
     struct en_req *reqs;
@@ -187,7 +200,9 @@
     struct en_caller *callers;
     uint64_t txn_seq;
     double retry_budget;
-    struct en_link links[ST_MAX_PEERS];
+    const struct en_interface *outside; /* NULL: our own interface only */
+    struct px_proxy *px;                /* callers whose connection is a session; NULL none */
+    struct en_link links[EN_MAX_LINKS];
     int leader; /* index of the link that answered last; -1 */
     int64_t next_renew;
     bool awaiting; /* the last renewal is unanswered */
@@ -206,7 +221,9 @@
 
 /* entry.c */
 struct en_node *en_create(struct nt_loop *l, const struct st_settings *s, struct tl_ring *tl,
-                          struct er_err *err);
+                          const struct en_interface *outside, struct er_err *err);
+/* Why the balancer must not send callers here; NULL if it may. */
+const char *en_not_ready(const struct en_node *n);
 /* Stop accepting, tell callers to go elsewhere, finish, give the lease back; then done(ud). */
 void en_stop(struct en_node *n, void (*done)(void *ud), void *ud);
 struct en_group *en_group(struct en_node *n, const char *name);
@@ -290,11 +307,14 @@
 
 /* link.c */
 void en_links_start(struct en_node *n);
+/* The settings name other control nodes. */
+void en_links_seeds(struct en_node *n);
 void en_links_tick(struct en_node *n, int64_t now);
 void en_send_ack(struct en_node *n, uint64_t generation);
 /* A planned stop: the lease and the shares go back. */
 void en_give_back(struct en_node *n);
 void en_suspect(struct en_inst *in, enum wr_health health);
+void en_tell_suspicion(struct en_node *n, const char *inst, enum wr_health health);
 
 /* ops.c */
 void en_http(const struct nt_http *req);
--- a/entry/link.c
+++ b/entry/link.c
@@ -7,6 +7,7 @@
 
 enum {
     RECONNECT_US = 100000,
+    OPEN_US = 1000000, /* a connection that is not open by then is tried anew */
     RENEW_PARTS = 6,
     LIST_ZERO = 4,
     SEEK_US = 40000,
@@ -59,6 +60,8 @@
                 shares[k++] = (struct wr_share){sr_from(in->cfg.id), has, want};
         }
     }
+    if (n->px)
+        k = px_wants(n->px, shares, cap);
     struct wr_msg m = {.type = WR_RENEW};
     m.renew = (struct wr_renew){.seq = ls_sent(&n->lease, now),
                                 .generation = n->acked,
@@ -79,9 +82,9 @@
 
 static void next_leader(struct en_node *n)
 {
-    for (int k = 1; k <= n->s->n_voters; k++) {
-        int i = (n->leader + k + n->s->n_voters) % n->s->n_voters;
-        if (!n->links[i].open)
+    for (int k = 1; k <= EN_MAX_LINKS; k++) {
+        int i = (n->leader + k + EN_MAX_LINKS) % EN_MAX_LINKS;
+        if (!n->links[i].used || !n->links[i].open)
             continue;
         set_leader(n, i);
         return;
@@ -138,14 +141,14 @@
 {
     n->awaiting = false;
     n->next_renew = ck_now() + SEEK_US;
-    for (int i = 0; i < n->s->n_voters; i++) {
-        if (sr_eq(name, sr_from(n->links[i].peer.name))) {
+    for (int i = 0; i < EN_MAX_LINKS; i++) {
+        if (n->links[i].used && sr_eq(name, sr_from(n->links[i].peer.name))) {
             set_leader(n, i);
             n->next_renew = ck_now();
             return;
         }
     }
-    set_leader(n, (n->leader + 1) % n->s->n_voters);
+    next_leader(n);
 }
 
 static bool apply_changes(struct en_node *n, const json_t *list, struct er_err *err)
@@ -209,6 +212,8 @@
         char id[VW_NAME];
         if (!sr_copy(id, sizeof(id), s->shares[i].inst))
             continue;
+        if (n->px)
+            px_share(n->px, s->shares[i].inst, (int)s->shares[i].held);
         struct en_inst *in = en_inst(n, id);
         if (in)
             in->share = (int)s->shares[i].held;
@@ -237,7 +242,7 @@
     char id[VW_NAME];
     struct wr_msg m = {.type = WR_CHECKED, .check = *c};
     int64_t now = ck_now();
-    m.check.health = WR_UNKNOWN;
+    m.check.health = l->node->px ? px_health(l->node->px, c->inst) : WR_UNKNOWN;
     struct en_inst *in = sr_copy(id, sizeof(id), c->inst) ? en_inst(l->node, id) : NULL;
     if (in && in->refusing)
         m.check.health = WR_REFUSED;
@@ -258,13 +263,20 @@
     in->suspected = now;
     tl_add(n->tl, TL_SUSPECT, g->cfg.name, g->cfg.term, "%s %s", in->cfg.id,
            health == WR_REFUSED ? "refuses" : "does not answer");
+    en_tell_suspicion(n, in->cfg.id, health);
+}
+
+void en_tell_suspicion(struct en_node *n, const char *inst, enum wr_health health)
+{
     struct wr_msg m = {.type = WR_SUSPECT};
-    m.check.inst = sr_from(in->cfg.id);
+    m.check.inst = sr_from(inst);
     m.check.health = health;
     if (leader(n))
         send_msg(leader(n), &m);
 }
 
+static void on_controls(struct en_link *from, const struct wr_nodes *list);
+
 static void dispatch(struct en_link *l, const struct wr_msg *m)
 {
     struct en_node *n = l->node;
@@ -293,6 +305,9 @@
         if (is_leader)
             on_nodes(n, &m->nodes);
         break;
+    case WR_CONTROLS:
+        on_controls(l, &m->nodes);
+        break;
     default:
         break;
     }
@@ -346,22 +361,87 @@
 
 static const struct nt_ops link_ops = {on_open, on_message, on_close};
 
+/* ---- where control is ---- */
+
+static struct en_link *link_at(struct en_node *n, const char *ip, int port)
+{
+    for (int i = 0; i < EN_MAX_LINKS; i++) {
+        struct en_link *l = &n->links[i];
+        if (l->used && l->peer.port == port && strcmp(l->peer.ip, ip) == 0)
+            return l;
+    }
+    return NULL;
+}
+
+static struct en_link *add_link(struct en_node *n, const struct st_peer *peer)
+{
+    struct en_link *l = link_at(n, peer->ip, peer->port);
+    for (int i = 0; !l && i < EN_MAX_LINKS; i++) {
+        if (n->links[i].used || n->links[i].net)
+            continue;
+        l = &n->links[i];
+        *l = (struct en_link){.node = n, .used = true, .peer = *peer};
+    }
+    return l;
+}
+
+void en_links_seeds(struct en_node *n)
+{
+    for (int i = 0; i < EN_MAX_LINKS; i++)
+        n->links[i].seed = false;
+    for (int i = 0; i < n->s->n_voters; i++) {
+        struct en_link *l = add_link(n, &n->s->voters[i]);
+        if (l)
+            l->seed = true;
+    }
+}
+
+static bool in_list(const struct wr_nodes *list, const struct st_peer *p)
+{
+    for (uint32_t i = 0; i < list->n; i++) {
+        if (sr_eq(list->nodes[i].ip, sr_from(p->ip)) && (int)list->nodes[i].port == p->port)
+            return true;
+    }
+    return false;
+}
+
+/* What the leader lists is there; what it does not list and does not answer is forgotten. */
+static void on_controls(struct en_link *from, const struct wr_nodes *list)
+{
+    struct en_node *n = from->node;
+    for (int i = 0; leader(n) == from && i < EN_MAX_LINKS; i++) {
+        struct en_link *l = &n->links[i];
+        if (l->used && !l->open && !l->seed && !in_list(list, &l->peer)) {
+            l->used = false;
+            if (l->net)
+                nt_close(l->net, true);
+        }
+    }
+    for (uint32_t i = 0; i < list->n; i++) {
+        struct st_peer p = {.port = (int)list->nodes[i].port};
+        if (sr_copy(p.name, sizeof(p.name), list->nodes[i].name) &&
+            sr_copy(p.ip, sizeof(p.ip), list->nodes[i].ip))
+            add_link(n, &p);
+    }
+}
+
 void en_links_start(struct en_node *n)
 {
     n->leader = -1;
     n->next_renew = ck_now();
-    for (int i = 0; i < n->s->n_voters; i++) {
-        n->links[i].node = n;
-        n->links[i].peer = n->s->voters[i];
-    }
+    en_links_seeds(n);
 }
 
 void en_links_tick(struct en_node *n, int64_t now)
 {
-    for (int i = 0; i < n->s->n_voters; i++) {
+    for (int i = 0; i < EN_MAX_LINKS; i++) {
         struct en_link *l = &n->links[i];
-        if (!l->net && now >= l->next_try)
+        if (l->used && !l->net && now >= l->next_try) {
             l->net = nt_connect(n->loop, l->peer.ip, l->peer.port, true, &link_ops, l);
+            l->tried = now;
+        } else if (l->net && !l->open && now - l->tried > OPEN_US) {
+            nt_close(l->net, true);
+        }
     }
     renew_tick(n, now);
 }
--- a/entry/ops.c
+++ b/entry/ops.c
@@ -4,6 +4,10 @@
 #include "entry/entry.h"
 #include "misc/clock.h"
 
+/* A node whose lease was lost a moment ago still serves what needs none, and an election that
+ * all nodes notice must not take all of them out of the balancer at once. */
+enum { READY_WITHOUT_US = 2000000 };
+
 static void reply_json(const struct nt_http *req, int status, json_t *o)
 {
     char *s = json_dumps(o, JSON_COMPACT);
@@ -12,14 +16,15 @@
     json_decref(o);
 }
 
-/* Why the balancer must not send callers here; NULL if it may. */
-static const char *not_ready(const struct en_node *n)
+const char *en_not_ready(const struct en_node *n)
 {
     if (n->stopping)
         return "stopping";
     if (n->view.generation == 0)
         return "no view yet";
-    if (!en_leased(n))
+    if (n->px && !px_configured(n->px))
+        return "no document yet";
+    if (!en_leased(n) && ck_now() - n->lease_lost_at > READY_WITHOUT_US)
         return "no lease";
     return NULL;
 }
@@ -108,13 +113,15 @@
                           (long long)n->groups[g]->rt.inst[i].lag_us);
         }
     }
+    if (n->px)
+        px_metrics(n->px, &b);
     nt_http_reply(req->conn, 200, "text/plain; version=0.0.4", b.p, b.len);
     sr_buf_free(&b);
 }
 
 static json_t *status(struct en_node *n)
 {
-    const char *why = not_ready(n);
+    const char *why = en_not_ready(n);
     json_t *groups = json_array();
     for (int g = 0; g < n->n_groups; g++) {
         const struct vw_group *v = &n->groups[g]->cfg;
@@ -133,10 +140,12 @@
 void en_http(const struct nt_http *req)
 {
     struct en_node *n = req->ud;
+    if (n->outside && n->outside->http(n, req))
+        return;
     if (strcmp(req->path, "/healthz") == 0) {
         reply_json(req, 200, json_pack("{s:b}", "alive", 1));
     } else if (strcmp(req->path, "/readyz") == 0) {
-        const char *why = not_ready(n);
+        const char *why = en_not_ready(n);
         reply_json(req, why ? 503 : 200,
                    json_pack("{s:b,s:s}", "ready", why == NULL, "why", why ? why : ""));
     } else if (strcmp(req->path, "/metrics") == 0) {
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -215,7 +215,8 @@
     ep->next = in->eps;
     in->eps = ep;
     in->n_conns++;
-    ep->c = in->node->driver->open(in->node->loop, in->cfg.ip, in->cfg.port, who, &events, ep);
+    struct ep_target to = {in->cfg.ip, in->cfg.port, in->group->cfg.name, in->cfg.id};
+    ep->c = in->node->driver->open(in->node->loop, &to, who, &events, ep);
 }
 
 void en_ep_close(struct en_ep *ep)
--- a/ferryd/main.c
+++ b/ferryd/main.c
@@ -3,15 +3,17 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/stat.h>
 
 #include <sodium.h>
 
 #include "control/control.h"
 #include "entry/entry.h"
+#include "platform/platform.h"
 
 enum { EXIT_USAGE_ = 64, EXIT_CONFIG_ = 78, EXIT_DISK_ = 74, EXIT_START_ = 71 };
 enum { O_CHECK = 1000, O_PRINT, O_BOOTSTRAP, O_REFERENCE };
-enum { FDS_SPARE = 512 };
+enum { FDS_SPARE = 512, LOOK_US = 20000, LOOKS_A_FILE = 50 };
 
 const char *argp_program_version = "ferryd 0.1";
 
@@ -27,6 +29,10 @@
     struct ct_node *control;
     bool entry_done, control_done;
     int status;
+    struct st_settings *s;
+    const char *path; /* of the settings */
+    struct timespec changed;
+    unsigned looks;
 };
 
 static const struct argp_option options[] = {
@@ -58,8 +64,10 @@
         a->bootstrap = true;
         return 0;
     case ARGP_KEY_END:
+        if (!a->config)
+            a->config = getenv(PF_SETTINGS_VARIABLE);
         if (!a->config && !a->reference)
-            argp_error(st, "--config FILE is needed");
+            argp_error(st, "--config FILE is needed, or the variable " PF_SETTINGS_VARIABLE);
         return 0;
     default:
         return ARGP_ERR_UNKNOWN;
@@ -95,23 +103,62 @@
     maybe_end(d);
 }
 
-static volatile sig_atomic_t asked_to_stop;
+static volatile sig_atomic_t asked_to_stop, asked_to_reload;
 
 static void on_signal(int sig)
 {
-    (void)sig;
-    asked_to_stop = 1;
+    if (sig == SIGHUP)
+        asked_to_reload = 1;
+    else
+        asked_to_stop = 1;
     nt_wake(the_daemon->loop);
 }
 
+/* ---- settings that change while the daemon runs ---- */
+
+/* Where control nodes are is taken over; the rest is used from the next start on. */
+static void reload(struct daemon *d)
+{
+    struct st_settings fresh;
+    struct er_err err = {0};
+    if (!st_load(d->path, &fresh, &err)) {
+        FL_ERR(&d->log, "the changed settings are not taken: %s", err.text);
+        return;
+    }
+    memcpy(d->s->voters, fresh.voters, sizeof(fresh.voters));
+    memcpy(d->s->seeds, fresh.seeds, sizeof(fresh.seeds));
+    d->s->n_voters = fresh.n_voters;
+    d->s->n_seeds = fresh.n_seeds;
+    st_free(&fresh);
+    if (d->entry)
+        en_links_seeds(d->entry);
+    FL_INFO(&d->log, "settings read again: %d control nodes are named", d->s->n_voters);
+}
+
+static bool file_changed(struct daemon *d)
+{
+    struct stat st;
+    if (stat(d->path, &st) != 0)
+        return false;
+    bool same =
+        st.st_mtim.tv_sec == d->changed.tv_sec && st.st_mtim.tv_nsec == d->changed.tv_nsec;
+    d->changed = st.st_mtim;
+    return !same;
+}
+
 /* Looks for the signal on the loop's own thread. */
 static struct nt_timer stop_timer;
 
 static void watch_stop(void *ud)
 {
     struct daemon *d = ud;
+    bool look = d->looks++ % LOOKS_A_FILE == 0;
+    if (asked_to_reload || (look && file_changed(d))) {
+        asked_to_reload = 0;
+        reload(d);
+    }
     if (!asked_to_stop) {
-        nt_timer_set(d->loop, &stop_timer, 20000, watch_stop, d);
+        nt_timer_set(d->loop, &stop_timer, LOOK_US, watch_stop, d);
         return;
     }
     FL_INFO(&d->log, "asked to stop");
@@ -121,20 +168,24 @@
         ct_stop(d->control);
 }
 
-static int run(const struct st_settings *s, bool bootstrap)
+static int run(struct st_settings *s, const char *path, bool bootstrap)
 {
     static struct daemon d = {.log = {"ferryd"}};
     static struct tl_ring tl;
     struct er_err err = {0};
     the_daemon = &d;
+    d.s = s;
+    d.path = path;
+    file_changed(&d); /* what it is now is in force */
     int fds = (s->entry ? s->max_callers + 4096 : CT_MAX_CONNS + VW_MAX_GROUPS * 4) + FDS_SPARE;
     d.loop = nt_loop_create(fds, &err);
     d.entry_done = !s->entry;
     d.control_done = !s->control;
     if (d.loop && s->control)
-        d.control = ct_create(d.loop, s, &tl, bootstrap, control_stopped, &d, &err);
+        d.control = ct_create(d.loop, s, &tl, s->registers ? &pf_control : NULL,
+                              bootstrap || s->bootstrap, control_stopped, &d, &err);
     if (d.loop && s->entry && (d.control || !s->control))
-        d.entry = en_create(d.loop, s, &tl, &err);
+        d.entry = en_create(d.loop, s, &tl, s->registers ? &pf_entry : NULL, &err);
     if ((s->control && !d.control) || (s->entry && !d.entry)) {
         FL_FATAL(&d.log, "%s", err.text);
         return err.kind == ER_DISK || err.kind == ER_CORRUPT ? EXIT_DISK_ : EXIT_START_;
@@ -143,7 +194,8 @@
            SIG_IGN); /* a file over its limit is an error of the write, with a message */
     signal(SIGTERM, on_signal);
     signal(SIGINT, on_signal);
-    nt_timer_set(d.loop, &stop_timer, 20000, watch_stop, &d);
+    signal(SIGHUP, on_signal);
+    nt_timer_set(d.loop, &stop_timer, LOOK_US, watch_stop, &d);
     FL_INFO(&d.log, "%s runs, roles%s%s", s->name, s->entry ? " entry" : "",
             s->control ? " control" : "");
     nt_run(d.loop);
@@ -199,7 +251,7 @@
         printf("%s: the settings are good\n", a.config);
     if (a.check || a.print)
         return 0;
-    int status = run(&s, a.bootstrap);
+    int status = run(&s, a.config, a.bootstrap);
     st_free(&s);
     return status;
 }
--- a/load/compare.c
+++ b/load/compare.c
@@ -122,12 +122,12 @@
     const char *colon = strrchr(s->o->compare, ':');
     snprintf(inst.ip, sizeof(inst.ip), "%.*s", (int)(colon - s->o->compare), s->o->compare);
     inst.port = atoi(colon + 1);
+    struct ep_target to = {inst.ip, inst.port, "", ""};
     s->left = s->o->requests + WARM;
     for (int i = 0; i < s->lanes; i++) {
         s->lane[i] = (struct lane){s, i};
         if (s->direct)
-            s->ep[i] =
-                ep_ws.open(s->loop, inst.ip, inst.port, "bench", &ep_events, &s->lane[i]);
+            s->ep[i] = ep_ws.open(s->loop, &to, "bench", &ep_events, &s->lane[i]);
         else
             s->net[i] = nt_connect(s->loop, s->o->entries[0].ip, s->o->entries[0].port, false,
                                    &ops, &s->lane[i]);
--- /dev/null
+++ b/member/member.c
@@ -0,0 +1,79 @@
+#include "member/member.h"
+
+#include <string.h>
+
+static bool alive(const struct mb_state *s, const struct mb_node *n)
+{
+    return n->id == s->self || n->heard_us < MB_GONE_US;
+}
+
+static int live_voters(const struct mb_state *s)
+{
+    int k = 0;
+    for (int i = 0; i < s->n; i++)
+        k += s->node[i].voter && alive(s, &s->node[i]);
+    return k;
+}
+
+static int members(const struct mb_state *s)
+{
+    int k = 0;
+    for (int i = 0; i < s->n; i++)
+        k += s->node[i].member;
+    return k;
+}
+
+/* Whether another voter that is there has the address: this identity's disk is lost. */
+static bool succeeded(const struct mb_state *s, const struct mb_node *n)
+{
+    for (int i = 0; i < s->n; i++) {
+        const struct mb_node *o = &s->node[i];
+        if (o->id != n->id && o->voter && alive(s, o) && strcmp(o->ip, n->ip) == 0)
+            return true;
+    }
+    return false;
+}
+
+/* A voter that may go: its place was taken, or enough others are there without it. */
+static const struct mb_node *to_remove(const struct mb_state *s, const char **why)
+{
+    int live = live_voters(s);
+    for (int i = 0; i < s->n; i++) {
+        const struct mb_node *n = &s->node[i];
+        if (!n->member || alive(s, n))
+            continue;
+        if (!n->voter || succeeded(s, n)) {
+            *why = n->voter ? "another identity votes at its address" : "a learner that is gone";
+            return n;
+        }
+        if (live >= mb_needed(s->tolerates)) {
+            *why = "not heard of, and enough voters are there without it";
+            return n;
+        }
+    }
+    return NULL;
+}
+
+static struct mb_action step(enum mb_step what, const struct mb_node *n, const char *why)
+{
+    return (struct mb_action){what, n->id, why};
+}
+
+struct mb_action mb_next(const struct mb_state *s)
+{
+    const char *why = "";
+    for (int i = 0; i < s->n; i++) {
+        const struct mb_node *n = &s->node[i];
+        if (n->member && !n->voter && n->caught_up && alive(s, n))
+            return step(MB_VOTER, n, "it holds all that is committed");
+    }
+    const struct mb_node *gone = to_remove(s, &why);
+    if (gone)
+        return step(MB_REMOVE, gone, why);
+    for (int i = 0; i < s->n; i++) {
+        const struct mb_node *n = &s->node[i];
+        if (!n->member && n->connected && members(s) < QR_MAX_MEMBERS)
+            return step(MB_ADD, n, "a control node with a disk of its own");
+    }
+    return (struct mb_action){MB_NONE, 0, ""};
+}
--- /dev/null
+++ b/proxy/conn.c
@@ -0,0 +1,398 @@
+/* Connections to instances: one statement at a time, those of our own before the session's. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "proxy/priv.h"
+
+enum {
+    OPEN_US = 1000000,   /* an instance that does not greet by then is tried anew */
+    ORPHAN_US = 3000000, /* an answer that is later is not waited for */
+    RETRY_US = 100000,   /* after a connect that failed */
+    TOO_MANY_US = 400000, /* the instance has no connection free: others must close some */
+};
+
+/* ---- sending ---- */
+
+static bool send_msg(struct px_conn *c, const struct px_msg *m)
+{
+    struct sr_buf b = {0};
+    struct px_proxy *p = c->inst->p;
+    p->cfg.codec->put(&b, m);
+    c->sent_at = ck_now();
+    c->term = c->inst->group->cfg.term;
+    c->leased = px_leased(p);
+    c->done = false;
+    c->error = ER_NONE;
+    c->rows.len = c->signature.len = 0;
+    bool ok = c->net && nt_send(c->net, b.p, b.len);
+    sr_buf_free(&b);
+    return ok;
+}
+
+static bool send_own(struct px_conn *c, const struct px_stmt *st, bool has_floor,
+                     struct ps_pos floor)
+{
+    struct sr_buf text = {0};
+    c->inst->p->cfg.codec->put_text(&text, st);
+    struct px_msg m = {.kind = PX_STATEMENT,
+                       .text = {text.p, text.len},
+                       .has_floor = has_floor,
+                       .pos = floor};
+    bool ok = send_msg(c, &m);
+    sr_buf_free(&text);
+    return ok;
+}
+
+/* ---- the session's statement ---- */
+
+static const struct px_prepared *runs_prepared(const struct px_session *s)
+{
+    if (s->stmt.verb != PX_V_EXECUTE)
+        return NULL;
+    return px_find_prepared(&s->state, s->stmt.name);
+}
+
+static bool send_statement(struct px_conn *c, struct px_session *s)
+{
+    struct sr_buf text = {0};
+    const struct px_prepared *run = runs_prepared(s);
+    bool floor = s->has_floor && !s->begun;
+    struct px_msg m = {.kind = PX_STATEMENT,
+                       .id = s->id,
+                       .text = s->text,
+                       .has_floor = floor,
+                       .pos = s->floor};
+    if (run) { /* its name is ours here */
+        struct px_stmt st = s->stmt;
+        st.name = sr_from(px_name_on(&c->applied, run));
+        c->inst->p->cfg.codec->put_text(&text, &st);
+        m.text = (struct sr_str){text.p, text.len};
+    }
+    c->phase = PX_C_RUNNING;
+    s->sent_at = ck_now();
+    s->offers++;
+    bool ok = send_msg(c, &m);
+    sr_buf_free(&text);
+    return ok;
+}
+
+/* The next of our own statements that the session's needs; false: none. */
+static bool send_setup(struct px_conn *c, struct px_session *s, bool *sent)
+{
+    if (px_next_setup(&s->state, &c->applied, runs_prepared(s), c->setup_name, &c->setup)) {
+        c->own = c->setup.verb;
+        c->phase = PX_C_SETUP;
+        *sent = send_own(c, &c->setup, false, s->floor);
+        return true;
+    }
+    if (s->txn == PX_IDLE || s->begun)
+        return false;
+    c->setup = (struct px_stmt){.verb = PX_V_BEGIN, .read_only = s->read_only};
+    c->own = PX_V_BEGIN;
+    c->phase = PX_C_SETUP;
+    *sent = send_own(c, &c->setup, s->has_floor, s->floor);
+    return true;
+}
+
+static void advance(struct px_conn *c)
+{
+    struct px_session *s = c->session;
+    bool sent = true;
+    if (!send_setup(c, s, &sent))
+        sent = send_statement(c, s);
+    if (!sent)
+        px_conn_close(c); /* its close is reported to the session */
+}
+
+void px_conn_run(struct px_conn *c, struct px_session *s)
+{
+    if (c->phase == PX_C_IDLE)
+        c->inst->busy++;
+    c->session = s;
+    s->conn = c;
+    s->inst = c->inst;
+    s->stage = PX_S_AT_INSTANCE;
+    advance(c);
+}
+
+/* ---- ending ---- */
+
+void px_conn_idle(struct px_conn *c)
+{
+    if (c->phase != PX_C_IDLE && c->phase != PX_C_OPENING)
+        c->inst->busy--;
+    c->phase = PX_C_IDLE;
+    c->session = NULL;
+    c->txn = false;
+    px_inst_pump(c->inst);
+}
+
+void px_conn_rollback(struct px_conn *c)
+{
+    struct px_stmt st = {.verb = PX_V_ROLLBACK};
+    struct ps_pos none = {0};
+    c->session = NULL;
+    c->phase = PX_C_ENDING;
+    if (!send_own(c, &st, false, none))
+        px_conn_close(c);
+}
+
+void px_conn_orphan(struct px_conn *c)
+{
+    c->session = NULL;
+    /* What is out may or may not change what the connection has: it starts anew before use. */
+    if (c->phase == PX_C_SETUP)
+        c->applied.session = UINT64_MAX;
+    if (c->phase == PX_C_RESTING)
+        px_conn_rollback(c);
+    else
+        c->phase = PX_C_ORPHAN;
+}
+
+void px_conn_close(struct px_conn *c)
+{
+    if (c->closing)
+        return;
+    c->closing = true;
+    if (c->net)
+        nt_close(c->net, true);
+}
+
+/* ---- reading ---- */
+
+static void hear(struct px_conn *c)
+{
+    c->inst->heard = ck_now();
+    c->inst->refused_at = 0;
+}
+
+/* What the position of an answer tells: of the primary, what every commit acknowledged before
+ * the question was sent lies below; of a replica, what it has. */
+static void note_position(struct px_conn *c)
+{
+    struct px_inst *in = c->inst;
+    if (!c->has_pos || in->gone)
+        return;
+    if (ps_cmp(c->pos, in->known) > 0)
+        in->known = c->pos;
+    bool primary = in->at == in->group->cfg.primary;
+    if (primary && c->leased && c->term == in->group->cfg.term)
+        rt_primary_at(&in->group->rt, c->sent_at, c->pos);
+}
+
+static void note_time(struct px_conn *c)
+{
+    enum { WEIGHT = 8 };
+    int64_t us = ck_now() - c->sent_at;
+    c->inst->service_us += (us - c->inst->service_us) / WEIGHT;
+}
+
+static void opened(struct px_conn *c)
+{
+    struct px_inst *in = c->inst;
+    c->phase = PX_C_IDLE;
+    in->p->c.opened++;
+    px_inst_pump(in);
+}
+
+static void setup_answered(struct px_conn *c)
+{
+    struct px_session *s = c->session;
+    if (c->error != ER_NONE) {
+        /* A DISCARD or PREPARE that fails leaves a state that is not known. */
+        enum er_kind why = c->error;
+        bool begin = c->own == PX_V_BEGIN && c->state == PX_IDLE;
+        s->conn = NULL;
+        c->session = NULL;
+        if (begin)
+            px_conn_idle(c);
+        else
+            px_conn_close(c);
+        px_not_sent(s, c, why);
+        return;
+    }
+    if (c->own == PX_V_BEGIN) {
+        s->begun = true;
+        c->txn = true;
+    } else {
+        px_setup_done(&s->state, &c->applied, &c->setup);
+    }
+    advance(c);
+}
+
+/* A whole answer is there: its READY has come. */
+static void complete(struct px_conn *c)
+{
+    note_position(c);
+    switch (c->phase) {
+    case PX_C_OPENING:
+        opened(c);
+        break;
+    case PX_C_SETUP:
+        setup_answered(c);
+        break;
+    case PX_C_RUNNING:
+        note_time(c);
+        px_answered(c->session, c);
+        break;
+    case PX_C_ENDING:
+    case PX_C_ORPHAN:
+        if (c->state == PX_IDLE)
+            px_conn_idle(c);
+        else if (c->phase == PX_C_ORPHAN)
+            px_conn_rollback(c);
+        else
+            px_conn_close(c);
+        break;
+    case PX_C_IDLE:
+    case PX_C_RESTING:
+        FL_WARN(&c->inst->p->log, "instance %s answered what was not asked; closing",
+                c->inst->cfg.id);
+        px_conn_close(c);
+        break;
+    }
+}
+
+/* Nothing of an open connection's refusal is the session's: the next is opened later. */
+static void open_refused(struct px_conn *c, const struct px_msg *m)
+{
+    struct px_inst *in = c->inst;
+    bool full = m->error == ER_TOO_MANY;
+    in->next_open = ck_now() + (full ? TOO_MANY_US : RETRY_US);
+    FL_INFO(&in->p->log, "instance %s refuses a connection: %s %.*s", in->cfg.id,
+            er_name(m->error), (int)m->detail.len, m->detail.p);
+    px_conn_close(c);
+}
+
+static void take(struct px_conn *c, const struct px_msg *m)
+{
+    const struct px_codec *codec = c->inst->p->cfg.codec;
+    switch (m->kind) {
+    case PX_ROW:
+        codec->put(&c->rows, m);
+        break;
+    case PX_DONE:
+        c->done = true;
+        c->signature.len = 0;
+        sr_buf_add(&c->signature, m->signature.p, m->signature.len);
+        break;
+    case PX_FAILURE:
+        if (c->phase == PX_C_OPENING) {
+            open_refused(c, m);
+            break;
+        }
+        c->error = m->error;
+        snprintf(c->detail, sizeof(c->detail), "%.*s", (int)m->detail.len, m->detail.p);
+        break;
+    case PX_READY:
+        c->state = m->txn;
+        c->has_pos = m->has_pos;
+        c->pos = m->pos;
+        complete(c);
+        break;
+    default:
+        FL_WARN(&c->inst->p->log, "instance %s sent no message of the protocol; closing",
+                c->inst->cfg.id);
+        px_conn_close(c);
+    }
+}
+
+static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
+{
+    struct px_conn *c = ud;
+    struct sr_str line;
+    size_t at = 0;
+    (void)net;
+    hear(c);
+    sr_buf_add(&c->in, data, len);
+    while (!c->closing && px_next_line(&c->in, &at, &line)) {
+        struct px_msg m;
+        c->inst->p->cfg.codec->parse(line, &m);
+        take(c, &m);
+    }
+    px_consume(&c->in, at);
+    if (c->in.len > PX_MAX_LINE)
+        px_conn_close(c);
+}
+
+static void on_open(struct nt_conn *net, void *ud)
+{
+    struct px_conn *c = ud;
+    struct px_msg m = {.kind = PX_OPEN,
+                       .database = sr_from(c->inst->group->cfg.name),
+                       .who = sr_from(c->inst->p->cfg.name),
+                       .expect = sr_from(c->inst->cfg.id)};
+    (void)net;
+    send_msg(c, &m);
+}
+
+static void unlink_conn(struct px_conn *c)
+{
+    struct px_conn **at = &c->inst->conns;
+    while (*at != c)
+        at = &(*at)->next;
+    *at = c->next;
+    c->inst->n_conns--;
+    if (c->phase != PX_C_IDLE && c->phase != PX_C_OPENING)
+        c->inst->busy--;
+}
+
+static void conn_free(struct px_conn *c)
+{
+    px_applied_free(&c->applied);
+    sr_buf_free(&c->in);
+    sr_buf_free(&c->rows);
+    sr_buf_free(&c->signature);
+    free(c);
+}
+
+static void on_close(struct nt_conn *net, void *ud, bool was_open, bool refused)
+{
+    struct px_conn *c = ud;
+    struct px_inst *in = c->inst;
+    struct px_session *s = c->session;
+    (void)net;
+    c->net = NULL;
+    unlink_conn(c);
+    if (!c->closing) {
+        /* The other side's doing: a refusal, or a process that ended. */
+        in->refused_at = ck_now();
+        in->next_open = ck_now() + (was_open && c->phase != PX_C_OPENING ? 0 : RETRY_US);
+        px_inst_suspect(in, refused || was_open ? WR_REFUSED : WR_SILENT);
+    }
+    if (s) {
+        s->conn = NULL;
+        px_lost(s, c, c->phase == PX_C_RUNNING);
+    }
+    conn_free(c);
+    px_inst_pump(in);
+    px_inst_maybe_free(in);
+}
+
+static const struct nt_ops ops = {on_open, on_message, on_close};
+
+void px_conn_open(struct px_inst *in)
+{
+    struct px_conn *c = sr_alloc(sizeof(*c));
+    c->inst = in;
+    c->phase = PX_C_OPENING;
+    c->sent_at = ck_now();
+    c->next = in->conns;
+    in->conns = c;
+    in->n_conns++;
+    c->net = nt_connect_stream(in->p->loop, in->cfg.ip, in->cfg.port, &ops, c);
+}
+
+void px_conn_tick(struct px_conn *c, int64_t now)
+{
+    if (c->closing)
+        return;
+    if (c->phase == PX_C_OPENING && now - c->sent_at > OPEN_US) {
+        c->inst->next_open = now + RETRY_US;
+        px_inst_suspect(c->inst, WR_SILENT);
+        px_conn_close(c);
+    } else if ((c->phase == PX_C_ORPHAN || c->phase == PX_C_ENDING) &&
+               now - c->sent_at > ORPHAN_US) {
+        px_conn_close(c);
+    }
+}
--- /dev/null
+++ b/proxy/groups.c
@@ -0,0 +1,203 @@
+/* Groups and instances follow the view. */
+#include <stdlib.h>
+
+#include "proxy/priv.h"
+
+enum {
+    /* A planned change of primary waits so long for what runs at the old one. Transactions with
+     * pauses would hold up everybody else's writes; most end within it (users' pages). */
+    SETTLE_US = 600000,
+    /* The primary said that it is none: control learns it by its own probe within this. */
+    DOUBT_US = 60000,
+    /* Taken off an accepted age: clocks tick alike, but not exactly. */
+    AGE_MARGIN_US = 20000,
+};
+
+struct px_group *px_group(const struct px_proxy *p, const char *name)
+{
+    int lo = 0, hi = p->n_groups;
+    while (lo < hi) { /* sorted like the view's */
+        int mid = (lo + hi) / 2;
+        int c = strcmp(p->groups[mid]->cfg.name, name);
+        if (c == 0)
+            return p->groups[mid];
+        if (c < 0)
+            lo = mid + 1;
+        else
+            hi = mid;
+    }
+    return NULL;
+}
+
+struct px_inst *px_inst(const struct px_proxy *p, struct sr_str id)
+{
+    for (int g = 0; g < p->n_groups; g++) {
+        for (int i = 0; i < p->groups[g]->cfg.n; i++) {
+            if (sr_eq(sr_from(p->groups[g]->inst[i]->cfg.id), id))
+                return p->groups[g]->inst[i];
+        }
+    }
+    return NULL;
+}
+
+struct px_inst *px_primary(const struct px_group *g, int64_t now)
+{
+    bool serves = g->cfg.phase == VW_SERVING && g->cfg.primary >= 0;
+    if (!serves || !px_leased(g->p) || now - g->primary_refused < DOUBT_US)
+        return NULL;
+    return g->inst[g->cfg.primary];
+}
+
+bool px_age_floor(const struct px_group *g, int64_t max_age_us, int64_t now,
+                  struct ps_pos *floor)
+{
+    return max_age_us > AGE_MARGIN_US &&
+           rt_age_floor(&g->rt, max_age_us - AGE_MARGIN_US, now, floor);
+}
+
+/* ---- following the view ---- */
+
+static struct px_inst *take_inst(struct px_group *g, int n, const char *id)
+{
+    for (int i = 0; i < n; i++) {
+        struct px_inst *in = g->inst[i];
+        if (!in || strcmp(in->cfg.id, id) != 0)
+            continue;
+        g->inst[i] = NULL;
+        return in;
+    }
+    return NULL;
+}
+
+static bool moved(const struct vw_instance *a, const struct vw_instance *b)
+{
+    return strcmp(a->ip, b->ip) != 0 || a->port != b->port;
+}
+
+static void sync_instances(struct px_group *g, const struct vw_group *v)
+{
+    struct px_inst *next[VW_MAX_INSTANCES] = {0};
+    int had = g->cfg.n;
+    for (int i = 0; i < v->n; i++) {
+        struct px_inst *in = take_inst(g, had, v->inst[i].id);
+        if (in && moved(&in->cfg, &v->inst[i])) {
+            px_inst_gone(in);
+            in = NULL;
+        }
+        if (!in)
+            in = px_inst_new(g, &v->inst[i]);
+        in->cfg = v->inst[i];
+        in->at = i;
+        next[i] = in;
+    }
+    for (int i = 0; i < had; i++) {
+        if (g->inst[i])
+            px_inst_gone(g->inst[i]);
+    }
+    memcpy(g->inst, next, sizeof(next));
+}
+
+/* Statements that wait for the group's primary, or at an instance that changed, go their way
+ * anew in the next tick. */
+static void wake_parked(struct px_group *g)
+{
+    for (struct px_session *s = g->p->active; s; s = s->next_active) {
+        if (s->stage == PX_S_PARKED && strcmp(s->route.group, g->cfg.name) == 0)
+            s->retry_at = 0;
+    }
+}
+
+static void follow(struct px_group *g, const struct vw_group *v)
+{
+    bool new_term = g->cfg.term != v->term, new_phase = g->cfg.phase != v->phase;
+    sync_instances(g, v);
+    g->cfg = *v;
+    if (new_term || new_phase) {
+        FL_INFO(&g->p->log, "group %s: %s in term %llu, primary %s", v->name,
+                vw_phase_name(v->phase), (unsigned long long)v->term,
+                v->primary >= 0 ? v->inst[v->primary].id : "none");
+        g->settle_by = v->phase == VW_HANDING ? ck_now() + SETTLE_US : 0;
+        g->primary_refused = 0;
+    }
+    if (new_term) /* positions of another branch tell nothing of this one */
+        g->rt.n_samples = 0;
+    wake_parked(g);
+}
+
+static struct px_group *group_new(struct px_proxy *p, const struct vw_group *v)
+{
+    struct px_group *g = sr_alloc(sizeof(*g));
+    g->p = p;
+    g->cfg.primary = -1;
+    sr_copy(g->cfg.name, sizeof(g->cfg.name), sr_from(v->name));
+    return g;
+}
+
+static void take_document(struct px_proxy *p, const struct vw_document *d)
+{
+    struct cg_catalog c;
+    struct er_err err = {0};
+    if (d->version == p->catalog.version)
+        return;
+    if (!cg_read(p->cfg.documents, (struct sr_str){d->text, d->len}, &c, &err)) {
+        FL_ERR(&p->log, "document %llu can't be read: %s", (unsigned long long)d->version,
+               err.text);
+        return;
+    }
+    FL_INFO(&p->log, "document %llu in force, was %llu; %d routes",
+            (unsigned long long)c.version, (unsigned long long)p->catalog.version, c.n_routes);
+    cg_free(&p->catalog);
+    p->catalog = c;
+}
+
+void px_view(struct px_proxy *p, const struct vw_view *v)
+{
+    struct px_group **next = sr_alloc(sizeof(*next) * (size_t)(v->n + 1));
+    take_document(p, &v->doc);
+    for (int i = 0; i < v->n; i++) {
+        struct px_group *g = px_group(p, v->groups[i].name);
+        next[i] = g ? g : group_new(p, &v->groups[i]);
+    }
+    free(p->groups); /* groups are only added */
+    p->groups = next;
+    p->n_groups = v->n;
+    for (int i = 0; i < v->n; i++)
+        follow(p->groups[i], &v->groups[i]);
+}
+
+/* ---- a planned change of primary ---- */
+
+/* Whether a statement or a transaction that the primary serves is still open. */
+static bool at_primary(const struct px_group *g)
+{
+    const struct px_inst *in = g->cfg.primary >= 0 ? g->inst[g->cfg.primary] : NULL;
+    for (const struct px_conn *c = in ? in->conns : NULL; c; c = c->next) {
+        if (c->session && !c->session->read_only)
+            return true;
+    }
+    return false;
+}
+
+bool px_settled(const struct px_proxy *p)
+{
+    for (int i = 0; i < p->n_groups; i++) {
+        if (p->groups[i]->settle_by)
+            return false;
+    }
+    return true;
+}
+
+void px_groups_tick(struct px_proxy *p, int64_t now)
+{
+    for (int i = 0; i < p->n_groups; i++) {
+        struct px_group *g = p->groups[i];
+        if (g->settle_by && (now > g->settle_by || !at_primary(g)))
+            g->settle_by = 0;
+        for (int k = 0; k < g->cfg.n; k++)
+            px_inst_tick(g->inst[k], now);
+    }
+    for (struct px_inst *in = p->gone, *next; in; in = next) {
+        next = in->next_gone;
+        px_inst_tick(in, now);
+    }
+}
--- /dev/null
+++ b/proxy/pool.c
@@ -0,0 +1,220 @@
+/* Instances and this node's connections to them, within its share. */
+#include <stdlib.h>
+
+#include "proxy/priv.h"
+
+enum {
+    FIRST_SERVICE_US = 15000, /* what a statement takes before any was measured */
+    SUSPECT_EVERY_US = 100000,
+    SILENT_US = 500000, /* a statement without an answer for so long, and nothing else heard */
+};
+
+struct px_inst *px_inst_new(struct px_group *g, const struct vw_instance *cfg)
+{
+    struct px_inst *in = sr_alloc(sizeof(*in));
+    in->p = g->p;
+    in->group = g;
+    in->cfg = *cfg;
+    in->service_us = FIRST_SERVICE_US;
+    in->waiters_tail = &in->waiters;
+    return in;
+}
+
+bool px_inst_has_room(const struct px_inst *in, int64_t now)
+{
+    return in->n_conns < in->share && now >= in->next_open && !in->cfg.draining && !in->gone;
+}
+
+static struct px_conn *idle_conn(const struct px_inst *in, const struct px_session *s)
+{
+    struct px_conn *best = NULL;
+    int best_rank = 3;
+    for (struct px_conn *c = in->conns; c; c = c->next) {
+        if (c->phase != PX_C_IDLE || c->closing)
+            continue;
+        /* Its own values first, then a connection that has none. */
+        int rank = c->applied.session == s->state.session ? 0 : c->applied.session ? 2 : 1;
+        if (rank < best_rank) {
+            best = c;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+bool px_inst_usable(const struct px_inst *in, int64_t now)
+{
+    if (in->cfg.draining || in->gone)
+        return false;
+    if (in->n_conns > 0)
+        return !in->refused_at;
+    return in->share > 0 && now >= in->next_open;
+}
+
+/* ---- waiting for a connection ---- */
+
+static bool before(const struct px_session *a, const struct px_session *b)
+{
+    if (a->route.priority != b->route.priority)
+        return a->route.priority < b->route.priority;
+    return a->arrived < b->arrived;
+}
+
+static void enqueue(struct px_inst *in, struct px_session *s)
+{
+    struct px_session **at = &in->waiters;
+    while (*at && !before(s, *at))
+        at = &(*at)->wait_next;
+    s->wait_next = *at;
+    *at = s;
+    in->n_waiters++;
+    s->inst = in;
+    s->stage = PX_S_WAITING;
+    s->waiting_since = ck_now();
+}
+
+void px_inst_unwait(struct px_inst *in, struct px_session *s)
+{
+    struct px_session **at = &in->waiters;
+    while (*at && *at != s)
+        at = &(*at)->wait_next;
+    if (!*at)
+        return;
+    *at = s->wait_next;
+    s->wait_next = NULL;
+    in->n_waiters--;
+}
+
+static void note_demand(struct px_inst *in)
+{
+    int want = in->busy + in->n_waiters;
+    if (want > in->peak)
+        in->peak = want;
+}
+
+static int opening(const struct px_inst *in)
+{
+    int k = 0;
+    for (const struct px_conn *c = in->conns; c; c = c->next)
+        k += c->phase == PX_C_OPENING;
+    return k;
+}
+
+void px_inst_take(struct px_inst *in, struct px_session *s)
+{
+    struct px_conn *c = idle_conn(in, s);
+    if (c) {
+        px_conn_run(c, s);
+        note_demand(in);
+        return;
+    }
+    enqueue(in, s);
+    note_demand(in);
+    if (opening(in) < in->n_waiters && px_inst_has_room(in, ck_now()))
+        px_conn_open(in);
+}
+
+void px_inst_pump(struct px_inst *in)
+{
+    while (in->waiters) {
+        struct px_session *s = in->waiters;
+        struct px_conn *c = idle_conn(in, s);
+        if (!c)
+            break;
+        px_inst_unwait(in, s);
+        px_conn_run(c, s);
+    }
+}
+
+/* ---- suspicion ---- */
+
+void px_inst_suspect(struct px_inst *in, enum wr_health health)
+{
+    int64_t now = ck_now();
+    bool primary = in->at == in->group->cfg.primary;
+    if (in->gone || !primary || now - in->suspected < SUSPECT_EVERY_US)
+        return;
+    in->suspected = now;
+    FL_INFO(&in->p->log, "instance %s %s", in->cfg.id,
+            health == WR_REFUSED ? "closes or refuses connections" : "does not answer");
+    in->p->cfg.host.suspect(in->p->cfg.host.ud, in->cfg.id, health);
+}
+
+/* Something is out, for long, and nothing was heard meanwhile. */
+static bool silent(const struct px_inst *in, int64_t now)
+{
+    for (const struct px_conn *c = in->conns; c; c = c->next) {
+        bool out = c->phase != PX_C_IDLE && c->phase != PX_C_RESTING;
+        if (out && now - c->sent_at > SILENT_US && in->heard < c->sent_at)
+            return true;
+    }
+    return false;
+}
+
+enum wr_health px_health(const struct px_proxy *p, struct sr_str id)
+{
+    enum { FRESH_US = 400000 };
+    const struct px_inst *in = px_inst(p, id);
+    int64_t now = ck_now();
+    if (!in)
+        return WR_UNKNOWN;
+    if (in->refused_at)
+        return WR_REFUSED;
+    if (silent(in, now))
+        return WR_SILENT;
+    return now - in->heard < FRESH_US ? WR_OK : WR_UNKNOWN;
+}
+
+/* ---- time ---- */
+
+/* Above the share: idle ones go first. An instance that leaves keeps none. */
+static void shed(struct px_inst *in)
+{
+    int keep = in->cfg.draining || in->gone ? 0 : in->share;
+    int over = in->n_conns - keep;
+    for (struct px_conn *c = in->conns; c && over > 0; c = c->next) {
+        if (c->phase != PX_C_IDLE || c->closing)
+            continue;
+        px_conn_close(c);
+        over--;
+    }
+}
+
+void px_inst_tick(struct px_inst *in, int64_t now)
+{
+    for (struct px_conn *c = in->conns; c; c = c->next)
+        px_conn_tick(c, now);
+    shed(in);
+    if (opening(in) < in->n_waiters && px_inst_has_room(in, now))
+        px_conn_open(in);
+    if (silent(in, now))
+        px_inst_suspect(in, WR_SILENT);
+}
+
+/* ---- end ---- */
+
+void px_inst_gone(struct px_inst *in)
+{
+    in->gone = true;
+    in->next_gone = in->p->gone;
+    in->p->gone = in;
+    while (in->waiters) {
+        struct px_session *s = in->waiters;
+        px_inst_unwait(in, s);
+        px_park(s, ck_now());
+    }
+    shed(in);
+    px_inst_maybe_free(in);
+}
+
+void px_inst_maybe_free(struct px_inst *in)
+{
+    struct px_inst **at = &in->p->gone;
+    if (!in->gone || in->n_conns > 0)
+        return;
+    while (*at && *at != in)
+        at = &(*at)->next_gone;
+    if (*at)
+        *at = in->next_gone;
+    free(in);
+}
--- /dev/null
+++ b/proxy/proxy.c
@@ -0,0 +1,169 @@
+#include "proxy/proxy.h"
+
+#include <stdlib.h>
+
+#include "proxy/priv.h"
+
+enum {
+    SLOW_TICK_US = 50000, /* sessions that rest are looked at so often */
+    /* Of the time from the order to stop until the process is killed: */
+    STOP_FORCE_PERCENT = 55,  /* transactions still open then are rolled back */
+    STOP_LINGER_PERCENT = 75, /* whoever has not closed by then is closed with the process */
+};
+
+struct px_proxy *px_create(struct nt_loop *l, const struct px_config *cfg, struct er_err *err)
+{
+    struct px_proxy *p = sr_alloc(sizeof(*p));
+    p->log.prefix = "proxy";
+    p->loop = l;
+    p->cfg = *cfg;
+    p->rng = rn_seed(cfg->seed);
+    if (!px_listen(p, err)) {
+        free(p);
+        return NULL;
+    }
+    return p;
+}
+
+bool px_configured(const struct px_proxy *p)
+{
+    return p->catalog.version > 0;
+}
+
+/* ---- shares ---- */
+
+static void add_want(struct px_inst *in, struct wr_share *out)
+{
+    int held = in->n_conns > in->share ? in->n_conns : in->share;
+    int want = in->cfg.draining ? 0 : in->peak + 1; /* one at hand for what comes next */
+    *out = (struct wr_share){sr_from(in->cfg.id), (uint32_t)held, (uint32_t)want};
+    in->peak -= (in->peak + 3) / 4; /* demand is forgotten slowly: a share costs time to get */
+    if (in->peak < in->busy + in->n_waiters)
+        in->peak = in->busy + in->n_waiters;
+}
+
+uint32_t px_wants(struct px_proxy *p, struct wr_share *out, uint32_t cap)
+{
+    uint32_t k = 0;
+    for (int g = 0; g < p->n_groups; g++) {
+        for (int i = 0; i < p->groups[g]->cfg.n && k < cap; i++)
+            add_want(p->groups[g]->inst[i], &out[k++]);
+    }
+    return k;
+}
+
+void px_share(struct px_proxy *p, struct sr_str id, int connections)
+{
+    struct px_inst *in = px_inst(p, id);
+    if (in)
+        in->share = connections;
+}
+
+void px_lease_lost(struct px_proxy *p)
+{
+    for (int g = 0; g < p->n_groups; g++) {
+        for (int i = 0; i < p->groups[g]->cfg.n; i++) {
+            struct px_inst *in = p->groups[g]->inst[i];
+            in->share = in->share > 0 ? 1 : 0;
+        }
+    }
+}
+
+/* ---- time ---- */
+
+/* Half of the time to end is for transactions; what is still open then is rolled back. */
+static void force_end(struct px_proxy *p, int64_t now)
+{
+    if (!p->stopping || now - p->stop_began < p->cfg.grace_us * STOP_FORCE_PERCENT / 100)
+        return;
+    for (struct px_session *s = p->sessions; s; s = s->next) {
+        if (s->stage == PX_S_REST && s->txn != PX_IDLE && s->conn) {
+            px_drop_txn(s);
+            s->txn = PX_TXN_FAILED;
+            s->lost = true;
+        }
+    }
+}
+
+void px_tick(struct px_proxy *p, int64_t now)
+{
+    for (struct px_session *s = p->active, *next; s; s = next) {
+        next = s->next_active;
+        px_work_tick(s, now);
+    }
+    px_groups_tick(p, now);
+    if (now < p->next_slow_tick)
+        return;
+    p->next_slow_tick = now + SLOW_TICK_US;
+    px_sessions_slow_tick(p, now);
+    force_end(p, now);
+}
+
+void px_stop(struct px_proxy *p, int64_t now)
+{
+    p->stopping = true;
+    p->stop_began = now;
+}
+
+bool px_stopped(const struct px_proxy *p, int64_t now)
+{
+    if (p->active)
+        return false;
+    return p->n_sessions == 0 || now - p->stop_began > p->cfg.grace_us * STOP_LINGER_PERCENT / 100;
+}
+
+/* ---- metrics ---- */
+
+static void put_hist(struct sr_buf *out, const char *name, const struct hi_hist *h)
+{
+    static const double quantiles[] = {0.5, 0.9, 0.99};
+    for (int i = 0; i < 3; i++)
+        sr_buf_printf(out, "ferry_session_%s_us{quantile=\"%g\"} %lld\n", name, quantiles[i],
+                      (long long)hi_quantile(h, quantiles[i]));
+    sr_buf_printf(out, "ferry_session_%s_us_count %llu\n", name, (unsigned long long)h->count);
+}
+
+static void put_instance(struct sr_buf *out, const struct px_inst *in)
+{
+    const char *id = in->cfg.id;
+    sr_buf_printf(out,
+                  "ferry_session_instance_connections{instance=\"%s\"} %d\n"
+                  "ferry_session_instance_share{instance=\"%s\"} %d\n"
+                  "ferry_session_instance_waiting{instance=\"%s\"} %d\n"
+                  "ferry_session_instance_service_us{instance=\"%s\"} %lld\n",
+                  id, in->n_conns, id, in->share, id, in->n_waiters, id,
+                  (long long)in->service_us);
+}
+
+void px_metrics(const struct px_proxy *p, struct sr_buf *out)
+{
+    const struct {
+        const char *name;
+        uint64_t v;
+    } rows[] = {{"sessions_total", p->c.sessions},
+                {"statements_total", p->c.statements},
+                {"ok_total", p->c.ok},
+                {"failed_total", p->c.failed},
+                {"reads_primary_total", p->c.reads_primary},
+                {"reads_replica_total", p->c.reads_replica},
+                {"behind_total", p->c.behind},
+                {"retries_total", p->c.retries},
+                {"parked_total", p->c.parked},
+                {"lost_connections_total", p->c.lost},
+                {"opened_connections_total", p->c.opened},
+                {"log_lines_left_out_total", p->c.log_lines_left_out},
+                {"open", (uint64_t)p->n_sessions},
+                {"document", p->catalog.version}};
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+        sr_buf_printf(out, "ferry_session_%s %llu\n", rows[i].name,
+                      (unsigned long long)rows[i].v);
+    for (int k = 1; k < ER_COUNT; k++)
+        sr_buf_printf(out, "ferry_session_failed_by_total{reason=\"%s\"} %llu\n", er_name(k),
+                      (unsigned long long)p->c.by_reason[k]);
+    put_hist(out, "read", &p->latency_read);
+    put_hist(out, "write", &p->latency_write);
+    for (int g = 0; g < p->n_groups; g++) {
+        for (int i = 0; i < p->groups[g]->cfg.n; i++)
+            put_instance(out, p->groups[g]->inst[i]);
+    }
+}
--- /dev/null
+++ b/proxy/proxy.h
@@ -0,0 +1,65 @@
+/* The session proxy: callers' sessions on a few connections to instances.
+ *
+ * A caller's connection is a session with values, prepared names and the position of its last
+ * commit. Statements run on whichever pooled connection is free; the session's values and
+ * prepared statements are put there first. A transaction keeps its connection. Which instance
+ * serves a read follows from what it must see (catalog/): the instance itself refuses a read whose
+ * floor it lacks.
+ *
+ * Runs on the loop's thread. The entry role gives it the view, the lease and the shares. */
+#ifndef FL_PROXY_PROXY_H
+#define FL_PROXY_PROXY_H
+
+#include "catalog/catalog.h"
+#include "misc/hist.h"
+#include "proxy/wire.h"
+#include "task/net.h"
+#include "wire/wire.h"
+
+struct px_proxy;
+
+/* What the proxy asks of the entry role. */
+struct px_host {
+    /* Whether the view is the newest: no term in it was replaced. */
+    bool (*leased)(void *ud);
+    /* An instance does not answer, or refuses. */
+    void (*suspect)(void *ud, const char *inst, enum wr_health health);
+    void *ud;
+};
+
+struct px_config {
+    const char *name; /* of this node, told to instances */
+    const char *domain;
+    const char *ip; /* callers' sessions */
+    int port;
+    int max_sessions;
+    int64_t grace_us; /* from px_stop until the process is killed */
+    uint64_t seed;
+    const struct px_codec *codec;
+    const struct cg_codec *documents;
+    struct px_host host;
+};
+
+struct px_proxy *px_create(struct nt_loop *l, const struct px_config *cfg, struct er_err *err);
+/* A newer view is in force here. */
+void px_view(struct px_proxy *p, const struct vw_view *v);
+/* Whether nothing acts on an older view any more: a planned change of primary waits until what
+ * runs at the old one has ended, within a bound. */
+bool px_settled(const struct px_proxy *p);
+/* Connections held and wanted, an entry an instance; returns how many. */
+uint32_t px_wants(struct px_proxy *p, struct wr_share *out, uint32_t cap);
+void px_share(struct px_proxy *p, struct sr_str inst, int connections);
+/* The lease is lost: others may be given what this node held, but for one connection an instance. */
+void px_lease_lost(struct px_proxy *p);
+/* What this node sees of an instance; WR_UNKNOWN: it did not ask lately. */
+enum wr_health px_health(const struct px_proxy *p, struct sr_str inst);
+/* Whether a document is in force here. */
+bool px_configured(const struct px_proxy *p);
+void px_tick(struct px_proxy *p, int64_t now);
+/* A planned stop: sessions that rest are closed one after the other, what runs ends. */
+void px_stop(struct px_proxy *p, int64_t now);
+/* Whether everything has ended. */
+bool px_stopped(const struct px_proxy *p, int64_t now);
+void px_metrics(const struct px_proxy *p, struct sr_buf *out);
+
+#endif
--- /dev/null
+++ b/proxy/state.c
@@ -0,0 +1,176 @@
+#include "proxy/state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static char *copy(struct sr_str s)
+{
+    char *p = sr_alloc(s.len + 1);
+    memcpy(p, s.p, s.len);
+    return p;
+}
+
+static bool is(const char *z, struct sr_str s)
+{
+    return sr_eq(sr_from(z), s);
+}
+
+/* ---- the session's ---- */
+
+bool px_set(struct px_state *s, struct sr_str name, struct sr_str value, struct er_err *err)
+{
+    int i = 0;
+    while (i < s->n_values && !is(s->values[i].name, name))
+        i++;
+    if (i == PX_MAX_VALUES)
+        return er_set(err, ER_TOO_LARGE, "%d values are the most of a session", PX_MAX_VALUES);
+    if (i == s->n_values) {
+        s->values = sr_realloc(s->values, sizeof(*s->values) * (size_t)(i + 1));
+        s->values[i] = (struct px_value){.name = copy(name)};
+        s->n_values++;
+    }
+    free(s->values[i].value);
+    s->values[i].value = copy(value);
+    s->values[i].version = ++s->version;
+    return true;
+}
+
+static int prepared_at(const struct px_state *s, struct sr_str name)
+{
+    for (int i = 0; i < s->n_prepared; i++) {
+        if (is(s->prepared[i].name, name))
+            return i;
+    }
+    return -1;
+}
+
+const struct px_prepared *px_find_prepared(const struct px_state *s, struct sr_str name)
+{
+    int i = prepared_at(s, name);
+    return i < 0 ? NULL : &s->prepared[i];
+}
+
+static void add_prepared(struct px_prepared **list, int *n, char *name, struct sr_str shape,
+                         bool writes)
+{
+    *list = sr_realloc(*list, sizeof(**list) * (size_t)(*n + 1));
+    (*list)[(*n)++] = (struct px_prepared){name, copy(shape), writes};
+}
+
+bool px_prepare(struct px_state *s, struct sr_str name, bool writes, struct sr_str shape,
+                struct er_err *err)
+{
+    int i = prepared_at(s, name);
+    if (i >= 0) {
+        free(s->prepared[i].shape);
+        s->prepared[i].shape = copy(shape);
+        s->prepared[i].writes = writes;
+        return true;
+    }
+    if (s->n_prepared == PX_MAX_PREPARED)
+        return er_set(err, ER_TOO_LARGE, "%d prepared statements are the most of a session",
+                      PX_MAX_PREPARED);
+    add_prepared(&s->prepared, &s->n_prepared, copy(name), shape, writes);
+    return true;
+}
+
+static void free_prepared(struct px_prepared *p)
+{
+    free(p->name);
+    free(p->shape);
+}
+
+bool px_forget(struct px_state *s, struct sr_str name, struct er_err *err)
+{
+    int i = prepared_at(s, name);
+    if (i < 0)
+        return er_set(err, ER_NO_STATEMENT, "%.*s", (int)name.len, name.p);
+    free_prepared(&s->prepared[i]);
+    s->prepared[i] = s->prepared[--s->n_prepared];
+    return true;
+}
+
+void px_state_free(struct px_state *s)
+{
+    for (int i = 0; i < s->n_values; i++) {
+        free(s->values[i].name);
+        free(s->values[i].value);
+    }
+    for (int i = 0; i < s->n_prepared; i++)
+        free_prepared(&s->prepared[i]);
+    free(s->values);
+    free(s->prepared);
+    *s = (struct px_state){0};
+}
+
+/* ---- the connection's ---- */
+
+const char *px_name_on(const struct px_applied *a, const struct px_prepared *run)
+{
+    for (int i = 0; i < a->n_prepared; i++) {
+        const struct px_prepared *p = &a->prepared[i];
+        if (p->writes == run->writes && strcmp(p->shape, run->shape) == 0)
+            return p->name;
+    }
+    return NULL;
+}
+
+/* Of the values that the connection lacks, the one that was set first. */
+static const struct px_value *next_value(const struct px_state *s, uint64_t has)
+{
+    const struct px_value *best = NULL;
+    for (int i = 0; i < s->n_values; i++) {
+        const struct px_value *v = &s->values[i];
+        if (v->version > has && (!best || v->version < best->version))
+            best = v;
+    }
+    return best;
+}
+
+bool px_next_setup(const struct px_state *s, const struct px_applied *a,
+                   const struct px_prepared *run, char name[PX_STMT_NAME], struct px_stmt *st)
+{
+    *st = (struct px_stmt){.verb = PX_V_DISCARD};
+    bool others = a->session && a->session != s->session;
+    bool lacks = run && !px_name_on(a, run);
+    if (others || (lacks && a->n_prepared == PX_MAX_ON_CONN))
+        return true;
+    const struct px_value *v = next_value(s, a->session ? a->version : 0);
+    if (v) {
+        *st = (struct px_stmt){
+            .verb = PX_V_SET, .name = sr_from(v->name), .value = sr_from(v->value)};
+        return true;
+    }
+    if (!lacks)
+        return false;
+    snprintf(name, PX_STMT_NAME, "p%u", a->named + 1);
+    *st = (struct px_stmt){.verb = PX_V_PREPARE,
+                           .name = sr_from(name),
+                           .writes = run->writes,
+                           .value = sr_from(run->shape)};
+    return true;
+}
+
+void px_applied_free(struct px_applied *a)
+{
+    for (int i = 0; i < a->n_prepared; i++)
+        free_prepared(&a->prepared[i]);
+    free(a->prepared);
+    unsigned named = a->named;
+    *a = (struct px_applied){.named = named};
+}
+
+void px_setup_done(const struct px_state *s, struct px_applied *a, const struct px_stmt *st)
+{
+    if (st->verb == PX_V_DISCARD) {
+        px_applied_free(a);
+    } else if (st->verb == PX_V_SET) {
+        const struct px_value *v = next_value(s, a->session ? a->version : 0);
+        a->session = s->session;
+        a->version = v ? v->version : s->version;
+    } else if (st->verb == PX_V_PREPARE) {
+        a->named++;
+        add_prepared(&a->prepared, &a->n_prepared, copy(st->name), st->value, st->writes);
+    }
+}
--- a/quorum/quorum.c
+++ b/quorum/quorum.c
@@ -302,6 +302,15 @@
     return 0;
 }
 
+int64_t qr_heard(const struct qr *q, uint64_t id)
+{
+    for (int i = 0; i < q->n_peers; i++) {
+        if (q->peers[i].id == id)
+            return q->peers[i].last_heard;
+    }
+    return 0;
+}
+
 int64_t qr_vouched_until(const struct qr *q)
 {
     uint64_t t = 0;
--- /dev/null
+++ b/registry/registry.h
@@ -0,0 +1,31 @@
+/* Instances that register themselves: what a call of one asks of the replicated view.
+ *
+ * Pure. Regular calls that tell nothing new change nothing and cost no entry of the log; joining,
+ * draining and leaving are changes, and are acknowledged only once they are committed. */
+#ifndef FL_REGISTRY_REGISTRY_H
+#define FL_REGISTRY_REGISTRY_H
+
+#include "view/view.h"
+
+/* What an instance tells of itself. */
+struct rg_beat {
+    char group[VW_NAME];
+    struct vw_instance inst; /* draining: it will end by plan */
+    bool primary;            /* it takes itself for the primary */
+    uint64_t seq;            /* grows with each of its calls: a late one is told by it */
+};
+
+enum rg_need {
+    RG_NOTHING, /* acknowledge at once */
+    RG_CHANGE,  /* acknowledge when *ch is committed */
+    RG_LATE,    /* an earlier call that came late, or one that left: acknowledge, believe nothing */
+    RG_REFUSE,  /* *err says why */
+};
+
+/* `last_seq`: of the newest call of this instance that this node has taken; 0 none. */
+enum rg_need rg_beat(const struct vw_view *v, const struct rg_beat *b, uint64_t last_seq,
+                     struct vw_change *ch, struct er_err *err);
+/* The instance of that id ends. */
+enum rg_need rg_leave(const struct vw_view *v, const char *id, struct vw_change *ch);
+
+#endif
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -9,7 +9,8 @@
 #include <string.h>
 
 static const char *const type_names[] = {"text",  "IP number", "whole number", "true or false",
-                                         "roles", "list",      "list"};
+                                         "roles", "list",      "list",         "ip:port",
+                                         "list",  "number"};
 
 struct check {
     const char *file;
@@ -119,6 +120,49 @@
     return true;
 }
 
+/* "ip:port", or "" for none. */
+static bool set_addr(const struct check *c, const char *key, struct st_addr *a, const json_t *v)
+{
+    const char *s = json_string_value(v), *colon = s ? strrchr(s, ':') : NULL;
+    struct in_addr in;
+    char *end;
+    *a = (struct st_addr){0};
+    if (s && !s[0])
+        return true;
+    if (!colon || !sr_copy(a->ip, sizeof(a->ip), (struct sr_str){s, (size_t)(colon - s)}))
+        return wrong(c, key, v, "ip:port");
+    long port = strtol(colon + 1, &end, 10);
+    if (inet_pton(AF_INET, a->ip, &in) != 1 || *end || port < 1 || port > 65535)
+        return wrong(c, key, v, "ip:port");
+    a->port = (int)port;
+    return true;
+}
+
+static bool set_addrs(const struct check *c, const struct st_option *o, struct st_settings *s,
+                      const json_t *v)
+{
+    if (!json_is_array(v) || json_array_size(v) > ST_MAX_PEERS)
+        return wrong(c, o->key, v, "a list of at most 9 addresses");
+    s->n_seeds = 0;
+    for (size_t i = 0; i < json_array_size(v); i++) {
+        if (!set_addr(c, o->key, &s->seeds[s->n_seeds++], json_array_get(v, i)))
+            return false;
+    }
+    return true;
+}
+
+/* Seconds, perhaps with a fraction, kept as whole milliseconds. */
+static bool set_secs(const struct check *c, const struct st_option *o, void *f, const json_t *v)
+{
+    char expected[64];
+    double x = json_number_value(v);
+    snprintf(expected, sizeof(expected), "a number %ld..%ld", o->lo, o->hi);
+    if (!json_is_number(v) || x < (double)o->lo || x > (double)o->hi)
+        return wrong(c, o->key, v, expected);
+    *(int *)f = (int)(x * 1000);
+    return true;
+}
+
 static bool set_value(const struct check *c, const struct st_option *o, struct st_settings *s,
                       const json_t *v)
 {
@@ -145,6 +189,12 @@
         json_decref(s->groups);
         s->groups = json_deep_copy(v);
         return true;
+    case T_ADDR:
+        return set_addr(c, o->key, f, v);
+    case T_ADDRS:
+        return set_addrs(c, o, s, v);
+    case T_SECS:
+        return set_secs(c, o, f, v);
     }
     return false;
 }
@@ -214,7 +264,7 @@
         return contradiction(c, "control.data", "missing, expected with role control");
     if (s->control && s->ops_port == s->control_port && s->control_ip[0])
         return contradiction(c, "control.ops_port", "equals control.port");
-    if (s->entry && !s->secret[0])
+    if (s->entry && !s->secret[0] && !s->sessions.port)
         return contradiction(c, "secret", "missing, expected with role entry");
     if (s->lease_ms < 4 * s->election_ms)
         return contradiction(c, "control.lease_ms",
@@ -245,6 +295,32 @@
     return true;
 }
 
+static void use_addr(const struct st_addr *a, char *ip, size_t cap, int *port)
+{
+    if (!a->port)
+        return;
+    sr_copy(ip, cap, sr_from(a->ip));
+    *port = a->port;
+}
+
+/* Addresses take the place of ip and port; seeds that of the list of control nodes: a control
+ * node is named by its IP number, and our own port is the same on all. */
+static void derive(struct st_settings *s)
+{
+    use_addr(&s->entry_addr, s->entry_ip, sizeof(s->entry_ip), &s->entry_port);
+    use_addr(&s->ops_addr, s->control_ip, sizeof(s->control_ip), &s->ops_port);
+    for (int i = 0; i < s->n_seeds; i++) {
+        struct st_peer *p = &s->voters[i];
+        *p = (struct st_peer){.port = s->control_port};
+        sr_copy(p->name, sizeof(p->name), sr_from(s->seeds[i].ip));
+        sr_copy(p->ip, sizeof(p->ip), sr_from(s->seeds[i].ip));
+    }
+    if (s->n_seeds)
+        s->n_voters = s->n_seeds;
+    if (s->grace_ms)
+        s->stop_ms = s->grace_ms * ST_STOP_PERCENT / 100;
+}
+
 static bool apply_all(const struct check *c, const json_t *root, struct st_settings *s)
 {
     for (int i = 0; i < st_n_options; i++) {
@@ -258,6 +334,7 @@
         if (!ok)
             return false;
     }
+    derive(s);
     return true;
 }
 
@@ -314,6 +391,11 @@
     return a;
 }
 
+static json_t *addr_json(const struct st_addr *a)
+{
+    return a->port ? json_sprintf("%s:%d", a->ip, a->port) : json_string("");
+}
+
 static json_t *value_json(const struct st_settings *s, const struct st_option *o)
 {
     const void *f = (const char *)s + o->at;
@@ -339,6 +421,16 @@
         return peers_json(s);
     case T_GROUPS:
         return json_deep_copy(s->groups);
+    case T_ADDR:
+        return addr_json(f);
+    case T_SECS:
+        return json_real(*(const int *)f / 1000.0);
+    case T_ADDRS: {
+        json_t *a = json_array();
+        for (int i = 0; i < s->n_seeds; i++)
+            json_array_append_new(a, addr_json(&s->seeds[i]));
+        return a;
+    }
     }
     return json_null();
 }
@@ -374,7 +466,7 @@
     for (int i = 0; i < st_n_options; i++) {
         const struct st_option *o = &st_table[i];
         char range[48] = "";
-        if (o->type == T_INT)
+        if (o->type == T_INT || o->type == T_SECS)
             snprintf(range, sizeof(range), "%ld to %ld", o->lo, o->hi);
         else if (o->type == T_TEXT)
             snprintf(range, sizeof(range), "%ld to %ld bytes", o->lo, o->hi);
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -8,7 +8,8 @@
 #include "misc/err.h"
 #include "misc/str.h"
 
-enum { ST_MAX_PEERS = 9, ST_TEXT = 128 };
+/* A planned stop takes at most ST_STOP_PERCENT of the time until the process is killed. */
+enum { ST_MAX_PEERS = 9, ST_TEXT = 128, ST_STOP_PERCENT = 90 };
 
 struct st_peer {
     char name[32];
@@ -17,6 +18,12 @@
     char domain[32];
 };
 
+/* An address given as "ip:port"; port 0: none is given. */
+struct st_addr {
+    char ip[46];
+    int port;
+};
+
 struct st_settings {
     char cluster[64], secret[ST_TEXT], secret_file[256];
     char name[32], domain[32];
@@ -31,6 +38,15 @@
     int platform_port;
     int n_voters;
     struct st_peer voters[ST_MAX_PEERS];
+    struct st_addr entry_addr, ops_addr; /* in place of ip and port, where given */
+    struct st_addr sessions;             /* callers' sessions by lines */
+    struct st_addr promotions;           /* where changes of primary are ordered */
+    int grace_ms; /* from the order to stop until the process is killed; 0 not known */
+    int n_seeds;
+    struct st_addr seeds[ST_MAX_PEERS]; /* operators' addresses of some control nodes */
+    bool registers; /* instances register themselves, operators send whole documents */
+    bool bootstrap;
+    int tolerates;  /* control nodes that may be lost at once */
     json_t *groups; /* bootstrap list; owned */
     int lease_ms, election_ms, heartbeat_ms, probe_ms, silence_ms, check_ms;
     int hold_ms, hand_ms, attempt_ms;
--- a/settings/table.h
+++ b/settings/table.h
@@ -4,7 +4,18 @@
 
 #include <stddef.h>
 
-enum st_type { T_TEXT, T_IP, T_INT, T_FLAG, T_ROLES, T_PEERS, T_GROUPS };
+enum st_type {
+    T_TEXT,
+    T_IP,
+    T_INT,
+    T_FLAG,
+    T_ROLES,
+    T_PEERS,
+    T_GROUPS,
+    T_ADDR,
+    T_ADDRS,
+    T_SECS
+};
 
 struct st_option {
     const char *key; /* dotted path */
--- a/task/net.c
+++ b/task/net.c
@@ -497,6 +497,10 @@
     info.timeout_secs = HANDSHAKE_SEC;
     info.keepalive_timeout = 30;
     info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+    /* lws takes an IPv6 socket for every address where the library has IPv6; not every host
+     * has. */
+    if (!strchr(ln->ip, ':'))
+        info.options |= LWS_SERVER_OPTION_DISABLE_IPV6;
     info.vhost_name = ln->ip;
     if (what->raw || what->stream) {
         info.options |= LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -115,6 +115,8 @@
     CU_ASSERT_EQUAL(vw_group(&w, "reg")->phase, VW_REPLACING);
     CU_ASSERT_EQUAL(vw_group(&w, "reg")->term, 2);
     CU_ASSERT_FALSE(leave(&w, 6, "b"));
+    /* What left does not come back by a call that was late. */
+    CU_ASSERT_FALSE(join(&w, 6, "b", 2, true) || join(&w, 6, "a", 1, true));
     CU_ASSERT_TRUE(leave(&w, 6, "c") && leave(&w, 7, "d"));
     /* A group whose instances have all left is read back as it is. */
     json_t *j = vw_view_json(&w);
@@ -123,6 +125,7 @@
     CU_ASSERT_TRUE(vw_view_parse(j, &back, &err));
     CU_ASSERT_EQUAL(back.n, 1);
     CU_ASSERT_EQUAL(back.groups[0].n, 0);
+    CU_ASSERT_TRUE(vw_has_left(&back.groups[0], "a") && vw_has_left(&back.groups[0], "d"));
     json_decref(j);
     vw_free(&back);
     vw_free(&w);
--- a/view/json.c
+++ b/view/json.c
@@ -104,6 +104,29 @@
     return true;
 }
 
+static json_t *left_json(const struct vw_group *g)
+{
+    json_t *a = json_array();
+    int n = g->n_left < VW_MAX_LEFT ? g->n_left : VW_MAX_LEFT;
+    for (int i = 0; i < n; i++) /* oldest first */
+        json_array_append_new(a, json_string(g->left[(g->n_left - n + i) % VW_MAX_LEFT]));
+    return a;
+}
+
+static bool left_parse(const json_t *a, struct vw_group *g, struct er_err *err)
+{
+    size_t i;
+    json_t *x;
+    json_array_foreach(a, i, x)
+    {
+        struct sr_str s = {json_string_value(x), json_string_length(x)};
+        if (i >= VW_MAX_LEFT || !s.p || !sr_copy(g->left[i], VW_NAME, s))
+            return er_set(err, ER_BAD_INPUT, "left: expected at most %d names", VW_MAX_LEFT);
+        g->n_left++;
+    }
+    return true;
+}
+
 json_t *vw_group_json(const struct vw_group *g)
 {
     json_t *inst = json_array();
@@ -113,10 +136,14 @@
     for (int i = 0; i < g->n_starts; i++)
         json_array_append_new(starts, json_pack("[I,I]", (json_int_t)g->starts[i].term,
                                                 (json_int_t)g->starts[i].pos));
-    return json_pack("{s:s,s:s,s:I,s:i,s:i,s:o,s:o,s:I,s:i,s:b}", "name", g->name, "phase",
-                     phase_names[g->phase], "term", (json_int_t)g->term, "primary", g->primary,
-                     "target", g->target, "instances", inst, "starts", starts, "max_age_ms",
-                     (json_int_t)g->max_age_ms, "copies", g->copies, "degraded", g->degraded);
+    json_t *j =
+        json_pack("{s:s,s:s,s:I,s:i,s:i,s:o,s:o,s:I,s:i,s:b}", "name", g->name, "phase",
+                  phase_names[g->phase], "term", (json_int_t)g->term, "primary", g->primary,
+                  "target", g->target, "instances", inst, "starts", starts, "max_age_ms",
+                  (json_int_t)g->max_age_ms, "copies", g->copies, "degraded", g->degraded);
+    if (g->n_left)
+        json_object_set_new(j, "left", left_json(g));
+    return j;
 }
 
 static bool starts_parse(const json_t *a, struct vw_group *g, struct er_err *err)
@@ -166,7 +193,8 @@
     g->copies = (int)copies;
     g->phase = (enum vw_phase)phase;
     g->degraded = json_is_true(json_object_get(j, "degraded"));
-    return starts_parse(json_object_get(j, "starts"), g, err);
+    return starts_parse(json_object_get(j, "starts"), g, err) &&
+           left_parse(json_object_get(j, "left"), g, err);
 }
 
 bool vw_group_parse(const json_t *j, struct vw_group *g, struct er_err *err)
--- a/view/view.c
+++ b/view/view.c
@@ -48,6 +48,16 @@
     return -1;
 }
 
+bool vw_has_left(const struct vw_group *g, const char *id)
+{
+    int n = g->n_left < VW_MAX_LEFT ? g->n_left : VW_MAX_LEFT;
+    for (int i = 0; i < n; i++) {
+        if (strcmp(g->left[i], id) == 0)
+            return true;
+    }
+    return false;
+}
+
 const struct vw_group *vw_owner(const struct vw_view *v, const char *id)
 {
     for (int i = 0; i < v->n; i++) {
@@ -166,6 +176,8 @@
     if (!ch->group[0] || (!g && v->n >= VW_MAX_GROUPS))
         return er_set(err, ER_TOO_LARGE, "group \"%s\": %d groups are the most", ch->group,
                       VW_MAX_GROUPS);
+    if (g && vw_has_left(g, ch->inst.id))
+        return er_set(err, ER_STALE_PLAN, "instance %s has left", ch->inst.id);
     if (g && !owner && g->n >= VW_MAX_INSTANCES && at_address(g, &ch->inst) < 0)
         return er_set(err, ER_CONFLICT, "group %s has %d instances, the most", g->name, g->n);
     return true;
@@ -298,10 +310,13 @@
 
 /* It is gone. If it was the primary, the group has none until one is chosen under the next
  * term. */
-static void apply_leave(struct vw_group *g, const char *id)
+static void apply_leave(struct vw_group *g, const char *who)
 {
+    char id[VW_NAME]; /* `who` may point into the group */
+    sr_copy(id, sizeof(id), sr_from(who));
     int i = vw_instance(g, id);
     bool led = i == g->primary;
+    sr_copy(g->left[g->n_left++ % VW_MAX_LEFT], VW_NAME, sr_from(id));
     remove_instance(g, i);
     if (!led)
         return;
--- a/view/view.h
+++ b/view/view.h
@@ -23,6 +23,7 @@
     VW_MAX_INTENTS = 256,
     VW_MAX_STEPS = 16,
     VW_NAME = 48,
+    VW_MAX_LEFT = 16,             /* instances of a group that left, remembered */
     VW_CHANGE_MAX = 8192,         /* bytes of a change as text, but for a document */
     VW_DOCUMENT_MAX = 256 * 1024, /* bytes of a document */
 };
@@ -57,6 +58,8 @@
     int64_t max_age_ms;                    /* the longest age a read may accept here */
     int copies;                            /* instances that must hold an acknowledged write */
     bool degraded;                         /* confirmed: accept writes with fewer copies */
+    int n_left;                            /* ever; a ring of VW_MAX_LEFT */
+    char left[VW_MAX_LEFT][VW_NAME];       /* they do not come back by a late call */
 };
 
 enum vw_intent_kind {
@@ -144,6 +147,8 @@
 
 struct vw_group *vw_group(const struct vw_view *v, const char *name);
 int vw_instance(const struct vw_group *g, const char *id);
+/* Whether an instance of that id left not long ago. */
+bool vw_has_left(const struct vw_group *g, const char *id);
 /* The group that has an instance of that id, NULL none: ids are unique in a cluster, since
  * shares, probes and evidence go by them. */
 const struct vw_group *vw_owner(const struct vw_view *v, const char *id);
