proxy: a statement after a transaction names its floor again

The log of one session showed "floor 0" with a position known. Ruled out: samples of the primary's position (they were right), the session's own position (right). Change: the floor is left out only inside a transaction.

--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -46,7 +46,8 @@
     struct cg_route *routes; /* by database, then prefix, once cg_check was called */
     int n_services;
     struct cg_service *services;
-    int64_t txn_idle_us; /* a transaction that rests longer may be ended; 0: no bound is given */
+    int64_t
+        txn_idle_us; /* a transaction that rests longer may be ended; 0: no bound is given */
 };
 
 /* How an interface writes documents. */
--- a/control/documents.c
+++ b/control/documents.c
@@ -1,4 +1,5 @@
-/* Configuration documents: checked whole before they are proposed, acknowledged when committed. */
+/* Configuration documents: checked whole before they are proposed, acknowledged when committed.
+ */
 #include "control/control.h"
 #include "member/member.h"
 #include "misc/clock.h"
--- a/control/members.c
+++ b/control/members.c
@@ -81,7 +81,8 @@
         break;
     }
     if (ok)
-        FL_INFO(&n->log, "member %llx %s: %s", (unsigned long long)a->id, names[a->step], a->why);
+        FL_INFO(&n->log, "member %llx %s: %s", (unsigned long long)a->id, names[a->step],
+                a->why);
     else
         FL_DBG(&n->log, "member %llx: %s; tried again", (unsigned long long)a->id, err.text);
 }
--- a/control/takeovers.c
+++ b/control/takeovers.c
@@ -31,7 +31,8 @@
     return map[h];
 }
 
-/* This node's own probes are evidence; what entry nodes report only leads to all being asked. */
+/* This node's own probes are evidence; what entry nodes report only leads to all being asked.
+ */
 static void probed(struct ct_group *g, const char *inst, uint64_t vantage, const char *domain,
                    enum pr_health health)
 {
@@ -82,7 +83,8 @@
         FL_WARN(&n->log, "%s: %s: %s", g->name, vw_change_name(kind), err.text);
 }
 
-static void on_called(struct ct_node *n, const char *group, uint64_t token, enum tk_outcome what)
+static void on_called(struct ct_node *n, const char *group, uint64_t token,
+                      enum tk_outcome what)
 {
     static const char *const names[] = {"carried out", "refused", "no answer"};
     struct ct_group *g = ct_group_of(n, group);
--- a/member/member.c
+++ b/member/member.c
@@ -43,7 +43,8 @@
         if (!n->member || alive(s, n))
             continue;
         if (!n->voter || succeeded(s, n)) {
-            *why = n->voter ? "another identity votes at its address" : "a learner that is gone";
+            *why =
+                n->voter ? "another identity votes at its address" : "a learner that is gone";
             return n;
         }
         if (live >= mb_needed(s->tolerates)) {
--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -5,9 +5,9 @@
 #include "proxy/priv.h"
 
 enum {
-    OPEN_US = 1000000,   /* an instance that does not greet by then is tried anew */
-    ORPHAN_US = 3000000, /* an answer that is later is not waited for */
-    RETRY_US = 100000,   /* after a connect that failed */
+    OPEN_US = 1000000,    /* an instance that does not greet by then is tried anew */
+    ORPHAN_US = 3000000,  /* an answer that is later is not waited for */
+    RETRY_US = 100000,    /* after a connect that failed */
     TOO_MANY_US = 400000, /* the instance has no connection free: others must close some */
 };
 
@@ -34,10 +34,8 @@
 {
     struct sr_buf text = {0};
     c->inst->p->cfg.codec->put_text(&text, st);
-    struct px_msg m = {.kind = PX_STATEMENT,
-                       .text = {text.p, text.len},
-                       .has_floor = has_floor,
-                       .pos = floor};
+    struct px_msg m = {
+        .kind = PX_STATEMENT, .text = {text.p, text.len}, .has_floor = has_floor, .pos = floor};
     bool ok = send_msg(c, &m);
     sr_buf_free(&text);
     return ok;
@@ -56,7 +54,8 @@
 {
     struct sr_buf text = {0};
     const struct px_prepared *run = runs_prepared(s);
-    bool floor = s->has_floor && !s->begun;
+    /* A transaction saw the floor when it began. */
+    bool floor = s->has_floor && s->txn == PX_IDLE;
     struct px_msg m = {.kind = PX_STATEMENT,
                        .id = s->id,
                        .text = s->text,
@@ -68,6 +67,11 @@
         c->inst->p->cfg.codec->put_text(&text, &st);
         m.text = (struct sr_str){text.p, text.len};
     }
+    FL_DBG(&c->inst->p->log,
+           "request %.*s session %llu to %s: floor %d %llu.%llu, seen %llu.%llu, begun %d",
+           (int)s->id.len, s->id.p, (unsigned long long)s->state.session, c->inst->cfg.id,
+           floor, (unsigned long long)s->floor.term, (unsigned long long)s->floor.pos,
+           (unsigned long long)s->seen.term, (unsigned long long)s->seen.pos, s->begun);
     c->phase = PX_C_RUNNING;
     s->sent_at = ck_now();
     s->offers++;
--- a/proxy/place.c
+++ b/proxy/place.c
@@ -1,8 +1,8 @@
 #include "proxy/place.h"
 
 enum {
-    /* The primary's time is what writes need: a read there is taken for dearer by a half. Origin:
-     * a guess that days on the users' bench did not contradict. */
+    /* The primary's time is what writes need: a read there is taken for dearer by a half.
+     * Origin: a guess that days on the users' bench did not contradict. */
     PRIMARY_PERCENT = 150,
     NO_CONN_US = 12000, /* a new connection occupies an instance for so long (users' pages) */
     BEHIND_US = 20000,  /* a refusal costs a trip, and then the read goes elsewhere */
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -37,10 +37,10 @@
     enum px_verb own; /* PX_C_SETUP: which */
     struct px_stmt setup;
     char setup_name[PX_STMT_NAME];
-    int64_t sent_at;  /* what is out; of PX_C_OPENING: the start */
-    uint64_t term;    /* the group's, when it was sent */
-    bool leased;      /* the term was known to be in force then */
-    bool txn;         /* a transaction is open on it */
+    int64_t sent_at; /* what is out; of PX_C_OPENING: the start */
+    uint64_t term;   /* the group's, when it was sent */
+    bool leased;     /* the term was known to be in force then */
+    bool txn;        /* a transaction is open on it */
     bool closing;
     /* the answer as far as it has come */
     struct sr_buf rows; /* as they go to the caller */
@@ -98,7 +98,7 @@
     struct nt_conn *net; /* NULL: the caller has gone */
     struct sr_buf in;
     bool opened, paused;
-    bool reading; /* its input is being worked through */
+    bool reading;  /* its input is being worked through */
     int64_t since; /* it connected, or its last statement ended */
     char database[CG_NAME];
     struct px_state state;
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -109,7 +109,8 @@
 {
     if (p->active)
         return false;
-    return p->n_sessions == 0 || now - p->stop_began > p->cfg.grace_us * STOP_LINGER_PERCENT / 100;
+    return p->n_sessions == 0 ||
+           now - p->stop_began > p->cfg.grace_us * STOP_LINGER_PERCENT / 100;
 }
 
 /* ---- metrics ---- */
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -3,8 +3,8 @@
  * A caller's connection is a session with values, prepared names and the position of its last
  * commit. Statements run on whichever pooled connection is free; the session's values and
  * prepared statements are put there first. A transaction keeps its connection. Which instance
- * serves a read follows from what it must see (catalog/): the instance itself refuses a read whose
- * floor it lacks.
+ * serves a read follows from what it must see (catalog/): the instance itself refuses a read
+ * whose floor it lacks.
  *
  * Runs on the loop's thread. The entry role gives it the view, the lease and the shares. */
 #ifndef FL_PROXY_PROXY_H
@@ -49,7 +49,8 @@
 /* Connections held and wanted, an entry an instance; returns how many. */
 uint32_t px_wants(struct px_proxy *p, struct wr_share *out, uint32_t cap);
 void px_share(struct px_proxy *p, struct sr_str inst, int connections);
-/* The lease is lost: others may be given what this node held, but for one connection an instance. */
+/* The lease is lost: others may be given what this node held, but for one connection an
+ * instance. */
 void px_lease_lost(struct px_proxy *p);
 /* What this node sees of an instance; WR_UNKNOWN: it did not ask lately. */
 enum wr_health px_health(const struct px_proxy *p, struct sr_str inst);
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -64,13 +64,14 @@
     p->c.by_reason[kind]++;
     if (!may_log(p))
         return;
-    FL_INFO(&p->log,
-            "request %.*s session %llu database %s group %s: %s (%s); after %lld ms, offered %d "
-            "times, %s, document %llu",
-            (int)s->id.len, s->id.p, (unsigned long long)s->state.session, s->database,
-            s->route.group, er_name(kind), detail, (long long)((ck_now() - s->arrived) / 1000),
-            s->offers, px_leased(p) ? "leased" : "without a lease",
-            (unsigned long long)p->catalog.version);
+    FL_INFO(
+        &p->log,
+        "request %.*s session %llu database %s group %s: %s (%s); after %lld ms, offered %d "
+        "times, %s, document %llu",
+        (int)s->id.len, s->id.p, (unsigned long long)s->state.session, s->database,
+        s->route.group, er_name(kind), detail, (long long)((ck_now() - s->arrived) / 1000),
+        s->offers, px_leased(p) ? "leased" : "without a lease",
+        (unsigned long long)p->catalog.version);
 }
 
 static void note_success(struct px_session *s)
--- a/proxy/state.h
+++ b/proxy/state.h
@@ -9,9 +9,9 @@
 #include "proxy/wire.h"
 
 enum {
-    PX_MAX_VALUES = 256,    /* of a session */
-    PX_MAX_PREPARED = 256,  /* of a session */
-    PX_MAX_ON_CONN = 128,   /* prepared statements a connection keeps before it starts anew */
+    PX_MAX_VALUES = 256,   /* of a session */
+    PX_MAX_PREPARED = 256, /* of a session */
+    PX_MAX_ON_CONN = 128,  /* prepared statements a connection keeps before it starts anew */
     PX_STMT_NAME = 24,
 };
 
@@ -50,8 +50,8 @@
 const struct px_prepared *px_find_prepared(const struct px_state *s, struct sr_str name);
 void px_state_free(struct px_state *s);
 
-/* The statement that the connection needs next before `run` (NULL: none by name) may run for the
- * session. False: it has all. Strings in *st belong to the state, or to `name`. */
+/* The statement that the connection needs next before `run` (NULL: none by name) may run for
+ * the session. False: it has all. Strings in *st belong to the state, or to `name`. */
 bool px_next_setup(const struct px_state *s, const struct px_applied *a,
                    const struct px_prepared *run, char name[PX_STMT_NAME], struct px_stmt *st);
 /* That statement was acknowledged. */
--- a/proxy/wire.h
+++ b/proxy/wire.h
@@ -1,8 +1,9 @@
 /* What callers whose connection is a session say, and what instances that hold their databases
  * say: the same messages on both sides, as types. A codec (platform/) reads and writes them.
  *
- * On a session: PX_OPEN is answered by PX_READY, or by PX_FAILURE and a close. Each PX_STATEMENT
- * is answered by any PX_ROW, then PX_DONE or PX_FAILURE, then PX_READY. PX_END is the end. */
+ * On a session: PX_OPEN is answered by PX_READY, or by PX_FAILURE and a close. Each
+ * PX_STATEMENT is answered by any PX_ROW, then PX_DONE or PX_FAILURE, then PX_READY. PX_END is
+ * the end. */
 #ifndef FL_PROXY_WIRE_H
 #define FL_PROXY_WIRE_H
 
@@ -32,13 +33,13 @@
 
 struct px_msg {
     enum px_kind kind;
-    struct sr_str database; /* PX_OPEN: of a caller the database, to an instance its group */
-    struct sr_str who;      /* PX_OPEN: any word */
-    struct sr_str expect;   /* PX_OPEN: the instance that is meant; empty: any */
-    struct sr_str id;       /* PX_STATEMENT: empty: the proxy's own */
-    struct sr_str text;     /* PX_STATEMENT */
-    bool has_floor;         /* PX_STATEMENT: the log must hold `pos`, else it is not run */
-    struct sr_str row;      /* PX_ROW */
+    struct sr_str database;  /* PX_OPEN: of a caller the database, to an instance its group */
+    struct sr_str who;       /* PX_OPEN: any word */
+    struct sr_str expect;    /* PX_OPEN: the instance that is meant; empty: any */
+    struct sr_str id;        /* PX_STATEMENT: empty: the proxy's own */
+    struct sr_str text;      /* PX_STATEMENT */
+    bool has_floor;          /* PX_STATEMENT: the log must hold `pos`, else it is not run */
+    struct sr_str row;       /* PX_ROW */
     struct sr_str signature; /* PX_DONE: the instance's; empty: it ran nothing */
     enum er_kind error;      /* PX_FAILURE */
     struct sr_str detail;    /* PX_FAILURE */
@@ -65,10 +66,11 @@
 /* A statement's text, taken apart. */
 struct px_stmt {
     enum px_verb verb;
-    bool read_only;      /* BEGIN: a transaction that only reads */
-    bool writes;         /* PREPARE: what it will do */
-    struct sr_str name;  /* SET, PREPARE, EXECUTE, FORGET */
-    struct sr_str value; /* SET: the value; PREPARE: the shape; EXECUTE: what follows the name */
+    bool read_only;     /* BEGIN: a transaction that only reads */
+    bool writes;        /* PREPARE: what it will do */
+    struct sr_str name; /* SET, PREPARE, EXECUTE, FORGET */
+    struct sr_str
+        value; /* SET: the value; PREPARE: the shape; EXECUTE: what follows the name */
 };
 
 /* What an instance says of itself. */
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -1,5 +1,5 @@
-/* One statement, from its arrival to its answer: where it goes, when it is tried again, and what
- * its caller is told. */
+/* One statement, from its arrival to its answer: where it goes, when it is tried again, and
+ * what its caller is told. */
 #include <stdio.h>
 
 #include "proxy/priv.h"
@@ -9,11 +9,11 @@
      * a refusal then still leaves its caller time to try another node. */
     WAIT_PERCENT = 100,
     LEAST_WAIT_US = 100000,
-    PARK_US = 20000,     /* between two looks at what a parked statement waits for */
-    BUSY_RETRY_US = 15000, /* an instance's queue was full */
+    PARK_US = 20000,        /* between two looks at what a parked statement waits for */
+    BUSY_RETRY_US = 15000,  /* an instance's queue was full */
     BEHIND_FOR_US = 150000, /* an instance that lacked a position probably lacks it so long */
-    /* A read without an answer is asked of another instance after this share of its aim, but not
-     * before a few times what a statement takes there. */
+    /* A read without an answer is asked of another instance after this share of its aim, but
+     * not before a few times what a statement takes there. */
     HEDGE_PERCENT = 45,
     HEDGE_TIMES = 4,
 };
--- a/registry/registry.h
+++ b/registry/registry.h
@@ -1,7 +1,8 @@
 /* Instances that register themselves: what a call of one asks of the replicated view.
  *
- * Pure. Regular calls that tell nothing new change nothing and cost no entry of the log; joining,
- * draining and leaving are changes, and are acknowledged only once they are committed. */
+ * Pure. Regular calls that tell nothing new change nothing and cost no entry of the log;
+ * joining, draining and leaving are changes, and are acknowledged only once they are committed.
+ */
 #ifndef FL_REGISTRY_REGISTRY_H
 #define FL_REGISTRY_REGISTRY_H
 
@@ -18,8 +19,9 @@
 enum rg_need {
     RG_NOTHING, /* acknowledge at once */
     RG_CHANGE,  /* acknowledge when *ch is committed */
-    RG_LATE,    /* an earlier call that came late, or one that left: acknowledge, believe nothing */
-    RG_REFUSE,  /* *err says why */
+    RG_LATE,   /* an earlier call that came late, or one that left: acknowledge, believe nothing
+                */
+    RG_REFUSE, /* *err says why */
 };
 
 /* `last_seq`: of the newest call of this instance that this node has taken; 0 none. */
--- a/takeover/takeover.c
+++ b/takeover/takeover.c
@@ -5,11 +5,11 @@
 
 enum {
 
-    AVOID_US = 2000000,     /* an instance that could not be named is not named again so long */
+    AVOID_US = 2000000, /* an instance that could not be named is not named again so long */
 
-    PROPOSAL_US = 500000,   /* a proposal that was not committed by then is made anew */
-    FRESH_US = 300000,      /* how long all instances that are up may take to say where they are */
-    DEMOTED_US = 400000,    /* a new primary may take so long to say that it is one */
+    PROPOSAL_US = 500000, /* a proposal that was not committed by then is made anew */
+    FRESH_US = 300000,   /* how long all instances that are up may take to say where they are */
+    DEMOTED_US = 400000, /* a new primary may take so long to say that it is one */
 };
 
 /* ---- bookkeeping ---- */
@@ -110,7 +110,8 @@
     return in->health == TK_SILENT || in->health == TK_REFUSED;
 }
 
-static bool can_take_over(const struct tk_group *t, const struct vw_group *g, int i, int64_t now)
+static bool can_take_over(const struct tk_group *t, const struct vw_group *g, int i,
+                          int64_t now)
 {
     const struct tk_inst *in = &t->inst[i];
     return in->health == TK_UP && in->said_at && !g->inst[i].draining && now >= in->avoid_until;
@@ -186,7 +187,8 @@
         return;
     int up = t->checks_up + (p->health == TK_UP), dead = t->checks_down + down(p);
     if (dead > up) {
-        snprintf(t->why, sizeof(t->why), "%.40s: down for %d nodes, up for %d", p->id, dead, up);
+        snprintf(t->why, sizeof(t->why), "%.40s: down for %d nodes, up for %d", p->id, dead,
+                 up);
         replace(t, g, now, out);
         return;
     }
--- a/takeover/takeover.h
+++ b/takeover/takeover.h
@@ -1,9 +1,9 @@
-/* A change of primary where somebody else carries it out: one call with a fencing token names the
- * instance that takes over, and nothing tells afterwards what became of the call.
+/* A change of primary where somebody else carries it out: one call with a fencing token names
+ * the instance that takes over, and nothing tells afterwards what became of the call.
  *
- * Pure; run by the control leader for one group. Unlike promote/, the instances obey no fence of
- * ours: the old primary stops leading when the call is carried out. So the entry nodes drop the
- * old term first (confirmed, or their leases ran out), and the outcome is read from the
+ * Pure; run by the control leader for one group. Unlike promote/, the instances obey no fence
+ * of ours: the old primary stops leading when the call is carried out. So the entry nodes drop
+ * the old term first (confirmed, or their leases ran out), and the outcome is read from the
  * instances. The token is the term, which the log gives out once:
  *
  *   down for this leader or for entry nodes -> ask all entry nodes; more see it down than up
@@ -12,8 +12,8 @@
  *     -> the instance that received most -> one call under this term
  *     -> it says that it leads -> propose PRIMARY
  *
- * A call without an answer may be carried out later: the next is made under a higher term, which
- * fences it, and nothing is concluded while a call for another instance may be out. */
+ * A call without an answer may be carried out later: the next is made under a higher term,
+ * which fences it, and nothing is concluded while a call for another instance may be out. */
 #ifndef FL_TAKEOVER_TAKEOVER_H
 #define FL_TAKEOVER_TAKEOVER_H
 
@@ -38,7 +38,7 @@
     bool says_primary;
     uint64_t term; /* the platform's, of its log */
     struct ps_pos received;
-    int64_t said_at; /* when that was said; 0 never */
+    int64_t said_at;     /* when that was said; 0 never */
     int64_t avoid_until; /* a call for it was refused */
 };
 
@@ -56,9 +56,9 @@
     struct tk_config cfg;
     enum tk_step step;
     int64_t step_at;
-    uint64_t term;  /* of the attempt; 0 none of this leader's */
-    int target;     /* index; -1 none */
-    bool answered;  /* the call under `term` was carried out */
+    uint64_t term;           /* of the attempt; 0 none of this leader's */
+    int target;              /* index; -1 none */
+    bool answered;           /* the call under `term` was carried out */
     char open_call[VW_NAME]; /* instance of calls whose outcome is open; "" none */
     bool open_mixed;         /* such calls name different instances */
     int checks_out, checks_up, checks_down;
@@ -94,7 +94,7 @@
 };
 
 enum tk_outcome {
-    TK_DONE,    /* carried out: all earlier calls are fenced */
+    TK_DONE,         /* carried out: all earlier calls are fenced */
     TK_REFUSED_CALL, /* not carried out: a higher token was seen, or it does not run */
     TK_NO_ANSWER,    /* may be carried out later */
 };
@@ -112,7 +112,8 @@
 void tk_checked(struct tk_group *t, uint64_t nonce, enum tk_health health);
 /* The outcome of the call under `term`. */
 void tk_called(struct tk_group *t, uint64_t term, enum tk_outcome what, int64_t now);
-/* Decide. `dropped`: no entry node acts on a view older than the change that began the phase. */
+/* Decide. `dropped`: no entry node acts on a view older than the change that began the phase.
+ */
 void tk_tick(struct tk_group *t, const struct vw_group *g, bool dropped, int64_t now,
              struct tk_actions *out);
 
