quorum: a voter that starts again grants no vote for an election timeout

Cause: found by reading. The vouching of a leader rests on voters that refuse votes while they heard it lately; a voter that crashed and came back within the timeout had forgotten. A new leader could be elected while the old one still answered reads of the configuration and granted leases. Change: a start with a term on disk counts as having heard a leader just then. The exploration also checks that no two leaders are vouched for at a time. Ruled out: persisting the time (a clock of another start).

--- a/quorum/core.h
+++ b/quorum/core.h
@@ -47,6 +47,7 @@
 
     int64_t deadline;     /* of the election timer */
     int64_t heard_leader; /* when a leader of this term was last heard */
+    int64_t quiet_until;  /* started again: it may have vouched for a leader until then */
     int64_t leader_since, next_beat;
     uint64_t round;
     int64_t round_sent[ROUNDS];
--- a/quorum/elect.c
+++ b/quorum/elect.c
@@ -109,6 +109,8 @@
 {
     if (q->role == QR_LEADER)
         return qc_quorum_contact(q) + q->cfg.election_us > now;
+    if (now < q->quiet_until)
+        return true;
     return q->leader && now - q->heard_leader < q->cfg.election_us;
 }
 
--- a/quorum/quorum.c
+++ b/quorum/quorum.c
@@ -243,6 +243,8 @@
     qc_refresh_members(q);
     q->commit = q->applied = r->snap_index;
     q->durable = qc_last_index(q);
+    bool quiet = r->term && !cfg->fault.no_quiet;
+    q->quiet_until = quiet ? now + cfg->election_us : now;
     qc_reset_timer(q, now);
     return q;
 }
--- a/quorum/quorum.h
+++ b/quorum/quorum.h
@@ -113,7 +113,7 @@
     void *ud;
     /* For the exploration only: switch a safeguard off and see it found. */
     struct {
-        bool commit_old_terms, no_vote_check, ack_before_sync, forget_vote;
+        bool commit_old_terms, no_vote_check, ack_before_sync, forget_vote, no_quiet;
     } fault;
 };
 
--- a/tests/unit/cluster_sim.c
+++ b/tests/unit/cluster_sim.c
@@ -271,7 +271,8 @@
     cfg.fault.commit_old_terms = s->o->commit_old_terms;
     cfg.fault.no_vote_check = s->o->no_vote_check;
     cfg.fault.ack_before_sync = s->o->ack_before_sync;
-    cfg.fault.forget_vote = s->o->forget_vote;
+    cfg.fault.forget_vote = s->o->forget_vote || s->o->forget_vote_no_quiet;
+    cfg.fault.no_quiet = s->o->no_quiet || s->o->forget_vote_no_quiet;
     struct qr_restore r = {.term = n->d.term,
                            .vote = n->d.vote,
                            .snap_index = n->d.snap_index,
@@ -435,6 +436,21 @@
         qr_compact(n->q, n->applied, (const char *)&n->hash, sizeof(n->hash));
 }
 
+/* What a leader answers while it is vouched for must be the newest: nobody else leads by then.
+ */
+static void check_vouched(struct sim *s)
+{
+    int first = -1;
+    for (int i = 0; i < CS_NODES; i++) {
+        const struct node *n = &s->n[i];
+        if (!n->up || s->now >= qr_vouched_until(n->q))
+            continue;
+        if (first >= 0)
+            broken(s, "two leaders are vouched for at a time", (uint64_t)first, (uint64_t)i);
+        first = i;
+    }
+}
+
 static void one_step(struct sim *s)
 {
     uint64_t d = rn_below(&s->rng, 1000);
@@ -497,8 +513,10 @@
             s->n[i].d.members = first;
         boot(s, i);
     }
-    for (r.step = 0; r.step < o->steps && r.ok; r.step++)
+    for (r.step = 0; r.step < o->steps && r.ok; r.step++) {
         one_step(s);
+        check_vouched(s);
+    }
     end(s);
     return r;
 }
--- a/tests/unit/cluster_sim.h
+++ b/tests/unit/cluster_sim.h
@@ -14,7 +14,9 @@
     int steps;
     bool members; /* change members during the schedule */
     bool commit_old_terms, no_vote_check, ack_before_sync, forget_vote;
-    bool trace; /* print the schedule */
+    bool no_quiet;
+    bool forget_vote_no_quiet; /* both: each hides what the other's absence does */
+    bool trace;                /* print the schedule */
 };
 
 struct cs_result {
--- a/tests/unit/explore.c
+++ b/tests/unit/explore.c
@@ -102,7 +102,7 @@
         size_t at;
     } faults[] = {{"no_vote_check", offsetof(struct cs_options, no_vote_check)},
                   {"ack_before_sync", offsetof(struct cs_options, ack_before_sync)},
-                  {"forget_vote", offsetof(struct cs_options, forget_vote)}};
+                  {"forget_vote, no_quiet", offsetof(struct cs_options, forget_vote_no_quiet)}};
     int n = sizeof(faults) / sizeof(faults[0]);
     for (int i = 0; i < n; i++)
         failed += !finds(faults[i].name, faults[i].at, steps);
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -241,6 +241,38 @@
     CU_ASSERT_TRUE(commits_old_term(true)); /* the test sees the mistake */
 }
 
+/* A voter that starts again may have vouched for a leader just before: that leader counts on it
+ * for an election timeout. */
+static bool votes_at(int64_t at)
+{
+    struct qr_config cfg = {
+        .self = 1, .election_us = CK_MS(250), .heartbeat_us = CK_MS(50), .sink = &sink};
+    struct qr_restore r = {
+        .term = 3,
+        .members = {
+            3, {{1, true, "", "", 0, ""}, {2, true, "", "", 0, ""}, {3, true, "", "", 0, ""}}}};
+    n_sent = 0;
+    last_seq = 0;
+    struct qr *q = qr_create(&cfg, &r, 0);
+    struct qr_msg ask = {.type = QR_PREVOTE, .from = 2, .to = 1, .term = 4};
+    qr_receive(q, &ask, CK_MS(at));
+    bool pre = n_sent > 0 && sent[n_sent - 1].ok;
+    ask.type = QR_VOTE;
+    qr_receive(q, &ask, CK_MS(at));
+    qr_persisted(q, last_seq, CK_MS(at));
+    bool vote = n_sent > 0 && sent[n_sent - 1].type == QR_VOTE_R && sent[n_sent - 1].ok;
+    qr_destroy(q);
+    CU_ASSERT_EQUAL(pre, vote);
+    return vote;
+}
+
+static void restarted_voter_keeps_what_it_vouched_for(void)
+{
+    CU_ASSERT_FALSE(votes_at(10));
+    CU_ASSERT_FALSE(votes_at(249));
+    CU_ASSERT_TRUE(votes_at(251));
+}
+
 static void schedules_hold(void)
 {
     for (uint64_t seed = 1; seed <= 60; seed++) {
@@ -260,5 +292,6 @@
     TEST(s, vouching_is_counted_from_the_sending);
     TEST(s, behind_learner_does_not_become_a_voter);
     TEST(s, old_terms_are_not_counted);
+    TEST(s, restarted_voter_keeps_what_it_vouched_for);
     TEST(s, schedules_hold);
 }
