pool: the remainder of an instance's connections is dealt out; a new leader deals at once

Cause: 22 connections among 12 nodes gave each one and left ten unused, since targets were the whole water level; after the loss of all power no node had a connection for 1.3 s, the time in which an earlier leader's shares might be out; a killed node's connection stayed counted for 60 s. Change: what is over the level goes out one by one, to holders first; where instances count their connections themselves (the platform's do, and refuse one too many) a new leader does not wait and forgets a dead node after 3 s, as the instances do. Ruled out: asking for fewer. Two tests, seen failing with the old dealing.

--- a/control/control.c
+++ b/control/control.c
@@ -7,7 +7,13 @@
 
 #include "misc/clock.h"
 
-enum { TICK_US = 5000, STOP_US = 1000000 };
+enum {
+    TICK_US = 5000,
+    STOP_US = 1000000,
+    /* The platform's instances drop a connection whose far end is dark after 3 s (its pages).
+     */
+    OUTSIDE_FORGET_US = 3000000,
+};
 
 bool ct_vouched(const struct ct_node *n)
 {
@@ -52,7 +58,11 @@
     n->force_gen = 0;
     n->in_force_since = 0;
     ls_giver_begin(&n->giver, CK_MS(n->s->lease_ms), now, first);
-    sh_begin(&n->shares, first ? now : now + CK_MS(n->s->lease_ms) * 11 / 10);
+    /* Instances that count their connections themselves refuse one too many, at the cost of a
+     * try: a new leader need not wait for its predecessor's shares. */
+    bool waits = !first && !n->outside;
+    sh_begin(&n->shares, waits ? now + CK_MS(n->s->lease_ms) * 11 / 10 : now);
+    n->shares.forget_us = n->outside ? OUTSIDE_FORGET_US : 0;
     ct_watch_begin(n);
     ct_groups_sync(n);
     for (struct ct_conn *c = n->conns; c; c = c->next) {
--- a/pool/shares.c
+++ b/pool/shares.c
@@ -120,13 +120,13 @@
 }
 
 /* Nodes whose lease ran out keep one connection for a while, then none. */
-static void expire(struct sh_inst *in, int64_t now)
+static void expire(struct sh_inst *in, int64_t forget_us, int64_t now)
 {
     for (int i = 0; i < in->n; i++) {
         struct sh_node *n = &in->nodes[i];
         if (now < n->until)
             continue;
-        if (now >= n->until + SH_FORGET_US) {
+        if (now >= n->until + forget_us) {
             *n = in->nodes[--in->n];
             i--;
             continue;
@@ -158,12 +158,39 @@
     }
 }
 
+/* What stays over the water level goes out one by one: first to those that hold one more
+ * already, so that nothing is moved for nothing, then to whoever wants most. */
+static void deal_remainder(const struct sh_inst *in, int64_t now, int level, int room,
+                           bool *more)
+{
+    memset(more, 0, sizeof(*more) * (size_t)in->n);
+    for (int i = 0; i < in->n; i++) {
+        const struct sh_node *n = &in->nodes[i];
+        if (now < n->until)
+            room -= n->want < level ? n->want : level;
+    }
+    for (; room > 0; room--) {
+        int best = -1;
+        for (int i = 0; i < in->n; i++) {
+            const struct sh_node *n = &in->nodes[i], *b = best < 0 ? NULL : &in->nodes[best];
+            if (now >= n->until || more[i] || n->want <= level)
+                continue;
+            bool has = n->counted > level, b_has = b && b->counted > level;
+            if (!b || (has && !b_has) || (has == b_has && n->want > b->want))
+                best = i;
+        }
+        if (best < 0)
+            return;
+        more[best] = true;
+    }
+}
+
 bool sh_balance(struct sh_table *t, const char *inst, int64_t now)
 {
     struct sh_inst *in = find(t, inst);
     if (!in || now < t->quiet_until)
         return false;
-    expire(in, now);
+    expire(in, t->forget_us ? t->forget_us : SH_FORGET_US, now);
     in->next_expiry = now + EXPIRY_US;
     int room = in->limit - in->reserve;
     for (int i = 0; i < in->n; i++) {
@@ -172,13 +199,15 @@
     }
     int level = water_level(in, now, room);
     int free_now = in->limit - in->reserve - sum(in);
+    bool *more = sr_alloc(sizeof(*more) * (size_t)(in->n + 1));
+    deal_remainder(in, now, level, room, more);
     bool changed = false;
     for (int i = 0; i < in->n; i++) {
         struct sh_node *n = &in->nodes[i];
         if (now >= n->until)
             continue;
         int want = n->want;
-        int next = want < level ? want : level;
+        int next = want < level + more[i] ? want : level + more[i];
         /* Growth only out of what nobody may hold now; shrinking is asked for at once. */
         int grow = next - n->counted;
         if (grow > free_now)
@@ -192,6 +221,7 @@
             n->told = UINT64_MAX; /* unconfirmed until it has been told */
         n->target = next;
     }
+    free(more);
     assert(sum(in) <= in->limit - in->reserve || free_now < 0);
     return changed;
 }
--- a/pool/shares.h
+++ b/pool/shares.h
@@ -3,7 +3,7 @@
  * Invariant, at every step: for each instance, the sum over entry nodes of what each may hold
  * is at most the instance's limit less the reserve. A node's share shrinks only when the node
  * has confirmed it, or its lease has run out; then one connection stays counted for
- * SH_FORGET_US, since a node without a lease keeps one for reads that need none. */
+ * forget_us, since a node without a lease keeps one for reads that need none. */
 #ifndef FL_POOL_SHARES_H
 #define FL_POOL_SHARES_H
 
@@ -14,7 +14,7 @@
 #include "misc/index.h"
 
 enum { SH_ID = 48 };
-#define SH_FORGET_US CK_SEC(60)
+#define SH_FORGET_US CK_SEC(60) /* the default of forget_us */
 
 struct sh_node {
     uint64_t id;
@@ -34,6 +34,7 @@
 };
 
 struct sh_table {
+    int64_t forget_us;   /* 0: SH_FORGET_US */
     int64_t quiet_until; /* earlier leaders' shares may be out until then */
     int n, cap;
     struct sh_inst *inst;
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -116,6 +116,36 @@
     CU_ASSERT_EQUAL(report(2, 0, 100, 1000, 2000), 11);
 }
 
+/* 22 among 12 that want five each: ten have two, two have one, and none is left over. */
+static void remainder_is_dealt_out(void)
+{
+    int sum = 0, least = 9, most = 0, has[13] = {0};
+    fresh(0);
+    for (int round = 0; round < 6; round++) {
+        sum = most = 0;
+        least = 9;
+        for (uint64_t node = 1; node <= 12; node++) {
+            has[node] = report(node, has[node], 5, 100000, round);
+            sum += has[node];
+            least = has[node] < least ? has[node] : least;
+            most = has[node] > most ? has[node] : most;
+        }
+    }
+    CU_ASSERT_EQUAL(sum, 22);
+    CU_ASSERT_EQUAL(least, 1);
+    CU_ASSERT_EQUAL(most, 2);
+}
+
+static void forgetting_can_be_sooner(void)
+{
+    fresh(0);
+    t.forget_us = 3000;
+    report(1, 0, 100, 0, 0);
+    CU_ASSERT_EQUAL(report(2, 0, 100, 1, LEASE + 1), 21);
+    CU_ASSERT_EQUAL(report(2, 21, 100, 1000, LEASE + 3002), 22);
+    t.forget_us = 0;
+}
+
 static void dead_nodes_share_comes_back_late(void)
 {
     fresh(0);
@@ -241,6 +271,8 @@
 {
     CU_pSuite s = CU_add_suite("shares", NULL, NULL);
     TEST(s, demand_is_followed);
+    TEST(s, remainder_is_dealt_out);
+    TEST(s, forgetting_can_be_sooner);
     TEST(s, dead_nodes_share_comes_back_late);
     TEST(s, new_leader_deals_nothing_new_at_first);
     TEST(s, given_up_share_is_free_at_once);
