proxy: a replica that lacked a position is not asked for it again at once

Change: an instance that refused a position is left out for 250 ms for positions that it was not heard to have; if nobody else can serve, the read waits.

--- a/proxy/place.c
+++ b/proxy/place.c
@@ -5,21 +5,24 @@
      * Origin: a guess that days on the users' bench did not contradict. */
     PRIMARY_PERCENT = 150,
     NO_CONN_US = 12000, /* a new connection occupies an instance for so long (users' pages) */
-    BEHIND_US = 20000,  /* a refusal costs a trip, and then the read goes elsewhere */
     DISTANCE_US = 1500, /* a trip to another failure domain and back */
     NOISE_PERCENT = 10, /* nodes that know the same do not all choose the same */
 };
 
-static int64_t cost(const struct px_candidate *c, bool has_floor, struct ps_pos floor,
-                    int64_t now, struct rn_rng *rng)
+/* It refused a position like this a moment ago, and was not heard to have it since. */
+static bool lacks(const struct px_candidate *c, bool has_floor, struct ps_pos floor,
+                  int64_t now)
+{
+    return has_floor && !c->primary && now < c->behind_until && ps_cmp(c->known, floor) < 0;
+}
+
+static int64_t cost(const struct px_candidate *c, struct rn_rng *rng)
 {
     int64_t us = c->service_us * (1 + c->waiting);
     if (c->primary)
         us = us * PRIMARY_PERCENT / 100;
     if (!c->free_conn)
         us += NO_CONN_US;
-    if (has_floor && !c->primary && now < c->behind_until && ps_cmp(c->known, floor) < 0)
-        us += BEHIND_US;
     us += (int64_t)c->distance * DISTANCE_US;
     return us + us * (int64_t)rn_below(rng, NOISE_PERCENT) / 100;
 }
@@ -30,9 +33,9 @@
     int best = -1;
     int64_t best_us = 0;
     for (int i = 0; i < n; i++) {
-        if (!c[i].usable)
+        if (!c[i].usable || lacks(&c[i], has_floor, floor, now))
             continue;
-        int64_t us = cost(&c[i], has_floor, floor, now, rng);
+        int64_t us = cost(&c[i], rng);
         if (best >= 0 && us >= best_us)
             continue;
         best = i;
--- a/proxy/place.h
+++ b/proxy/place.h
@@ -25,7 +25,8 @@
     int64_t behind_until; /* it refused a floor like this; not before then */
 };
 
-/* The index, or -1. `floor`: what the read must see; has_floor false: anything. */
+/* The index, or -1: none is there, or those that are lack the floor. `floor`: what the read
+ * must see; has_floor false: anything. */
 int px_place(const struct px_candidate *c, int n, bool has_floor, struct ps_pos floor,
              int64_t now, struct rn_rng *rng);
 
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -9,9 +9,11 @@
      * a refusal then still leaves its caller time to try another node. */
     WAIT_PERCENT = 100,
     LEAST_WAIT_US = 100000,
-    PARK_US = 20000,        /* between two looks at what a parked statement waits for */
-    BUSY_RETRY_US = 15000,  /* an instance's queue was full */
-    BEHIND_FOR_US = 150000, /* an instance that lacked a position probably lacks it so long */
+    PARK_US = 20000,       /* between two looks at what a parked statement waits for */
+    BUSY_RETRY_US = 15000, /* an instance's queue was full */
+    /* An instance that lacked a position is not asked for one like it so long. Origin: measured
+     * days; asked at once again, two lagging replicas cost 600 vain questions a second. */
+    BEHIND_FOR_US = 250000,
     /* A read without an answer is asked of another instance after this share of its aim, but
      * not before a few times what a statement takes there. */
     HEDGE_PERCENT = 45,
@@ -227,6 +229,9 @@
     struct px_inst *in = c->inst;
     int64_t now = ck_now();
     bool primary_only = needs_primary(s);
+    FL_DBG(&s->p->log, "request %.*s session %llu: instance %s answers %s; attempt %d",
+           (int)s->id.len, s->id.p, (unsigned long long)s->state.session, in->cfg.id,
+           er_name(c->error), s->attempts + 1);
     switch (c->error) {
     case ER_BEHIND:
         s->p->c.behind++;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -25,6 +25,10 @@
     check_suite();
     engine_suite();
     net_suite();
+    proxy_suite();
+    takeover_suite();
+    member_suite();
+    lines_suite();
     CU_basic_set_mode(CU_BRM_NORMAL);
     CU_basic_run_tests();
     unsigned failed = CU_get_number_of_tests_failed();
--- /dev/null
+++ b/tests/unit/test_member.c
@@ -0,0 +1,183 @@
+/* Who votes, instances that register themselves, and what documents say. */
+#include <stdio.h>
+#include <string.h>
+
+#include "catalog/catalog.h"
+#include "member/member.h"
+#include "registry/registry.h"
+#include "tests/unit/unit.h"
+
+/* ---- voters ---- */
+
+static struct mb_node node(uint64_t id, const char *ip, bool voter)
+{
+    return (struct mb_node){
+        .id = id, .ip = ip, .member = voter, .voter = voter, .connected = true, .caught_up = true};
+}
+
+/* Three voters, the first leads; one loss is to be borne. */
+static struct mb_state three(void)
+{
+    struct mb_state s = {.self = 1, .tolerates = 1, .n = 3};
+    s.node[0] = node(1, "10.0.0.1", true);
+    s.node[1] = node(2, "10.0.0.2", true);
+    s.node[2] = node(3, "10.0.0.3", true);
+    return s;
+}
+
+static void expect(const struct mb_state *s, enum mb_step step, uint64_t id)
+{
+    struct mb_action a = mb_next(s);
+    CU_ASSERT_EQUAL(a.step, step);
+    CU_ASSERT_EQUAL(a.id, id);
+}
+
+static void emptied_disk_learns_votes_and_replaces(void)
+{
+    struct mb_state s = three();
+    expect(&s, MB_NONE, 0);
+    s.node[2].heard_us = MB_GONE_US;
+    s.node[2].connected = false;
+    expect(&s, MB_NONE, 0); /* a voter that is away for a while stays one */
+    s.node[s.n++] = node(33, "10.0.0.3", false);
+    expect(&s, MB_ADD, 33);
+    s.node[3].member = true;
+    s.node[3].caught_up = false;
+    expect(&s, MB_NONE, 0); /* it must hold everything first */
+    s.node[3].caught_up = true;
+    expect(&s, MB_VOTER, 33);
+    s.node[3].voter = true;
+    expect(&s, MB_REMOVE, 3);
+}
+
+static void successor_at_another_address(void)
+{
+    struct mb_state s = three();
+    s.node[1].heard_us = MB_GONE_US;
+    s.node[s.n++] = node(4, "10.0.0.9", true);
+    expect(&s, MB_REMOVE, 2);
+    s.node[3].heard_us = MB_GONE_US; /* with two there nobody is removed */
+    expect(&s, MB_NONE, 0);
+}
+
+static void every_disk_votes(void)
+{
+    struct mb_state s = three();
+    s.tolerates = 2;
+    s.node[s.n++] = node(4, "10.0.0.4", false);
+    s.node[s.n++] = node(5, "10.0.0.5", false);
+    expect(&s, MB_ADD, 4);
+    s.node[3] = node(4, "10.0.0.4", true);
+    s.node[4] = node(5, "10.0.0.5", true);
+    s.node[2].heard_us = MB_GONE_US;
+    expect(&s, MB_NONE, 0); /* five are needed */
+    s.node[s.n++] = node(6, "10.0.0.6", true);
+    expect(&s, MB_REMOVE, 3);
+}
+
+/* ---- instances ---- */
+
+static struct rg_beat beat(const char *id, int port, bool primary, uint64_t seq)
+{
+    struct rg_beat b = {.group = "reg", .primary = primary, .seq = seq};
+    strcpy(b.inst.id, id);
+    strcpy(b.inst.ip, "10.0.0.1");
+    b.inst.port = port;
+    b.inst.max_conns = 9;
+    b.inst.slots = 3;
+    return b;
+}
+
+static enum rg_need tell(struct vw_view *v, const struct rg_beat *b, uint64_t last)
+{
+    struct vw_change ch;
+    struct er_err err = {0};
+    enum rg_need need = rg_beat(v, b, last, &ch, &err);
+    if (need == RG_CHANGE)
+        CU_ASSERT_TRUE(vw_apply(v, v->generation + 1, &ch, &err));
+    return need;
+}
+
+static void instances_calls(void)
+{
+    struct vw_view w;
+    struct vw_change ch;
+    struct er_err err = {0};
+    vw_init(&w);
+    struct rg_beat a = beat("a", 1, true, 5), b = beat("b", 2, false, 1);
+    CU_ASSERT_EQUAL(tell(&w, &a, 0), RG_CHANGE);
+    CU_ASSERT_EQUAL(tell(&w, &a, 4), RG_NOTHING);
+    CU_ASSERT_EQUAL(tell(&w, &a, 5), RG_LATE); /* the same call again, or an older one */
+    CU_ASSERT_EQUAL(tell(&w, &b, 0), RG_CHANGE);
+    b.inst.draining = true;
+    CU_ASSERT_EQUAL(tell(&w, &b, 1 - 1), RG_CHANGE);
+    CU_ASSERT_TRUE(w.groups[0].inst[1].draining);
+    b.inst.draining = false; /* another leader does not know its numbers */
+    CU_ASSERT_EQUAL(tell(&w, &b, 0), RG_NOTHING);
+    CU_ASSERT_TRUE(w.groups[0].inst[1].draining);
+    CU_ASSERT_EQUAL(rg_leave(&w, "b", &ch), RG_CHANGE);
+    CU_ASSERT_TRUE(vw_apply(&w, 90, &ch, &err));
+    CU_ASSERT_EQUAL(rg_leave(&w, "b", &ch), RG_LATE);
+    CU_ASSERT_EQUAL(tell(&w, &b, 0), RG_LATE);
+    vw_free(&w);
+}
+
+/* ---- documents ---- */
+
+static struct cg_catalog two_routes(void)
+{
+    struct cg_catalog c = {.version = 3, .n_routes = 2, .n_services = 1};
+    c.routes = calloc(2, sizeof(*c.routes));
+    c.services = calloc(1, sizeof(*c.services));
+    strcpy(c.services[0].group, "reg");
+    for (int i = 0; i < 2; i++) {
+        strcpy(c.routes[i].database, i ? "alpha" : "beta");
+        strcpy(c.routes[i].group, "reg");
+        c.routes[i].limit_us = 1;
+    }
+    return c;
+}
+
+static bool good(struct cg_catalog c)
+{
+    struct er_err err = {0};
+    bool ok = cg_check(&c, &err);
+    CU_ASSERT_TRUE(ok || err.kind == ER_BAD_INPUT);
+    cg_free(&c);
+    return ok;
+}
+
+static void documents_are_checked_whole(void)
+{
+    struct cg_catalog c = two_routes();
+    struct er_err err = {0};
+    CU_ASSERT_TRUE(cg_check(&c, &err));
+    CU_ASSERT_STRING_EQUAL(cg_route(&c, SR_LIT("beta"))->database, "beta");
+    CU_ASSERT_STRING_EQUAL(cg_route(&c, SR_LIT("alpha"))->database, "alpha");
+    CU_ASSERT_PTR_NULL(cg_route(&c, SR_LIT("alph")));
+    CU_ASSERT_PTR_NULL(cg_route(&c, SR_LIT("alphab")));
+    CU_ASSERT_PTR_NULL(cg_route(&c, SR_LIT("")));
+    cg_free(&c);
+    c = two_routes();
+    strcpy(c.routes[1].database, "beta");
+    CU_ASSERT_FALSE(good(c));
+    c = two_routes();
+    strcpy(c.routes[1].group, "other");
+    CU_ASSERT_FALSE(good(c));
+    c = two_routes();
+    c.routes[0].limit_us = 0;
+    CU_ASSERT_FALSE(good(c));
+    c = two_routes();
+    c.version = 0;
+    CU_ASSERT_FALSE(good(c));
+}
+
+void member_suite(void)
+{
+    CU_pSuite s = CU_add_suite("member", NULL, NULL);
+    TEST(s, emptied_disk_learns_votes_and_replaces);
+    TEST(s, successor_at_another_address);
+    TEST(s, every_disk_votes);
+    TEST(s, instances_calls);
+    TEST(s, documents_are_checked_whole);
+}
--- /dev/null
+++ b/tests/unit/test_proxy.c
@@ -0,0 +1,148 @@
+/* The session proxy's pure parts: a session's state on shared connections, and which instance
+ * serves a read. */
+#include <string.h>
+
+#include "proxy/place.h"
+#include "proxy/state.h"
+#include "tests/unit/unit.h"
+
+/* ---- placing reads ---- */
+
+static struct px_candidate at(bool primary, int waiting)
+{
+    return (struct px_candidate){.usable = true,
+                                 .primary = primary,
+                                 .free_conn = true,
+                                 .waiting = waiting,
+                                 .service_us = 20000};
+}
+
+static void reads_go_where_they_are_served_soonest(void)
+{
+    struct rn_rng rng = rn_seed(1);
+    struct ps_pos none = {0};
+    struct px_candidate c[3] = {at(true, 0), at(false, 0), at(false, 3)};
+    CU_ASSERT_EQUAL(px_place(c, 3, false, none, 0, &rng), 1);
+    c[1].waiting = 8;
+    CU_ASSERT_EQUAL(px_place(c, 3, false, none, 0, &rng), 0); /* the primary serves reads too */
+    c[0].usable = c[1].usable = c[2].usable = false;
+    CU_ASSERT_EQUAL(px_place(c, 3, false, none, 0, &rng), -1);
+}
+
+/* A replica that refused a position is not asked for it again at once; when it is heard to have
+ * it, or after a while, it is. */
+static void lagging_replicas_are_left_alone(void)
+{
+    struct rn_rng rng = rn_seed(1);
+    struct ps_pos floor = {3, 100};
+    struct px_candidate c[2] = {at(true, 5), at(false, 0)};
+    c[1].known = (struct ps_pos){3, 99};
+    c[1].behind_until = 1000;
+    CU_ASSERT_EQUAL(px_place(c, 2, true, floor, 999, &rng), 0);
+    CU_ASSERT_EQUAL(px_place(c, 2, true, floor, 1000, &rng), 1);
+    c[1].known.pos = 100;
+    CU_ASSERT_EQUAL(px_place(c, 2, true, floor, 999, &rng), 1);
+    c[1].known.pos = 99;
+    floor.pos = 99;
+    CU_ASSERT_EQUAL(px_place(c, 2, true, floor, 999, &rng), 1);
+    floor.pos = 100;
+    c[0].usable = false; /* nobody else: it waits rather than asks in vain */
+    CU_ASSERT_EQUAL(px_place(c, 2, true, floor, 999, &rng), -1);
+}
+
+/* ---- a session's state ---- */
+
+/* What a connection is asked, one after the other, before the session's statement. */
+static int setup(const struct px_state *s, struct px_applied *a, const struct px_prepared *run,
+                 enum px_verb verbs[8])
+{
+    char name[PX_STMT_NAME];
+    struct px_stmt st;
+    int n = 0;
+    while (n < 8 && px_next_setup(s, a, run, name, &st)) {
+        verbs[n++] = st.verb;
+        px_setup_done(s, a, &st);
+    }
+    return n;
+}
+
+static void values_follow_the_session(void)
+{
+    struct px_state one = {.session = 1}, two = {.session = 2};
+    struct px_applied conn = {0};
+    struct er_err err = {0};
+    enum px_verb v[8];
+    CU_ASSERT_TRUE(px_set(&one, SR_LIT("a"), SR_LIT("1"), &err));
+    CU_ASSERT_TRUE(px_set(&one, SR_LIT("b"), SR_LIT("2"), &err));
+    CU_ASSERT_EQUAL(setup(&one, &conn, NULL, v), 2);
+    CU_ASSERT_EQUAL(setup(&one, &conn, NULL, v), 0);
+    CU_ASSERT_TRUE(px_set(&one, SR_LIT("a"), SR_LIT("3"), &err));
+    CU_ASSERT_EQUAL(setup(&one, &conn, NULL, v), 1); /* only what changed */
+    CU_ASSERT_EQUAL(setup(&two, &conn, NULL, v), 1);
+    CU_ASSERT_EQUAL(v[0], PX_V_DISCARD); /* nothing of another session's stays */
+    CU_ASSERT_EQUAL(setup(&two, &conn, NULL, v), 0);
+    CU_ASSERT_EQUAL(setup(&one, &conn, NULL, v), 2);
+    px_state_free(&one);
+    px_state_free(&two);
+    px_applied_free(&conn);
+}
+
+static void prepared_statements_go_by_their_content(void)
+{
+    struct px_state one = {.session = 1}, two = {.session = 2};
+    struct px_applied conn = {0};
+    struct er_err err = {0};
+    enum px_verb v[8];
+    CU_ASSERT_TRUE(px_prepare(&one, SR_LIT("s"), true, SR_LIT("q1"), &err));
+    CU_ASSERT_TRUE(px_prepare(&two, SR_LIT("s"), true, SR_LIT("q2"), &err));
+    CU_ASSERT_TRUE(px_prepare(&two, SR_LIT("t"), true, SR_LIT("q1"), &err));
+    const struct px_prepared *p1 = px_find_prepared(&one, SR_LIT("s"));
+    const struct px_prepared *p2 = px_find_prepared(&two, SR_LIT("s"));
+    CU_ASSERT_EQUAL(setup(&one, &conn, p1, v), 1);
+    CU_ASSERT_EQUAL(setup(&two, &conn, p2, v), 1);
+    CU_ASSERT_STRING_NOT_EQUAL(px_name_on(&conn, p1), px_name_on(&conn, p2));
+    CU_ASSERT_EQUAL(setup(&two, &conn, px_find_prepared(&two, SR_LIT("t")), v), 0);
+    /* The same name, another shape: the old one is not run. */
+    CU_ASSERT_TRUE(px_prepare(&one, SR_LIT("s"), false, SR_LIT("q1"), &err));
+    CU_ASSERT_EQUAL(setup(&one, &conn, px_find_prepared(&one, SR_LIT("s")), v), 1);
+    CU_ASSERT_TRUE(px_forget(&one, SR_LIT("s"), &err));
+    CU_ASSERT_FALSE(px_forget(&one, SR_LIT("s"), &err));
+    CU_ASSERT_EQUAL(err.kind, ER_NO_STATEMENT);
+    px_state_free(&one);
+    px_state_free(&two);
+    px_applied_free(&conn);
+}
+
+static void a_connection_keeps_a_bounded_number(void)
+{
+    struct px_state s = {.session = 1};
+    struct px_applied conn = {0};
+    struct er_err err = {0};
+    enum px_verb v[8];
+    char shape[16];
+    for (int i = 0; i <= PX_MAX_ON_CONN; i++) {
+        snprintf(shape, sizeof(shape), "q%d", i);
+        CU_ASSERT_TRUE(px_prepare(&s, SR_LIT("s"), false, sr_from(shape), &err));
+        int n = setup(&s, &conn, px_find_prepared(&s, SR_LIT("s")), v);
+        CU_ASSERT_EQUAL(n, i < PX_MAX_ON_CONN ? 1 : 2);
+    }
+    CU_ASSERT_EQUAL(v[0], PX_V_DISCARD);
+    for (int i = 0; i < PX_MAX_VALUES; i++) {
+        snprintf(shape, sizeof(shape), "v%d", i);
+        CU_ASSERT_TRUE(px_set(&s, sr_from(shape), SR_LIT("x"), &err));
+    }
+    CU_ASSERT_FALSE(px_set(&s, SR_LIT("more"), SR_LIT("x"), &err));
+    CU_ASSERT_EQUAL(err.kind, ER_TOO_LARGE);
+    px_state_free(&s);
+    px_applied_free(&conn);
+}
+
+void proxy_suite(void)
+{
+    CU_pSuite s = CU_add_suite("proxy", NULL, NULL);
+    TEST(s, reads_go_where_they_are_served_soonest);
+    TEST(s, lagging_replicas_are_left_alone);
+    TEST(s, values_follow_the_session);
+    TEST(s, prepared_statements_go_by_their_content);
+    TEST(s, a_connection_keeps_a_bounded_number);
+}
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -25,5 +25,9 @@
 void check_suite(void);
 void engine_suite(void);
 void net_suite(void);
+void proxy_suite(void);
+void takeover_suite(void);
+void member_suite(void);
+void lines_suite(void);
 
 #endif
