--- a/proxy/work.c
+++ b/proxy/work.c
@@ -7,8 +7,8 @@
 enum {
     /* Waiting for a connection is given up after this share of what the operation should take:
      * a refusal then still leaves its caller time to try another node. */
-    WAIT_PERCENT = 100,
-    LEAST_WAIT_US = 100000,
+    WAIT_PERCENT = 50,
+    LEAST_WAIT_US = 30000,
     PARK_US = 20000,       /* between two looks at what a parked statement waits for */
     BUSY_RETRY_US = 15000, /* an instance's queue was full */
     /* An instance that lacked a position is not asked for one like it so long. Origin: measured
