quorum, entry: sooner elections after a start; connections asked for with the view

Cause (closing power losses): after the start of all nodes the election waited for a whole random timeout of a lost leader, pre-votes that met a voter's quiet time waited for another, and entry nodes asked for connections one renewal after the view had come. Change: the first timer is one timeout and up to a third, a pre-vote without majority is repeated after a third to two thirds (it changes no term); a node renews at once when instances come to its view and opens its first connection before anybody waits for it.

--- a/entry/link.c
+++ b/entry/link.c
@@ -196,6 +196,8 @@
            (unsigned long long)v->to, (unsigned long long)before);
     en_view_changed(n);
     en_ack_view(n);
+    if (n->px && px_has_news(n->px))
+        n->next_renew = ck_now(); /* connections to new instances are asked for at once */
 }
 
 void en_send_ack(struct en_node *n, uint64_t generation)
--- a/proxy/groups.c
+++ b/proxy/groups.c
@@ -84,8 +84,10 @@
             px_inst_gone(in);
             in = NULL;
         }
-        if (!in)
+        if (!in) {
             in = px_inst_new(g, &v->inst[i]);
+            g->p->news = true;
+        }
         in->cfg = v->inst[i];
         in->at = i;
         next[i] = in;
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -140,6 +140,7 @@
     struct px_inst *gone;     /* not in the view, with connections still */
     struct px_session *sessions, *active;
     int n_sessions;
+    bool news; /* instances came since px_has_news */
     uint64_t numbered;
     struct rn_rng rng;
     int64_t next_slow_tick;
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -52,11 +52,22 @@
     return k;
 }
 
+bool px_has_news(struct px_proxy *p)
+{
+    bool news = p->news;
+    p->news = false;
+    return news;
+}
+
 void px_share(struct px_proxy *p, struct sr_str id, int connections)
 {
     struct px_inst *in = px_inst(p, id);
-    if (in)
-        in->share = connections;
+    if (!in)
+        return;
+    in->share = connections;
+    /* The first is opened before anybody waits for it. */
+    if (in->n_conns == 0 && px_inst_has_room(in, ck_now()))
+        px_conn_open(in);
 }
 
 void px_lease_lost(struct px_proxy *p)
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -48,6 +48,8 @@
 bool px_settled(const struct px_proxy *p);
 /* Connections held and wanted, an entry an instance; returns how many. */
 uint32_t px_wants(struct px_proxy *p, struct wr_share *out, uint32_t cap);
+/* Whether instances came to the view since this was asked last. */
+bool px_has_news(struct px_proxy *p);
 void px_share(struct px_proxy *p, struct sr_str inst, int connections);
 /* The lease is lost: others may be given what this node held, but for one connection an
  * instance. */
--- a/quorum/core.h
+++ b/quorum/core.h
@@ -98,6 +98,7 @@
 
 /* elect.c */
 void qc_reset_timer(struct qr *q, int64_t now);
+void qc_reset_timer_short(struct qr *q, int64_t now, int64_t least);
 void qc_send(struct qr *q, struct qr_msg *m);
 void qc_become_follower(struct qr *q, uint64_t term, uint64_t leader, int64_t now);
 void qc_ask_votes(struct qr *q, enum qr_msg_type type);
--- a/quorum/elect.c
+++ b/quorum/elect.c
@@ -15,6 +15,13 @@
     q->deadline = now + q->cfg.election_us + spread;
 }
 
+/* A start, or a pre-vote that got no majority: nobody leads as far as this node can tell, and
+ * asking again changes no term. So the next try comes sooner than after a leader's silence. */
+void qc_reset_timer_short(struct qr *q, int64_t now, int64_t least)
+{
+    q->deadline = now + least + (int64_t)rn_below(&q->rng, (uint64_t)q->cfg.election_us / 3);
+}
+
 void qc_send(struct qr *q, struct qr_msg *m)
 {
     m->from = q->cfg.self;
@@ -86,7 +93,7 @@
     q->role = QR_PRECANDIDATE;
     q->leader = 0;
     qc_reset_peers(q, now);
-    qc_reset_timer(q, now);
+    qc_reset_timer_short(q, now, q->cfg.election_us / 3);
     if (qc_votes(q) >= qc_quorum_size(q)) {
         qc_become_candidate(q, now);
         return;
--- a/quorum/quorum.c
+++ b/quorum/quorum.c
@@ -245,7 +245,7 @@
     q->durable = qc_last_index(q);
     bool quiet = r->term && !cfg->fault.no_quiet;
     q->quiet_until = quiet ? now + cfg->election_us : now;
-    qc_reset_timer(q, now);
+    qc_reset_timer_short(q, now, cfg->election_us);
     return q;
 }
 
