proxy, entry: a node that is cut off says so and lets its sessions go

Change: not ready 0.3 s after the lease ran out (a lease outlives an election); from then on a statement that needs control's word waits 150 ms and is refused as not run; resting sessions are closed over a second, so that their callers come back elsewhere. Ruled out: reading at the old primary (stale), a relay over other entry nodes (they are cut off from the same side).

--- a/entry/ops.c
+++ b/entry/ops.c
@@ -6,7 +6,7 @@
 
 /* A node whose lease was lost a moment ago still serves what needs none, and an election that
  * all nodes notice must not take all of them out of the balancer at once. */
-enum { READY_WITHOUT_US = 2000000 };
+enum { READY_WITHOUT_US = 300000 };
 
 static void reply_json(const struct nt_http *req, int status, json_t *o)
 {
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -140,7 +140,8 @@
     struct px_inst *gone;     /* not in the view, with connections still */
     struct px_session *sessions, *active;
     int n_sessions;
-    bool news; /* instances came since px_has_news */
+    bool news;         /* instances came since px_has_news */
+    int64_t leased_at; /* when the lease was live last */
     uint64_t numbered;
     struct rn_rng rng;
     int64_t next_slow_tick;
@@ -163,6 +164,9 @@
 
 void px_sessions_slow_tick(struct px_proxy *p, int64_t now);
 bool px_leased(const struct px_proxy *p);
+/* Without a lease for so long that this node is probably cut off from control, and others are
+ * not. */
+bool px_cut_off(const struct px_proxy *p, int64_t now);
 
 /* work.c: one statement, from its arrival to its answer */
 void px_begin_work(struct px_session *s);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -102,6 +102,8 @@
         next = s->next_active;
         px_work_tick(s, now);
     }
+    if (px_leased(p))
+        p->leased_at = now;
     px_groups_tick(p, now);
     if (now < p->next_slow_tick)
         return;
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -7,6 +7,9 @@
 enum {
     UNANSWERED_OPEN_US = 1500000, /* without a document nobody can be told what there is */
     FAILURE_LINES_PER_S = 20,     /* of the log; more are counted */
+    /* A lease outlives an election; who has none for longer is on its own. */
+    CUT_OFF_US = 300000,
+    CUT_OFF_CLOSE_OVER_US = 1000000, /* its resting sessions are closed, spread over so long */
     /* A planned stop: callers are sent elsewhere by the balancer within two of its probes, then
      * sessions that rest are closed, spread over a while so that they don't all come back at
      * once; transactions may end meanwhile. Shares of the time until the process is killed. */
@@ -19,6 +22,11 @@
     return p->cfg.host.leased(p->cfg.host.ud);
 }
 
+bool px_cut_off(const struct px_proxy *p, int64_t now)
+{
+    return p->leased_at && now - p->leased_at > CUT_OFF_US;
+}
+
 /* ---- answering ---- */
 
 static void send_buf(struct px_session *s, const struct sr_buf *b)
@@ -461,14 +469,34 @@
     }
 }
 
+static bool rests(const struct px_session *s)
+{
+    return s->opened && s->stage == PX_S_REST && s->txn == PX_IDLE && s->in.len == 0;
+}
+
+/* When in a span this session's turn is: they don't all come back at once. */
+static int64_t turn(const struct px_session *s, int64_t span_us)
+{
+    return (int64_t)(s->state.session * 0x9E3779B97F4A7C15ull % (uint64_t)(span_us + 1));
+}
+
+/* Its caller finds another node, which can serve it, when it comes back. */
+static void cut_off_tick(struct px_session *s, int64_t now)
+{
+    const struct px_proxy *p = s->p;
+    if (!px_cut_off(p, now) || !rests(s))
+        return;
+    if (now - p->leased_at - CUT_OFF_US > turn(s, CUT_OFF_CLOSE_OVER_US))
+        nt_close(s->net, false);
+}
+
 static void stop_tick(struct px_session *s, int64_t now)
 {
     struct px_proxy *p = s->p;
-    if (!p->stopping || s->stage != PX_S_REST || s->txn != PX_IDLE || s->in.len)
+    if (!p->stopping || !rests(s))
         return;
     int64_t from = p->cfg.grace_us * STOP_CLOSE_FROM_PERCENT / 100;
-    uint64_t over = (uint64_t)(p->cfg.grace_us * STOP_CLOSE_OVER_PERCENT / 100) + 1;
-    int64_t mine = (int64_t)(s->state.session * 0x9E3779B97F4A7C15ull % over);
+    int64_t mine = turn(s, p->cfg.grace_us * STOP_CLOSE_OVER_PERCENT / 100);
     if (now - p->stop_began > from + mine)
         nt_close(s->net, false);
 }
@@ -480,5 +508,6 @@
         open_tick(s, now);
         txn_tick(s, now);
         stop_tick(s, now);
+        cut_off_tick(s, now);
     }
 }
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -9,6 +9,9 @@
      * a refusal then still leaves its caller time to try another node. */
     WAIT_PERCENT = 50,
     LEAST_WAIT_US = 30000,
+    /* A node that is cut off lets a statement wait so long for it to end, then its caller is
+     * better served elsewhere. */
+    CUT_OFF_PARK_US = 150000,
     PARK_US = 20000,       /* between two looks at what a parked statement waits for */
     BUSY_RETRY_US = 15000, /* an instance's queue was full */
     /* An instance that lacked a position is not asked for one like it so long. Origin: measured
@@ -454,6 +457,9 @@
 {
     if (now > s->deadline)
         expire(s);
+    else if (s->stage == PX_S_PARKED && px_cut_off(s->p, now) &&
+             now - s->arrived > CUT_OFF_PARK_US)
+        px_refuse(s, ER_NO_LEASE, "this node is cut off; another may serve it, in 50 ms");
     else if (s->stage == PX_S_PARKED && now >= s->retry_at)
         px_route_work(s);
     else if (s->stage == PX_S_WAITING)
