takeover, proxy: a lost answer is no dead primary; a reachable primary hands over

Change: a node that hears nothing opens another connection and says silent only if that is not greeted. A primary that its leader reaches while most entry nodes do not hands over, so that the successor has all that was acknowledged, and never to itself. Ruled out: weighing the leader's own probe more (a primary cut off from most entry nodes must go).

--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -6,7 +6,8 @@
 enum {
     FIRST_SERVICE_US = 15000, /* what a statement takes before any was measured */
     SUSPECT_EVERY_US = 100000,
-    SILENT_US = 500000, /* a statement without an answer for so long, and nothing else heard */
+    QUIET_US = 300000,  /* a statement without an answer for so long, and nothing else heard */
+    SILENT_US = 400000, /* a connection that is not greeted for so long */
 };
 
 struct px_inst *px_inst_new(struct px_group *g, const struct vw_instance *cfg)
@@ -140,12 +141,23 @@
     in->p->cfg.host.suspect(in->p->cfg.host.ud, in->cfg.id, health);
 }
 
-/* Something is out, for long, and nothing was heard meanwhile. */
-static bool silent(const struct px_inst *in, int64_t now)
+/* Something is out, for long, and nothing was heard meanwhile: an answer that was lost, or an
+ * instance that is gone. A new connection tells. */
+static bool quiet(const struct px_inst *in, int64_t now)
 {
     for (const struct px_conn *c = in->conns; c; c = c->next) {
         bool out = c->phase != PX_C_IDLE && c->phase != PX_C_RESTING;
-        if (out && now - c->sent_at > SILENT_US && in->heard < c->sent_at)
+        if (out && now - c->sent_at > QUIET_US && in->heard < c->sent_at)
+            return true;
+    }
+    return false;
+}
+
+/* A connection is not greeted: nobody is there, or can be reached. */
+static bool silent(const struct px_inst *in, int64_t now)
+{
+    for (const struct px_conn *c = in->conns; c; c = c->next) {
+        if (c->phase == PX_C_OPENING && now - c->sent_at > SILENT_US && in->heard < c->sent_at)
             return true;
     }
     return false;
@@ -187,6 +199,9 @@
     shed(in);
     if (opening(in) < in->n_waiters && px_inst_has_room(in, now))
         px_conn_open(in);
+    /* One more than the share, to learn whether it is there: refused, it is. */
+    if (quiet(in, now) && opening(in) == 0 && now >= in->next_open && !in->gone)
+        px_conn_open(in);
     if (silent(in, now))
         px_inst_suspect(in, WR_SILENT);
 }
--- a/takeover/takeover.c
+++ b/takeover/takeover.c
@@ -114,6 +114,8 @@
                           int64_t now)
 {
     const struct tk_inst *in = &t->inst[i];
+    if (g->phase == VW_HANDING && i == g->primary)
+        return false; /* it is to be another */
     return in->health == TK_UP && in->said_at && !g->inst[i].draining && now >= in->avoid_until;
 }
 
@@ -132,6 +134,14 @@
     return b;
 }
 
+/* The same among those that are not the view's primary. */
+static int best_other(const struct tk_group *t, const struct vw_group *g, int64_t now)
+{
+    struct vw_group handing = *g;
+    handing.phase = VW_HANDING;
+    return best(t, &handing, now);
+}
+
 /* ---- steps ---- */
 
 static void replace(struct tk_group *t, const struct vw_group *g, int64_t now,
@@ -144,6 +154,17 @@
     enter(t, TK_PROPOSED, now);
 }
 
+/* The primary is there: whatever it has acknowledged, the successor is to have first. */
+static void hand_over(struct tk_group *t, const struct vw_group *g, int next, int64_t now,
+                      struct tk_actions *out)
+{
+    t->term = g->term + 1;
+    t->answered = false;
+    t->target = -1;
+    act(out, TK_DO_HAND, next, t->term);
+    enter(t, TK_PROPOSED, now);
+}
+
 static void ask(struct tk_group *t, const struct vw_group *g, int64_t now,
                 struct tk_actions *out)
 {
@@ -170,10 +191,7 @@
         replace(t, g, now, out);
     } else if (g->inst[g->primary].draining && next >= 0) {
         snprintf(t->why, sizeof(t->why), "%.48s is draining", p->id);
-        t->term = g->term + 1;
-        t->answered = false;
-        act(out, TK_DO_HAND, next, t->term);
-        enter(t, TK_PROPOSED, now);
+        hand_over(t, g, next, now, out);
     } else if ((down(p) || t->suspects > 0) && next >= 0 && now >= t->ask_after) {
         ask(t, g, now, out);
     }
@@ -189,7 +207,11 @@
     if (dead > up) {
         snprintf(t->why, sizeof(t->why), "%.40s: down for %d nodes, up for %d", p->id, dead,
                  up);
-        replace(t, g, now, out);
+        int next = best_other(t, g, now);
+        if (p->health == TK_UP && next >= 0)
+            hand_over(t, g, next, now, out);
+        else
+            replace(t, g, now, out);
         return;
     }
     t->ask_after = now + t->cfg.recheck_us;
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -126,6 +126,31 @@
     CU_ASSERT_PTR_NOT_NULL(done(TK_DO_CHECK));
 }
 
+/* Most entry nodes are cut off from a primary that is there: it hands over, so that nothing
+ * that was acknowledged is lost, and not to itself. */
+static void unreachable_primary_hands_over(void)
+{
+    fresh();
+    tk_suspected(&t, "a", now);
+    tick(false);
+    CU_ASSERT_PTR_NOT_NULL(done(TK_DO_CHECK));
+    tk_checking(&t, 3);
+    for (int i = 0; i < 3; i++)
+        tk_checked(&t, t.nonce, TK_SILENT);
+    tick(false);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(done(TK_DO_HAND));
+    CU_ASSERT_EQUAL(done(TK_DO_HAND)->inst, 1);
+    commit(done(TK_DO_HAND));
+    tick(false);
+    tick(true);
+    say("a", true, 105);
+    say("b", false, 105);
+    say("c", false, 105);
+    tick(true);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(done(TK_DO_CALL));
+    CU_ASSERT_NOT_EQUAL(done(TK_DO_CALL)->inst, 0);
+}
+
 /* A call without an answer may be carried out later. The next has a higher token; and while a
  * call for b may be out, c is not taken for the primary before its own call was answered. */
 static void unanswered_calls_are_fenced(void)
@@ -236,6 +261,7 @@
     CU_pSuite s = CU_add_suite("takeover", NULL, NULL);
     TEST(s, dead_primary_is_replaced_by_the_best);
     TEST(s, reachable_primary_stays);
+    TEST(s, unreachable_primary_hands_over);
     TEST(s, unanswered_calls_are_fenced);
     TEST(s, new_leader_takes_a_new_token);
     TEST(s, refused_call_goes_elsewhere);
