--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -6,7 +6,7 @@
 
 enum {
     OPEN_US = 1000000,    /* an instance that does not greet by then is tried anew */
-    ORPHAN_US = 3000000,  /* an answer that is later is not waited for */
+    ORPHAN_US = 400000,   /* an answer that is later is taken for lost: its connection goes */
     RETRY_US = 100000,    /* after a connect that failed */
     TOO_MANY_US = 400000, /* the instance has no connection free: others must close some */
 };
