proxy: a window of statements at an instance; a reset is no sign of death

Cause: (1) overloaded groups (both replicas seconds behind, twice the demand of the primary's slots): eleven nodes kept 41 statements at an instance that queues 24 and runs 3: half were answered busy, the others late. Change: (1) each node's statements at an instance are bounded by a window: lowered when its queue is full or statements take thrice the calm time, widened slowly, under one with pauses; what is out for five times the usual does not count. (2) only a connection that is not greeted tells that nobody is there; after the loss of a good one another is opened to find out.

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -189,6 +189,10 @@
     enum { WEIGHT = 8 };
     int64_t us = ck_now() - c->sent_at;
     c->inst->service_us += (us - c->inst->service_us) / WEIGHT;
+    if (c->error == ER_BUSY)
+        px_window_full(&c->inst->window, ck_now());
+    else if (c->error == ER_NONE)
+        px_window_done(&c->inst->window, us, px_inst_running(c->inst) - 1, ck_now());
 }
 
 static void opened(struct px_conn *c)
@@ -350,20 +354,32 @@
     free(c);
 }
 
+/* A connection that was not greeted tells that nobody is there. One that was good tells little:
+ * an instance may reset it in place of an answer; a new one will tell. */
+static void closed_by_instance(struct px_conn *c, bool refused)
+{
+    struct px_inst *in = c->inst;
+    if (c->phase != PX_C_OPENING) {
+        in->next_open = 0;
+        in->asks = true;
+        return;
+    }
+    in->refused_at = ck_now();
+    in->next_open = ck_now() + RETRY_US;
+    px_inst_suspect(in, refused ? WR_REFUSED : WR_SILENT);
+}
+
 static void on_close(struct nt_conn *net, void *ud, bool was_open, bool refused)
 {
     struct px_conn *c = ud;
     struct px_inst *in = c->inst;
     struct px_session *s = c->session;
     (void)net;
+    (void)was_open;
     c->net = NULL;
     unlink_conn(c);
-    if (!c->closing) {
-        /* The other side's doing: a refusal, or a process that ended. */
-        in->refused_at = ck_now();
-        in->next_open = ck_now() + (was_open && c->phase != PX_C_OPENING ? 0 : RETRY_US);
-        px_inst_suspect(in, refused || was_open ? WR_REFUSED : WR_SILENT);
-    }
+    if (!c->closing)
+        closed_by_instance(c, refused);
     if (s) {
         s->conn = NULL;
         px_lost(s, c, c->phase == PX_C_RUNNING);
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -6,6 +6,7 @@
 enum {
     FIRST_SERVICE_US = 15000, /* what a statement takes before any was measured */
     SUSPECT_EVERY_US = 100000,
+    LOST_TIMES = 5,
     QUIET_US = 300000,  /* a statement without an answer for so long, and nothing else heard */
     SILENT_US = 400000, /* a connection that is not greeted for so long */
 };
@@ -17,6 +18,7 @@
     in->group = g;
     in->cfg = *cfg;
     in->service_us = FIRST_SERVICE_US;
+    px_window_init(&in->window);
     in->waiters_tail = &in->waiters;
     return in;
 }
@@ -101,9 +103,23 @@
     return k;
 }
 
+/* One that is out for far longer than statements take has probably lost its answer: it does not
+ * hold up the others. */
+int px_inst_running(const struct px_inst *in)
+{
+    int64_t since = ck_now() - in->service_us * LOST_TIMES;
+    int k = 0;
+    for (const struct px_conn *c = in->conns; c; c = c->next) {
+        bool out = c->phase == PX_C_SETUP || c->phase == PX_C_RUNNING;
+        k += out && c->sent_at > since;
+    }
+    return k;
+}
+
 void px_inst_take(struct px_inst *in, struct px_session *s)
 {
-    struct px_conn *c = idle_conn(in, s);
+    bool open = px_window_open(&in->window, px_inst_running(in), ck_now());
+    struct px_conn *c = open ? idle_conn(in, s) : NULL;
     if (c) {
         px_conn_run(c, s);
         note_demand(in);
@@ -111,13 +127,13 @@
     }
     enqueue(in, s);
     note_demand(in);
-    if (opening(in) < in->n_waiters && px_inst_has_room(in, ck_now()))
+    if (open && opening(in) < in->n_waiters && px_inst_has_room(in, ck_now()))
         px_conn_open(in);
 }
 
 void px_inst_pump(struct px_inst *in)
 {
-    while (in->waiters) {
+    while (in->waiters && px_window_open(&in->window, px_inst_running(in), ck_now())) {
         struct px_session *s = in->waiters;
         struct px_conn *c = idle_conn(in, s);
         if (!c)
@@ -197,10 +213,14 @@
     for (struct px_conn *c = in->conns; c; c = c->next)
         px_conn_tick(c, now);
     shed(in);
-    if (opening(in) < in->n_waiters && px_inst_has_room(in, now))
+    px_inst_pump(in);
+    bool open = px_window_open(&in->window, px_inst_running(in), ck_now());
+    if (open && opening(in) < in->n_waiters && px_inst_has_room(in, now))
         px_conn_open(in);
     /* One more than the share, to learn whether it is there: refused, it is. */
-    if (quiet(in, now) && opening(in) == 0 && now >= in->next_open && !in->gone)
+    bool ask = in->asks || quiet(in, now);
+    in->asks = false;
+    if (ask && opening(in) == 0 && now >= in->next_open && !in->gone)
         px_conn_open(in);
     if (silent(in, now))
         px_inst_suspect(in, WR_SILENT);
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -9,6 +9,7 @@
 #include "proxy/place.h"
 #include "proxy/proxy.h"
 #include "proxy/state.h"
+#include "proxy/window.h"
 #include "route/route.h"
 
 struct px_session;
@@ -66,8 +67,10 @@
     int n_waiters;
     int64_t next_open;  /* no new connection before */
     int64_t heard;      /* last sign of life */
-    int64_t refused_at; /* a connect was refused, or the other side closed; 0: heard since */
+    int64_t refused_at; /* a connect was refused; 0: heard since */
+    bool asks;          /* a good connection was lost: another is to tell whether it is there */
     int64_t suspected;  /* last told to the entry role */
+    struct px_window window;
     int64_t service_us;
     struct ps_pos known;
     int64_t behind_until;
@@ -191,6 +194,8 @@
 void px_inst_take(struct px_inst *in, struct px_session *s);
 void px_inst_unwait(struct px_inst *in, struct px_session *s);
 void px_inst_pump(struct px_inst *in);
+/* Statements that are out there. */
+int px_inst_running(const struct px_inst *in);
 void px_inst_tick(struct px_inst *in, int64_t now);
 bool px_inst_usable(const struct px_inst *in, int64_t now);
 bool px_inst_has_room(const struct px_inst *in, int64_t now);
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -7,7 +7,7 @@
 enum {
     /* Waiting for a connection is given up after this share of what the operation should take:
      * a refusal then still leaves its caller time to try another node. */
-    WAIT_PERCENT = 50,
+    WAIT_PERCENT = 70,
     LEAST_WAIT_US = 30000,
     /* A node that is cut off lets a statement wait so long for it to end, then its caller is
      * better served elsewhere. */
@@ -205,6 +205,7 @@
         s->conn = c;
         c->phase = PX_C_RESTING;
         px_answer(s, c);
+        px_inst_pump(c->inst);
         return;
     }
     s->lost = s->txn != PX_IDLE;
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -4,6 +4,7 @@
 
 #include "proxy/place.h"
 #include "proxy/state.h"
+#include "proxy/window.h"
 #include "tests/unit/unit.h"
 
 /* ---- placing reads ---- */
@@ -137,11 +138,43 @@
     px_applied_free(&conn);
 }
 
+/* ---- how many at a time ---- */
+
+static void window_follows_the_instance(void)
+{
+    struct px_window w;
+    int64_t now = 1000000;
+    px_window_init(&w);
+    for (int i = 0; i < 400; i++) /* calm: it widens while it is used, and only then */
+        px_window_done(&w, 15000, 63, now += 5000);
+    CU_ASSERT_TRUE(w.size > 16);
+    double wide = w.size;
+    for (int i = 0; i < 400; i++)
+        px_window_done(&w, 15000, 1, now += 5000);
+    CU_ASSERT_EQUAL(w.size, wide);
+    px_window_full(&w, now);
+    double once = w.size;
+    CU_ASSERT_TRUE(once < wide);
+    px_window_full(&w, now + 1); /* once a round trip */
+    CU_ASSERT_EQUAL(w.size, once);
+    for (int i = 0; i < 100; i++)
+        px_window_full(&w, now += 100000);
+    CU_ASSERT_TRUE(w.size > 0 && w.size < 1);
+    px_window_done(&w, 15000, 0, now); /* one, then a pause */
+    CU_ASSERT_FALSE(px_window_open(&w, 0, now) || px_window_open(&w, 1, now + 1000000));
+    CU_ASSERT_TRUE(px_window_open(&w, 0, now + 1000000));
+    px_window_init(&w);
+    for (int i = 0; i < 400; i++) /* slow by queueing */
+        px_window_done(&w, 90000, 63, now += 90000);
+    CU_ASSERT_TRUE(w.size < 4);
+}
+
 void proxy_suite(void)
 {
     CU_pSuite s = CU_add_suite("proxy", NULL, NULL);
     TEST(s, reads_go_where_they_are_served_soonest);
     TEST(s, lagging_replicas_are_left_alone);
+    TEST(s, window_follows_the_instance);
     TEST(s, values_follow_the_session);
     TEST(s, prepared_statements_go_by_their_content);
     TEST(s, a_connection_keeps_a_bounded_number);
