--- a/entry/entry.h
+++ b/entry/entry.h
@@ -224,6 +224,8 @@
                           const struct en_interface *outside, struct er_err *err);
 /* Why the balancer must not send callers here; NULL if it may. */
 const char *en_not_ready(const struct en_node *n);
+/* IP number of the control node that granted the last lease, "" if there is none live. */
+const char *en_leader_ip(const struct en_node *n);
 /* Stop accepting, tell callers to go elsewhere, finish, give the lease back; then done(ud). */
 void en_stop(struct en_node *n, void (*done)(void *ud), void *ud);
 struct en_group *en_group(struct en_node *n, const char *name);
--- a/entry/link.c
+++ b/entry/link.c
@@ -29,6 +29,11 @@
     return n->leader >= 0 ? &n->links[n->leader] : NULL;
 }
 
+const char *en_leader_ip(const struct en_node *n)
+{
+    return n->leader >= 0 && en_leased(n) ? n->links[n->leader].peer.ip : "";
+}
+
 /* ---- renewing ---- */
 
 static int wanted(struct en_inst *in)
--- a/proxy/window.h
+++ b/proxy/window.h
@@ -1,9 +1,9 @@
 /* How many statements a node has at an instance at a time.
  *
- * Pure. Many nodes share an instance that runs a few statements at once and queues some more; none
- * sees the others. Each lowers its window when the instance says that its queue is full, or when
- * statements take much longer than in calm times, and widens it slowly else: the queue then is
- * at the nodes, where what matters goes first and what comes too late is refused. */
+ * Pure. Many nodes share an instance that runs a few statements at once and queues some more;
+ * none sees the others. Each lowers its window when the instance says that its queue is full,
+ * or when statements take much longer than in calm times, and widens it slowly else: the queue
+ * then is at the nodes, where what matters goes first and what comes too late is refused. */
 #ifndef FL_PROXY_WINDOW_H
 #define FL_PROXY_WINDOW_H
 
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -264,7 +264,7 @@
         return contradiction(c, "control.data", "missing, expected with role control");
     if (s->control && s->ops_port == s->control_port && s->control_ip[0])
         return contradiction(c, "control.ops_port", "equals control.port");
-    if (s->entry && !s->secret[0] && !s->sessions.port)
+    if (s->entry && !s->secret[0] && !s->sessions.port && !s->observer)
         return contradiction(c, "secret", "missing, expected with role entry");
     if (s->lease_ms < 4 * s->election_ms)
         return contradiction(c, "control.lease_ms",
@@ -317,6 +317,12 @@
     }
     if (s->n_seeds)
         s->n_voters = s->n_seeds;
+    s->observer = s->registers && s->control && !s->entry && !s->data[0];
+    if (s->observer) {
+        s->control = false;
+        s->entry = true;
+        use_addr(&s->ops_addr, s->entry_ip, sizeof(s->entry_ip), &s->entry_port);
+    }
     if (s->grace_ms)
         s->stop_ms = s->grace_ms * ST_STOP_PERCENT / 100;
 }
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -44,6 +44,7 @@
     int grace_ms; /* from the order to stop until the process is killed; 0 not known */
     int n_seeds;
     struct st_addr seeds[ST_MAX_PEERS]; /* operators' addresses of some control nodes */
+    bool observer;  /* role control without a data folder: only says who leads */
     bool registers; /* instances register themselves, operators send whole documents */
     bool bootstrap;
     int tolerates;  /* control nodes that may be lost at once */
--- a/settings/table.c
+++ b/settings/table.c
@@ -76,7 +76,9 @@
     {"control.tolerates", T_INT, AT(tolerates), 0, 4, "control nodes", "1",
      "control nodes that may be lost at once: no document is taken before there are twice as "
      "many voters and one (with control.registers)"},
-    {"control.data", T_TEXT, AT(data), 0, 255, "", "\"\"", "data folder"},
+    {"control.data", T_TEXT, AT(data), 0, 255, "", "\"\"",
+     "data folder; without one, with control.registers, the node only sends callers to the "
+     "leader"},
     {"control.voters", T_PEERS, AT(n_voters), 0, 0, "", "[]",
      "control nodes: name, ip, port, domain; entry nodes connect to these"},
     {"control.groups", T_GROUPS, AT(groups), 0, 0, "", "[]",
