--- /dev/null
+++ b/tests/process/t_sessions.sh
@@ -0,0 +1,75 @@
+#!/usr/bin/env bash
+# Callers whose connection is a session, on the outside interface: the whole path as separate
+# processes, a lost primary, a drained one, lagging replicas, orders without an answer, a planned stop.
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/sessions.sh"
+se_setup 27000
+for i in 0 1 2; do se_node control $i true; se_node entry $i; done
+P=($((SE_BASE + 40)) $((SE_BASE + 41)) $((SE_BASE + 42)))
+
+t_say "a configuration is taken, read back as it was sent, and obeyed"
+t_check "nothing is ready without a configuration" bash -c "! curl -sf http://127.0.0.1:$((SE_BASE + 60))/api/readyz"
+t_check "it is acknowledged" se_put "$(se_document 7)" 200
+t_check "read back as it was sent" [ "$(se_order /api/config/fetch; cat "$SE_DIR/answer")" = "200
+$(se_document 7)" ]
+t_check "an older one is acknowledged and changes nothing" se_put "$(se_document 5)" 200
+t_check "the version is still 7" [ "$(se_version)" = 7 ]
+t_check "cut short is refused" se_put "$(se_document 9 | head -c 300)" 400
+t_check "an unknown service is refused" se_put "$(se_document 9 | sed 's/"service":"reg0"/"service":"none"/')" 400
+t_check "two routes for one database are refused" se_put "$(se_document 9 | sed 's/"host":"b"/"host":"p"/')" 400
+t_check "a time limit of 0 is refused" se_put "$(se_document 9 | sed 's/"timeoutMs":1500/"timeoutMs":0/')" 400
+for i in 0 1 2; do t_check "entry node $i is ready" t_until se_ready $i; done
+
+t_say "calm: sessions, transactions, values, prepared statements"
+se_load 3 11 "${P[@]}"
+se_load_end
+t_check "work was done" [ "$(se_count ok)" -gt 1000 ]
+
+t_say "replicas 3 s behind: nothing stale"
+se_world lag/0/3000 > /dev/null
+se_load 3 12 "${P[@]}"
+se_load_end
+t_check "work was done" [ "$(se_count ok)" -gt 500 ]
+se_world lag/0/20 > /dev/null
+
+t_say "the primary dies"
+old=$(se_primary)
+se_load 6 13 "${P[@]}"
+sleep 1; se_world "kill/0/$old" > /dev/null
+se_load_end
+t_check "another leads" [ "$(se_primary)" != "$old" ]
+se_world "revive/0/$old" > /dev/null; sleep 1
+
+t_say "orders go unanswered and are carried out late"
+old=$(se_primary)
+se_world deaf-orders/2 > /dev/null
+se_load 9 14 "${P[@]}"
+sleep 0.5; se_world "kill/0/$old" > /dev/null
+se_load_end
+t_check "another leads" [ "$(se_primary)" != "$old" ]
+t_check "work went on after it" [ "$(se_count ok)" -gt 500 ]
+se_world "revive/0/$old" > /dev/null; sleep 1
+
+t_say "a primary that is drained hands over: nothing is lost, nothing in doubt"
+old=$(se_primary)
+se_load 4 15 "${P[@]}"
+sleep 0.7; se_world "drain/0/$old" > /dev/null
+se_load_end
+t_check "another leads" [ "$(se_primary)" != "$old" ]
+t_check "no answer in doubt" [ "$(se_count doubt)" = 0 ]
+
+t_say "a planned stop of an entry node: what was asked is answered, sessions go elsewhere"
+se_load 6 16 "${P[@]}"
+sleep 0.5; se_kill e2 TERM
+t_check "it is not ready any more" t_until bash -c "! curl -sf -m 1 http://127.0.0.1:$((SE_BASE + 62))/api/readyz"
+se_load_end
+t_check "it has ended" t_until bash -c "! kill -0 ${SE_PID[e2]} 2> /dev/null"
+t_check "no answer in doubt" [ "$(se_count doubt)" = 0 ]
+se_node entry 2
+
+t_say "a route is added and dropped while sessions are open"
+t_check "added" se_put "$(se_document 11 ',{"name":"r4","host":"n","kind":"primary","timeoutMs":900,"service":"reg0"}')" 200
+t_check "obeyed" t_until se_says DATAROW "${P[0]}" "STARTUP n x" "QUERY 1 READ k"
+t_check "dropped" se_put "$(se_document 12)" 200
+t_check "obeyed" t_until se_says NODB "${P[0]}" "STARTUP n x"
+exit $T_BAD
