proxy: groups are held by a few nodes where nodes outnumber connections; others relay sessions

Change: with more nodes than an instance accepts connections, holders are picked by rendezvous (route/holders), one for four connections; another node passes a session's bytes to a holder and back. A node that is cut off from control passes new sessions to a neighbour. Observers are in nobody's list. Ruled out: lending connections by time (a new one costs 12 ms of a slot), forwarding statement by statement (values, prepared names and transactions would have to follow).

--- a/control/nodes.c
+++ b/control/nodes.c
@@ -109,7 +109,8 @@
     n->n_nodes = 0;
     n->nodes_hash = 1;
     for (struct ct_conn *c = n->conns; c && n->n_nodes < WR_MAX_NODES; c = c->next) {
-        if (!c->greeted || c->role != WR_ROLE_ENTRY || !ls_node_live(&n->giver, c->id, now))
+        bool entry = c->greeted && c->role == WR_ROLE_ENTRY && c->port;
+        if (!entry || !ls_node_live(&n->giver, c->id, now))
             continue;
         n->nodes[n->n_nodes++] = (struct wr_node){sr_from(c->name), sr_from(c->domain),
                                                   sr_from(c->ip), (uint32_t)c->port};
@@ -168,7 +169,7 @@
     send_view(c, r->generation);
     take_shares(c, r, now);
     send_shares(c, r);
-    if (n->s->holders)
+    if (n->s->holders || n->s->registers)
         send_nodes(c, now);
     ct_send_conn(c, &m);
 }
--- a/entry/link.c
+++ b/entry/link.c
@@ -241,6 +241,8 @@
         n->n_nodes++;
     }
     ho_prepare(n->nodes, n->n_nodes);
+    if (n->px)
+        px_nodes(n->px, n->nodes, n->n_nodes);
     en_holding_changed(n);
 }
 
@@ -322,6 +324,14 @@
 
 /* ---- sockets ---- */
 
+/* Where other entry nodes send callers on to; 0: not here. */
+static int callers_port(const struct st_settings *s)
+{
+    if (s->observer)
+        return 0;
+    return s->sessions.port ? s->sessions.port : s->entry_port;
+}
+
 static void on_open(struct nt_conn *net, void *ud)
 {
     struct en_link *l = ud;
@@ -334,7 +344,7 @@
                                 .name = sr_from(s->name),
                                 .domain = sr_from(s->domain),
                                 .ip = sr_from(s->entry_ip),
-                                .port = (uint32_t)s->entry_port,
+                                .port = (uint32_t)callers_port(s),
                                 .role = WR_ROLE_ENTRY,
                                 .id = l->node->id};
     send_msg(l, &m);
--- a/proxy/groups.c
+++ b/proxy/groups.c
@@ -131,6 +131,7 @@
     struct px_group *g = sr_alloc(sizeof(*g));
     g->p = p;
     g->cfg.primary = -1;
+    g->held = true;
     sr_copy(g->cfg.name, sizeof(g->cfg.name), sr_from(v->name));
     return g;
 }
@@ -165,6 +166,7 @@
     p->n_groups = v->n;
     for (int i = 0; i < v->n; i++)
         follow(p->groups[i], &v->groups[i]);
+    px_holders_changed(p);
 }
 
 /* ---- a planned change of primary ---- */
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -10,6 +10,7 @@
 #include "proxy/proxy.h"
 #include "proxy/state.h"
 #include "proxy/window.h"
+#include "route/holders.h"
 #include "route/route.h"
 
 struct px_session;
@@ -80,7 +81,10 @@
     struct px_proxy *p;
     struct vw_group cfg;
     struct px_inst *inst[VW_MAX_INSTANCES];
-    struct rt_group rt;      /* samples of the primary's position; the rest is not used */
+    struct rt_group rt; /* samples of the primary's position; the rest is not used */
+    bool held; /* this node has connections to its instances; else sessions go to a holder */
+    int n_holders;
+    uint16_t holders[HO_MAX_HOLDERS]; /* in the proxy's nodes; none: all nodes hold it */
     int64_t settle_by;       /* planned change: what runs at the primary may end until then */
     int64_t primary_refused; /* the view's primary said that it is none: not asked before */
 };
@@ -101,8 +105,10 @@
     struct nt_conn *net; /* NULL: the caller has gone */
     struct sr_buf in;
     bool opened, paused;
-    bool reading;  /* its input is being worked through */
-    int64_t since; /* it connected, or its last statement ended */
+    bool came_relayed;      /* another node relays it to us */
+    struct px_relay *relay; /* another node serves it; NULL: we do */
+    bool reading;           /* its input is being worked through */
+    int64_t since;          /* it connected, or its last statement ended */
     char database[CG_NAME];
     struct px_state state;
     struct ps_pos seen; /* its last commit, in group `seen_in` */
@@ -129,7 +135,7 @@
 struct px_counters {
     uint64_t sessions, statements, ok, failed, by_reason[ER_COUNT];
     uint64_t reads_primary, reads_replica, behind, retries, parked, lost, opened, late;
-    uint64_t log_lines_left_out;
+    uint64_t log_lines_left_out, relayed;
 };
 
 struct px_proxy {
@@ -140,7 +146,9 @@
     struct cg_catalog catalog;
     int n_groups;
     struct px_group **groups; /* sorted by name */
-    struct px_inst *gone;     /* not in the view, with connections still */
+    int n_nodes;
+    struct ho_node *nodes; /* entry nodes with a lease, prepared */
+    struct px_inst *gone;  /* not in the view, with connections still */
     struct px_session *sessions, *active;
     int n_sessions;
     bool news;         /* instances came since px_has_news */
@@ -171,6 +179,16 @@
  * not. */
 bool px_cut_off(const struct px_proxy *p, int64_t now);
 
+/* relay.c: sessions that another node serves */
+bool px_should_relay(const struct px_session *s);
+void px_relay_start(struct px_session *s);
+void px_relay_bytes(struct px_session *s, const char *data, size_t len);
+void px_relay_end(struct px_session *s);
+void px_relay_tick(struct px_session *s, int64_t now);
+bool px_is_relayed(const struct px_msg *open);
+bool px_rests_elsewhere(const struct px_session *s);
+void px_holders_changed(struct px_proxy *p);
+
 /* work.c: one statement, from its arrival to its answer */
 void px_begin_work(struct px_session *s);
 void px_route_work(struct px_session *s);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -35,7 +35,8 @@
 static void add_want(struct px_inst *in, struct wr_share *out)
 {
     int held = in->n_conns > in->share ? in->n_conns : in->share;
-    int want = in->cfg.draining ? 0 : in->peak + 1; /* one at hand for what comes next */
+    bool none = in->cfg.draining || !in->group->held;
+    int want = none ? 0 : in->peak + 1; /* one at hand for what comes next */
     *out = (struct wr_share){sr_from(in->cfg.id), (uint32_t)held, (uint32_t)want};
     in->peak -= (in->peak + 3) / 4; /* demand is forgotten slowly: a share costs time to get */
     if (in->peak < in->busy + in->n_waiters)
@@ -165,6 +166,7 @@
                 {"parked_total", p->c.parked},
                 {"lost_connections_total", p->c.lost},
                 {"opened_connections_total", p->c.opened},
+                {"relayed_total", p->c.relayed},
                 {"log_lines_left_out_total", p->c.log_lines_left_out},
                 {"open", (uint64_t)p->n_sessions},
                 {"document", p->catalog.version}};
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -13,6 +13,7 @@
 #include "catalog/catalog.h"
 #include "misc/hist.h"
 #include "proxy/wire.h"
+#include "route/holders.h"
 #include "task/net.h"
 #include "wire/wire.h"
 
@@ -50,6 +51,8 @@
 uint32_t px_wants(struct px_proxy *p, struct wr_share *out, uint32_t cap);
 /* Whether instances came to the view since this was asked last. */
 bool px_has_news(struct px_proxy *p);
+/* The entry nodes with a lease; strings and hashes as ho_prepare leaves them. */
+void px_nodes(struct px_proxy *p, const struct ho_node *nodes, int n);
 void px_share(struct px_proxy *p, struct sr_str inst, int connections);
 /* The lease is lost: others may be given what this node held, but for one connection an
  * instance. */
--- /dev/null
+++ b/proxy/relay.c
@@ -0,0 +1,244 @@
+/* Sessions that another entry node serves: their bytes go there and back as they are.
+ *
+ * Where an instance has fewer connections than there are entry nodes, a few nodes hold each group
+ * (route/holders); a node that is cut off from control has neighbours that are not. A relayed
+ * session lives at the other node with its values, prepared names and transactions; here only its
+ * bytes pass. It ends when either end does, so nothing has to be moved. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "proxy/priv.h"
+
+enum {
+    /* A holder that does not greet by then is passed over: a caller waits 2 s for its greeting. */
+    GREET_US = 500000,
+    MAX_TRIES = 3,
+    MAX_QUEUED = 256 * 1024, /* bytes on their way to a side that does not read */
+};
+
+/* Who opens a relayed session: it is not relayed once more. */
+static const char relayed_by[] = "~ferry";
+
+struct px_relay {
+    struct px_session *s;
+    struct nt_conn *net; /* to the other node; NULL: none */
+    int tries, target;   /* in the proxy's nodes */
+    bool greeted, rests;
+    int64_t began;
+};
+
+bool px_is_relayed(const struct px_msg *open)
+{
+    return sr_eq(open->who, sr_from(relayed_by));
+}
+
+bool px_rests_elsewhere(const struct px_session *s)
+{
+    return s->relay && s->relay->greeted && s->relay->rests;
+}
+
+/* ---- where ---- */
+
+/* Holders of the group but for ourselves, from a place of the session's own on, so that sessions
+ * spread over them. */
+static int pick_target(const struct px_session *s, const struct px_group *g, int try)
+{
+    const struct px_proxy *p = s->p;
+    int n = g->n_holders;
+    for (int k = 0; k < n; k++) {
+        int i = g->holders[(s->state.session + (uint64_t)try + (uint64_t)k) % (uint64_t)n];
+        if (strcmp(p->nodes[i].name, p->cfg.name) != 0)
+            return i;
+    }
+    return -1;
+}
+
+/* Any other node: one that is cut off can't tell who is not. */
+static int pick_neighbour(const struct px_session *s, int try)
+{
+    const struct px_proxy *p = s->p;
+    int n = p->n_nodes;
+    for (int k = 0; k < n; k++) {
+        int i = (int)((s->state.session * 7 + (uint64_t)try * 3 + (uint64_t)k) % (uint64_t)n);
+        if (strcmp(p->nodes[i].name, p->cfg.name) != 0)
+            return i;
+    }
+    return -1;
+}
+
+static int next_target(const struct px_session *s, int try)
+{
+    const struct cg_route *r = cg_route(&s->p->catalog, sr_from(s->database));
+    const struct px_group *g = r ? px_group(s->p, r->group) : NULL;
+    if (g && g->n_holders > 0)
+        return pick_target(s, g, try);
+    return pick_neighbour(s, try);
+}
+
+bool px_should_relay(const struct px_session *s)
+{
+    const struct px_proxy *p = s->p;
+    const struct cg_route *r = cg_route(&p->catalog, sr_from(s->database));
+    const struct px_group *g = r ? px_group(p, r->group) : NULL;
+    if (!g || p->n_nodes < 2 || s->came_relayed)
+        return false;
+    return !g->held || px_cut_off(p, ck_now());
+}
+
+/* ---- the other node ---- */
+
+static void connect_next(struct px_relay *r);
+
+static void on_open(struct nt_conn *net, void *ud)
+{
+    struct px_relay *r = ud;
+    struct sr_buf b = {0};
+    struct px_msg m = {.kind = PX_OPEN,
+                       .database = sr_from(r->s->database),
+                       .who = sr_from(relayed_by)};
+    r->s->p->cfg.codec->put(&b, &m);
+    nt_send(net, b.p, b.len);
+    sr_buf_free(&b);
+}
+
+/* Whether what came ends with the session resting: then it may be closed without harm. */
+static bool ends_resting(const struct px_relay *r, const char *data, size_t len)
+{
+    struct px_msg m;
+    size_t from = len;
+    if (len < 2 || data[len - 1] != '\n')
+        return false;
+    size_t end = data[len - 2] == '\r' ? len - 2 : len - 1;
+    for (from = end; from > 0 && data[from - 1] != '\n'; from--)
+        ;
+    r->s->p->cfg.codec->parse((struct sr_str){data + from, end - from}, &m);
+    return m.kind == PX_READY && m.txn == PX_IDLE;
+}
+
+static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
+{
+    struct px_relay *r = ud;
+    (void)net;
+    r->rests = ends_resting(r, data, len);
+    if (!r->greeted && r->rests) {
+        r->greeted = true;
+        r->s->p->c.relayed++;
+    }
+    if (r->s->net)
+        nt_send(r->s->net, data, len);
+}
+
+static void on_close(struct nt_conn *net, void *ud, bool opened, bool refused)
+{
+    struct px_relay *r = ud;
+    (void)net;
+    (void)opened;
+    (void)refused;
+    r->net = NULL;
+    if (!r->s) {
+        free(r);
+    } else if (!r->greeted && r->tries < MAX_TRIES) {
+        connect_next(r);
+    } else if (r->s->net) {
+        nt_close(r->s->net, false); /* the session is gone with its node */
+    }
+}
+
+static const struct nt_ops ops = {on_open, on_message, on_close};
+
+static void connect_next(struct px_relay *r)
+{
+    struct px_proxy *p = r->s->p;
+    int i = next_target(r->s, r->tries++);
+    if (i < 0) {
+        nt_close(r->s->net, false);
+        return;
+    }
+    r->target = i;
+    r->began = ck_now();
+    r->net = nt_connect_stream(p->loop, p->nodes[i].ip, p->nodes[i].port, &ops, r);
+}
+
+/* ---- the session's side ---- */
+
+void px_relay_start(struct px_session *s)
+{
+    struct px_relay *r = sr_alloc(sizeof(*r));
+    r->s = s;
+    s->relay = r;
+    connect_next(r);
+}
+
+void px_relay_bytes(struct px_session *s, const char *data, size_t len)
+{
+    struct px_relay *r = s->relay;
+    r->rests = false;
+    if (!r->net || !r->greeted || nt_queued(r->net) > MAX_QUEUED) {
+        nt_close(s->net, true); /* it spoke before it was greeted, or the node does not read */
+        return;
+    }
+    nt_send(r->net, data, len);
+}
+
+void px_relay_end(struct px_session *s)
+{
+    struct px_relay *r = s->relay;
+    if (!r)
+        return;
+    s->relay = NULL;
+    r->s = NULL;
+    if (r->net)
+        nt_close(r->net, true); /* on_close frees it */
+    else
+        free(r);
+}
+
+void px_relay_tick(struct px_session *s, int64_t now)
+{
+    struct px_relay *r = s->relay;
+    if (r && r->net && !r->greeted && now - r->began > GREET_US)
+        nt_close(r->net, true);
+}
+
+/* ---- who holds what ---- */
+
+static bool holds(const struct px_proxy *p, const struct px_group *g)
+{
+    for (int k = 0; k < g->n_holders; k++) {
+        if (strcmp(p->nodes[g->holders[k]].name, p->cfg.name) == 0)
+            return true;
+    }
+    return false;
+}
+
+/* With a connection or more for every node all hold a group; else so many that each has a few. */
+static int holders_of(const struct px_proxy *p, const struct px_group *g)
+{
+    enum { CONNS_A_HOLDER = 4, LEAST = 3 };
+    const struct cg_service *svc = cg_service(&p->catalog, g->cfg.name);
+    int conns = svc ? svc->max_conns : 0;
+    if (conns <= 0 || p->n_nodes <= conns)
+        return 0;
+    int k = conns / CONNS_A_HOLDER;
+    return k < LEAST ? LEAST : k > HO_MAX_HOLDERS ? HO_MAX_HOLDERS : k;
+}
+
+void px_holders_changed(struct px_proxy *p)
+{
+    for (int i = 0; i < p->n_groups; i++) {
+        struct px_group *g = p->groups[i];
+        int out[HO_MAX_HOLDERS], k = holders_of(p, g);
+        g->n_holders = k ? ho_pick(p->nodes, p->n_nodes, g->cfg.name, k, out) : 0;
+        for (int h = 0; h < g->n_holders; h++)
+            g->holders[h] = (uint16_t)out[h];
+        g->held = k == 0 || holds(p, g);
+    }
+}
+
+void px_nodes(struct px_proxy *p, const struct ho_node *nodes, int n)
+{
+    p->nodes = sr_realloc(p->nodes, sizeof(*nodes) * (size_t)(n + 1));
+    memcpy(p->nodes, nodes, sizeof(*nodes) * (size_t)n);
+    p->n_nodes = n;
+    px_holders_changed(p);
+}
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -319,6 +319,10 @@
         fail_and_close(s, ER_NO_DATABASE, s->database);
         return;
     }
+    if (px_should_relay(s)) {
+        px_relay_start(s);
+        return;
+    }
     s->opened = true;
     put_ready(s, &b, false, none);
     send_buf(s, &b);
@@ -331,6 +335,7 @@
         fail_and_close(s, ER_BAD_INPUT, "the name of a database is expected");
         return;
     }
+    s->came_relayed = px_is_relayed(m);
     try_open(s);
 }
 
@@ -383,6 +388,10 @@
 {
     struct px_session *s = ud;
     (void)net;
+    if (s->relay) {
+        px_relay_bytes(s, data, len);
+        return;
+    }
     sr_buf_add(&s->in, data, len);
     px_session_go_on(s);
 }
@@ -395,6 +404,7 @@
     (void)opened;
     (void)refused;
     s->net = NULL;
+    px_relay_end(s);
     px_end_work(s);
     px_drop_txn(s);
     if (s->prev)
@@ -447,7 +457,7 @@
 
 static void open_tick(struct px_session *s, int64_t now)
 {
-    if (!s->database[0] || s->opened)
+    if (!s->database[0] || s->opened || s->relay)
         return;
     try_open(s);
     if (s->opened)
@@ -471,6 +481,8 @@
 
 static bool rests(const struct px_session *s)
 {
+    if (s->relay)
+        return px_rests_elsewhere(s);
     return s->opened && s->stage == PX_S_REST && s->txn == PX_IDLE && s->in.len == 0;
 }
 
@@ -484,12 +496,22 @@
 static void cut_off_tick(struct px_session *s, int64_t now)
 {
     const struct px_proxy *p = s->p;
-    if (!px_cut_off(p, now) || !rests(s))
+    if (s->relay || !px_cut_off(p, now) || !rests(s))
         return;
     if (now - p->leased_at - CUT_OFF_US > turn(s, CUT_OFF_CLOSE_OVER_US))
         nt_close(s->net, false);
 }
 
+/* Another node holds the group now: the session's next life is there. */
+static void moved_tick(struct px_session *s, int64_t now)
+{
+    const struct px_group *g = s->route.group[0] ? px_group(s->p, s->route.group) : NULL;
+    if (s->relay || !g || g->held || !rests(s))
+        return;
+    if (now - s->since > turn(s, CUT_OFF_CLOSE_OVER_US))
+        nt_close(s->net, false);
+}
+
 static void stop_tick(struct px_session *s, int64_t now)
 {
     struct px_proxy *p = s->p;
@@ -509,5 +531,7 @@
         txn_tick(s, now);
         stop_tick(s, now);
         cut_off_tick(s, now);
+        moved_tick(s, now);
+        px_relay_tick(s, now);
     }
 }
--- a/tests/standin/sessions.c
+++ b/tests/standin/sessions.c
@@ -1,9 +1,9 @@
 /* ferry-sessions: callers whose connection is a session, and the checks of what they are told.
  *
  * Each session writes rising numbers to a key of its own and to one that all share, reads both
- * back, sets values, prepares statements under names that all sessions use, runs transactions and
- * leaves some of them. Broken promises are printed and counted; refusals and doubts are counted.
- * Usage: ferry-sessions SECONDS SEED PORT... (the entry nodes' session ports).
+ * back, sets values, prepares statements under names that all sessions use, runs transactions
+ * and leaves some of them. Broken promises are printed and counted; refusals and doubts are
+ * counted. Usage: ferry-sessions SECONDS SEED PORT... (the entry nodes' session ports).
  * Databases: "p" newest reads, "b" at most AGE_MS old, "o" at most AGE_MS old and one's own. */
 #include <stdarg.h>
 #include <stdio.h>
@@ -68,8 +68,8 @@
 static void broken(struct session *s, const char *what, long saw, long least)
 {
     s->r->broken++;
-    printf("BROKEN session %d db %c: %s: \"%s\" gave \"%s\" (%ld, expected %ld)\n", s->id, s->db,
-           what, s->step[s->at].text, s->row, saw, least);
+    printf("BROKEN session %d db %c: %s: \"%s\" gave \"%s\" (%ld, expected %ld)\n", s->id,
+           s->db, what, s->step[s->at].text, s->row, saw, least);
 }
 
 /* The least number that a read which began at `at` must see. */
--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -1,12 +1,12 @@
-/* ferry-world: the outside of the users' platform in one process: groups of three instances that
- * speak its lines, register themselves at control nodes, and are promoted by POST /promote.
- * Written from the platform's pages, not from platform/.
+/* ferry-world: the outside of the users' platform in one process: groups of three instances
+ * that speak its lines, register themselves at control nodes, and are promoted by POST
+ * /promote. Written from the platform's pages, not from platform/.
  *
- * Instance i of group g listens on base + 10 g + i. Whatever is committed is received by the other
- * instances at once and applied after the group's lag, so a promotion loses nothing and every
- * stale read is the proxy's doing. Orders come to base - 1 by HTTP, commands of a test to base - 2:
- * /kill/G/I, /revive/G/I, /lag/G/MS, /drain/G/I, /deaf-orders/N (the next N go unanswered and are
- * carried out late), /status. */
+ * Instance i of group g listens on base + 10 g + i. Whatever is committed is received by the
+ * other instances at once and applied after the group's lag, so a promotion loses nothing and
+ * every stale read is the proxy's doing. Orders come to base - 1 by HTTP, commands of a test to
+ * base - 2: /kill/G/I, /revive/G/I, /lag/G/MS, /drain/G/I, /deaf-orders/N (the next N go
+ * unanswered and are carried out late), /status. */
 #include <argp.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -144,7 +144,11 @@
     const struct inst *in = c->in;
     int n = applied(in);
     uint64_t term = n ? in->g->log[n - 1].term : in->g->term;
-    say(c, "READY %c %llu.%d", c->failed ? 'E' : c->txn ? 'T' : 'I', (unsigned long long)term, n);
+    say(c, "READY %c %llu.%d",
+        c->failed ? 'E'
+        : c->txn  ? 'T'
+                  : 'I',
+        (unsigned long long)term, n);
 }
 
 static void error(struct conn *c, const char *what)
@@ -180,8 +184,8 @@
 /* "@x" reads what the session has set; else the key's value. */
 static void do_read(struct conn *c, const char *key, const char *shape)
 {
-    const char *v = key[0] == '@' ? set_value(c, key + 1)
-                                  : value_at(c->in, key_of(c->in->w, key));
+    const char *v =
+        key[0] == '@' ? set_value(c, key + 1) : value_at(c->in, key_of(c->in->w, key));
     for (int i = 0; c->txn && i < c->n_writes; i++) {
         if (strcmp(c->in->w->keys[c->writes[i].key], key) == 0)
             v = c->writes[i].value;
@@ -509,11 +513,13 @@
     char path[96], body[320];
     int g = (int)(in->g - w->g);
     snprintf(path, sizeof(path), "/api/instances/i-%d-%d/heartbeat", g, in->at);
-    snprintf(body, sizeof(body),
-             "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%d\",\"version\":\"v1\","
-             "\"capacity\":3,\"state\":\"%s\",\"warmupLeftMs\":0,\"dbRole\":\"%s\",\"callSeq\":%llu}",
-             in->g->name, in->port, in->at, in->draining ? "draining" : "ready",
-             leads(in) ? "primary" : "replica", (unsigned long long)++in->seq);
+    snprintf(
+        body, sizeof(body),
+        "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%d\",\"version\":\"v1\","
+        "\"capacity\":3,\"state\":\"%s\",\"warmupLeftMs\":0,\"dbRole\":\"%s\",\"callSeq\":%"
+        "llu}",
+        in->g->name, in->port, in->at, in->draining ? "draining" : "ready",
+        leads(in) ? "primary" : "replica", (unsigned long long)++in->seq);
     nt_http_get(w->loop, w->control_ip[w->next_control], w->control_port[w->next_control],
                 "POST", path, body, beaten, w);
 }
