view, pool: what instances left is the view's; the remainder is dealt out without an allocation

Change: the ring of instances that left stands once in the view (ids are unique in a cluster), the remainder is dealt in place and comes out of the water level's own sums.

--- a/pool/shares.c
+++ b/pool/shares.c
@@ -138,9 +138,10 @@
 }
 
 /* Max-min fair: everyone up to the water level, nobody above what it wants. */
-static int water_level(const struct sh_inst *in, int64_t now, int room)
+static int water_level(const struct sh_inst *in, int64_t now, int room, int *left)
 {
     int level = 0;
+    *left = room;
     for (;;) {
         int need = 0;
         bool more = false;
@@ -154,34 +155,24 @@
         }
         if (!more || need > room)
             return level;
+        *left = room - need;
         level++;
     }
 }
 
-/* What stays over the water level goes out one by one: first to those that hold one more
- * already, so that nothing is moved for nothing, then to whoever wants most. */
-static void deal_remainder(const struct sh_inst *in, int64_t now, int level, int room,
-                           bool *more)
+/* What stays over the water level goes out one by one, first to those that hold one more
+ * already, so that nothing is moved for nothing. */
+static void deal_remainder(struct sh_inst *in, int64_t now, int level, int room)
 {
-    memset(more, 0, sizeof(*more) * (size_t)in->n);
-    for (int i = 0; i < in->n; i++) {
-        const struct sh_node *n = &in->nodes[i];
-        if (now < n->until)
-            room -= n->want < level ? n->want : level;
-    }
-    for (; room > 0; room--) {
-        int best = -1;
-        for (int i = 0; i < in->n; i++) {
-            const struct sh_node *n = &in->nodes[i], *b = best < 0 ? NULL : &in->nodes[best];
-            if (now >= n->until || more[i] || n->want <= level)
+    for (int held = 1; held >= 0 && room > 0; held--) {
+        for (int i = 0; i < in->n && room > 0; i++) {
+            struct sh_node *n = &in->nodes[i];
+            bool takes = now < n->until && !n->extra && n->want > level;
+            if (!takes || (held && n->counted <= level))
                 continue;
-            bool has = n->counted > level, b_has = b && b->counted > level;
-            if (!b || (has && !b_has) || (has == b_has && n->want > b->want))
-                best = i;
+            n->extra = true;
+            room--;
         }
-        if (best < 0)
-            return;
-        more[best] = true;
     }
 }
 
@@ -197,17 +188,17 @@
         if (now >= in->nodes[i].until)
             room -= in->nodes[i].counted;
     }
-    int level = water_level(in, now, room);
+    int left, level = water_level(in, now, room, &left);
     int free_now = in->limit - in->reserve - sum(in);
-    bool *more = sr_alloc(sizeof(*more) * (size_t)(in->n + 1));
-    deal_remainder(in, now, level, room, more);
+    deal_remainder(in, now, level, left);
     bool changed = false;
     for (int i = 0; i < in->n; i++) {
         struct sh_node *n = &in->nodes[i];
         if (now >= n->until)
             continue;
         int want = n->want;
-        int next = want < level + more[i] ? want : level + more[i];
+        int next = want < level + n->extra ? want : level + n->extra;
+        n->extra = false;
         /* Growth only out of what nobody may hold now; shrinking is asked for at once. */
         int grow = next - n->counted;
         if (grow > free_now)
@@ -221,7 +212,6 @@
             n->told = UINT64_MAX; /* unconfirmed until it has been told */
         n->target = next;
     }
-    free(more);
     assert(sum(in) <= in->limit - in->reserve || free_now < 0);
     return changed;
 }
--- a/pool/shares.h
+++ b/pool/shares.h
@@ -21,6 +21,7 @@
     int counted;   /* the most it may hold, as far as can be known */
     int target;    /* what it is told */
     int want;      /* what it asked for */
+    bool extra;    /* it gets one of those left over the water level */
     uint64_t told; /* number of the message that told it `target` */
     int64_t until; /* of its lease, drift included */
 };
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -1,16 +1,17 @@
 /* Sessions that another entry node serves: their bytes go there and back as they are.
  *
- * Where an instance has fewer connections than there are entry nodes, a few nodes hold each group
- * (route/holders); a node that is cut off from control has neighbours that are not. A relayed
- * session lives at the other node with its values, prepared names and transactions; here only its
- * bytes pass. It ends when either end does, so nothing has to be moved. */
+ * Where an instance has fewer connections than there are entry nodes, a few nodes hold each
+ * group (route/holders); a node that is cut off from control has neighbours that are not. A
+ * relayed session lives at the other node with its values, prepared names and transactions;
+ * here only its bytes pass. It ends when either end does, so nothing has to be moved. */
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "proxy/priv.h"
 
 enum {
-    /* A holder that does not greet by then is passed over: a caller waits 2 s for its greeting. */
+    /* A holder that does not greet by then is passed over: a caller waits 2 s for its greeting.
+     */
     GREET_US = 500000,
     MAX_TRIES = 3,
     MAX_QUEUED = 256 * 1024, /* bytes on their way to a side that does not read */
@@ -39,8 +40,8 @@
 
 /* ---- where ---- */
 
-/* Holders of the group but for ourselves, from a place of the session's own on, so that sessions
- * spread over them. */
+/* Holders of the group but for ourselves, from a place of the session's own on, so that
+ * sessions spread over them. */
 static int pick_target(const struct px_session *s, const struct px_group *g, int try)
 {
     const struct px_proxy *p = s->p;
@@ -93,9 +94,8 @@
 {
     struct px_relay *r = ud;
     struct sr_buf b = {0};
-    struct px_msg m = {.kind = PX_OPEN,
-                       .database = sr_from(r->s->database),
-                       .who = sr_from(relayed_by)};
+    struct px_msg m = {
+        .kind = PX_OPEN, .database = sr_from(r->s->database), .who = sr_from(relayed_by)};
     r->s->p->cfg.codec->put(&b, &m);
     nt_send(net, b.p, b.len);
     sr_buf_free(&b);
@@ -211,7 +211,8 @@
     return false;
 }
 
-/* With a connection or more for every node all hold a group; else so many that each has a few. */
+/* With a connection or more for every node all hold a group; else so many that each has a few.
+ */
 static int holders_of(const struct px_proxy *p, const struct px_group *g)
 {
     enum { CONNS_A_HOLDER = 4, LEAST = 3 };
--- a/registry/registry.c
+++ b/registry/registry.c
@@ -44,7 +44,7 @@
     int i = g ? vw_instance(g, b->inst.id) : -1;
     if (i >= 0)
         return known(g, i, b, ch);
-    if (g && vw_has_left(g, b->inst.id))
+    if (vw_has_left(v, b->inst.id))
         return RG_LATE;
     name_change(ch, VW_CH_JOIN, b->group, b->inst.id);
     ch->inst = b->inst;
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -125,7 +125,7 @@
     CU_ASSERT_TRUE(vw_view_parse(j, &back, &err));
     CU_ASSERT_EQUAL(back.n, 1);
     CU_ASSERT_EQUAL(back.groups[0].n, 0);
-    CU_ASSERT_TRUE(vw_has_left(&back.groups[0], "a") && vw_has_left(&back.groups[0], "d"));
+    CU_ASSERT_TRUE(vw_has_left(&back, "a") && vw_has_left(&back, "d"));
     json_decref(j);
     vw_free(&back);
     vw_free(&w);
--- a/view/json.c
+++ b/view/json.c
@@ -104,25 +104,25 @@
     return true;
 }
 
-static json_t *left_json(const struct vw_group *g)
+static json_t *left_json(const struct vw_view *v)
 {
     json_t *a = json_array();
-    int n = g->n_left < VW_MAX_LEFT ? g->n_left : VW_MAX_LEFT;
+    int n = v->n_left < VW_MAX_LEFT ? v->n_left : VW_MAX_LEFT;
     for (int i = 0; i < n; i++) /* oldest first */
-        json_array_append_new(a, json_string(g->left[(g->n_left - n + i) % VW_MAX_LEFT]));
+        json_array_append_new(a, json_string(v->left[(v->n_left - n + i) % VW_MAX_LEFT]));
     return a;
 }
 
-static bool left_parse(const json_t *a, struct vw_group *g, struct er_err *err)
+static bool left_parse(const json_t *a, struct vw_view *v, struct er_err *err)
 {
     size_t i;
     json_t *x;
     json_array_foreach(a, i, x)
     {
         struct sr_str s = {json_string_value(x), json_string_length(x)};
-        if (i >= VW_MAX_LEFT || !s.p || !sr_copy(g->left[i], VW_NAME, s))
+        if (i >= VW_MAX_LEFT || !s.p || !sr_copy(v->left[i], VW_NAME, s))
             return er_set(err, ER_BAD_INPUT, "left: expected at most %d names", VW_MAX_LEFT);
-        g->n_left++;
+        v->n_left++;
     }
     return true;
 }
@@ -141,8 +141,6 @@
                   phase_names[g->phase], "term", (json_int_t)g->term, "primary", g->primary,
                   "target", g->target, "instances", inst, "starts", starts, "max_age_ms",
                   (json_int_t)g->max_age_ms, "copies", g->copies, "degraded", g->degraded);
-    if (g->n_left)
-        json_object_set_new(j, "left", left_json(g));
     return j;
 }
 
@@ -193,8 +191,7 @@
     g->copies = (int)copies;
     g->phase = (enum vw_phase)phase;
     g->degraded = json_is_true(json_object_get(j, "degraded"));
-    return starts_parse(json_object_get(j, "starts"), g, err) &&
-           left_parse(json_object_get(j, "left"), g, err);
+    return starts_parse(json_object_get(j, "starts"), g, err);
 }
 
 bool vw_group_parse(const json_t *j, struct vw_group *g, struct er_err *err)
@@ -334,6 +331,8 @@
         document_put(doc, v->doc.version, (struct sr_str){v->doc.text, v->doc.len});
         json_object_set_new(j, "document", doc);
     }
+    if (v->n_left)
+        json_object_set_new(j, "left", left_json(v));
     return j;
 }
 
@@ -376,5 +375,5 @@
             return false;
     }
     v->generation = (uint64_t)gen;
-    return true;
+    return left_parse(json_object_get(j, "left"), v, err);
 }
--- a/view/view.c
+++ b/view/view.c
@@ -48,11 +48,11 @@
     return -1;
 }
 
-bool vw_has_left(const struct vw_group *g, const char *id)
+bool vw_has_left(const struct vw_view *v, const char *id)
 {
-    int n = g->n_left < VW_MAX_LEFT ? g->n_left : VW_MAX_LEFT;
+    int n = v->n_left < VW_MAX_LEFT ? v->n_left : VW_MAX_LEFT;
     for (int i = 0; i < n; i++) {
-        if (strcmp(g->left[i], id) == 0)
+        if (strcmp(v->left[i], id) == 0)
             return true;
     }
     return false;
@@ -176,7 +176,7 @@
     if (!ch->group[0] || (!g && v->n >= VW_MAX_GROUPS))
         return er_set(err, ER_TOO_LARGE, "group \"%s\": %d groups are the most", ch->group,
                       VW_MAX_GROUPS);
-    if (g && vw_has_left(g, ch->inst.id))
+    if (vw_has_left(v, ch->inst.id))
         return er_set(err, ER_STALE_PLAN, "instance %s has left", ch->inst.id);
     if (g && !owner && g->n >= VW_MAX_INSTANCES && at_address(g, &ch->inst) < 0)
         return er_set(err, ER_CONFLICT, "group %s has %d instances, the most", g->name, g->n);
@@ -310,13 +310,13 @@
 
 /* It is gone. If it was the primary, the group has none until one is chosen under the next
  * term. */
-static void apply_leave(struct vw_group *g, const char *who)
+static void apply_leave(struct vw_view *v, struct vw_group *g, const char *who)
 {
     char id[VW_NAME]; /* `who` may point into the group */
     sr_copy(id, sizeof(id), sr_from(who));
     int i = vw_instance(g, id);
     bool led = i == g->primary;
-    sr_copy(g->left[g->n_left++ % VW_MAX_LEFT], VW_NAME, sr_from(id));
+    sr_copy(v->left[v->n_left++ % VW_MAX_LEFT], VW_NAME, sr_from(id));
     remove_instance(g, i);
     if (!led)
         return;
@@ -326,8 +326,9 @@
     g->term++;
 }
 
-static void apply_on_group(struct vw_group *g, const struct vw_change *ch)
+static void apply_on_group(struct vw_view *v, const struct vw_change *ch)
 {
+    struct vw_group *g = vw_group(v, ch->group);
     int i = vw_instance(g, ch->instance);
     switch (ch->kind) {
     case VW_CH_REPLACE:
@@ -359,7 +360,7 @@
         remove_instance(g, i);
         break;
     case VW_CH_LEAVE:
-        apply_leave(g, ch->instance);
+        apply_leave(v, g, ch->instance);
         break;
     default:
         break;
@@ -378,7 +379,7 @@
     int i = vw_instance(g, ch->inst.id);
     int other = i < 0 ? at_address(g, &ch->inst) : -1;
     if (other >= 0)
-        apply_leave(g, g->inst[other].id);
+        apply_leave(v, g, g->inst[other].id);
     if (i < 0)
         i = g->n++;
     g->inst[i] = ch->inst;
@@ -431,7 +432,7 @@
         apply_progress(v, &ch->intent);
         break;
     default:
-        apply_on_group(vw_group(v, ch->group), ch);
+        apply_on_group(v, ch);
         break;
     }
     v->generation = index;
--- a/view/view.h
+++ b/view/view.h
@@ -58,8 +58,6 @@
     int64_t max_age_ms;                    /* the longest age a read may accept here */
     int copies;                            /* instances that must hold an acknowledged write */
     bool degraded;                         /* confirmed: accept writes with fewer copies */
-    int n_left;                            /* ever; a ring of VW_MAX_LEFT */
-    char left[VW_MAX_LEFT][VW_NAME];       /* they do not come back by a late call */
 };
 
 enum vw_intent_kind {
@@ -100,6 +98,9 @@
     struct vw_group *groups; /* sorted by name */
     int n_intents;
     struct vw_intent *intents; /* oldest first */
+    int n_left;                /* ever; `left` is a ring */
+    char left[VW_MAX_LEFT]
+             [VW_NAME]; /* ids of instances that left: a late call brings none back */
 };
 
 enum vw_change_kind {
@@ -148,7 +149,7 @@
 struct vw_group *vw_group(const struct vw_view *v, const char *name);
 int vw_instance(const struct vw_group *g, const char *id);
 /* Whether an instance of that id left not long ago. */
-bool vw_has_left(const struct vw_group *g, const char *id);
+bool vw_has_left(const struct vw_view *v, const char *id);
 /* The group that has an instance of that id, NULL none: ids are unique in a cluster, since
  * shares, probes and evidence go by them. */
 const struct vw_group *vw_owner(const struct vw_view *v, const char *id);
