proxy: a relayed greeting in two pieces is one; logs with events and fields; ferryctl explain

Change: the last line is put together over pieces (px_tail, with a test of all cuts). Also: log lines of decisions are events with fields on standard output, a whole line or none, counted if nobody reads (docs/LOGS.md); ferryctl explain puts the lines of many nodes about one failed request in order; t_sessions injects three kinds of failure and checks the cause that it names.

--- a/control/documents.c
+++ b/control/documents.c
@@ -22,7 +22,7 @@
     uint64_t index;
     /* Not valid here is not valid anywhere: no leader is needed to say so. */
     if (!cg_read(n->outside->documents, text, &cat, err)) {
-        FL_INFO(&n->log, "a document is refused: %s", err->text);
+        FL_EVENT(&n->log, LG_INFO, "document_refused", "detail=%s", err->text);
         return false;
     }
     ch.version = cat.version;
@@ -64,7 +64,7 @@
     }
     cg_free(&n->catalog);
     n->catalog = cat;
-    FL_INFO(&n->log, "document %llu is in force, %d routes", (unsigned long long)cat.version,
-            cat.n_routes);
+    FL_EVENT(&n->log, LG_INFO, "document_committed", "document=%llu routes=%d",
+             (unsigned long long)cat.version, cat.n_routes);
     ct_groups_sync(n);
 }
--- a/control/members.c
+++ b/control/members.c
@@ -64,7 +64,7 @@
 
 static void carry_out(struct ct_node *n, const struct mb_action *a, int64_t now)
 {
-    static const char *const names[] = {"", "learns", "votes", "is removed"};
+    static const char *const names[] = {"", "learns", "votes", "removed"};
     struct er_err err = {0};
     bool ok = true;
     switch (a->step) {
@@ -81,8 +81,8 @@
         break;
     }
     if (ok)
-        FL_INFO(&n->log, "member %llx %s: %s", (unsigned long long)a->id, names[a->step],
-                a->why);
+        FL_EVENT(&n->log, LG_INFO, "member_changed", "member=%llx step=%s why=%s",
+                 (unsigned long long)a->id, names[a->step], a->why);
     else
         FL_DBG(&n->log, "member %llx: %s; tried again", (unsigned long long)a->id, err.text);
 }
--- a/control/registrations.c
+++ b/control/registrations.c
@@ -31,8 +31,8 @@
         return true;
     if (need == RG_REFUSE || !ct_propose(n, ch, &index, err))
         return false;
-    FL_INFO(&n->log, "instance %s of %s: %s", ch->instance, ch->group,
-            vw_change_name(ch->kind));
+    FL_EVENT(&n->log, LG_INFO, "instance_changed", "instance=%s group=%s change=%s",
+             ch->instance, ch->group, vw_change_name(ch->kind));
     ct_await(n, c, index, done);
     return false;
 }
--- a/control/takeovers.c
+++ b/control/takeovers.c
@@ -76,8 +76,9 @@
         sr_copy(ch.instance, sizeof(ch.instance), sr_from(g->inst[a->inst]->id));
     if (kind != VW_CH_PRIMARY) {
         tl_add(n->tl, TL_DOWN, g->name, a->term, "%s", g->tk.why);
-        FL_INFO(&n->log, "group %s: change of primary to term %llu: %s", g->name,
-                (unsigned long long)a->term, g->tk.why[0] ? g->tk.why : "tried again");
+        FL_EVENT(&n->log, LG_INFO, "change_of_primary", "group=%s term=%llu kind=%s why=%s",
+                 g->name, (unsigned long long)a->term, vw_change_name(kind),
+                 g->tk.why[0] ? g->tk.why : "tried again");
     }
     if (!ct_propose(n, &ch, NULL, &err))
         FL_WARN(&n->log, "%s: %s: %s", g->name, vw_change_name(kind), err.text);
@@ -91,8 +92,8 @@
     if (!g)
         return;
     tl_add(n->tl, TL_PROMOTED, group, token, "order %s", names[what]);
-    FL_INFO(&n->log, "group %s: the order under token %llu: %s", group,
-            (unsigned long long)token, names[what]);
+    FL_EVENT(&n->log, LG_INFO, "order_answered", "group=%s term=%llu outcome=%s", group,
+             (unsigned long long)token, names[what]);
     tk_called(&g->tk, token, what, ck_now());
     ct_group_tick(n, g);
 }
@@ -102,8 +103,8 @@
     const char *id = g->inst[a->inst]->id;
     n->c.promotions++;
     tl_add(n->tl, TL_FENCED, g->name, a->term, "%s is ordered to take over", id);
-    FL_INFO(&n->log, "group %s: %s is ordered to take over under token %llu", g->name, id,
-            (unsigned long long)a->term);
+    FL_EVENT(&n->log, LG_INFO, "order_sent", "group=%s term=%llu instance=%s", g->name,
+             (unsigned long long)a->term, id);
     n->outside->promote(n, g->name, id, a->term, on_called);
 }
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -220,7 +220,10 @@
     if (n->px)
         px_lease_lost(n->px);
     tl_add(n->tl, TL_LEASE_LOST, "", 0, "lease lost");
-    FL_WARN(&n->log, "lease lost: writes and primary reads are refused until control answers");
+    FL_EVENT(
+        &n->log, LG_WARN, "lease_lost",
+        "generation=%llu detail=writes and reads at the primary wait until control answers",
+        (unsigned long long)n->view.generation);
     /* Without a lease one connection is kept for reads that need none. */
     for (int g = 0; g < n->n_groups; g++) {
         for (int i = 0; i < n->groups[g]->cfg.n; i++) {
--- a/entry/link.c
+++ b/entry/link.c
@@ -135,6 +135,8 @@
     ls_granted(&n->lease, g->seq, CK_MS(g->duration_ms));
     if (!n->had_lease && en_leased(n)) {
         n->had_lease = true;
+        FL_EVENT(&n->log, LG_INFO, "lease_held", "generation=%llu",
+                 (unsigned long long)n->view.generation);
         tl_add(n->tl, TL_LEASE_HELD, "", 0, "lease held, generation %llu",
                (unsigned long long)n->view.generation);
         for (int i = 0; i < n->n_groups; i++)
--- a/ferryctl/ctl.h
+++ b/ferryctl/ctl.h
@@ -49,4 +49,7 @@
 /* timeline.c */
 int ctl_timeline(const struct ctl *c);
 
+/* explain.c: args are the request's id and the log files. */
+int ctl_explain(const struct ctl *c);
+
 #endif
--- /dev/null
+++ b/ferryctl/explain.c
@@ -0,0 +1,178 @@
+/* What led to a failed request: the lines of many processes' logs that bear on it, in order.
+ *
+ * The request's own line names its group, the term and the document it was judged by. What the same
+ * group, the same node's lease and the configuration did shortly before stands in the logs of the
+ * node, of others and of control. Read from files only: the processes need not run any more. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ferryctl/ctl.h"
+
+enum {
+    BEFORE_MS = 3000, /* how far back a cause is looked for */
+    AFTER_MS = 1500,
+    MAX_LINES = 20000,
+    MAX_SHOWN = 60,
+    LINE = 4096,
+};
+
+struct found {
+    json_t *line;
+    long long ms;
+};
+
+struct search {
+    const char *id;
+    int n;
+    struct found f[MAX_LINES];
+    const json_t *failed; /* the request's last line */
+    long long at;
+};
+
+static const char *text(const json_t *o, const char *key)
+{
+    const char *s = json_string_value(json_object_get(o, key));
+    return s ? s : "";
+}
+
+/* The log may be a program's output with words before the JSON. */
+static json_t *parse_line(const char *line)
+{
+    const char *brace = strchr(line, '{');
+    return brace ? json_loads(brace, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
+}
+
+static bool read_file(struct search *s, const char *path)
+{
+    char line[LINE];
+    FILE *f = fopen(path, "r");
+    if (!f)
+        return false;
+    while (fgets(line, sizeof(line), f)) {
+        json_t *o = parse_line(line);
+        if (!text(o, "event")[0] || s->n == MAX_LINES) {
+            json_decref(o);
+            continue;
+        }
+        s->f[s->n++] = (struct found){o, json_integer_value(json_object_get(o, "ts_ms"))};
+        if (strcmp(text(o, "request"), s->id) == 0) {
+            s->failed = o;
+            s->at = s->f[s->n - 1].ms;
+        }
+    }
+    fclose(f);
+    return true;
+}
+
+static int by_time(const void *a, const void *b)
+{
+    long long x = ((const struct found *)a)->ms, y = ((const struct found *)b)->ms;
+    return x < y ? -1 : x > y;
+}
+
+/* Whether a line may be a cause: of the same group, of the node's own lease, or of the
+ * configuration. */
+static bool bears(const struct search *s, const struct found *f)
+{
+    if (f->ms < s->at - BEFORE_MS || f->ms > s->at + AFTER_MS)
+        return false;
+    if (strcmp(text(f->line, "request"), s->id) == 0)
+        return true;
+    const char *event = text(f->line, "event");
+    bool same_node = strcmp(text(f->line, "node"), text(s->failed, "node")) == 0;
+    bool same_group = strcmp(text(f->line, "group"), text(s->failed, "group")) == 0;
+    if (strcmp(event, "request_failed") == 0)
+        return false; /* other requests' failures are effects as well */
+    if (strncmp(event, "lease", 5) == 0 || strcmp(event, "document_in_force") == 0)
+        return same_node;
+    if (strcmp(event, "group_changed") == 0)
+        return same_group && same_node;
+    return same_group || strncmp(event, "document", 8) == 0 || strncmp(event, "member", 6) == 0;
+}
+
+static void show(const struct search *s, const struct found *f)
+{
+    const char *key;
+    json_t *v;
+    printf("%+7lld ms  %-16s %-20s", f->ms - s->at, text(f->line, "node"), text(f->line, "event"));
+    json_object_foreach(f->line, key, v)
+    {
+        static const char *const head[] = {"ts_ms", "node", "level", "module", "event"};
+        bool known = false;
+        for (size_t i = 0; i < sizeof(head) / sizeof(head[0]); i++)
+            known = known || strcmp(key, head[i]) == 0;
+        if (!known && json_is_string(v))
+            printf(" %s=%s", key, json_string_value(v));
+    }
+    putchar('\n');
+}
+
+/* The kinds of failure, in words, with what to look at next. */
+static void conclude(const struct search *s)
+{
+    static const struct {
+        const char *kind, *says;
+    } rows[] = {
+        {"lost", "in doubt: it was sent and its answer was lost; whether it ran only the instance's "
+                 "data tells"},
+        {"timeout", "in doubt: it was sent and not answered in its time"},
+        {"aborted", "its transaction was rolled back: nothing of it is kept"},
+        {"overload", "not run: no connection came free in time; behind=N says how many instances "
+                     "could not serve it because they lack positions"},
+        {"busy", "not run: the instance's own queue was full"},
+        {"deadline", "not run: nobody could take it in its time; a group_changed line shows a change "
+                     "of primary, lease_lost a node without control"},
+        {"no_lease", "not run: the node was cut off from control"},
+        {"no_database", "the configuration in force on the node (document=) has no such database"},
+    };
+    const char *kind = text(s->failed, "kind");
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        if (strcmp(rows[i].kind, kind) == 0)
+            printf("cause: %s: %s\n", kind, rows[i].says);
+    }
+}
+
+static void show_path(struct search *s)
+{
+    int shown = 0;
+    for (int i = 0; i < s->n && shown < MAX_SHOWN; i++) {
+        if (!bears(s, &s->f[i]))
+            continue;
+        show(s, &s->f[i]);
+        shown++;
+    }
+    if (shown == MAX_SHOWN)
+        printf("(more lines bear on it; the first %d are shown)\n", MAX_SHOWN);
+}
+
+/* A leader's line in the window, or say that no control node's log was among the files. */
+static void show_missing(const struct search *s)
+{
+    for (int i = 0; i < s->n; i++) {
+        if (strcmp(text(s->f[i].line, "module"), "control") == 0)
+            return;
+    }
+    printf("missing: no control node's log is among the files\n");
+}
+
+int ctl_explain(const struct ctl *c)
+{
+    static struct search s;
+    s.id = c->args[1];
+    for (int i = 2; i < c->n_args; i++) {
+        if (!read_file(&s, c->args[i]))
+            fprintf(stderr, "ferryctl: %s can't be read\n", c->args[i]);
+    }
+    if (!s.failed) {
+        printf("no line of request %s: it did not fail on these nodes, or its line was left out "
+               "(ferry_session_log_lines_left_out_total)\n",
+               s.id);
+        return EX_REFUSED;
+    }
+    qsort(s.f, (size_t)s.n, sizeof(s.f[0]), by_time);
+    show_path(&s);
+    conclude(&s);
+    show_missing(&s);
+    return EX_GOOD;
+}
--- a/ferryctl/main.c
+++ b/ferryctl/main.c
@@ -38,6 +38,8 @@
     "  plan drain|undrain|rule|move|replace ...  the same, never confirms\n"
     "  confirm FILE                confirm a plan written with --output\n"
     "  intent ID                   what became of an intent\n"
+    "  explain REQUEST LOG...      what led to a failed request, from the logs of many "
+    "processes\n"
     "\vExit codes: 0 done, 1 refused, 64 usage, 69 no control node answers, 75 may have been "
     "done: resend with the same --id.";
 
@@ -96,7 +98,7 @@
     case ARGP_KEY_END:
         if (c->n_args == 0)
             argp_error(st, "a command is needed");
-        if (c->n == 0)
+        if (c->n == 0 && strcmp(c->args[0], "explain") != 0)
             argp_error(st, "--control or FERRY_CONTROL must name the control nodes");
         break;
     default:
@@ -284,6 +286,8 @@
         return metrics(c);
     if (strcmp(cmd, "timeline") == 0)
         return ctl_timeline(c);
+    if (strcmp(cmd, "explain") == 0 && c->n_args > 2)
+        return ctl_explain(c);
     if (strcmp(cmd, "intent") == 0 && c->n_args == 2)
         return intent(c, c->args[1]);
     if (strcmp(cmd, "confirm") == 0 && c->n_args == 2)
--- a/misc/log.c
+++ b/misc/log.c
@@ -1,8 +1,11 @@
 #include "misc/log.h"
 
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <jansson.h>
 
@@ -10,6 +13,7 @@
 #include "misc/str.h"
 
 #define MAX_OVERRIDES 8
+#define LINE_MAX_ 2048 /* below what a pipe takes at once */
 
 static const char *const level_names[] = {"fatal",   "error", "warn", "info",
                                           "verbose", "debug", "trace"};
@@ -56,6 +60,11 @@
 bool lg_setup(const char *node, const char *spec, bool json)
 {
     setup.json = json;
+    if (json) {
+        int flags = fcntl(STDOUT_FILENO, F_GETFL);
+        if (flags >= 0)
+            fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
     setup.n = 0;
     snprintf(setup.node, sizeof(setup.node), "%s", node);
     while (*spec) {
@@ -78,30 +87,111 @@
     return level <= setup.level;
 }
 
-static void write_json(const struct lg_log *log, enum lg_level level, const char *text)
+/* A whole line or none: pipes take lines of this length at once. A reader that stopped reading
+ * must not stall the process; what it misses is counted, and said with the next line that gets
+ * through. */
+static unsigned long left_out;
+
+unsigned long lg_left_out(void)
+{
+    return left_out;
+}
+
+static void put_line(const char *text, size_t len)
 {
-    json_t *o =
-        json_pack("{s:I,s:s,s:s,s:s,s:s}", "ts_ms", (json_int_t)ck_wall_ms(), "node",
-                  setup.node, "level", level_names[level], "module", log->prefix, "msg", text);
-    char *line = o ? json_dumps(o, JSON_COMPACT) : NULL;
+    char line[LINE_MAX_];
+    size_t n = len < sizeof(line) - 1 ? len : sizeof(line) - 1;
+    memcpy(line, text, n);
+    line[n] = '\n';
+    ssize_t w = write(setup.json ? STDOUT_FILENO : STDERR_FILENO, line, n + 1);
+    if (w != (ssize_t)n + 1)
+        left_out++;
+}
+
+static json_t *line_head(const struct lg_log *log, enum lg_level level)
+{
+    json_t *o = json_pack("{s:I,s:s,s:s,s:s}", "ts_ms", (json_int_t)ck_wall_ms(), "node",
+                          setup.node, "level", level_names[level], "module", log->prefix);
+    if (o && left_out)
+        json_object_set_new(o, "left_out", json_integer((json_int_t)left_out));
+    return o;
+}
+
+static void put_json(json_t *o)
+{
+    char *line = o ? json_dumps(o, JSON_COMPACT | JSON_ENSURE_ASCII) : NULL;
     if (line)
-        fprintf(stderr, "%s\n", line);
+        put_line(line, strlen(line));
     free(line);
     json_decref(o);
 }
 
-void lg_write(const struct lg_log *log, enum lg_level level, const char *fmt, ...)
+static void write_json(const struct lg_log *log, enum lg_level level, const char *text)
+{
+    json_t *o = line_head(log, level);
+    if (o)
+        json_object_set_new(o, "msg", json_string(text));
+    put_json(o);
+}
+
+static void write_text(const struct lg_log *log, enum lg_level level, const char *text)
+{
+    char line[LINE_MAX_];
+    int64_t ms = ck_wall_ms();
+    int n = snprintf(line, sizeof(line), "%lld.%03lld %s %s [%s] %s", (long long)(ms / 1000),
+                     (long long)(ms % 1000), setup.node, level_names[level], log->prefix, text);
+    put_line(line, n < (int)sizeof(line) ? (size_t)n : sizeof(line) - 1);
+}
+
+/* "key=value key=value ... last=to the end" */
+static void add_fields(json_t *o, const char *text)
+{
+    while (*text) {
+        char key[32];
+        size_t n = strcspn(text, "=");
+        const char *value = text[n] ? text + n + 1 : text + n;
+        size_t len = strcspn(value, " ");
+        /* The last one has no further key behind its blanks. */
+        if (!strchr(value + len, '='))
+            len = strlen(value);
+        if (sr_copy(key, sizeof(key), (struct sr_str){text, n}))
+            json_object_set_new(o, key, json_stringn(value, len));
+        text = value + len;
+        text += *text == ' ';
+    }
+}
+
+void lg_event(const struct lg_log *log, enum lg_level level, const char *event, const char *fmt,
+              ...)
 {
     char text[1024];
     va_list ap;
     va_start(ap, fmt);
     vsnprintf(text, sizeof(text), fmt, ap);
     va_end(ap);
-    if (setup.json) {
-        write_json(log, level, text);
+    if (!setup.json) {
+        char line[1100];
+        snprintf(line, sizeof(line), "%s %s", event, text);
+        write_text(log, level, line);
         return;
     }
-    int64_t ms = ck_wall_ms();
-    fprintf(stderr, "%lld.%03lld %s %s [%s] %s\n", (long long)(ms / 1000),
-            (long long)(ms % 1000), setup.node, level_names[level], log->prefix, text);
+    json_t *o = line_head(log, level);
+    if (o) {
+        json_object_set_new(o, "event", json_string(event));
+        add_fields(o, text);
+    }
+    put_json(o);
+}
+
+void lg_write(const struct lg_log *log, enum lg_level level, const char *fmt, ...)
+{
+    char text[1024];
+    va_list ap;
+    va_start(ap, fmt);
+    vsnprintf(text, sizeof(text), fmt, ap);
+    va_end(ap);
+    if (setup.json)
+        write_json(log, level, text);
+    else
+        write_text(log, level, text);
 }
--- a/misc/log.h
+++ b/misc/log.h
@@ -17,11 +17,25 @@
 void lg_write(const struct lg_log *log, enum lg_level level, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 
+/* A line with a name from a closed list (docs/LOGS.md) and fields. `fmt` gives "key=value
+ * key=value
+ * ..."; values have no blanks, but for the last, which goes to the end. In JSON each is a
+ * field. */
+void lg_event(const struct lg_log *log, enum lg_level level, const char *event, const char *fmt,
+              ...) __attribute__((format(printf, 4, 5)));
+/* Lines that could not be written because nobody read them. */
+unsigned long lg_left_out(void);
+
 #define LG_MSG(log, level, ...)                                                                \
     do {                                                                                       \
         if (lg_enabled((log), (level)))                                                        \
             lg_write((log), (level), __VA_ARGS__);                                             \
     } while (0)
+#define FL_EVENT(log, level, ...)                                                              \
+    do {                                                                                       \
+        if (lg_enabled((log), (level)))                                                        \
+            lg_event((log), (level), __VA_ARGS__);                                             \
+    } while (0)
 #define FL_FATAL(log, ...) LG_MSG(log, LG_FATAL, __VA_ARGS__)
 #define FL_ERR(log, ...) LG_MSG(log, LG_ERR, __VA_ARGS__)
 #define FL_WARN(log, ...) LG_MSG(log, LG_WARN, __VA_ARGS__)
--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -238,7 +238,8 @@
 static void complete(struct px_conn *c)
 {
     if (broke_off(c)) {
-        FL_INFO(&c->inst->p->log, "instance %s: an answer broke off; closing", c->inst->cfg.id);
+        FL_EVENT(&c->inst->p->log, LG_INFO, "answer_broke_off", "instance=%s group=%s",
+                 c->inst->cfg.id, c->inst->group->cfg.name);
         px_conn_close(c); /* its end is that of a lost answer */
         return;
     }
--- a/proxy/groups.c
+++ b/proxy/groups.c
@@ -115,9 +115,9 @@
     sync_instances(g, v);
     g->cfg = *v;
     if (new_term || new_phase) {
-        FL_INFO(&g->p->log, "group %s: %s in term %llu, primary %s", v->name,
-                vw_phase_name(v->phase), (unsigned long long)v->term,
-                v->primary >= 0 ? v->inst[v->primary].id : "none");
+        FL_EVENT(&g->p->log, LG_INFO, "group_changed", "group=%s phase=%s term=%llu primary=%s",
+                 v->name, vw_phase_name(v->phase), (unsigned long long)v->term,
+                 v->primary >= 0 ? v->inst[v->primary].id : "-");
         g->settle_by = v->phase == VW_HANDING ? ck_now() + SETTLE_US : 0;
         g->primary_refused = 0;
     }
@@ -147,8 +147,8 @@
                err.text);
         return;
     }
-    FL_INFO(&p->log, "document %llu in force, was %llu; %d routes",
-            (unsigned long long)c.version, (unsigned long long)p->catalog.version, c.n_routes);
+    FL_EVENT(&p->log, LG_INFO, "document_in_force", "document=%llu before=%llu routes=%d",
+             (unsigned long long)c.version, (unsigned long long)p->catalog.version, c.n_routes);
     cg_free(&p->catalog);
     p->catalog = c;
 }
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -152,8 +152,9 @@
     if (in->gone || !primary || now - in->suspected < SUSPECT_EVERY_US)
         return;
     in->suspected = now;
-    FL_INFO(&in->p->log, "instance %s %s", in->cfg.id,
-            health == WR_REFUSED ? "closes or refuses connections" : "does not answer");
+    FL_EVENT(&in->p->log, LG_INFO, "instance_suspected", "instance=%s group=%s why=%s",
+             in->cfg.id, in->group->cfg.name,
+             health == WR_REFUSED ? "refuses" : "does not answer");
     in->p->cfg.host.suspect(in->p->cfg.host.ud, in->cfg.id, health);
 }
 
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -25,6 +25,7 @@
     struct nt_conn *net; /* to the other node; NULL: none */
     int tries, target;   /* in the proxy's nodes */
     bool greeted, rests;
+    struct px_tail tail; /* of what comes from the other node */
     int64_t began;
 };
 
@@ -87,16 +88,13 @@
 }
 
 /* Whether what came ends with the session resting: then it may be closed without harm. */
-static bool ends_resting(const struct px_relay *r, const char *data, size_t len)
+static bool ends_resting(struct px_relay *r, const char *data, size_t len)
 {
     struct px_msg m;
-    size_t from = len;
-    if (len < 2 || data[len - 1] != '\n')
+    struct sr_str line;
+    if (!px_tail_add(&r->tail, data, len, &line))
         return false;
-    size_t end = data[len - 2] == '\r' ? len - 2 : len - 1;
-    for (from = end; from > 0 && data[from - 1] != '\n'; from--)
-        ;
-    r->s->p->cfg.codec->parse((struct sr_str){data + from, end - from}, &m);
+    r->s->p->cfg.codec->parse(line, &m);
     return m.kind == PX_READY && m.txn == PX_IDLE;
 }
 
@@ -154,6 +152,7 @@
         return;
     }
     r->target = i;
+    r->tail.len = 0;
     r->began = ck_now();
     r->net = nt_connect_stream(p->loop, p->nodes[i].ip, p->nodes[i].port, &ops, r);
 }
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -65,21 +65,31 @@
     return false;
 }
 
+/* Instances of the group that lacked a position a moment ago: why the others are full. */
+static int behind_now(const struct px_group *g, int64_t now)
+{
+    int k = 0;
+    for (int i = 0; g && i < g->cfg.n; i++)
+        k += now < g->inst[i]->behind_until;
+    return k;
+}
+
 static void note_failure(struct px_session *s, enum er_kind kind, const char *detail)
 {
     struct px_proxy *p = s->p;
+    const struct px_group *g = s->route.group[0] ? px_group(p, s->route.group) : NULL;
     p->c.failed++;
     p->c.by_reason[kind]++;
     if (!may_log(p))
         return;
-    FL_INFO(
-        &p->log,
-        "request %.*s session %llu database %s group %s: %s (%s); after %lld ms, offered %d "
-        "times, %s, document %llu",
-        (int)s->id.len, s->id.p, (unsigned long long)s->state.session, s->database,
-        s->route.group, er_name(kind), detail, (long long)((ck_now() - s->arrived) / 1000),
-        s->offers, px_leased(p) ? "leased" : "without a lease",
-        (unsigned long long)p->catalog.version);
+    FL_EVENT(&p->log, LG_INFO, "request_failed",
+             "request=%.*s session=%llu database=%s group=%s term=%llu document=%llu leased=%d "
+             "kind=%s after_ms=%lld offers=%d behind=%d instances=%d detail=%s",
+             (int)s->id.len, s->id.p, (unsigned long long)s->state.session, s->database,
+             s->route.group, (unsigned long long)(g ? g->cfg.term : 0),
+             (unsigned long long)p->catalog.version, px_leased(p), er_name(kind),
+             (long long)((ck_now() - s->arrived) / 1000), s->offers, behind_now(g, ck_now()),
+             g ? g->cfg.n : 0, detail);
 }
 
 static void note_success(struct px_session *s)
--- a/proxy/wire.h
+++ b/proxy/wire.h
@@ -96,6 +96,16 @@
 
 /* Cut the next line out of `in` from *at on; *at moves behind it. False: none is whole yet. */
 bool px_next_line(const struct sr_buf *in, size_t *at, struct sr_str *line);
+/* The last line of a stream that is only passed on: it comes in pieces that may end anywhere.
+ */
+struct px_tail {
+    size_t len;
+    char part[128]; /* of the line that is not whole yet; longer ones are cut */
+};
+
+/* More of the stream. Whether it ends with a whole line now, which *line then is; it points
+ * into `data` or `t`. */
+bool px_tail_add(struct px_tail *t, const char *data, size_t len, struct sr_str *line);
 /* Drop what was read. */
 void px_consume(struct sr_buf *in, size_t n);
 
--- a/tests/process/t_sessions.sh
+++ b/tests/process/t_sessions.sh
@@ -25,11 +25,14 @@
 se_load_end
 t_check "work was done" [ "$(se_count ok)" -gt 1000 ]
 
+ms() { date +%s%3N; }
+halves_from=$(ms)
 t_say "answers break off before their end: no success is made up"
 se_load 3 17 "${P[@]}"
 for k in 1 2 3 4; do sleep 0.4; se_world halves/10 > /dev/null; done
 se_load_end
 
+halves_to=$(ms)
 t_say "replicas 3 s behind: nothing stale"
 se_world lag/0/3000 > /dev/null
 se_load 3 12 "${P[@]}"
@@ -38,6 +41,7 @@
 se_world lag/0/20 > /dev/null
 
 t_say "the primary dies"
+death_from=$(ms)
 old=$(se_primary)
 se_load 6 13 "${P[@]}"
 sleep 1; se_world "kill/0/$old" > /dev/null
@@ -45,6 +49,7 @@
 t_check "another leads" [ "$(se_primary)" != "$old" ]
 se_world "revive/0/$old" > /dev/null; sleep 1
 
+death_to=$(ms)
 t_say "orders go unanswered and are carried out late"
 old=$(se_primary)
 se_world deaf-orders/2 > /dev/null
@@ -79,6 +84,28 @@
 t_say "a route is added and dropped while sessions are open"
 t_check "added" se_put "$(se_document 11 ',{"name":"r4","host":"n","kind":"primary","timeoutMs":900,"service":"reg0"}')" 200
 t_check "obeyed" t_until se_says DATAROW "${P[0]}" "STARTUP n x" "QUERY 1 READ k"
+exec 8<> "/dev/tcp/127.0.0.1/${P[0]}"
+printf 'STARTUP n x\r\n' >&8
 t_check "dropped" se_put "$(se_document 12)" 200
 t_check "obeyed" t_until se_says NODB "${P[0]}" "STARTUP n x"
+printf 'QUERY dropped.1 READ k\r\n' >&8
+t_check "by the open session as well" grep -q NODB <(timeout 2 cat <&8)
+exec 8>&-
+
+t_say "a failed request is explained from the logs alone"
+failed() { # kind from to: the id of a request that failed so between two times
+    grep -h '"event":"request_failed"' "$SE_DIR"/e?.log | grep "\"kind\":\"$1\"" |
+        sed 's/.*"ts_ms":\([0-9]*\).*"request":"\([^"]*\)".*/\1 \2/' | awk -v a="$2" -v b="$3" '$1 > a && $1 < b {print $2; exit}'
+}
+explain() { "$CL_BUILD/ferryctl" explain "$1" "$SE_DIR"/*.log > "$SE_DIR/explained" 2>&1; }
+explains() { explain "$1" && grep -q "$2" "$SE_DIR/explained"; }
+t_check "in doubt: its answer was lost" explains "$(failed lost "$halves_from" "$halves_to")" 'cause: lost: in doubt: it was sent'
+t_check "with the break that it met" grep -q answer_broke_off "$SE_DIR/explained"
+t_check "a transaction that met a change of primary" explains "$(failed aborted "$death_from" "$death_to")" 'cause: aborted'
+t_check "the change stands there, with its reason" grep -q 'change_of_primary.*why=' "$SE_DIR/explained"
+t_check "a route that was dropped" explains dropped.1 'cause: no_database'
+t_check "with the document that dropped it" grep -q 'document_in_force.*document=12' "$SE_DIR/explained"
+t_check "another id is not made up" bash -c "! $CL_BUILD/ferryctl explain nobody $SE_DIR/e0.log > /dev/null"
+grep -h '^{' "$SE_DIR"/*.log | sed 's/.*"event":"\([a-z_]*\)".*/\1/;t;d' | sort -u > "$SE_DIR/events"
+t_check "every event is in docs/LOGS.md" bash -c "while read -r e; do grep -q \"\\\`\$e\\\`\" docs/LOGS.md || { echo \$e; exit 1; }; done < $SE_DIR/events"
 exit $T_BAD
--- a/tests/process/t_voters.sh
+++ b/tests/process/t_voters.sh
@@ -67,5 +67,5 @@
 
 t_say "the entry node has followed all the way"
 t_check "ready" t_until se_ready 0
-t_check "the newest configuration is obeyed there" grep -q "document 33 in force" "$SE_DIR/e0.log"
+t_check "the newest configuration is obeyed there" grep -q '"document_in_force","document":"33"' "$SE_DIR/e0.log"
 exit $T_BAD
--- a/tests/unit/test_lines.c
+++ b/tests/unit/test_lines.c
@@ -228,6 +228,35 @@
     sr_buf_free(&in);
 }
 
+/* What is only passed on is cut anywhere as well: a greeting in two pieces was once taken for
+ * none, and the caller was greeted twice. */
+static void last_lines_in_pieces(void)
+{
+    static const char stream[] = "DATAROW x\r\nCOMPLETE y\r\nREADY I -\r\n";
+    size_t n = sizeof(stream) - 1;
+    for (size_t a = 0; a <= n; a++) {
+        for (size_t b = a; b <= n; b++) {
+            struct px_tail t = {0};
+            struct sr_str line = {0};
+            bool whole = false;
+            size_t cut[4] = {0, a, b, n};
+            for (int k = 0; k < 3; k++) {
+                if (cut[k + 1] > cut[k])
+                    whole = px_tail_add(&t, stream + cut[k], cut[k + 1] - cut[k], &line);
+            }
+            CU_ASSERT_TRUE(whole && is(line, "READY I -"));
+        }
+    }
+    struct px_tail t = {0};
+    struct sr_str line;
+    char longer[400];
+    memset(longer, 'x', sizeof(longer));
+    CU_ASSERT_FALSE(px_tail_add(&t, longer, sizeof(longer), &line));
+    CU_ASSERT_FALSE(px_tail_add(&t, longer, sizeof(longer), &line));
+    CU_ASSERT_TRUE(px_tail_add(&t, "\n", 1, &line));
+    CU_ASSERT_TRUE(px_tail_add(&t, "\r\n", 2, &line) && line.len == 0);
+}
+
 void lines_suite(void)
 {
     CU_pSuite s = CU_add_suite("lines", NULL, NULL);
@@ -238,4 +267,5 @@
     TEST(s, status_rows);
     TEST(s, documents);
     TEST(s, lines_are_cut);
+    TEST(s, last_lines_in_pieces);
 }
