member: an odd number of voters

Change: of the control nodes that are there an odd number votes (seven of eight, five of six), never fewer than the losses to be borne ask for; the one over learns and takes the next free place. Ruled out: a longer lease (the cut lasts longer than any bound on configuration allows). Test: an_odd_number_votes, seen failing.

--- a/ferryctl/explain.c
+++ b/ferryctl/explain.c
@@ -1,8 +1,9 @@
 /* What led to a failed request: the lines of many processes' logs that bear on it, in order.
  *
- * The request's own line names its group, the term and the document it was judged by. What the same
- * group, the same node's lease and the configuration did shortly before stands in the logs of the
- * node, of others and of control. Read from files only: the processes need not run any more. */
+ * The request's own line names its group, the term and the document it was judged by. What the
+ * same group, the same node's lease and the configuration did shortly before stands in the logs
+ * of the node, of others and of control. Read from files only: the processes need not run any
+ * more. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -95,7 +96,8 @@
 {
     const char *key;
     json_t *v;
-    printf("%+7lld ms  %-16s %-20s", f->ms - s->at, text(f->line, "node"), text(f->line, "event"));
+    printf("%+7lld ms  %-16s %-20s", f->ms - s->at, text(f->line, "node"),
+           text(f->line, "event"));
     json_object_foreach(f->line, key, v)
     {
         static const char *const head[] = {"ts_ms", "node", "level", "module", "event"};
@@ -114,17 +116,21 @@
     static const struct {
         const char *kind, *says;
     } rows[] = {
-        {"lost", "in doubt: it was sent and its answer was lost; whether it ran only the instance's "
-                 "data tells"},
+        {"lost",
+         "in doubt: it was sent and its answer was lost; whether it ran only the instance's "
+         "data tells"},
         {"timeout", "in doubt: it was sent and not answered in its time"},
         {"aborted", "its transaction was rolled back: nothing of it is kept"},
-        {"overload", "not run: no connection came free in time; behind=N says how many instances "
-                     "could not serve it because they lack positions"},
+        {"overload",
+         "not run: no connection came free in time; behind=N says how many instances "
+         "could not serve it because they lack positions"},
         {"busy", "not run: the instance's own queue was full"},
-        {"deadline", "not run: nobody could take it in its time; a group_changed line shows a change "
-                     "of primary, lease_lost a node without control"},
+        {"deadline",
+         "not run: nobody could take it in its time; a group_changed line shows a change "
+         "of primary, lease_lost a node without control"},
         {"no_lease", "not run: the node was cut off from control"},
-        {"no_database", "the configuration in force on the node (document=) has no such database"},
+        {"no_database",
+         "the configuration in force on the node (document=) has no such database"},
     };
     const char *kind = text(s->failed, "kind");
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
@@ -165,9 +171,10 @@
             fprintf(stderr, "ferryctl: %s can't be read\n", c->args[i]);
     }
     if (!s.failed) {
-        printf("no line of request %s: it did not fail on these nodes, or its line was left out "
-               "(ferry_session_log_lines_left_out_total)\n",
-               s.id);
+        printf(
+            "no line of request %s: it did not fail on these nodes, or its line was left out "
+            "(ferry_session_log_lines_left_out_total)\n",
+            s.id);
         return EX_REFUSED;
     }
     qsort(s.f, (size_t)s.n, sizeof(s.f[0]), by_time);
--- a/member/member.c
+++ b/member/member.c
@@ -15,6 +15,20 @@
     return k;
 }
 
+/* How many should vote: an odd number of those that are there, so that of two halves one has a
+ * majority, and no fewer than what must be borne asks for. */
+static int wanted_voters(const struct mb_state *s)
+{
+    int there = 0;
+    for (int i = 0; i < s->n; i++) {
+        const struct mb_node *n = &s->node[i];
+        there += n->member ? alive(s, n) : n->connected;
+    }
+    int odd = there % 2 ? there : there - 1;
+    int least = mb_needed(s->tolerates);
+    return odd > least ? odd : least;
+}
+
 static int members(const struct mb_state *s)
 {
     int k = 0;
@@ -63,7 +77,8 @@
 struct mb_action mb_next(const struct mb_state *s)
 {
     const char *why = "";
-    for (int i = 0; i < s->n; i++) {
+    bool more = live_voters(s) < wanted_voters(s);
+    for (int i = 0; more && i < s->n; i++) {
         const struct mb_node *n = &s->node[i];
         if (n->member && !n->voter && n->caught_up && alive(s, n))
             return step(MB_VOTER, n, "it holds all that is committed");
--- a/member/member.h
+++ b/member/member.h
@@ -1,9 +1,10 @@
 /* Who votes: the next step towards a set of voters that bears the losses it must bear.
  *
  * Pure; run by the control leader where no operator lets voters in. Every control node with a
- * disk that is there becomes a voter. An emptied disk is a new member: it learns first, then
- * votes, and only then the identity that is lost with the old disk is removed, so that at no
- * step fewer losses are borne than before. One step at a time. */
+ * disk that is there becomes a member; an odd number of them votes, the one over learns. An
+ * emptied disk is a new member: it learns first, then votes, and only then the identity that is
+ * lost with the old disk is removed, so that at no step fewer losses are borne than before. One
+ * step at a time. */
 #ifndef FL_MEMBER_MEMBER_H
 #define FL_MEMBER_MEMBER_H
 
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -79,6 +79,28 @@
     expect(&s, MB_REMOVE, 3);
 }
 
+/* Eight split into halves have no majority of eight; of seven, one half has. The eighth learns
+ * and takes the place of a voter that goes. */
+static void an_odd_number_votes(void)
+{
+    static const char *const ips[] = {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4",
+                                      "10.0.0.5", "10.0.0.6", "10.0.0.7", "10.0.0.8"};
+    struct mb_state s = {.self = 1, .tolerates = 2};
+    for (uint64_t i = 0; i < 8; i++)
+        s.node[s.n++] = node(i + 1, ips[i], i < 7);
+    s.node[7].member = true;
+    expect(&s, MB_NONE, 0);
+    s.node[2].heard_us = MB_GONE_US;
+    s.node[2].connected = false;
+    expect(&s, MB_VOTER, 8);
+    s.node[7].voter = true;
+    expect(&s, MB_REMOVE, 3);
+    struct mb_state four = three();
+    four.node[four.n++] = node(4, "10.0.0.4", false);
+    four.node[3].member = true;
+    expect(&four, MB_NONE, 0); /* three of four */
+}
+
 /* ---- instances ---- */
 
 static struct rg_beat beat(const char *id, int port, bool primary, uint64_t seq)
@@ -182,6 +204,7 @@
     TEST(s, emptied_disk_learns_votes_and_replaces);
     TEST(s, successor_at_another_address);
     TEST(s, every_disk_votes);
+    TEST(s, an_odd_number_votes);
     TEST(s, instances_calls);
     TEST(s, documents_are_checked_whole);
 }
