--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -41,20 +41,29 @@
 
 /* ---- where ---- */
 
-/* Holders of the group but for ourselves, from a place of the session's own on, so that
- * sessions spread over them. */
-static int pick_target(const struct px_session *s, const struct px_group *g, int try)
+/* A holder of the group but for ourselves, from a place of the session's own on, so that
+ * sessions spread over them. `near`: only of this node's failure domain. -1: none. */
+static int pick_holder(const struct px_session *s, const struct px_group *g, int try, bool near)
 {
     const struct px_proxy *p = s->p;
-    int n = g->n_holders;
-    for (int k = 0; k < n; k++) {
-        int i = g->holders[(s->state.session + (uint64_t)try + (uint64_t)k) % (uint64_t)n];
-        if (strcmp(p->nodes[i].name, p->cfg.name) != 0)
+    uint64_t n = (uint64_t)g->n_holders;
+    for (uint64_t k = 0; k < n; k++) {
+        int i = g->holders[(s->state.session + (uint64_t)try + k) % n];
+        bool other = strcmp(p->nodes[i].name, p->cfg.name) != 0;
+        if (other && (!near || strcmp(p->nodes[i].domain, p->cfg.domain) == 0))
             return i;
     }
     return -1;
 }
 
+/* A near one costs a shorter trip and no bytes between failure domains; the second try goes
+ * anywhere. */
+static int pick_target(const struct px_session *s, const struct px_group *g, int try)
+{
+    int i = try == 0 ? pick_holder(s, g, try, true) : -1;
+    return i >= 0 ? i : pick_holder(s, g, try, false);
+}
+
 static int next_target(const struct px_session *s, int try)
 {
     const struct cg_route *r = cg_route(&s->p->catalog, sr_from(s->database));
