--- a/ferryctl/explain.c
+++ b/ferryctl/explain.c
@@ -1,8 +1,9 @@
 /* What led to a failed request: the lines of many processes' logs that bear on it, in order.
  *
- * The request's own line names its group, the term and the document it was judged by. What the same
- * group, the same node's lease and the configuration did shortly before stands in the logs of the
- * node, of others and of control. Read from files only: the processes need not run any more. */
+ * The request's own line names its group, the term and the document it was judged by. What the
+ * same group, the same node's lease and the configuration did shortly before stands in the logs
+ * of the node, of others and of control. Read from files only: the processes need not run any
+ * more. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,11 +11,11 @@
 #include "ferryctl/ctl.h"
 
 enum {
-    BEFORE_MS = 3000, /* how far back a cause is looked for */
-    AFTER_MS = 1500,
-    MAX_LINES = 20000,
+    BEFORE_MS = 3000,  /* how far back a cause is looked for */
+    AFTER_MS = 1500,   /* control's own line of a change may come after the failure */
+    MAX_LINES = 20000, /* read in all; more are passed over */
     MAX_SHOWN = 60,
-    LINE = 4096,
+    LINE = 4096, /* bytes; above what misc/log.c writes */
 };
 
 struct found {
@@ -27,7 +28,7 @@
     int n;
     struct found f[MAX_LINES];
     const json_t *failed; /* the request's last line */
-    long long at;
+    long long at;         /* its time, ms */
 };
 
 static const char *text(const json_t *o, const char *key)
@@ -91,18 +92,26 @@
     return same_group || strncmp(event, "document", 8) == 0 || strncmp(event, "member", 6) == 0;
 }
 
+/* Whether every line has the field: shown in front of it, or not at all. */
+static bool in_head(const char *key)
+{
+    static const char *const head[] = {"ts_ms", "node", "level", "module", "event"};
+    for (size_t i = 0; i < sizeof(head) / sizeof(head[0]); i++) {
+        if (strcmp(key, head[i]) == 0)
+            return true;
+    }
+    return false;
+}
+
 static void show(const struct search *s, const struct found *f)
 {
     const char *key;
     json_t *v;
-    printf("%+7lld ms  %-16s %-20s", f->ms - s->at, text(f->line, "node"), text(f->line, "event"));
+    printf("%+7lld ms  %-16s %-20s", f->ms - s->at, text(f->line, "node"),
+           text(f->line, "event"));
     json_object_foreach(f->line, key, v)
     {
-        static const char *const head[] = {"ts_ms", "node", "level", "module", "event"};
-        bool known = false;
-        for (size_t i = 0; i < sizeof(head) / sizeof(head[0]); i++)
-            known = known || strcmp(key, head[i]) == 0;
-        if (!known && json_is_string(v))
+        if (!in_head(key) && json_is_string(v))
             printf(" %s=%s", key, json_string_value(v));
     }
     putchar('\n');
@@ -114,17 +123,21 @@
     static const struct {
         const char *kind, *says;
     } rows[] = {
-        {"lost", "in doubt: it was sent and its answer was lost; whether it ran only the instance's "
-                 "data tells"},
+        {"lost",
+         "in doubt: it was sent and its answer was lost; whether it ran only the instance's "
+         "data tells"},
         {"timeout", "in doubt: it was sent and not answered in its time"},
         {"aborted", "its transaction was rolled back: nothing of it is kept"},
-        {"overload", "not run: no connection came free in time; behind=N says how many instances "
-                     "could not serve it because they lack positions"},
+        {"overload",
+         "not run: no connection came free in time; behind=N says how many instances "
+         "could not serve it because they lack positions"},
         {"busy", "not run: the instance's own queue was full"},
-        {"deadline", "not run: nobody could take it in its time; a group_changed line shows a change "
-                     "of primary, lease_lost a node without control"},
+        {"deadline",
+         "not run: nobody could take it in its time; a group_changed line shows a change "
+         "of primary, lease_lost a node without control"},
         {"no_lease", "not run: the node was cut off from control"},
-        {"no_database", "the configuration in force on the node (document=) has no such database"},
+        {"no_database",
+         "the configuration in force on the node (document=) has no such database"},
     };
     const char *kind = text(s->failed, "kind");
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
@@ -146,7 +159,7 @@
         printf("(more lines bear on it; the first %d are shown)\n", MAX_SHOWN);
 }
 
-/* A leader's line in the window, or say that no control node's log was among the files. */
+/* Without a control node's log, changes of primary show only as their effects. */
 static void show_missing(const struct search *s)
 {
     for (int i = 0; i < s->n; i++) {
@@ -165,9 +178,10 @@
             fprintf(stderr, "ferryctl: %s can't be read\n", c->args[i]);
     }
     if (!s.failed) {
-        printf("no line of request %s: it did not fail on these nodes, or its line was left out "
-               "(ferry_session_log_lines_left_out_total)\n",
-               s.id);
+        printf(
+            "no line of request %s: it did not fail on these nodes, or its line was left out "
+            "(ferry_session_log_lines_left_out_total)\n",
+            s.id);
         return EX_REFUSED;
     }
     qsort(s.f, (size_t)s.n, sizeof(s.f[0]), by_time);
--- a/misc/log.c
+++ b/misc/log.c
@@ -13,7 +13,7 @@
 #include "misc/str.h"
 
 #define MAX_OVERRIDES 8
-#define LINE_MAX_ 2048 /* below what a pipe takes at once */
+#define LINE_BYTES 2048 /* below what a pipe takes at once */
 
 static const char *const level_names[] = {"fatal",   "error", "warn", "info",
                                           "verbose", "debug", "trace"};
@@ -87,9 +87,6 @@
     return level <= setup.level;
 }
 
-/* A whole line or none: pipes take lines of this length at once. A reader that stopped reading
- * must not stall the process; what it misses is counted, and said with the next line that gets
- * through. */
 static unsigned long left_out;
 
 unsigned long lg_left_out(void)
@@ -97,9 +94,12 @@
     return left_out;
 }
 
+/* A whole line or none: pipes take lines of this length at once. A reader that stopped reading
+ * must not stall the process; what it misses is counted, and said with the next line that gets
+ * through. */
 static void put_line(const char *text, size_t len)
 {
-    char line[LINE_MAX_];
+    char line[LINE_BYTES];
     size_t n = len < sizeof(line) - 1 ? len : sizeof(line) - 1;
     memcpy(line, text, n);
     line[n] = '\n';
@@ -136,7 +136,7 @@
 
 static void write_text(const struct lg_log *log, enum lg_level level, const char *text)
 {
-    char line[LINE_MAX_];
+    char line[LINE_BYTES];
     int64_t ms = ck_wall_ms();
     int n = snprintf(line, sizeof(line), "%lld.%03lld %s %s [%s] %s", (long long)(ms / 1000),
                      (long long)(ms % 1000), setup.node, level_names[level], log->prefix, text);
--- a/misc/log.h
+++ b/misc/log.h
@@ -13,14 +13,15 @@
 /* Once at start. `spec` is "info" or "info,quorum=debug,entry=trace"; unknown level: false. */
 bool lg_setup(const char *node, const char *spec, bool json);
 
+/* Whether lines of this level are written. */
 bool lg_enabled(const struct lg_log *log, enum lg_level level);
+/* A line of text. Callers use the macros below, which check the level first. */
 void lg_write(const struct lg_log *log, enum lg_level level, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 
-/* A line with a name from a closed list (docs/LOGS.md) and fields. `fmt` gives "key=value
- * key=value
- * ..."; values have no blanks, but for the last, which goes to the end. In JSON each is a
- * field. */
+/* A line with a name from a closed list (docs/LOGS.md) and fields. `fmt` gives the fields as
+ * "key=value key=value"; values have no blanks, but for the last, which goes to the end. In
+ * JSON each is a field. */
 void lg_event(const struct lg_log *log, enum lg_level level, const char *event, const char *fmt,
               ...) __attribute__((format(printf, 4, 5)));
 /* Lines that could not be written because nobody read them. */
