proxy, takeover: fields and arguments that nobody read are gone; takeover's fields say what they are

px_conn.own was setup.verb, px_conn.txn and px_counters.late were only written; so were tk_inst's term and health_at and tk_config.silence_us.

--- a/control/takeovers.c
+++ b/control/takeovers.c
@@ -13,8 +13,7 @@
 static void begin(struct ct_node *n, struct ct_group *g)
 {
     const struct st_settings *s = n->s;
-    struct tk_config cfg = {.silence_us = CK_MS(s->silence_ms),
-                            .check_us = CK_MS(s->check_ms),
+    struct tk_config cfg = {.check_us = CK_MS(s->check_ms),
                             .answer_us = ANSWER_US,
                             .lead_us = LEAD_US,
                             .settle_us = SETTLE_US,
@@ -39,19 +38,19 @@
     (void)domain;
     bool primary = g->primary >= 0 && strcmp(g->inst[g->primary]->id, inst) == 0;
     if (vantage == g->inst[0]->node->id)
-        tk_seen(&g->tk, inst, health_of(health), ck_now());
+        tk_seen(&g->tk, inst, health_of(health));
     else if (primary && health >= PR_SILENT)
-        tk_suspected(&g->tk, inst, ck_now());
+        tk_suspected(&g->tk, inst);
 }
 
 static void said(struct ct_group *g, const char *inst, const struct ep_reply *r)
 {
-    tk_said(&g->tk, inst, r->primary, r->term, r->held, ck_now());
+    tk_said(&g->tk, inst, r->primary, r->held, ck_now());
 }
 
 static void reached(struct ct_group *g, const char *inst)
 {
-    tk_seen(&g->tk, inst, TK_UP, ck_now());
+    tk_seen(&g->tk, inst, TK_UP);
 }
 
 static void checked(struct ct_group *g, uint64_t nonce, enum pr_health health)
--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -84,7 +84,6 @@
 static bool send_setup(struct px_conn *c, struct px_session *s, bool *sent)
 {
     if (px_next_setup(&s->state, &c->applied, runs_prepared(s), c->setup_name, &c->setup)) {
-        c->own = c->setup.verb;
         c->phase = PX_C_SETUP;
         *sent = send_own(c, &c->setup, false, s->floor);
         return true;
@@ -92,7 +91,6 @@
     if (s->txn == PX_IDLE || s->begun)
         return false;
     c->setup = (struct px_stmt){.verb = PX_V_BEGIN, .read_only = s->read_only};
-    c->own = PX_V_BEGIN;
     c->phase = PX_C_SETUP;
     *sent = send_own(c, &c->setup, s->has_floor, s->floor);
     return true;
@@ -127,7 +125,6 @@
         c->inst->busy--;
     c->phase = PX_C_IDLE;
     c->session = NULL;
-    c->txn = false;
     px_inst_pump(c->inst);
 }
 
@@ -209,7 +206,7 @@
     if (c->error != ER_NONE) {
         /* A DISCARD or PREPARE that fails leaves a state that is not known. */
         enum er_kind why = c->error;
-        bool begin = c->own == PX_V_BEGIN && c->state == PX_IDLE;
+        bool begin = c->setup.verb == PX_V_BEGIN && c->state == PX_IDLE;
         s->conn = NULL;
         c->session = NULL;
         if (begin)
@@ -219,12 +216,10 @@
         px_not_sent(s, c, why);
         return;
     }
-    if (c->own == PX_V_BEGIN) {
+    if (c->setup.verb == PX_V_BEGIN)
         s->begun = true;
-        c->txn = true;
-    } else {
+    else
         px_setup_done(&s->state, &c->applied, &c->setup);
-    }
     advance(c);
 }
 
--- a/proxy/place.h
+++ b/proxy/place.h
@@ -12,8 +12,6 @@
 #include "misc/pos.h"
 #include "misc/rng.h"
 
-enum { PX_MAX_CANDIDATES = 7 };
-
 struct px_candidate {
     bool usable; /* there, not draining, not tried before for this read */
     bool primary;
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -149,9 +149,9 @@
 {
     int64_t now = ck_now();
     bool primary = in->at == in->group->cfg.primary;
-    if (in->gone || !primary || now - in->suspected < SUSPECT_EVERY_US)
+    if (in->gone || !primary || now - in->told_at < SUSPECT_EVERY_US)
         return;
-    in->suspected = now;
+    in->told_at = now;
     FL_EVENT(&in->p->log, LG_INFO, "instance_suspected", "instance=%s group=%s why=%s",
              in->cfg.id, in->group->cfg.name,
              health == WR_REFUSED ? "refuses" : "does not answer");
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -36,13 +36,11 @@
     enum px_phase phase;
     struct px_session *session; /* it works for, or that has its transaction here */
     struct px_applied applied;
-    enum px_verb own; /* PX_C_SETUP: which */
-    struct px_stmt setup;
+    struct px_stmt setup; /* PX_C_SETUP: what is out */
     char setup_name[PX_STMT_NAME];
     int64_t sent_at; /* what is out; of PX_C_OPENING: the start */
     uint64_t term;   /* the group's, when it was sent */
     bool leased;     /* the term was known to be in force then */
-    bool txn;        /* a transaction is open on it */
     bool closing;
     /* the answer as far as it has come */
     struct sr_buf rows; /* as they go to the caller */
@@ -70,7 +68,7 @@
     int64_t heard;      /* last sign of life */
     int64_t refused_at; /* a connect was refused; 0: heard since */
     bool asks;          /* a good connection was lost: another is to tell whether it is there */
-    int64_t suspected;  /* last told to the entry role */
+    int64_t told_at;    /* a suspicion, to the entry role */
     struct px_window window;
     int64_t service_us;
     struct ps_pos known;
@@ -135,7 +133,7 @@
 
 struct px_counters {
     uint64_t sessions, statements, ok, failed, by_reason[ER_COUNT];
-    uint64_t reads_primary, reads_replica, behind, retries, parked, lost, opened, late;
+    uint64_t reads_primary, reads_replica, behind, retries, parked, lost, opened;
     uint64_t log_lines_left_out, relayed;
 };
 
--- a/takeover/takeover.c
+++ b/takeover/takeover.c
@@ -4,9 +4,7 @@
 #include <string.h>
 
 enum {
-
-    AVOID_US = 2000000, /* an instance that could not be named is not named again so long */
-
+    AVOID_US = 2000000,   /* an instance that could not be named is not named again so long */
     PROPOSAL_US = 500000, /* a proposal that was not committed by then is made anew */
     FRESH_US = 300000,   /* how long all instances that are up may take to say where they are */
     DEMOTED_US = 400000, /* a new primary may take so long to say that it is one */
@@ -55,30 +53,26 @@
     t->open_mixed = true;
 }
 
-void tk_seen(struct tk_group *t, const char *id, enum tk_health health, int64_t now)
+void tk_seen(struct tk_group *t, const char *id, enum tk_health health)
 {
     struct tk_inst *in = inst_of(t, id);
-    if (!in || in->health == health)
-        return;
-    in->health = health;
-    in->health_at = now;
+    if (in)
+        in->health = health;
 }
 
-void tk_said(struct tk_group *t, const char *id, bool primary, uint64_t term,
-             struct ps_pos received, int64_t now)
+void tk_said(struct tk_group *t, const char *id, bool primary, struct ps_pos received,
+             int64_t now)
 {
     struct tk_inst *in = inst_of(t, id);
     if (!in)
         return;
     in->says_primary = primary;
-    in->term = term;
     in->received = received;
     in->said_at = now;
 }
 
-void tk_suspected(struct tk_group *t, const char *id, int64_t now)
+void tk_suspected(struct tk_group *t, const char *id)
 {
-    (void)now;
     if (inst_of(t, id))
         t->suspects++;
 }
@@ -330,13 +324,21 @@
     }
 }
 
+/* The instance that was named left, or the list moved under it. */
+static bool target_moved(const struct tk_group *t, const struct vw_group *g)
+{
+    if (t->target < 0)
+        return false;
+    if (t->target >= g->n || t->target >= t->n)
+        return true;
+    return strcmp(t->inst[t->target].id, g->inst[t->target].id) != 0;
+}
+
 void tk_tick(struct tk_group *t, const struct vw_group *g, bool dropped, int64_t now,
              struct tk_actions *out)
 {
     out->n = 0;
-    if (t->target >= 0 && (t->target >= g->n || t->target >= t->n ||
-                           strcmp(t->inst[t->target].id, g->inst[t->target].id) != 0)) {
-        /* The instance that was named left, or the list moved under it. */
+    if (target_moved(t, g)) {
         t->target = -1;
         if (t->step == TK_CALLED)
             enter(t, TK_CHOOSING, now);
--- a/takeover/takeover.h
+++ b/takeover/takeover.h
@@ -20,7 +20,6 @@
 #include "view/view.h"
 
 struct tk_config {
-    int64_t silence_us; /* unanswered for so long an instance counts as silent */
     int64_t check_us;   /* how long entry nodes have to say what they see */
     int64_t answer_us;  /* a call without an answer is made anew after this */
     int64_t lead_us;    /* an instance that was named should lead within this */
@@ -34,9 +33,7 @@
 struct tk_inst {
     char id[VW_NAME];
     enum tk_health health;
-    int64_t health_at; /* since when */
     bool says_primary;
-    uint64_t term; /* the platform's, of its log */
     struct ps_pos received;
     int64_t said_at;     /* when that was said; 0 never */
     int64_t avoid_until; /* a call for it was refused */
@@ -47,9 +44,9 @@
     TK_ASKING,   /* entry nodes are asked what they see */
     TK_PROPOSED, /* a change of the view is on its way */
     TK_DROPPING, /* entry nodes drop the old term */
-    TK_CHOOSING,
-    TK_CALLED, /* the call is out, or answered; the instance does not say yet that it leads */
-    TK_CONCLUDING,
+    TK_CHOOSING, /* instances say where they are; the successor is picked */
+    TK_CALLED,   /* the call is out, or answered; the instance does not say yet that it leads */
+    TK_CONCLUDING, /* the new primary is proposed to the log */
 };
 
 struct tk_group {
@@ -61,14 +58,15 @@
     bool answered;           /* the call under `term` was carried out */
     char open_call[VW_NAME]; /* instance of calls whose outcome is open; "" none */
     bool open_mixed;         /* such calls name different instances */
+    /* of the entry nodes that were asked last: no answer yet, up, down */
     int checks_out, checks_up, checks_down;
-    uint64_t nonce;
-    int64_t ask_after;
-    int suspects; /* entry nodes that say the primary does not answer, since last asked */
-    int64_t serving_since;
+    uint64_t nonce;    /* of that question */
+    int64_t ask_after; /* they saw it up: not asked again before */
+    int suspects;      /* entry nodes that say the primary does not answer, since last asked */
+    int64_t serving_since; /* the primary leads by the view */
     int n;
     struct tk_inst inst[VW_MAX_INSTANCES];
-    char why[96];
+    char why[96]; /* the reason of the change that was proposed last, for people */
 };
 
 enum tk_action_kind {
@@ -102,13 +100,15 @@
 /* A leader begins, or the group is new: nothing is known, also not of calls of others. */
 void tk_begin(struct tk_group *t, const struct tk_config *cfg, int64_t now);
 /* What this leader's connection to the instance shows. */
-void tk_seen(struct tk_group *t, const char *inst, enum tk_health health, int64_t now);
+void tk_seen(struct tk_group *t, const char *inst, enum tk_health health);
 /* What the instance said of itself. */
-void tk_said(struct tk_group *t, const char *inst, bool primary, uint64_t term,
-             struct ps_pos received, int64_t now);
+void tk_said(struct tk_group *t, const char *inst, bool primary, struct ps_pos received,
+             int64_t now);
 /* An entry node can't get an answer of the instance. */
-void tk_suspected(struct tk_group *t, const char *inst, int64_t now);
+void tk_suspected(struct tk_group *t, const char *inst);
+/* TK_DO_CHECK was carried out: `n` entry nodes were asked. */
 void tk_checking(struct tk_group *t, int n);
+/* One of them answers what it was asked under `nonce`. */
 void tk_checked(struct tk_group *t, uint64_t nonce, enum tk_health health);
 /* The outcome of the call under `term`. */
 void tk_called(struct tk_group *t, uint64_t term, enum tk_outcome what, int64_t now);
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -28,8 +28,7 @@
 /* `a` leads term 1; b and c are replicas; all are up, b received most. */
 static void fresh(void)
 {
-    static const struct tk_config cfg = {.silence_us = CK_MS(800),
-                                         .check_us = CK_MS(100),
+    static const struct tk_config cfg = {.check_us = CK_MS(100),
                                          .answer_us = CK_MS(1000),
                                          .lead_us = CK_MS(3000),
                                          .settle_us = CK_MS(500),
@@ -42,10 +41,10 @@
     tk_begin(&t, &cfg, now);
     tick(false);
     for (int i = 0; i < 3; i++) {
-        tk_seen(&t, ids[i], TK_UP, now);
-        tk_said(&t, ids[i], i == 0, 1, (struct ps_pos){1, i == 1 ? 100 : 90}, now);
+        tk_seen(&t, ids[i], TK_UP);
+        tk_said(&t, ids[i], i == 0, (struct ps_pos){1, i == 1 ? 100 : 90}, now);
     }
-    tk_said(&t, "a", true, 1, (struct ps_pos){1, 100}, now);
+    tk_said(&t, "a", true, (struct ps_pos){1, 100}, now);
 }
 
 /* What the view says once the proposal is committed. */
@@ -63,14 +62,14 @@
 
 static void say(const char *id, bool primary, uint64_t pos)
 {
-    tk_said(&t, id, primary, 1, (struct ps_pos){1, pos}, now);
+    tk_said(&t, id, primary, (struct ps_pos){1, pos}, now);
 }
 
 /* The primary refuses, entry nodes agree: until the call is out. */
 static void until_called(void)
 {
     fresh();
-    tk_seen(&t, "a", TK_REFUSED, now);
+    tk_seen(&t, "a", TK_REFUSED);
     tick(false);
     CU_ASSERT_PTR_NOT_NULL(done(TK_DO_CHECK));
     tk_checking(&t, 2);
@@ -110,7 +109,7 @@
 static void reachable_primary_stays(void)
 {
     fresh();
-    tk_seen(&t, "a", TK_SILENT, now);
+    tk_seen(&t, "a", TK_SILENT);
     tick(false);
     tk_checking(&t, 3);
     tk_checked(&t, t.nonce, TK_UP);
@@ -131,7 +130,7 @@
 static void unreachable_primary_hands_over(void)
 {
     fresh();
-    tk_suspected(&t, "a", now);
+    tk_suspected(&t, "a");
     tick(false);
     CU_ASSERT_PTR_NOT_NULL(done(TK_DO_CHECK));
     tk_checking(&t, 3);
@@ -160,7 +159,7 @@
     tick(true);
     CU_ASSERT_PTR_NOT_NULL_FATAL(done(TK_DO_REPLACE));
     CU_ASSERT_EQUAL(done(TK_DO_REPLACE)->term, 3);
-    tk_seen(&t, "b", TK_REFUSED, now);
+    tk_seen(&t, "b", TK_REFUSED);
     commit(done(TK_DO_REPLACE));
     tick(true);
     tick(true);
@@ -244,9 +243,9 @@
 static void nobody_left_waits(void)
 {
     fresh();
-    tk_seen(&t, "b", TK_REFUSED, now);
-    tk_seen(&t, "c", TK_SILENT, now);
-    tk_seen(&t, "a", TK_REFUSED, now);
+    tk_seen(&t, "b", TK_REFUSED);
+    tk_seen(&t, "c", TK_SILENT);
+    tk_seen(&t, "a", TK_REFUSED);
     tick(false);
     CU_ASSERT_EQUAL(out.n, 0);
     /* The named instance leaves while its call is out. */
