proxy: session.c split by duty: answer.c tells callers, statement.c acts on what they say

session.c keeps the caller's connection. Sending a buffer and freeing it, refusing before work and greeting stand once each.

--- /dev/null
+++ b/proxy/answer.c
@@ -0,0 +1,140 @@
+/* What callers are told, and what is noted of it. */
+#include "proxy/priv.h"
+
+enum { FAILURE_LINES_PER_S = 20 }; /* of the log; more are counted */
+
+static const struct ps_pos no_pos;
+
+/* ---- noting ---- */
+
+/* A few lines a second, the rest counted: a bad hour must not fill the disk. */
+static bool may_log(struct px_proxy *p)
+{
+    int64_t now = ck_now();
+    if (now - p->log_budget_at > CK_SEC(1)) {
+        p->log_budget_at = now;
+        p->log_budget = FAILURE_LINES_PER_S;
+    }
+    if (p->log_budget > 0) {
+        p->log_budget--;
+        return true;
+    }
+    p->c.log_lines_left_out++;
+    return false;
+}
+
+/* Instances of the group that lacked a position a moment ago: why the others are full. */
+static int behind_now(const struct px_group *g, int64_t now)
+{
+    int k = 0;
+    for (int i = 0; g && i < g->cfg.n; i++)
+        k += now < g->inst[i]->behind_until;
+    return k;
+}
+
+static void note_failure(struct px_session *s, enum er_kind kind, const char *detail)
+{
+    struct px_proxy *p = s->p;
+    const struct px_group *g = s->route.group[0] ? px_group(p, s->route.group) : NULL;
+    p->c.failed++;
+    p->c.by_reason[kind]++;
+    if (!may_log(p))
+        return;
+    FL_EVENT(&p->log, LG_INFO, "request_failed",
+             "request=%.*s session=%llu database=%s group=%s term=%llu document=%llu leased=%d "
+             "kind=%s after_ms=%lld offers=%d behind=%d instances=%d detail=%s",
+             (int)s->id.len, s->id.p, (unsigned long long)s->state.session, s->database,
+             s->route.group, (unsigned long long)(g ? g->cfg.term : 0),
+             (unsigned long long)p->catalog.version, px_leased(p), er_name(kind),
+             (long long)((ck_now() - s->arrived) / 1000), s->offers, behind_now(g, ck_now()),
+             g ? g->cfg.n : 0, detail);
+}
+
+static void note_success(struct px_session *s)
+{
+    int64_t us = ck_now() - s->arrived;
+    s->p->c.ok++;
+    hi_add(s->writes ? &s->p->latency_write : &s->p->latency_read, us);
+}
+
+/* ---- sending ---- */
+
+/* Send what *b holds and free it. */
+static void send_all(struct px_session *s, struct sr_buf *b)
+{
+    if (s->net)
+        nt_send(s->net, b->p, b->len);
+    sr_buf_free(b);
+}
+
+static void put_ready(const struct px_session *s, struct sr_buf *b, bool has_pos,
+                      struct ps_pos pos)
+{
+    struct px_msg m = {.kind = PX_READY, .txn = s->txn, .has_pos = has_pos, .pos = pos};
+    s->p->cfg.codec->put(b, &m);
+}
+
+static void put_failure(const struct px_session *s, struct sr_buf *b, enum er_kind kind,
+                        const char *detail)
+{
+    struct px_msg m = {.kind = PX_FAILURE, .error = kind, .detail = sr_from(detail)};
+    s->p->cfg.codec->put(b, &m);
+}
+
+/* ---- answers ---- */
+
+void px_answer(struct px_session *s, const struct px_conn *c)
+{
+    struct sr_buf b = {0};
+    if (c->error != ER_NONE) {
+        note_failure(s, c->error, c->detail);
+        put_failure(s, &b, c->error, c->detail);
+    } else {
+        struct px_msg done = {.kind = PX_DONE, .signature = {c->signature.p, c->signature.len}};
+        note_success(s);
+        sr_buf_add(&b, c->rows.p, c->rows.len);
+        s->p->cfg.codec->put(&b, &done);
+    }
+    put_ready(s, &b, c->has_pos, c->pos);
+    send_all(s, &b);
+    s->since = ck_now();
+    px_session_go_on(s);
+}
+
+void px_refuse(struct px_session *s, enum er_kind kind, const char *detail)
+{
+    struct sr_buf b = {0};
+    note_failure(s, kind, detail);
+    px_end_work(s);
+    put_failure(s, &b, kind, detail);
+    put_ready(s, &b, false, no_pos);
+    send_all(s, &b);
+    s->since = ck_now();
+    px_session_go_on(s);
+}
+
+void px_answer_own(struct px_session *s)
+{
+    struct sr_buf b = {0};
+    struct px_msg done = {.kind = PX_DONE};
+    s->p->cfg.codec->put(&b, &done);
+    put_ready(s, &b, false, no_pos);
+    send_all(s, &b);
+    s->since = ck_now();
+}
+
+void px_greet(struct px_session *s)
+{
+    struct sr_buf b = {0};
+    put_ready(s, &b, false, no_pos);
+    send_all(s, &b);
+}
+
+void px_fail_and_close(struct px_session *s, enum er_kind kind, const char *detail)
+{
+    struct sr_buf b = {0};
+    put_failure(s, &b, kind, detail);
+    send_all(s, &b);
+    if (s->net)
+        nt_close(s->net, false);
+}
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -163,15 +163,26 @@
     struct hi_hist latency_read, latency_write;
 };
 
-/* session.c */
-bool px_listen(struct px_proxy *p, struct er_err *err);
-/* Answer the session's statement: what the connection holds, or a failure; then go on with what
- * the caller sent meanwhile. */
+/* answer.c: what callers are told */
+void px_greet(struct px_session *s);
+/* Answer the session's statement with what the connection holds, a failure included; then go on
+ * with what the caller sent meanwhile. */
 void px_answer(struct px_session *s, const struct px_conn *from);
-/* Work through what the caller sent while its last statement was at work. */
-void px_session_go_on(struct px_session *s);
+/* The proxy itself carried the statement out: it ran nowhere. */
+void px_answer_own(struct px_session *s);
+/* The statement, at work or not, ends with this failure; go on as after px_answer. */
 void px_refuse(struct px_session *s, enum er_kind kind, const char *detail);
+/* A failure that ends the session. */
+void px_fail_and_close(struct px_session *s, enum er_kind kind, const char *detail);
+
+/* statement.c: what a statement does to its session */
+void px_statement(struct px_session *s, const struct px_msg *m);
 
+/* session.c: the caller's connection */
+bool px_listen(struct px_proxy *p, struct er_err *err);
+/* Work through what the caller sent while its last statement was at work. */
+void px_session_go_on(struct px_session *s);
+/* Look at all sessions: whose time to open, to rest or to stay is over. */
 void px_sessions_slow_tick(struct px_proxy *p, int64_t now);
 bool px_leased(const struct px_proxy *p);
 /* Without a lease for so long that this node is probably cut off from control, and others are
--- /dev/null
+++ b/proxy/statement.c
@@ -0,0 +1,167 @@
+/* What a caller's statement does to its session: what the proxy answers by itself, and what
+ * goes on to an instance (work.c). */
+#include "proxy/priv.h"
+
+/* Refused before it was at work. */
+static void refuse(struct px_session *s, enum er_kind kind, const char *detail)
+{
+    s->arrived = ck_now();
+    px_refuse(s, kind, detail);
+}
+
+static void malformed(struct px_session *s, const char *why)
+{
+    refuse(s, ER_BAD_INPUT, why);
+}
+
+/* What is in force for the database now; a transaction keeps what was when it began. */
+static bool take_route(struct px_session *s)
+{
+    const struct cg_route *r = cg_route(&s->p->catalog, sr_from(s->database));
+    struct er_err err = {0};
+    if (!r) {
+        er_set(&err, ER_NO_DATABASE, "%.80s", s->database);
+        refuse(s, err.kind, err.text);
+        return false;
+    }
+    s->route = *r;
+    return true;
+}
+
+static void begin(struct px_session *s)
+{
+    if (s->txn != PX_IDLE) {
+        malformed(s, "a transaction is open");
+        return;
+    }
+    if (!take_route(s))
+        return;
+    s->txn = PX_IN_TXN;
+    s->read_only = s->stmt.read_only;
+    s->begun = s->wrote = s->lost = false;
+    px_answer_own(s); /* it begins at an instance with its first statement */
+}
+
+static void rollback(struct px_session *s)
+{
+    if (s->txn == PX_IDLE) {
+        malformed(s, "no transaction is open");
+        return;
+    }
+    px_drop_txn(s);
+    s->txn = PX_IDLE;
+    px_answer_own(s);
+}
+
+static void commit(struct px_session *s)
+{
+    if (s->txn == PX_IDLE) {
+        malformed(s, "no transaction is open");
+        return;
+    }
+    s->writes = false;
+    if (s->lost) {
+        s->txn = PX_IDLE;
+        refuse(s, ER_ABORTED, "the transaction was rolled back before");
+        return;
+    }
+    px_begin_work(s);
+}
+
+/* In a failed transaction only its end is taken. */
+static bool in_failed(struct px_session *s)
+{
+    if (s->txn != PX_TXN_FAILED)
+        return false;
+    if (s->lost)
+        refuse(s, ER_ABORTED, "the transaction was rolled back");
+    else
+        malformed(s, "the transaction has failed; it can only be ended");
+    return true;
+}
+
+/* Whether a prepared statement writes was said when it was prepared. */
+static bool take_prepared(struct px_session *s)
+{
+    const struct px_prepared *p = px_find_prepared(&s->state, s->stmt.name);
+    struct er_err err = {0};
+    if (p) {
+        s->writes = p->writes;
+        return true;
+    }
+    er_set(&err, ER_NO_STATEMENT, "%.*s", (int)s->stmt.name.len, s->stmt.name.p);
+    if (s->txn != PX_IDLE)
+        s->txn = PX_TXN_FAILED;
+    refuse(s, err.kind, err.text);
+    return false;
+}
+
+static void run(struct px_session *s)
+{
+    if (in_failed(s) || (s->txn == PX_IDLE && !take_route(s)))
+        return;
+    s->writes = s->stmt.verb == PX_V_WRITE;
+    if (s->stmt.verb == PX_V_EXECUTE && !take_prepared(s))
+        return;
+    px_begin_work(s);
+}
+
+static bool apply(struct px_state *to, const struct px_stmt *st, struct er_err *err)
+{
+    if (st->verb == PX_V_SET)
+        return px_set(to, st->name, st->value, err);
+    if (st->verb == PX_V_PREPARE)
+        return px_prepare(to, st->name, st->writes, st->value, err);
+    return px_forget(to, st->name, err);
+}
+
+/* Values and prepared names are the session's own: connections get them when they need them. */
+static void change_state(struct px_session *s)
+{
+    struct er_err err = {0};
+    if (in_failed(s))
+        return;
+    if (apply(&s->state, &s->stmt, &err))
+        px_answer_own(s);
+    else
+        refuse(s, err.kind, err.text);
+}
+
+/* The line is kept: the text goes to an instance as it came, perhaps twice. */
+static void keep(struct px_session *s, const struct px_msg *m)
+{
+    s->line.len = 0;
+    sr_buf_add(&s->line, m->id.p, m->id.len);
+    sr_buf_add(&s->line, m->text.p, m->text.len);
+    s->id = (struct sr_str){s->line.p, m->id.len};
+    s->text = (struct sr_str){s->line.p + m->id.len, m->text.len};
+}
+
+void px_statement(struct px_session *s, const struct px_msg *m)
+{
+    keep(s, m);
+    s->p->cfg.codec->parse_text(s->text, &s->stmt);
+    switch (s->stmt.verb) {
+    case PX_V_BEGIN:
+        begin(s);
+        break;
+    case PX_V_COMMIT:
+        commit(s);
+        break;
+    case PX_V_ROLLBACK:
+        rollback(s);
+        break;
+    case PX_V_READ:
+    case PX_V_WRITE:
+    case PX_V_EXECUTE:
+        run(s);
+        break;
+    case PX_V_SET:
+    case PX_V_PREPARE:
+    case PX_V_FORGET:
+        change_state(s);
+        break;
+    default:
+        malformed(s, "not a statement of this interface");
+    }
+}
