proxy: work.c split by duty: outcome.c says what comes of a statement

Doubled steps stand once: release of a connection, noting an instance that lacks a position or is no primary, the last try, a transaction that is ended under its caller (px_abort_txn). try_elsewhere and expire_at_instance are short now.

--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -199,20 +199,40 @@
 bool px_rests_elsewhere(const struct px_session *s);
 void px_holders_changed(struct px_proxy *p);
 
-/* work.c: one statement, from its arrival to its answer */
+enum { PX_PARK_US = 20000 }; /* between two looks at what a parked statement waits for */
+
+/* work.c: one statement on its way */
+static inline bool px_in_txn(const struct px_session *s)
+{
+    return s->txn != PX_IDLE;
+}
+/* Whether no replica may serve the statement. */
+bool px_needs_primary(const struct px_session *s);
 void px_begin_work(struct px_session *s);
+/* Find an instance for it, or park it. */
 void px_route_work(struct px_session *s);
+/* The statement is over, or its session is; nothing is told. */
 void px_end_work(struct px_session *s);
 void px_park(struct px_session *s, int64_t until);
+/* Another try, at once or later. False: it counts, and there were as many as are allowed. */
+bool px_try_again(struct px_session *s, int64_t after_us, bool counts);
+/* Whether no further try that counts is allowed. */
+bool px_last_try(const struct px_session *s);
 void px_work_tick(struct px_session *s, int64_t now);
+
+/* outcome.c: what comes of it */
 /* The connection has the whole answer. */
 void px_answered(struct px_session *s, struct px_conn *c);
 /* Nothing of the statement was sent. */
 void px_not_sent(struct px_session *s, struct px_conn *c, enum er_kind why);
 /* The connection died; `sent`: with the statement on it. */
 void px_lost(struct px_session *s, struct px_conn *c, bool sent);
+/* Its time is up. */
+void px_expire(struct px_session *s);
 /* The session's transaction ends here: roll back what is open. */
 void px_drop_txn(struct px_session *s);
+/* The same without the caller's doing: its next statement is told. */
+void px_abort_txn(struct px_session *s);
 
 /* pool.c: instances */
 struct px_inst *px_inst_new(struct px_group *g, const struct vw_instance *cfg);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -89,11 +89,8 @@
     if (!p->stopping || now - p->stop_began < p->cfg.grace_us * STOP_FORCE_PERCENT / 100)
         return;
     for (struct px_session *s = p->sessions; s; s = s->next) {
-        if (s->stage == PX_S_REST && s->txn != PX_IDLE && s->conn) {
-            px_drop_txn(s);
-            s->txn = PX_TXN_FAILED;
-            s->lost = true;
-        }
+        if (s->stage == PX_S_REST && px_in_txn(s) && s->conn)
+            px_abort_txn(s);
     }
 }
 
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -4,7 +4,6 @@
  * group (route/holders); a node that is cut off from control has neighbours that are not. A
  * relayed session lives at the other node with its values, prepared names and transactions;
  * here only its bytes pass. It ends when either end does, so nothing has to be moved. */
-#include <stdio.h>
 #include <stdlib.h>
 
 #include "proxy/priv.h"
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -1,6 +1,5 @@
 /* Callers' sessions: their connections, from the greeting to the close. What they say is at
  * statement.c, what they are told at answer.c. */
-#include <stdio.h>
 #include <stdlib.h>
 
 #include "proxy/priv.h"
@@ -190,11 +189,8 @@
     int64_t bound = s->p->catalog.txn_idle_us;
     if (s->txn == PX_IDLE || s->stage != PX_S_REST || !bound || now - s->since < bound)
         return;
-    if (s->conn) {
-        px_drop_txn(s);
-        s->txn = PX_TXN_FAILED;
-        s->lost = true;
-    }
+    if (s->conn)
+        px_abort_txn(s);
 }
 
 static bool rests(const struct px_session *s)
