--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -315,16 +315,13 @@
 static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
 {
     struct px_conn *c = ud;
-    struct sr_str line;
+    struct px_msg m;
     size_t at = 0;
     (void)net;
     hear(c);
     sr_buf_add(&c->in, data, len);
-    while (!c->closing && px_next_line(&c->in, &at, &line)) {
-        struct px_msg m;
-        c->inst->p->cfg.codec->parse(line, &m);
+    while (!c->closing && px_next_msg(c->inst->p->cfg.codec, &c->in, &at, &m))
         take(c, &m);
-    }
     px_consume(&c->in, at);
     if (c->in.len > PX_MAX_LINE)
         px_conn_close(c);
--- a/proxy/groups.c
+++ b/proxy/groups.c
@@ -29,6 +29,11 @@
     return NULL;
 }
 
+struct px_group *px_group_of(const struct px_session *s)
+{
+    return px_group(s->p, s->route.group);
+}
+
 struct px_inst *px_inst(const struct px_proxy *p, struct sr_str id)
 {
     for (int g = 0; g < p->n_groups; g++) {
--- /dev/null
+++ b/proxy/holders.c
@@ -0,0 +1,49 @@
+/* Which entry nodes hold connections to a group's instances, where an instance accepts fewer
+ * connections than there are nodes; sessions elsewhere are relayed to one of them (relay.c). */
+#include "proxy/priv.h"
+
+enum {
+    CONNS_A_HOLDER = 4, /* connections to an instance, at least, for each node that holds it */
+    LEAST_HOLDERS = 3,  /* nodes, however few the connections */
+};
+
+static bool holds(const struct px_proxy *p, const struct px_group *g)
+{
+    for (int k = 0; k < g->n_holders; k++) {
+        if (strcmp(p->nodes[g->holders[k]].name, p->cfg.name) == 0)
+            return true;
+    }
+    return false;
+}
+
+/* With a connection or more for every node all hold a group; else so many that each has a few.
+ */
+static int holders_of(const struct px_proxy *p, const struct px_group *g)
+{
+    const struct cg_service *svc = cg_service(&p->catalog, g->cfg.name);
+    int conns = svc ? svc->max_conns : 0;
+    if (conns <= 0 || p->n_nodes <= conns)
+        return 0;
+    int k = conns / CONNS_A_HOLDER;
+    return k < LEAST_HOLDERS ? LEAST_HOLDERS : k > HO_MAX_HOLDERS ? HO_MAX_HOLDERS : k;
+}
+
+void px_holders_changed(struct px_proxy *p)
+{
+    for (int i = 0; i < p->n_groups; i++) {
+        struct px_group *g = p->groups[i];
+        int out[HO_MAX_HOLDERS], k = holders_of(p, g);
+        g->n_holders = k ? ho_pick(p->nodes, p->n_nodes, g->cfg.name, k, out) : 0;
+        for (int h = 0; h < g->n_holders; h++)
+            g->holders[h] = (uint16_t)out[h];
+        g->held = k == 0 || holds(p, g);
+    }
+}
+
+void px_nodes(struct px_proxy *p, const struct ho_node *nodes, int n)
+{
+    p->nodes = sr_realloc(p->nodes, sizeof(*nodes) * (size_t)(n + 1));
+    memcpy(p->nodes, nodes, sizeof(*nodes) * (size_t)n);
+    p->n_nodes = n;
+    px_holders_changed(p);
+}
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -4,11 +4,12 @@
 #include "proxy/priv.h"
 
 enum {
-    FIRST_SERVICE_US = 15000, /* what a statement takes before any was measured */
-    SUSPECT_EVERY_US = 100000,
-    LOST_TIMES = 5,
+    FIRST_SERVICE_US = 15000,  /* what a statement takes before any was measured */
+    SUSPECT_EVERY_US = 100000, /* an instance is reported again at the earliest */
+    LOST_TIMES = 5, /* a statement out for so many service times has probably lost its answer */
     QUIET_US = 300000,  /* a statement without an answer for so long, and nothing else heard */
     SILENT_US = 400000, /* a connection that is not greeted for so long */
+    FRESH_US = 400000,  /* an instance heard within this is taken for well */
 };
 
 struct px_inst *px_inst_new(struct px_group *g, const struct vw_instance *cfg)
@@ -19,7 +20,6 @@
     in->cfg = *cfg;
     in->service_us = FIRST_SERVICE_US;
     px_window_init(&in->window);
-    in->waiters_tail = &in->waiters;
     return in;
 }
 
@@ -116,6 +116,12 @@
     return k;
 }
 
+static void open_for_waiters(struct px_inst *in, bool window_open, int64_t now)
+{
+    if (window_open && opening(in) < in->n_waiters && px_inst_has_room(in, now))
+        px_conn_open(in);
+}
+
 void px_inst_take(struct px_inst *in, struct px_session *s)
 {
     bool open = px_window_open(&in->window, px_inst_running(in), ck_now());
@@ -127,8 +133,7 @@
     }
     enqueue(in, s);
     note_demand(in);
-    if (open && opening(in) < in->n_waiters && px_inst_has_room(in, ck_now()))
-        px_conn_open(in);
+    open_for_waiters(in, open, ck_now());
 }
 
 void px_inst_pump(struct px_inst *in)
@@ -182,7 +187,6 @@
 
 enum wr_health px_health(const struct px_proxy *p, struct sr_str id)
 {
-    enum { FRESH_US = 400000 };
     const struct px_inst *in = px_inst(p, id);
     int64_t now = ck_now();
     if (!in)
@@ -216,8 +220,7 @@
     shed(in);
     px_inst_pump(in);
     bool open = px_window_open(&in->window, px_inst_running(in), ck_now());
-    if (open && opening(in) < in->n_waiters && px_inst_has_room(in, now))
-        px_conn_open(in);
+    open_for_waiters(in, open, now);
     /* One more than the share, to learn whether it is there: refused, it is. */
     bool ask = in->asks || quiet(in, now);
     in->asks = false;
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -1,5 +1,5 @@
-/* The proxy's state, shared by its parts (session, work, pool, conn, groups). Nobody else
- * includes this; proxy/proxy.h is the contract. */
+/* The proxy's state, shared by its parts. Nobody else includes this; proxy/proxy.h is the
+ * contract. */
 #ifndef FL_PROXY_PRIV_H
 #define FL_PROXY_PRIV_H
 
@@ -17,6 +17,7 @@
 struct px_inst;
 struct px_group;
 
+/* What a connection to an instance is at. */
 enum px_phase {
     PX_C_OPENING,
     PX_C_IDLE,
@@ -29,30 +30,34 @@
 
 /* A connection to an instance. */
 struct px_conn {
-    struct px_conn *next;
+    struct px_conn *next; /* the instance's */
     struct px_inst *inst;
     struct nt_conn *net;
-    struct sr_buf in;
+    struct sr_buf in; /* what has come and is not taken yet */
+    bool closing;
     enum px_phase phase;
     struct px_session *session; /* it works for, or that has its transaction here */
     struct px_applied applied;
-    struct px_stmt setup; /* PX_C_SETUP: what is out */
-    char setup_name[PX_STMT_NAME];
-    int64_t sent_at; /* what is out; of PX_C_OPENING: the start */
-    uint64_t term;   /* the group's, when it was sent */
-    bool leased;     /* the term was known to be in force then */
-    bool closing;
+
+    /* what is out */
+    struct px_stmt setup;          /* PX_C_SETUP */
+    char setup_name[PX_STMT_NAME]; /* of a PREPARE of our own */
+    int64_t sent_at;               /* PX_C_OPENING: when it began */
+    uint64_t term;                 /* the group's, when it was sent */
+    bool leased;                   /* the term was known to be in force then */
+
     /* the answer as far as it has come */
     struct sr_buf rows; /* as they go to the caller */
     struct sr_buf signature;
-    bool done;
+    bool done; /* PX_DONE has come */
     enum er_kind error;
-    char detail[160];
+    char detail[160]; /* of the error; longer ones are cut */
     enum px_txn state;
     bool has_pos;
     struct ps_pos pos;
 };
 
+/* An instance and this node's connections to it. */
 struct px_inst {
     struct px_proxy *p;
     struct px_group *group;
@@ -60,25 +65,37 @@
     struct vw_instance cfg;
     bool gone; /* not in the view any more: freed with its last connection */
     struct px_inst *next_gone;
-    int share, n_conns, busy, peak;
+
+    /* connections */
     struct px_conn *conns;
-    struct px_session *waiters, **waiters_tail;
+    int n_conns;
+    int share;         /* how many this node may have */
+    int busy;          /* connections that are neither opening nor idle */
+    int peak;          /* the most that were busy or waited for, lately */
+    int64_t next_open; /* no new connection before */
+
+    /* sessions that wait for one, in the order in which they are served */
+    struct px_session *waiters;
     int n_waiters;
-    int64_t next_open;  /* no new connection before */
+
+    /* whether it is there */
     int64_t heard;      /* last sign of life */
     int64_t refused_at; /* a connect was refused; 0: heard since */
     bool asks;          /* a good connection was lost: another is to tell whether it is there */
     int64_t told_at;    /* a suspicion, to the entry role */
+
+    /* how it serves */
     struct px_window window;
-    int64_t service_us;
-    struct ps_pos known;
-    int64_t behind_until;
+    int64_t service_us;   /* smoothed time of a statement */
+    struct ps_pos known;  /* its log held this when it was heard last */
+    int64_t behind_until; /* it lacked a position; not asked for one like it before */
 };
 
+/* A group of the view. */
 struct px_group {
     struct px_proxy *p;
     struct vw_group cfg;
-    struct px_inst *inst[VW_MAX_INSTANCES];
+    struct px_inst *inst[VW_MAX_INSTANCES]; /* indexed like cfg.inst */
     struct rt_group rt; /* samples of the primary's position; the rest is not used */
     bool held; /* this node has connections to its instances; else sessions go to a holder */
     int n_holders;
@@ -89,52 +106,77 @@
 
 /* What a session's statement waits for. */
 enum px_stage {
-    PX_S_REST,    /* there is none */
-    PX_S_PARKED,  /* a primary, a lease, a position, or the next try */
-    PX_S_WAITING, /* a connection to `inst` */
-    PX_S_AT_INSTANCE,
+    PX_S_REST,        /* there is none */
+    PX_S_PARKED,      /* a primary, a lease, a position, or the next try */
+    PX_S_WAITING,     /* a connection to `inst` */
+    PX_S_AT_INSTANCE, /* its answer, on `conn` */
 };
 
+/* A caller's connection and what belongs to it. */
 struct px_session {
-    struct px_session *prev, *next;               /* the proxy's */
-    struct px_session *prev_active, *next_active; /* those with a statement */
-    struct px_session *wait_next;                 /* of an instance */
+    struct px_session *prev, *next; /* the proxy's */
     struct px_proxy *p;
-    struct nt_conn *net; /* NULL: the caller has gone */
-    struct sr_buf in;
-    bool opened, paused;
+
+    /* the connection */
+    struct nt_conn *net;    /* NULL: the caller has gone */
+    struct sr_buf in;       /* what has come and is not taken yet */
+    bool reading;           /* its input is being worked through */
+    bool paused;            /* more than a message of input: not read on */
+    bool opened;            /* greeted by us */
     bool came_relayed;      /* another node relays it to us */
     struct px_relay *relay; /* another node serves it; NULL: we do */
-    bool reading;           /* its input is being worked through */
     int64_t opened_at;
     int64_t since; /* it connected, or its last statement ended */
+
+    /* what it keeps from statement to statement */
     char database[CG_NAME];
-    struct px_state state;
-    struct ps_pos seen; /* its last commit, in group `seen_in` */
+    struct px_state state; /* values and prepared names */
+    struct ps_pos seen;    /* its last commit, in group `seen_in` */
     char seen_in[VW_NAME];
-    /* transaction */
+
+    /* its transaction */
     enum px_txn txn;
-    bool read_only, begun, wrote, lost;
+    bool read_only;
+    bool begun; /* at the instance, too */
+    bool wrote;
+    bool lost;             /* it failed because its connection went: nothing of it is left */
     struct cg_route route; /* of the transaction, or of the statement */
     struct px_conn *conn;  /* at work for it, or pinned by its transaction */
-    /* statement */
+
+    /* its statement */
     enum px_stage stage;
-    struct sr_buf line; /* its id and text */
+    struct px_session *prev_active, *next_active; /* the proxy's, with a statement */
+    struct sr_buf line;                           /* holds the id and the text */
     struct sr_str id, text;
-    struct px_stmt stmt;
+    struct px_stmt stmt; /* the text, taken apart */
     bool writes;
-    struct px_inst *inst;
-    int64_t arrived, deadline, waiting_since, retry_at, sent_at;
-    int attempts, offers;
-    unsigned skip; /* bits of instances that could not serve it */
+    int64_t arrived, deadline;
     bool has_floor;
-    struct ps_pos floor;
+    struct ps_pos floor; /* what a read must see */
+
+    /* where the statement is, and was */
+    struct px_inst *inst;         /* waits for a connection there, or is there */
+    struct px_session *wait_next; /* of those that wait there */
+    int64_t waiting_since;
+    int64_t retry_at; /* PX_S_PARKED: looked at again then */
+    int64_t sent_at;
+    int attempts;  /* those that count against the route's */
+    int offers;    /* how often it was sent */
+    unsigned skip; /* bits of instances that could not serve it */
 };
 
+/* For /metrics. */
 struct px_counters {
-    uint64_t sessions, statements, ok, failed, by_reason[ER_COUNT];
-    uint64_t reads_primary, reads_replica, behind, retries, parked, lost, opened;
-    uint64_t log_lines_left_out, relayed;
+    uint64_t sessions, statements;
+    uint64_t ok, failed, by_reason[ER_COUNT];
+    uint64_t reads_primary, reads_replica;
+    uint64_t behind;  /* an instance lacked a read's position */
+    uint64_t retries; /* another try of a statement */
+    uint64_t parked;
+    uint64_t lost;    /* connections, with a statement on them */
+    uint64_t opened;  /* connections to instances */
+    uint64_t relayed; /* sessions that another node serves */
+    uint64_t log_lines_left_out;
 };
 
 struct px_proxy {
@@ -142,23 +184,32 @@
     struct nt_loop *loop;
     struct px_config cfg;
     struct nt_listener *listener;
+    struct rn_rng rng;
+
+    /* what is in force */
     struct cg_catalog catalog;
     int n_groups;
     struct px_group **groups; /* sorted by name */
     int n_nodes;
     struct ho_node *nodes; /* entry nodes with a lease, prepared */
     struct px_inst *gone;  /* not in the view, with connections still */
+    bool news;             /* instances came since px_has_news */
+    int64_t leased_at;     /* when the lease was live last */
+
+    /* sessions */
     struct px_session *sessions, *active;
     int n_sessions;
-    bool news;         /* instances came since px_has_news */
-    int64_t leased_at; /* when the lease was live last */
-    uint64_t numbered;
-    struct rn_rng rng;
+    uint64_t last_number; /* of a session; they are counted from 1 */
     int64_t next_slow_tick;
+
+    /* the end */
     bool stopping;
     int64_t stop_began;
+
+    /* lines of failures that may be logged in the second that began at log_budget_at */
     int64_t log_budget_at;
     int log_budget;
+
     struct px_counters c;
     struct hi_hist latency_read, latency_write;
 };
@@ -184,43 +235,60 @@
 void px_session_go_on(struct px_session *s);
 /* Look at all sessions: whose time to open, to rest or to stay is over. */
 void px_sessions_slow_tick(struct px_proxy *p, int64_t now);
+
+/* proxy.c: the lease */
+/* A lease outlives an election; who has none for longer is on its own. */
+enum { PX_CUT_OFF_US = 300000 };
+
+/* Whether no term of the view was replaced. */
 bool px_leased(const struct px_proxy *p);
 /* Without a lease for so long that this node is probably cut off from control, and others are
  * not. */
 bool px_cut_off(const struct px_proxy *p, int64_t now);
 
 /* relay.c: sessions that another node serves */
+/* Whether another node holds the session's group, and may be asked to serve it. */
 bool px_should_relay(const struct px_session *s);
 void px_relay_start(struct px_session *s);
+/* What the caller of a relayed session says. */
 void px_relay_bytes(struct px_session *s, const char *data, size_t len);
+/* The caller has gone; nothing happens if the session is not relayed. */
 void px_relay_end(struct px_session *s);
 void px_relay_tick(struct px_session *s, int64_t now);
+/* Whether another node opens this session for a caller of its own. */
 bool px_is_relayed(const struct px_msg *open);
+/* Whether a relayed session has neither a statement nor a transaction at the other node. */
 bool px_rests_elsewhere(const struct px_session *s);
+
+/* holders.c: which nodes hold connections to which groups */
+/* The view, the document or the nodes changed. */
 void px_holders_changed(struct px_proxy *p);
 
+/* work.c: one statement on its way */
 enum { PX_PARK_US = 20000 }; /* between two looks at what a parked statement waits for */
 
-/* work.c: one statement on its way */
 static inline bool px_in_txn(const struct px_session *s)
 {
     return s->txn != PX_IDLE;
 }
 /* Whether no replica may serve the statement. */
 bool px_needs_primary(const struct px_session *s);
+/* The session has a statement; from now on until px_end_work it is among the active ones. */
 void px_begin_work(struct px_session *s);
 /* Find an instance for it, or park it. */
 void px_route_work(struct px_session *s);
 /* The statement is over, or its session is; nothing is told. */
 void px_end_work(struct px_session *s);
+/* Look at it again at that time, or in the first tick after. */
 void px_park(struct px_session *s, int64_t until);
 /* Another try, at once or later. False: it counts, and there were as many as are allowed. */
 bool px_try_again(struct px_session *s, int64_t after_us, bool counts);
 /* Whether no further try that counts is allowed. */
 bool px_last_try(const struct px_session *s);
+/* Every tick: whether it waits too long where it is. */
 void px_work_tick(struct px_session *s, int64_t now);
 
-/* outcome.c: what comes of it */
+/* outcome.c: what comes of a statement */
 /* The connection has the whole answer. */
 void px_answered(struct px_session *s, struct px_conn *c);
 /* Nothing of the statement was sent. */
@@ -236,17 +304,24 @@
 
 /* pool.c: instances */
 struct px_inst *px_inst_new(struct px_group *g, const struct vw_instance *cfg);
+/* It left the view, or moved: its connections end, then it is freed. */
 void px_inst_gone(struct px_inst *in);
+/* Free it if it is gone and has no connection any more. */
 void px_inst_maybe_free(struct px_inst *in);
 /* An idle connection for the session, or its place among those that wait for one. */
 void px_inst_take(struct px_inst *in, struct px_session *s);
+/* The session waits no longer. */
 void px_inst_unwait(struct px_inst *in, struct px_session *s);
+/* Serve those that wait, as far as connections are idle. */
 void px_inst_pump(struct px_inst *in);
-/* Statements that are out there. */
+/* Statements that are out there, without those whose answers are probably lost. */
 int px_inst_running(const struct px_inst *in);
 void px_inst_tick(struct px_inst *in, int64_t now);
+/* Whether a statement may go there: it is there as far as is known, and stays. */
 bool px_inst_usable(const struct px_inst *in, int64_t now);
+/* Whether one more connection may be opened. */
 bool px_inst_has_room(const struct px_inst *in, int64_t now);
+/* Tell the entry role that the primary does not answer, or refuses; now and then only. */
 void px_inst_suspect(struct px_inst *in, enum wr_health health);
 
 /* conn.c: connections to instances */
@@ -257,12 +332,16 @@
 void px_conn_orphan(struct px_conn *c);
 /* Roll back, then serve others. */
 void px_conn_rollback(struct px_conn *c);
+/* Nothing is open on it: serve others. */
 void px_conn_idle(struct px_conn *c);
+/* Its end is reported to the session it works for, by px_lost. */
 void px_conn_close(struct px_conn *c);
 void px_conn_tick(struct px_conn *c, int64_t now);
 
 /* groups.c: the view */
 struct px_group *px_group(const struct px_proxy *p, const char *name);
+/* The group that the session's route names, NULL: none, or no route was taken. */
+struct px_group *px_group_of(const struct px_session *s);
 struct px_inst *px_inst(const struct px_proxy *p, struct sr_str id);
 /* The instance that serves the group's term, NULL: none is known to. */
 struct px_inst *px_primary(const struct px_group *g, int64_t now);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -30,6 +30,18 @@
     return p->catalog.version > 0;
 }
 
+/* ---- the lease ---- */
+
+bool px_leased(const struct px_proxy *p)
+{
+    return p->cfg.host.leased(p->cfg.host.ud);
+}
+
+bool px_cut_off(const struct px_proxy *p, int64_t now)
+{
+    return p->leased_at && now - p->leased_at > PX_CUT_OFF_US;
+}
+
 /* ---- shares ---- */
 
 static void add_want(struct px_inst *in, struct wr_share *out)
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -28,6 +28,7 @@
     void *ud;
 };
 
+/* What a proxy is made with. */
 struct px_config {
     const char *name; /* of this node, told to instances */
     const char *domain;
@@ -41,6 +42,7 @@
     struct px_host host;
 };
 
+/* Listen for callers. NULL with *err if that fails. Strings of *cfg must outlive it. */
 struct px_proxy *px_create(struct nt_loop *l, const struct px_config *cfg, struct er_err *err);
 /* A newer view is in force here. */
 void px_view(struct px_proxy *p, const struct vw_view *v);
@@ -53,6 +55,7 @@
 bool px_has_news(struct px_proxy *p);
 /* The entry nodes with a lease; strings and hashes as ho_prepare leaves them. */
 void px_nodes(struct px_proxy *p, const struct ho_node *nodes, int n);
+/* How many connections to the instance this node may have from now on. */
 void px_share(struct px_proxy *p, struct sr_str inst, int connections);
 /* The lease is lost: others may be given what this node held, but for one connection an
  * instance. */
@@ -61,6 +64,7 @@
 enum wr_health px_health(const struct px_proxy *p, struct sr_str inst);
 /* Whether a document is in force here. */
 bool px_configured(const struct px_proxy *p);
+/* Call every few milliseconds. */
 void px_tick(struct px_proxy *p, int64_t now);
 /* A planned stop: sessions that rest are closed one after the other, what runs ends. */
 void px_stop(struct px_proxy *p, int64_t now);
@@ -71,6 +75,7 @@
 void px_log_end(const struct px_proxy *p);
 /* Whether everything has ended. */
 bool px_stopped(const struct px_proxy *p, int64_t now);
+/* Append lines for /metrics. */
 void px_metrics(const struct px_proxy *p, struct sr_buf *out);
 
 #endif
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -22,10 +22,11 @@
 struct px_relay {
     struct px_session *s;
     struct nt_conn *net; /* to the other node; NULL: none */
-    int tries, target;   /* in the proxy's nodes */
-    bool greeted, rests;
+    int tries;
+    bool greeted;        /* by the other node */
+    bool rests;          /* there, after the last answer */
     struct px_tail tail; /* of what comes from the other node */
-    int64_t began;
+    int64_t began;       /* this try */
 };
 
 bool px_is_relayed(const struct px_msg *open)
@@ -54,19 +55,23 @@
     return -1;
 }
 
-static int next_target(const struct px_session *s, int try)
+/* The group of the session's database: a relayed session takes no route here. */
+static const struct px_group *wanted_group(const struct px_session *s)
 {
     const struct cg_route *r = cg_route(&s->p->catalog, sr_from(s->database));
-    const struct px_group *g = r ? px_group(s->p, r->group) : NULL;
+    return r ? px_group(s->p, r->group) : NULL;
+}
+
+static int next_target(const struct px_session *s, int try)
+{
+    const struct px_group *g = wanted_group(s);
     return g && g->n_holders > 0 ? pick_target(s, g, try) : -1;
 }
 
 bool px_should_relay(const struct px_session *s)
 {
-    const struct px_proxy *p = s->p;
-    const struct cg_route *r = cg_route(&p->catalog, sr_from(s->database));
-    const struct px_group *g = r ? px_group(p, r->group) : NULL;
-    if (!g || p->n_nodes < 2 || s->came_relayed)
+    const struct px_group *g = wanted_group(s);
+    if (!g || s->p->n_nodes < 2 || s->came_relayed)
         return false;
     return !g->held;
 }
@@ -150,7 +155,6 @@
         nt_close(r->s->net, false);
         return;
     }
-    r->target = i;
     r->tail.len = 0;
     r->began = ck_now();
     r->net = nt_connect_stream(p->loop, p->nodes[i].ip, p->nodes[i].port, &ops, r);
@@ -200,47 +204,3 @@
     if (r && r->net && !r->greeted && now - r->began > GREET_US)
         nt_close(r->net, true);
 }
-
-/* ---- who holds what ---- */
-
-static bool holds(const struct px_proxy *p, const struct px_group *g)
-{
-    for (int k = 0; k < g->n_holders; k++) {
-        if (strcmp(p->nodes[g->holders[k]].name, p->cfg.name) == 0)
-            return true;
-    }
-    return false;
-}
-
-/* With a connection or more for every node all hold a group; else so many that each has a few.
- */
-static int holders_of(const struct px_proxy *p, const struct px_group *g)
-{
-    enum { CONNS_A_HOLDER = 4, LEAST = 3 };
-    const struct cg_service *svc = cg_service(&p->catalog, g->cfg.name);
-    int conns = svc ? svc->max_conns : 0;
-    if (conns <= 0 || p->n_nodes <= conns)
-        return 0;
-    int k = conns / CONNS_A_HOLDER;
-    return k < LEAST ? LEAST : k > HO_MAX_HOLDERS ? HO_MAX_HOLDERS : k;
-}
-
-void px_holders_changed(struct px_proxy *p)
-{
-    for (int i = 0; i < p->n_groups; i++) {
-        struct px_group *g = p->groups[i];
-        int out[HO_MAX_HOLDERS], k = holders_of(p, g);
-        g->n_holders = k ? ho_pick(p->nodes, p->n_nodes, g->cfg.name, k, out) : 0;
-        for (int h = 0; h < g->n_holders; h++)
-            g->holders[h] = (uint16_t)out[h];
-        g->held = k == 0 || holds(p, g);
-    }
-}
-
-void px_nodes(struct px_proxy *p, const struct ho_node *nodes, int n)
-{
-    p->nodes = sr_realloc(p->nodes, sizeof(*nodes) * (size_t)(n + 1));
-    memcpy(p->nodes, nodes, sizeof(*nodes) * (size_t)n);
-    p->n_nodes = n;
-    px_holders_changed(p);
-}
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -5,9 +5,7 @@
 #include "proxy/priv.h"
 
 enum {
-    UNANSWERED_OPEN_US = 1500000, /* without a document nobody can be told what there is */
-    /* A lease outlives an election; who has none for longer is on its own. */
-    CUT_OFF_US = 300000,
+    UNANSWERED_OPEN_US = 1500000,    /* without a document nobody can be told what there is */
     CUT_OFF_CLOSE_OVER_US = 1000000, /* its resting sessions are closed, spread over so long */
     /* A planned stop: callers are sent elsewhere by the balancer within two of its probes, then
      * sessions that rest are closed, spread over a while so that they don't all come back at
@@ -16,16 +14,6 @@
     STOP_CLOSE_OVER_PERCENT = 25,
 };
 
-bool px_leased(const struct px_proxy *p)
-{
-    return p->cfg.host.leased(p->cfg.host.ud);
-}
-
-bool px_cut_off(const struct px_proxy *p, int64_t now)
-{
-    return p->leased_at && now - p->leased_at > CUT_OFF_US;
-}
-
 /* ---- opening ---- */
 
 /* Without a document it can't be told whether the database is there: it waits a while. */
@@ -72,17 +60,14 @@
 
 void px_session_go_on(struct px_session *s)
 {
-    struct sr_str line;
+    struct px_msg m;
     size_t at = 0;
     if (s->reading)
         return; /* the loop below goes on by itself */
     s->reading = true;
     while (s->net && s->stage == PX_S_REST && (s->opened || !s->database[0]) &&
-           px_next_line(&s->in, &at, &line)) {
-        struct px_msg m;
-        s->p->cfg.codec->parse(line, &m);
+           px_next_msg(s->p->cfg.codec, &s->in, &at, &m))
         take(s, &m);
-    }
     s->reading = false;
     px_consume(&s->in, at);
     bool full = s->in.len > PX_MAX_LINE;
@@ -148,7 +133,7 @@
     s->p = p;
     s->net = net;
     s->since = ck_now();
-    s->state.session = ++p->numbered;
+    s->state.session = ++p->last_number;
     s->next = p->sessions;
     if (s->next)
         s->next->prev = s;
@@ -213,14 +198,14 @@
     /* Once: where all nodes are cut off it would only come back to be closed again. */
     if (s->relay || !px_cut_off(p, now) || !rests(s) || s->opened_at > p->leased_at)
         return;
-    if (now - p->leased_at - CUT_OFF_US > turn(s, CUT_OFF_CLOSE_OVER_US))
+    if (now - p->leased_at - PX_CUT_OFF_US > turn(s, CUT_OFF_CLOSE_OVER_US))
         nt_close(s->net, false);
 }
 
 /* Another node holds the group now: the session's next life is there. */
 static void moved_tick(struct px_session *s, int64_t now)
 {
-    const struct px_group *g = s->route.group[0] ? px_group(s->p, s->route.group) : NULL;
+    const struct px_group *g = px_group_of(s);
     if (s->relay || !g || g->held || !rests(s))
         return;
     if (now - s->since > turn(s, CUT_OFF_CLOSE_OVER_US))
--- a/proxy/wire.c
+++ b/proxy/wire.c
@@ -14,6 +14,24 @@
     return true;
 }
 
+bool px_next_msg(const struct px_codec *codec, const struct sr_buf *in, size_t *at,
+                 struct px_msg *m)
+{
+    struct sr_str line;
+    if (!px_next_line(in, at, &line))
+        return false;
+    codec->parse(line, m);
+    return true;
+}
+
+void px_consume(struct sr_buf *in, size_t n)
+{
+    if (n == 0)
+        return;
+    memmove(in->p, in->p + n, in->len - n);
+    in->len -= n;
+}
+
 /* How many bytes stand behind the last line end of the first `len`. */
 static size_t behind_end(const char *data, size_t len)
 {
@@ -52,11 +70,3 @@
         line->len--;
     return true;
 }
-
-void px_consume(struct sr_buf *in, size_t n)
-{
-    if (n == 0)
-        return;
-    memmove(in->p, in->p + n, in->len - n);
-    in->len -= n;
-}
--- a/proxy/wire.h
+++ b/proxy/wire.h
@@ -13,6 +13,7 @@
 
 enum { PX_MAX_LINE = 1 << 20 }; /* bytes of a message */
 
+/* What a message is. */
 enum px_kind {
     PX_BAD, /* can't be understood */
     PX_OPEN,
@@ -31,6 +32,7 @@
     PX_TXN_FAILED, /* only its end is taken, and that rolls back */
 };
 
+/* A message; which fields count depends on its kind. */
 struct px_msg {
     enum px_kind kind;
     struct sr_str database;  /* PX_OPEN: of a caller the database, to an instance its group */
@@ -48,6 +50,7 @@
     struct ps_pos pos;       /* PX_READY: of the instance's log; PX_STATEMENT: the floor */
 };
 
+/* What a statement does. */
 enum px_verb {
     PX_V_BAD, /* not one that callers may use */
     PX_V_BEGIN,
@@ -60,7 +63,6 @@
     PX_V_EXECUTE,
     PX_V_FORGET,  /* a prepared name */
     PX_V_DISCARD, /* to instances: all values and prepared names */
-    PX_V_STATUS,  /* to instances */
 };
 
 /* A statement's text, taken apart. */
@@ -69,8 +71,8 @@
     bool read_only;     /* BEGIN: a transaction that only reads */
     bool writes;        /* PREPARE: what it will do */
     struct sr_str name; /* SET, PREPARE, EXECUTE, FORGET */
-    struct sr_str
-        value; /* SET: the value; PREPARE: the shape; EXECUTE: what follows the name */
+    /* SET: the value; PREPARE: the shape; EXECUTE: what follows the name */
+    struct sr_str value;
 };
 
 /* What an instance says of itself. */
@@ -82,6 +84,7 @@
     int busy, connections;
 };
 
+/* How an interface writes messages and statements. */
 struct px_codec {
     const char *name;
     /* One message, without its line end. Untrusted; kind PX_BAD if it is none. */
@@ -96,6 +99,12 @@
 
 /* Cut the next line out of `in` from *at on; *at moves behind it. False: none is whole yet. */
 bool px_next_line(const struct sr_buf *in, size_t *at, struct sr_str *line);
+/* The same, and what the line says; its strings point into `in`. */
+bool px_next_msg(const struct px_codec *codec, const struct sr_buf *in, size_t *at,
+                 struct px_msg *m);
+/* Drop the first `n` bytes, which were read. */
+void px_consume(struct sr_buf *in, size_t n);
+
 /* The last line of a stream that is only passed on: it comes in pieces that may end anywhere.
  */
 struct px_tail {
@@ -106,7 +115,5 @@
 /* More of the stream. Whether it ends with a whole line now, which *line then is; it points
  * into `data` or `t`. */
 bool px_tail_add(struct px_tail *t, const char *data, size_t len, struct sr_str *line);
-/* Drop what was read. */
-void px_consume(struct sr_buf *in, size_t n);
 
 #endif
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -17,11 +17,6 @@
     HEDGE_TIMES = 4,
 };
 
-static struct px_group *group_of(const struct px_session *s)
-{
-    return px_group(s->p, s->route.group);
-}
-
 /* Whether running it twice, or having run it in vain, harms nobody. */
 static bool repeatable(const struct px_session *s)
 {
@@ -136,7 +131,7 @@
         px_conn_run(s->conn, s);
         return;
     }
-    struct px_group *g = group_of(s);
+    struct px_group *g = px_group_of(s);
     struct px_inst *in = g ? place(s, g, now) : NULL;
     if (!in) {
         s->skip = 0; /* nobody is left: all may be asked again */
