--- a/task/http.c
+++ b/task/http.c
@@ -119,6 +119,42 @@
 
 /* ---- plain HTTP, client side ---- */
 
+/* The headers of a request of ours, and the announcement of its body if it has one. */
+static int add_headers(struct nt_conn *c, unsigned char **p, unsigned char *end)
+{
+    char n[16];
+    for (int i = 0; i < c->n_headers; i++) {
+        if (lws_add_http_header_by_name(c->wsi, (unsigned char *)c->header_name[i],
+                                        (unsigned char *)c->header_value[i],
+                                        (int)strlen(c->header_value[i]), p, end))
+            return -1;
+    }
+    if (!c->in.len)
+        return 0;
+    int k = snprintf(n, sizeof(n), "%zu", c->in.len);
+    if (lws_add_http_header_by_token(c->wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH, (unsigned char *)n,
+                                     k, p, end))
+        return -1;
+    lws_client_http_body_pending(c->wsi, 1);
+    lws_callback_on_writable(c->wsi);
+    return 0;
+}
+
+static int send_body(struct nt_conn *c)
+{
+    struct sr_buf b = {0};
+    char room[LWS_PRE] = {0};
+    if (!c->in.len)
+        return 0;
+    sr_buf_add(&b, room, LWS_PRE);
+    sr_buf_add(&b, c->in.p, c->in.len);
+    int rc = lws_write(c->wsi, (unsigned char *)b.p + LWS_PRE, c->in.len, LWS_WRITE_HTTP_FINAL);
+    sr_buf_free(&b);
+    c->in.len = 0;
+    lws_client_http_body_pending(c->wsi, 0);
+    return rc < 0 ? -1 : 0;
+}
+
 int np_client_http(struct nt_conn *c, enum lws_callback_reasons why, void *in, size_t len)
 {
     switch (why) {
@@ -126,38 +162,11 @@
         c->status = (int)lws_http_client_http_response(c->wsi);
         return 0;
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
-        unsigned char **p = in, *end = *p + len;
-        for (int i = 0; i < c->n_headers; i++) {
-            if (lws_add_http_header_by_name(c->wsi, (unsigned char *)c->header_name[i],
-                                            (unsigned char *)c->header_value[i],
-                                            (int)strlen(c->header_value[i]), p, end))
-                return -1;
-        }
-        if (!c->in.len)
-            return 0;
-        char n[16];
-        int k = snprintf(n, sizeof(n), "%zu", c->in.len);
-        if (lws_add_http_header_by_token(c->wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
-                                         (unsigned char *)n, k, p, end))
-            return -1;
-        lws_client_http_body_pending(c->wsi, 1);
-        lws_callback_on_writable(c->wsi);
-        return 0;
-    }
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE: {
-        if (!c->in.len)
-            return 0;
-        struct sr_buf b = {0};
-        char room[LWS_PRE] = {0};
-        sr_buf_add(&b, room, LWS_PRE);
-        sr_buf_add(&b, c->in.p, c->in.len);
-        int rc =
-            lws_write(c->wsi, (unsigned char *)b.p + LWS_PRE, c->in.len, LWS_WRITE_HTTP_FINAL);
-        sr_buf_free(&b);
-        c->in.len = 0;
-        lws_client_http_body_pending(c->wsi, 0);
-        return rc < 0 ? -1 : 0;
+        unsigned char **p = in;
+        return add_headers(c, p, *p + len);
     }
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+        return send_body(c);
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP: {
         char buf[LWS_PRE + 4096];
         char *px = buf + LWS_PRE;
--- a/task/net.c
+++ b/task/net.c
@@ -40,7 +40,7 @@
               setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof(every)) == 0 &&
               setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &tries, sizeof(tries)) == 0;
     if (!ok)
-        LG_MSG(&nlog, LG_DEBUG, "a connection can't be probed; its end is noticed by its user");
+        FL_DBG(&nlog, "a connection can't be probed; its end is noticed by its user");
 }
 
 struct nt_conn *np_conn_new(struct nt_loop *l, enum kind kind, const struct nt_ops *ops,
--- a/view/json.c
+++ b/view/json.c
@@ -136,12 +136,10 @@
     for (int i = 0; i < g->n_starts; i++)
         json_array_append_new(starts, json_pack("[I,I]", (json_int_t)g->starts[i].term,
                                                 (json_int_t)g->starts[i].pos));
-    json_t *j =
-        json_pack("{s:s,s:s,s:I,s:i,s:i,s:o,s:o,s:I,s:i,s:b}", "name", g->name, "phase",
-                  phase_names[g->phase], "term", (json_int_t)g->term, "primary", g->primary,
-                  "target", g->target, "instances", inst, "starts", starts, "max_age_ms",
-                  (json_int_t)g->max_age_ms, "copies", g->copies, "degraded", g->degraded);
-    return j;
+    return json_pack("{s:s,s:s,s:I,s:i,s:i,s:o,s:o,s:I,s:i,s:b}", "name", g->name, "phase",
+                     phase_names[g->phase], "term", (json_int_t)g->term, "primary", g->primary,
+                     "target", g->target, "instances", inst, "starts", starts, "max_age_ms",
+                     (json_int_t)g->max_age_ms, "copies", g->copies, "degraded", g->degraded);
 }
 
 static bool starts_parse(const json_t *a, struct vw_group *g, struct er_err *err)
@@ -336,28 +334,26 @@
     return j;
 }
 
-bool vw_view_parse(const json_t *j, struct vw_view *v, struct er_err *err)
+/* A view owns its document's text; without one it has none. */
+static bool own_document(const json_t *j, struct vw_document *d, struct er_err *err)
 {
-    int64_t gen = 0;
-    const json_t *groups = json_object_get(j, "groups");
-    const json_t *intents = json_object_get(j, "intents");
-    if (!json_is_object(j) || !get_int(j, "generation", 0, INT64_MAX, &gen, err))
-        return er_set(err, ER_BAD_INPUT, "view: expected an object with a generation");
-    if (json_array_size(groups) > VW_MAX_GROUPS || json_array_size(intents) > VW_MAX_INTENTS)
-        return er_set(err, ER_TOO_LARGE, "view: too many groups or intents");
-    vw_free(v);
-    const json_t *doc = json_object_get(j, "document");
     struct sr_str text;
-    if (doc && !document_parse(doc, &v->doc.version, &text, err))
+    if (!j)
+        return true;
+    if (!document_parse(j, &d->version, &text, err))
         return false;
-    if (doc) {
-        v->doc.text = sr_alloc(text.len + 1);
-        memcpy(v->doc.text, text.p, text.len);
-        v->doc.len = text.len;
-    }
-    for (size_t i = 0; i < json_array_size(groups); i++) {
+    d->text = sr_alloc(text.len + 1);
+    memcpy(d->text, text.p, text.len);
+    d->len = text.len;
+    return true;
+}
+
+/* Sorted by name, in whatever order they are listed. */
+static bool groups_parse(const json_t *a, struct vw_view *v, struct er_err *err)
+{
+    for (size_t i = 0; i < json_array_size(a); i++) {
         struct vw_group g;
-        if (!group_parse(json_array_get(groups, i), 0, &g, err))
+        if (!group_parse(json_array_get(a, i), 0, &g, err))
             return false;
         int at = v->n;
         v->groups = sr_realloc(v->groups, sizeof(g) * (size_t)(v->n + 1));
@@ -368,6 +364,23 @@
         v->groups[at] = g;
         v->n++;
     }
+    return true;
+}
+
+bool vw_view_parse(const json_t *j, struct vw_view *v, struct er_err *err)
+{
+    int64_t gen = 0;
+    const json_t *groups = json_object_get(j, "groups");
+    const json_t *intents = json_object_get(j, "intents");
+    if (!json_is_object(j) || !get_int(j, "generation", 0, INT64_MAX, &gen, err))
+        return er_set(err, ER_BAD_INPUT, "view: expected an object with a generation");
+    if (json_array_size(groups) > VW_MAX_GROUPS || json_array_size(intents) > VW_MAX_INTENTS)
+        return er_set(err, ER_TOO_LARGE, "view: too many groups or intents");
+    vw_free(v);
+    if (!own_document(json_object_get(j, "document"), &v->doc, err))
+        return false;
+    if (!groups_parse(groups, v, err))
+        return false;
     v->n_intents = (int)json_array_size(intents);
     v->intents = sr_alloc(sizeof(*v->intents) * (size_t)v->n_intents);
     for (int i = 0; i < v->n_intents; i++) {
--- a/view/view.c
+++ b/view/view.c
@@ -183,6 +183,26 @@
     return true;
 }
 
+static bool check_add(const struct vw_view *v, const struct vw_group *g,
+                      const struct vw_instance *in, struct er_err *err)
+{
+    const struct vw_group *owner = vw_owner(v, in->id);
+    if (g->n >= VW_MAX_INSTANCES || vw_instance(g, in->id) >= 0)
+        return er_set(err, ER_CONFLICT, "group %s: %s is there or %d are the most", g->name,
+                      in->id, VW_MAX_INSTANCES);
+    if (owner)
+        return er_set(err, ER_CONFLICT, "instance %s is in group %s already", in->id,
+                      owner->name);
+    return true;
+}
+
+/* Changes that are about an instance which the group must have. */
+static bool needs_instance(enum vw_change_kind kind)
+{
+    return kind == VW_CH_HAND || kind == VW_CH_PRIMARY || kind == VW_CH_DRAIN ||
+           kind == VW_CH_REMOVE || kind == VW_CH_LEAVE;
+}
+
 static bool check_on_group(const struct vw_view *v, const struct vw_change *ch,
                            struct er_err *err)
 {
@@ -190,10 +210,7 @@
     if (!g)
         return er_set(err, ER_NO_DATABASE, "no group %s", ch->group);
     int i = vw_instance(g, ch->instance);
-    bool needs_instance = ch->kind == VW_CH_HAND || ch->kind == VW_CH_PRIMARY ||
-                          ch->kind == VW_CH_DRAIN || ch->kind == VW_CH_REMOVE ||
-                          ch->kind == VW_CH_LEAVE;
-    if (needs_instance && i < 0)
+    if (needs_instance(ch->kind) && i < 0)
         return er_set(err, ER_BAD_INPUT, "group %s has no instance %s", ch->group,
                       ch->instance);
     switch (ch->kind) {
@@ -215,13 +232,7 @@
                           (long long)ch->max_age_ms);
         return true;
     case VW_CH_ADD:
-        if (g->n >= VW_MAX_INSTANCES || vw_instance(g, ch->inst.id) >= 0)
-            return er_set(err, ER_CONFLICT, "group %s: %s is there or %d are the most", g->name,
-                          ch->inst.id, VW_MAX_INSTANCES);
-        if (vw_owner(v, ch->inst.id))
-            return er_set(err, ER_CONFLICT, "instance %s is in group %s already", ch->inst.id,
-                          vw_owner(v, ch->inst.id)->name);
-        return true;
+        return check_add(v, g, &ch->inst, err);
     case VW_CH_REMOVE:
         return check_remove(g, i, err);
     default:
--- a/view/view.h
+++ b/view/view.h
@@ -23,7 +23,7 @@
     VW_MAX_INTENTS = 256,
     VW_MAX_STEPS = 16,
     VW_NAME = 48,
-    VW_MAX_LEFT = 16,             /* instances of a group that left, remembered */
+    VW_MAX_LEFT = 16,             /* instances that left, of all groups, remembered */
     VW_CHANGE_MAX = 8192,         /* bytes of a change as text, but for a document */
     VW_DOCUMENT_MAX = 256 * 1024, /* bytes of a document */
 };
@@ -99,8 +99,8 @@
     int n_intents;
     struct vw_intent *intents; /* oldest first */
     int n_left;                /* ever; `left` is a ring */
-    char left[VW_MAX_LEFT]
-             [VW_NAME]; /* ids of instances that left: a late call brings none back */
+    /* ids of instances that left: a late call brings none back */
+    char left[VW_MAX_LEFT][VW_NAME];
 };
 
 enum vw_change_kind {
