--- a/control/control.h
+++ b/control/control.h
@@ -260,7 +260,9 @@
 struct ct_group *ct_group_of(struct ct_node *n, const char *name);
 bool ct_caught_up(void *ud, const char *group, const char *inst);
 
-/* promotions.c */
+/* steering.c */
+/* Propose a change that a group's steering wants, for its instance of that index; -1: none. */
+void ct_steer(struct ct_node *n, const struct ct_group *g, int inst, struct vw_change *ch);
 void ct_group_tick(struct ct_node *n, struct ct_group *g);
 /* Tick the groups that changed in the loop's next turn: safe from within the core's callbacks.
  */
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -8,15 +8,10 @@
                     const struct pr_action *a)
 {
     struct vw_change ch = {.kind = kind, .term = a->term, .pos = a->pos};
-    struct er_err err = {0};
-    sr_copy(ch.group, sizeof(ch.group), sr_from(g->name));
-    if (a->inst >= 0)
-        sr_copy(ch.instance, sizeof(ch.instance), sr_from(g->inst[a->inst]->id));
     if (kind == VW_CH_REPLACE)
         tl_add(n->tl, TL_DOWN, g->name, a->term, "%s",
                g->pr.why[0] ? g->pr.why : "no primary yet");
-    if (!ct_propose(n, &ch, NULL, &err))
-        FL_WARN(&n->log, "%s: %s: %s", g->name, vw_change_name(kind), err.text);
+    ct_steer(n, g, a->inst, &ch);
 }
 
 static void do_follow(struct ct_node *n, struct ct_group *g, const struct pr_action *a)
@@ -95,7 +90,6 @@
         .hold_us = CK_MS(s->hold_ms),
         .hand_us = CK_MS(s->hand_ms),
         .fenced_endpoints = s->fence,
-
         .fault = {.wait_leases = s->lease_failover, .any_replica = s->off_best}};
 }
 
@@ -132,30 +126,3 @@
 }
 
 const struct ct_steering ct_by_promote = {begin, probed, said, reached, checked, decide, busy};
-
-/* ---- when ---- */
-
-void ct_group_tick(struct ct_node *n, struct ct_group *g)
-{
-    const struct vw_group *v = vw_group(&n->view, g->name);
-    if (!v || !n->leading || !ct_vouched(n))
-        return;
-    if (v->primary < 0 && v->phase == VW_SERVING)
-        return;
-    n->steering->tick(n, g);
-}
-
-static void tick_groups(void *ud)
-{
-    struct ct_node *n = ud;
-    for (int g = 0; g < n->n_groups; g++) {
-        if (n->groups[g]->due)
-            ct_group_tick(n, n->groups[g]);
-        n->groups[g]->due = false;
-    }
-}
-
-void ct_groups_soon(struct ct_node *n)
-{
-    nt_timer_set(n->loop, &n->soon, 1, tick_groups, n);
-}
--- a/control/takeovers.c
+++ b/control/takeovers.c
@@ -69,18 +69,13 @@
                     const struct tk_action *a)
 {
     struct vw_change ch = {.kind = kind, .term = a->term};
-    struct er_err err = {0};
-    sr_copy(ch.group, sizeof(ch.group), sr_from(g->name));
-    if (a->inst >= 0)
-        sr_copy(ch.instance, sizeof(ch.instance), sr_from(g->inst[a->inst]->id));
     if (kind != VW_CH_PRIMARY) {
         tl_add(n->tl, TL_DOWN, g->name, a->term, "%s", g->tk.why);
         FL_EVENT(&n->log, LG_INFO, "change_of_primary", "group=%s term=%llu kind=%s why=%s",
                  g->name, (unsigned long long)a->term, vw_change_name(kind),
                  g->tk.why[0] ? g->tk.why : "tried again");
     }
-    if (!ct_propose(n, &ch, NULL, &err))
-        FL_WARN(&n->log, "%s: %s: %s", g->name, vw_change_name(kind), err.text);
+    ct_steer(n, g, a->inst, &ch);
 }
 
 static void on_called(struct ct_node *n, const char *group, uint64_t token,
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -185,7 +185,7 @@
     struct vw_view view;
     struct ls_holder lease;
     bool had_lease;
-    int64_t lease_lost_at; /* 0 never had one: not ready at all */
+    int64_t lease_lost_at; /* long ago if it never had one: not ready at all */
     int n_groups;
     struct en_group **groups;
     struct en_req *reqs;
