--- a/tests/standin/sessions.c
+++ b/tests/standin/sessions.c
@@ -62,7 +62,6 @@
     int64_t asked, txn_at;
     long own_acked, own_sent; /* numbers of its own key: known to be there, perhaps there */
     long txn_own;             /* written in the open transaction */
-    long own_key_gen;
 };
 
 static struct session sessions[SESSIONS];
@@ -225,7 +224,6 @@
 /* ---- the conversation ---- */
 
 static void open_session(struct session *s);
-
 static void next(struct session *s);
 
 static void paused(void *ud)
--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -6,8 +6,7 @@
  * other instances at once and applied after the group's lag, so a promotion loses nothing and
  * every stale read is the proxy's doing. Orders come to base - 1 by HTTP, commands of a test to
  * base - 2: /kill/G/I, /revive/G/I, /lag/G/MS, /drain/G/I, /deaf-orders/N (the next N go
- * unanswered and are carried out late), /status. */
-#include <argp.h>
+ * unanswered and are carried out late), /halves/N (the next N answers break off), /status. */
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,7 +17,11 @@
 #include "task/net.h"
 
 enum { GROUPS = 4, INSTS = 3, LOG = 200000, KEYS = 512, WORD = 64, MAX_SETS = 16 };
-enum { LATE_US = 1500000, BEAT_US = 300000, LEAD_US = 100000 };
+enum {
+    LATE_US = 1500000, /* an order that got no answer is carried out after this */
+    LEAD_US = 100000,  /* any other */
+    BEAT_US = 300000,
+};
 
 struct entry {
     int key;
@@ -77,11 +80,6 @@
     uint64_t refused_orders, orders;
 };
 
-static void *room(size_t n)
-{
-    return sr_alloc(n);
-}
-
 static int key_of(struct world *w, const char *name)
 {
     for (int i = 0; i < w->n_keys; i++) {
@@ -120,12 +118,6 @@
     return "0";
 }
 
-static bool holds(const struct inst *in, uint64_t term, int pos)
-{
-    (void)term;
-    return applied(in) >= pos;
-}
-
 /* ---- answers ---- */
 
 static void say(struct conn *c, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
@@ -312,7 +304,7 @@
     int pos, used = 0;
     if (sscanf(text, "WAITLSN %llu.%d %n", &term, &pos, &used) == 2) {
         text += used;
-        if (!holds(c->in, term, pos)) {
+        if (applied(c->in) < pos) { /* of whatever term: no promotion loses any */
             error(c, "LAGGING");
             return;
         }
@@ -406,7 +398,7 @@
     struct inst *in = ud;
     if (in->dead)
         return NULL;
-    struct conn *c = room(sizeof(*c));
+    struct conn *c = sr_alloc(sizeof(*c));
     c->in = in;
     c->net = net;
     c->next = in->conns;
@@ -417,70 +409,89 @@
 
 /* ---- orders ---- */
 
-static void carry_out(struct order *o)
+static struct group *group_named(struct world *w, const char *name)
 {
-    struct world *w = o->w;
     for (int g = 0; g < w->n_groups; g++) {
-        struct group *gr = &w->g[g];
-        int at = o->id[0] ? atoi(o->id + strlen(o->id) - 1) : 0;
-        if (strcmp(gr->name, o->group) != 0 || w->inst[g][at].dead)
-            continue;
-        if (gr->primary != at)
-            gr->term++;
-        gr->primary = at;
+        if (strcmp(w->g[g].name, name) == 0)
+            return &w->g[g];
     }
+    return NULL;
+}
+
+static void carry_out(const struct order *o, struct group *g)
+{
+    int at = o->id[0] ? atoi(o->id + strlen(o->id) - 1) : 0;
+    if (o->w->inst[g - o->w->g][at].dead)
+        return;
+    if (g->primary != at)
+        g->term++;
+    g->primary = at;
 }
 
-static void carry_out_late(void *ud)
+/* An order is carried out a while after it was taken, unless a later one fenced it. */
+static void order_due(void *ud)
 {
     struct order *o = ud;
-    struct world *w = o->w;
-    for (int g = 0; g < w->n_groups; g++) {
-        if (strcmp(w->g[g].name, o->group) == 0 && o->token < w->g[g].token)
-            w->refused_orders++;
-        else if (strcmp(w->g[g].name, o->group) == 0)
-            carry_out(o);
-    }
+    struct group *g = group_named(o->w, o->group);
+    if (o->token < g->token)
+        o->w->refused_orders++;
+    else
+        carry_out(o, g);
 }
 
-/* A stream, so that the token is read from the header as it stands. */
-static void order_message(struct nt_conn *net, void *ud, const char *data, size_t len)
+static bool parse_order(const char *text, struct order *o)
 {
-    struct world *w = ud;
-    char text[2048];
-    struct order *o = room(sizeof(*o));
-    o->w = w;
-    if (!sr_copy(text, sizeof(text), (struct sr_str){data, len}))
-        return;
     const char *token = strcasestr(text, "fencing-token:"), *body = strstr(text, "\r\n\r\n");
     const char *group = body ? strstr(body, "\"service\"") : NULL;
     const char *id = body ? strstr(body, "\"id\"") : NULL;
     if (!token || !strcasestr(text, "lease-holder:") || !group || !id)
-        return; /* the body comes in a piece of its own on a slow path; tests use short ones */
+        return false; /* the body comes in a piece of its own on a slow path; tests use short
+                         ones */
     sscanf(group, "\"service\" : \"%63[^\"]\"", o->group);
     sscanf(group, "\"service\":\"%63[^\"]\"", o->group);
     sscanf(id, "\"id\": \"%63[^\"]\"", o->id);
     sscanf(id, "\"id\":\"%63[^\"]\"", o->id);
     o->token = strtoull(token + strlen("fencing-token:"), NULL, 10);
-    const char *answer = "HTTP/1.1 404 no\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+    return true;
+}
+
+/* The answer; NULL: there is to be none, though the order is carried out. */
+static const char *take_order(struct order *o)
+{
+    struct world *w = o->w;
+    struct group *g = group_named(w, o->group);
     w->orders++;
-    for (int g = 0; g < w->n_groups; g++) {
-        struct group *gr = &w->g[g];
-        if (strcmp(gr->name, o->group) != 0)
-            continue;
-        answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
-        if (o->token < gr->token) {
-            w->refused_orders++;
-            answer = "HTTP/1.1 409 fenced\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
-        } else if (w->deaf > 0) {
-            w->deaf--;
-            nt_timer_set(w->loop, &o->timer, LATE_US, carry_out_late, o);
-            return;
-        } else {
-            gr->token = o->token;
-            nt_timer_set(w->loop, &o->timer, LEAD_US, carry_out_late, o);
-        }
+    if (!g)
+        return "HTTP/1.1 404 no\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+    if (o->token < g->token) {
+        w->refused_orders++;
+        return "HTTP/1.1 409 fenced\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+    }
+    if (w->deaf > 0) {
+        w->deaf--;
+        nt_timer_set(w->loop, &o->timer, LATE_US, order_due, o);
+        return NULL;
     }
+    g->token = o->token;
+    nt_timer_set(w->loop, &o->timer, LEAD_US, order_due, o);
+    return "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+}
+
+/* A stream, so that the token is read from the header as it stands. Orders stay allocated:
+ * there are few, and their timers go by them. */
+static void order_message(struct nt_conn *net, void *ud, const char *data, size_t len)
+{
+    struct world *w = ud;
+    char text[2048];
+    struct order *o = sr_alloc(sizeof(*o));
+    o->w = w;
+    if (!sr_copy(text, sizeof(text), (struct sr_str){data, len}) || !parse_order(text, o)) {
+        free(o);
+        return;
+    }
+    const char *answer = take_order(o);
+    if (!answer)
+        return;
     nt_send(net, answer, strlen(answer));
     nt_close(net, false);
 }
@@ -591,7 +602,7 @@
     snprintf(gr->name, sizeof(gr->name), "reg%d", g);
     gr->term = 1;
     gr->lag_ms = 20;
-    gr->log = room(sizeof(*gr->log) * LOG);
+    gr->log = sr_alloc(sizeof(*gr->log) * LOG);
     for (int i = 0; i < INSTS; i++) {
         struct inst *in = &w->inst[g][i];
         *in = (struct inst){.w = w, .g = gr, .at = i, .port = w->base + 10 * g + i};
@@ -614,14 +625,14 @@
         return 64;
     }
     w.base = atoi(argv[1]);
-    w.n_groups = atoi(argv[2]);
+    w.n_groups = atoi(argv[2]) < GROUPS ? atoi(argv[2]) : GROUPS;
     for (int i = 3; i < argc && w.n_controls < 8; i++) {
         if (sscanf(argv[i], "%45[^:]:%d", w.control_ip[w.n_controls],
                    &w.control_port[w.n_controls]) == 2)
             w.n_controls++;
     }
     w.loop = nt_loop_create(2048, &err);
-    for (int g = 0; g < w.n_groups && g < GROUPS; g++)
+    for (int g = 0; g < w.n_groups; g++)
         make_group(&w, g, &err);
     struct nt_listen orders = {.ip = "127.0.0.1",
                                .port = w.base - 1,
