--- a/control/peers.c
+++ b/control/peers.c
@@ -45,6 +45,48 @@
         send_on(p->net, m);
 }
 
+static struct ct_peer *peer_add(struct ct_node *n, const struct qr_member *m)
+{
+    struct ct_peer *p = sr_alloc(sizeof(*p));
+    p->node = n;
+    p->m = *m;
+    p->next = n->peers;
+    n->peers = p;
+    return p;
+}
+
+static struct ct_peer *peer_at(struct ct_node *n, const char *ip, int port)
+{
+    for (struct ct_peer *p = n->peers; p; p = p->next) {
+        if (p->m.port == port && strcmp(p->m.ip, ip) == 0)
+            return p;
+    }
+    return NULL;
+}
+
+/* An address where a control node is said to be; who is there greets us by its own connection.
+ */
+static void add_address(struct ct_node *n, const char *name, const char *ip, int port)
+{
+    struct qr_member m = {.port = port};
+    if (peer_at(n, ip, port) ||
+        (strcmp(ip, n->s->control_ip) == 0 && port == n->s->control_port))
+        return;
+    sr_copy(m.name, sizeof(m.name), sr_from(name));
+    sr_copy(m.ip, sizeof(m.ip), sr_from(ip));
+    peer_add(n, &m)->began = ck_now();
+}
+
+static void learn_addresses(struct ct_node *n, const struct wr_nodes *list)
+{
+    for (uint32_t i = 0; i < list->n && i < QR_MAX_MEMBERS; i++) {
+        char name[32], ip[46];
+        if (sr_copy(name, sizeof(name), list->nodes[i].name) &&
+            sr_copy(ip, sizeof(ip), list->nodes[i].ip))
+            add_address(n, name, ip, (int)list->nodes[i].port);
+    }
+}
+
 static void hello(struct ct_node *n, struct nt_conn *net, uint64_t expect)
 {
     struct wr_msg m = {.type = WR_HELLO};
@@ -68,8 +110,6 @@
     hello(p->node, net, p->m.id);
 }
 
-static void learn_addresses(struct ct_node *n, const struct wr_nodes *list);
-
 /* Answers of the agreement come on the other side's own connection; here it only tells where
  * control nodes are. */
 static void peer_message(struct nt_conn *net, void *ud, const char *data, size_t len)
@@ -98,48 +138,6 @@
 
 static const struct nt_ops peer_ops = {peer_open, peer_message, peer_close};
 
-static struct ct_peer *peer_add(struct ct_node *n, const struct qr_member *m)
-{
-    struct ct_peer *p = sr_alloc(sizeof(*p));
-    p->node = n;
-    p->m = *m;
-    p->next = n->peers;
-    n->peers = p;
-    return p;
-}
-
-static struct ct_peer *peer_at(struct ct_node *n, const char *ip, int port)
-{
-    for (struct ct_peer *p = n->peers; p; p = p->next) {
-        if (p->m.port == port && strcmp(p->m.ip, ip) == 0)
-            return p;
-    }
-    return NULL;
-}
-
-/* An address where a control node is said to be; who is there greets us by its own connection.
- */
-static void add_address(struct ct_node *n, const char *name, const char *ip, int port)
-{
-    struct qr_member m = {.port = port};
-    if (peer_at(n, ip, port) ||
-        (strcmp(ip, n->s->control_ip) == 0 && port == n->s->control_port))
-        return;
-    sr_copy(m.name, sizeof(m.name), sr_from(name));
-    sr_copy(m.ip, sizeof(m.ip), sr_from(ip));
-    peer_add(n, &m)->began = ck_now();
-}
-
-static void learn_addresses(struct ct_node *n, const struct wr_nodes *list)
-{
-    for (uint32_t i = 0; i < list->n && i < QR_MAX_MEMBERS; i++) {
-        char name[32], ip[46];
-        if (sr_copy(name, sizeof(name), list->nodes[i].name) &&
-            sr_copy(ip, sizeof(ip), list->nodes[i].ip))
-            add_address(n, name, ip, (int)list->nodes[i].port);
-    }
-}
-
 static void drop_peer(struct ct_node *n, struct ct_peer *p)
 {
     struct ct_peer **at = &n->peers;
--- a/entry/link.c
+++ b/entry/link.c
@@ -286,7 +286,71 @@
         send_msg(leader(n), &m);
 }
 
-static void on_controls(struct en_link *from, const struct wr_nodes *list);
+/* ---- where control is ---- */
+
+static struct en_link *link_at(struct en_node *n, const char *ip, int port)
+{
+    for (int i = 0; i < EN_MAX_LINKS; i++) {
+        struct en_link *l = &n->links[i];
+        if (l->used && l->peer.port == port && strcmp(l->peer.ip, ip) == 0)
+            return l;
+    }
+    return NULL;
+}
+
+static struct en_link *add_link(struct en_node *n, const struct st_peer *peer)
+{
+    struct en_link *l = link_at(n, peer->ip, peer->port);
+    for (int i = 0; !l && i < EN_MAX_LINKS; i++) {
+        if (n->links[i].used || n->links[i].net)
+            continue;
+        l = &n->links[i];
+        *l = (struct en_link){.node = n, .used = true, .peer = *peer};
+    }
+    return l;
+}
+
+void en_links_seeds(struct en_node *n)
+{
+    for (int i = 0; i < EN_MAX_LINKS; i++)
+        n->links[i].seed = false;
+    for (int i = 0; i < n->s->n_voters; i++) {
+        struct en_link *l = add_link(n, &n->s->voters[i]);
+        if (l)
+            l->seed = true;
+    }
+}
+
+static bool in_list(const struct wr_nodes *list, const struct st_peer *p)
+{
+    for (uint32_t i = 0; i < list->n; i++) {
+        if (sr_eq(list->nodes[i].ip, sr_from(p->ip)) && (int)list->nodes[i].port == p->port)
+            return true;
+    }
+    return false;
+}
+
+/* What the leader lists is there; what it does not list and does not answer is forgotten. */
+static void on_controls(struct en_link *from, const struct wr_nodes *list)
+{
+    struct en_node *n = from->node;
+    for (int i = 0; leader(n) == from && i < EN_MAX_LINKS; i++) {
+        struct en_link *l = &n->links[i];
+        if (l->used && !l->open && !l->seed && !in_list(list, &l->peer)) {
+            l->used = false;
+            if (l->net)
+                nt_close(l->net, true);
+        }
+    }
+    for (uint32_t i = 0; i < list->n; i++) {
+        struct st_peer p = {.port = (int)list->nodes[i].port};
+        if (sr_copy(p.name, sizeof(p.name), list->nodes[i].name) &&
+            sr_copy(p.ip, sizeof(p.ip), list->nodes[i].ip))
+            add_link(n, &p);
+    }
+}
+
+/* ---- messages ---- */
 
 static void dispatch(struct en_link *l, const struct wr_msg *m)
 {
@@ -380,69 +444,7 @@
 
 static const struct nt_ops link_ops = {on_open, on_message, on_close};
 
-/* ---- where control is ---- */
-
-static struct en_link *link_at(struct en_node *n, const char *ip, int port)
-{
-    for (int i = 0; i < EN_MAX_LINKS; i++) {
-        struct en_link *l = &n->links[i];
-        if (l->used && l->peer.port == port && strcmp(l->peer.ip, ip) == 0)
-            return l;
-    }
-    return NULL;
-}
-
-static struct en_link *add_link(struct en_node *n, const struct st_peer *peer)
-{
-    struct en_link *l = link_at(n, peer->ip, peer->port);
-    for (int i = 0; !l && i < EN_MAX_LINKS; i++) {
-        if (n->links[i].used || n->links[i].net)
-            continue;
-        l = &n->links[i];
-        *l = (struct en_link){.node = n, .used = true, .peer = *peer};
-    }
-    return l;
-}
-
-void en_links_seeds(struct en_node *n)
-{
-    for (int i = 0; i < EN_MAX_LINKS; i++)
-        n->links[i].seed = false;
-    for (int i = 0; i < n->s->n_voters; i++) {
-        struct en_link *l = add_link(n, &n->s->voters[i]);
-        if (l)
-            l->seed = true;
-    }
-}
-
-static bool in_list(const struct wr_nodes *list, const struct st_peer *p)
-{
-    for (uint32_t i = 0; i < list->n; i++) {
-        if (sr_eq(list->nodes[i].ip, sr_from(p->ip)) && (int)list->nodes[i].port == p->port)
-            return true;
-    }
-    return false;
-}
-
-/* What the leader lists is there; what it does not list and does not answer is forgotten. */
-static void on_controls(struct en_link *from, const struct wr_nodes *list)
-{
-    struct en_node *n = from->node;
-    for (int i = 0; leader(n) == from && i < EN_MAX_LINKS; i++) {
-        struct en_link *l = &n->links[i];
-        if (l->used && !l->open && !l->seed && !in_list(list, &l->peer)) {
-            l->used = false;
-            if (l->net)
-                nt_close(l->net, true);
-        }
-    }
-    for (uint32_t i = 0; i < list->n; i++) {
-        struct st_peer p = {.port = (int)list->nodes[i].port};
-        if (sr_copy(p.name, sizeof(p.name), list->nodes[i].name) &&
-            sr_copy(p.ip, sizeof(p.ip), list->nodes[i].ip))
-            add_link(n, &p);
-    }
-}
+/* ---- start and time ---- */
 
 void en_links_start(struct en_node *n)
 {
