--- a/control/control.h
+++ b/control/control.h
@@ -42,7 +42,7 @@
  * platform carries them out). `g`'s state is the steering's own. */
 struct ct_steering {
     void (*begin)(struct ct_node *n, struct ct_group *g);
-    /* What a vantage sees of the instance; 0 is this node. */
+    /* What a vantage, a node by its id, sees of the instance; this node is one. */
     void (*probed)(struct ct_group *g, const char *inst, uint64_t vantage, const char *domain,
                    enum pr_health health);
     void (*said)(struct ct_group *g, const char *inst, const struct ep_reply *r);
--- a/entry/link.c
+++ b/entry/link.c
@@ -350,7 +350,7 @@
     }
 }
 
-/* ---- messages ---- */
+/* ---- by kind of message ---- */
 
 static void dispatch(struct en_link *l, const struct wr_msg *m)
 {
