--- a/control/control.h
+++ b/control/control.h
@@ -42,7 +42,7 @@
  * platform carries them out). `g`'s state is the steering's own. */
 struct ct_steering {
     void (*begin)(struct ct_node *n, struct ct_group *g);
-    /* What a vantage sees of the instance; 0 is this node. */
+    /* What a vantage, a node by its id, sees of the instance; this node is one. */
     void (*probed)(struct ct_group *g, const char *inst, uint64_t vantage, const char *domain,
                    enum pr_health health);
     void (*said)(struct ct_group *g, const char *inst, const struct ep_reply *r);
@@ -260,7 +260,9 @@
 struct ct_group *ct_group_of(struct ct_node *n, const char *name);
 bool ct_caught_up(void *ud, const char *group, const char *inst);
 
-/* promotions.c */
+/* steering.c */
+/* Propose a change that a group's steering wants, for its instance of that index; -1: none. */
+void ct_steer(struct ct_node *n, const struct ct_group *g, int inst, struct vw_change *ch);
 void ct_group_tick(struct ct_node *n, struct ct_group *g);
 /* Tick the groups that changed in the loop's next turn: safe from within the core's callbacks.
  */
--- a/control/takeovers.c
+++ b/control/takeovers.c
@@ -13,8 +13,7 @@
 static void begin(struct ct_node *n, struct ct_group *g)
 {
     const struct st_settings *s = n->s;
-    struct tk_config cfg = {.silence_us = CK_MS(s->silence_ms),
-                            .check_us = CK_MS(s->check_ms),
+    struct tk_config cfg = {.check_us = CK_MS(s->check_ms),
                             .answer_us = ANSWER_US,
                             .lead_us = LEAD_US,
                             .settle_us = SETTLE_US,
@@ -39,19 +38,19 @@
     (void)domain;
     bool primary = g->primary >= 0 && strcmp(g->inst[g->primary]->id, inst) == 0;
     if (vantage == g->inst[0]->node->id)
-        tk_seen(&g->tk, inst, health_of(health), ck_now());
+        tk_seen(&g->tk, inst, health_of(health));
     else if (primary && health >= PR_SILENT)
-        tk_suspected(&g->tk, inst, ck_now());
+        tk_suspected(&g->tk, inst);
 }
 
 static void said(struct ct_group *g, const char *inst, const struct ep_reply *r)
 {
-    tk_said(&g->tk, inst, r->primary, r->term, r->held, ck_now());
+    tk_said(&g->tk, inst, r->primary, r->held, ck_now());
 }
 
 static void reached(struct ct_group *g, const char *inst)
 {
-    tk_seen(&g->tk, inst, TK_UP, ck_now());
+    tk_seen(&g->tk, inst, TK_UP);
 }
 
 static void checked(struct ct_group *g, uint64_t nonce, enum pr_health health)
@@ -70,18 +69,13 @@
                     const struct tk_action *a)
 {
     struct vw_change ch = {.kind = kind, .term = a->term};
-    struct er_err err = {0};
-    sr_copy(ch.group, sizeof(ch.group), sr_from(g->name));
-    if (a->inst >= 0)
-        sr_copy(ch.instance, sizeof(ch.instance), sr_from(g->inst[a->inst]->id));
     if (kind != VW_CH_PRIMARY) {
         tl_add(n->tl, TL_DOWN, g->name, a->term, "%s", g->tk.why);
         FL_EVENT(&n->log, LG_INFO, "change_of_primary", "group=%s term=%llu kind=%s why=%s",
                  g->name, (unsigned long long)a->term, vw_change_name(kind),
                  g->tk.why[0] ? g->tk.why : "tried again");
     }
-    if (!ct_propose(n, &ch, NULL, &err))
-        FL_WARN(&n->log, "%s: %s: %s", g->name, vw_change_name(kind), err.text);
+    ct_steer(n, g, a->inst, &ch);
 }
 
 static void on_called(struct ct_node *n, const char *group, uint64_t token,
--- a/ferryctl/explain.c
+++ b/ferryctl/explain.c
@@ -11,11 +11,11 @@
 #include "ferryctl/ctl.h"
 
 enum {
-    BEFORE_MS = 3000, /* how far back a cause is looked for */
-    AFTER_MS = 1500,
-    MAX_LINES = 20000,
+    BEFORE_MS = 3000,  /* how far back a cause is looked for */
+    AFTER_MS = 1500,   /* control's own line of a change may come after the failure */
+    MAX_LINES = 20000, /* read in all; more are passed over */
     MAX_SHOWN = 60,
-    LINE = 4096,
+    LINE = 4096, /* bytes; above what misc/log.c writes */
 };
 
 struct found {
@@ -28,7 +28,7 @@
     int n;
     struct found f[MAX_LINES];
     const json_t *failed; /* the request's last line */
-    long long at;
+    long long at;         /* its time, ms */
 };
 
 static const char *text(const json_t *o, const char *key)
@@ -92,6 +92,17 @@
     return same_group || strncmp(event, "document", 8) == 0 || strncmp(event, "member", 6) == 0;
 }
 
+/* Whether every line has the field: shown in front of it, or not at all. */
+static bool in_head(const char *key)
+{
+    static const char *const head[] = {"ts_ms", "node", "level", "module", "event"};
+    for (size_t i = 0; i < sizeof(head) / sizeof(head[0]); i++) {
+        if (strcmp(key, head[i]) == 0)
+            return true;
+    }
+    return false;
+}
+
 static void show(const struct search *s, const struct found *f)
 {
     const char *key;
@@ -100,11 +111,7 @@
            text(f->line, "event"));
     json_object_foreach(f->line, key, v)
     {
-        static const char *const head[] = {"ts_ms", "node", "level", "module", "event"};
-        bool known = false;
-        for (size_t i = 0; i < sizeof(head) / sizeof(head[0]); i++)
-            known = known || strcmp(key, head[i]) == 0;
-        if (!known && json_is_string(v))
+        if (!in_head(key) && json_is_string(v))
             printf(" %s=%s", key, json_string_value(v));
     }
     putchar('\n');
@@ -152,7 +159,7 @@
         printf("(more lines bear on it; the first %d are shown)\n", MAX_SHOWN);
 }
 
-/* A leader's line in the window, or say that no control node's log was among the files. */
+/* Without a control node's log, changes of primary show only as their effects. */
 static void show_missing(const struct search *s)
 {
     for (int i = 0; i < s->n; i++) {
