--- a/control/registrations.c
+++ b/control/registrations.c
@@ -46,7 +46,9 @@
         return false;
     struct ct_seq *s = seq_of(n, b->inst.id);
     enum rg_need need = rg_beat(&n->view, b, s->seq, &ch, err);
-    if (need != RG_LATE && need != RG_REFUSE)
+    /* Only of a call that is acknowledged now: one whose change is not committed may come
+     * again. */
+    if (need == RG_NOTHING)
         s->seq = b->seq;
     return take(n, need, &ch, c, done, err);
 }
--- a/misc/log.c
+++ b/misc/log.c
@@ -143,19 +143,23 @@
     put_line(line, n < (int)sizeof(line) ? (size_t)n : sizeof(line) - 1);
 }
 
-/* "key=value key=value ... last=to the end" */
+/* Whether a field is a sentence, which goes to the line's end. */
+static bool is_sentence(const char *key)
+{
+    return strcmp(key, "detail") == 0 || strcmp(key, "why") == 0 || strcmp(key, "outcome") == 0;
+}
+
+/* "key=value key=value ... detail=to the end" */
 static void add_fields(json_t *o, const char *text)
 {
     while (*text) {
         char key[32];
         size_t n = strcspn(text, "=");
         const char *value = text[n] ? text + n + 1 : text + n;
-        size_t len = strcspn(value, " ");
-        /* The last one has no further key behind its blanks. */
-        if (!strchr(value + len, '='))
-            len = strlen(value);
-        if (sr_copy(key, sizeof(key), (struct sr_str){text, n}))
-            json_object_set_new(o, key, json_stringn(value, len));
+        if (!sr_copy(key, sizeof(key), (struct sr_str){text, n}))
+            return;
+        size_t len = is_sentence(key) ? strlen(value) : strcspn(value, " ");
+        json_object_set_new(o, key, json_stringn(value, len));
         text = value + len;
         text += *text == ' ';
     }
--- a/misc/log.h
+++ b/misc/log.h
@@ -20,8 +20,8 @@
     __attribute__((format(printf, 3, 4)));
 
 /* A line with a name from a closed list (docs/LOGS.md) and fields. `fmt` gives the fields as
- * "key=value key=value"; values have no blanks, but for the last, which goes to the end. In
- * JSON each is a field. */
+ * "key=value key=value"; values have no blanks, but for detail, why and outcome, which come
+ * last and go to the end. In JSON each is a field. */
 void lg_event(const struct lg_log *log, enum lg_level level, const char *event, const char *fmt,
               ...) __attribute__((format(printf, 4, 5)));
 /* Lines that could not be written because nobody read them. */
--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -200,20 +200,30 @@
     px_inst_pump(in);
 }
 
+/* What the session's statement needed first was refused. A BEGIN leaves the connection as it
+ * was; after another the connection's state is not known, and with it goes the transaction that
+ * may be open on it. */
+static void setup_refused(struct px_conn *c, struct px_session *s)
+{
+    enum er_kind why = c->error;
+    bool begin = c->setup.verb == PX_V_BEGIN && c->state == PX_IDLE;
+    s->conn = NULL;
+    c->session = NULL;
+    if (begin)
+        px_conn_idle(c);
+    else
+        px_conn_close(c);
+    if (px_in_txn(s) && s->begun)
+        px_lost(s, c, false);
+    else
+        px_not_sent(s, c, why);
+}
+
 static void setup_answered(struct px_conn *c)
 {
     struct px_session *s = c->session;
     if (c->error != ER_NONE) {
-        /* A DISCARD or PREPARE that fails leaves a state that is not known. */
-        enum er_kind why = c->error;
-        bool begin = c->setup.verb == PX_V_BEGIN && c->state == PX_IDLE;
-        s->conn = NULL;
-        c->session = NULL;
-        if (begin)
-            px_conn_idle(c);
-        else
-            px_conn_close(c);
-        px_not_sent(s, c, why);
+        setup_refused(c, s);
         return;
     }
     if (c->setup.verb == PX_V_BEGIN)
--- a/proxy/outcome.c
+++ b/proxy/outcome.c
@@ -30,6 +30,8 @@
 /* This statement is not offered to the instance again, unless no other is left. */
 static void skip(struct px_session *s, const struct px_inst *in)
 {
+    if (in->gone)
+        return; /* its place in the group is another's now */
     s->skip |= 1u << in->at;
 }
 
@@ -43,6 +45,8 @@
 /* The view's primary says that it is none. */
 static void note_no_primary(struct px_inst *in)
 {
+    if (in->gone)
+        return;
     in->group->primary_refused = ck_now();
     px_inst_suspect(in, WR_REFUSED);
 }
@@ -114,7 +118,7 @@
 {
     if (s->writes || s->stmt.verb == PX_V_COMMIT)
         return;
-    bool primary = c->inst->at == c->inst->group->cfg.primary;
+    bool primary = !c->inst->gone && c->inst->at == c->inst->group->cfg.primary;
     s->p->c.reads_primary += primary;
     s->p->c.reads_replica += !primary;
 }
@@ -174,7 +178,9 @@
         note_no_primary(in);
     else if (!px_needs_primary(s))
         skip(s, in);
-    px_try_again(s, why == ER_BEHIND ? 0 : PX_PARK_US, false);
+    bool counts = why != ER_BEHIND && why != ER_TERM;
+    if (!px_try_again(s, why == ER_BEHIND ? 0 : PX_PARK_US, counts))
+        px_refuse(s, ER_OVERLOAD, "instances refused what it needs first; retry in 100 ms");
 }
 
 /* It is rolled back at its instance; the caller is told with its next statement. */
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -24,6 +24,7 @@
     struct nt_conn *net; /* to the other node; NULL: none */
     int tries;
     bool greeted;        /* by the other node */
+    bool spoke;          /* the caller got something: another greeting would be one too many */
     bool rests;          /* there, after the last answer */
     struct px_tail tail; /* of what comes from the other node */
     int64_t began;       /* this try */
@@ -132,6 +133,7 @@
         r->greeted = true;
         r->s->p->c.relayed++;
     }
+    r->spoke = true;
     if (r->s->net)
         nt_send(r->s->net, data, len);
     if (greets)
@@ -147,7 +149,7 @@
     r->net = NULL;
     if (!r->s) {
         free(r);
-    } else if (!r->greeted && r->tries < MAX_TRIES) {
+    } else if (!r->spoke && r->tries < MAX_TRIES) {
         connect_next(r);
     } else if (r->s->net) {
         nt_close(r->s->net, false); /* the session is gone with its node */
--- a/proxy/statement.c
+++ b/proxy/statement.c
@@ -141,6 +141,7 @@
 {
     keep(s, m);
     s->p->cfg.codec->parse_text(s->text, &s->stmt);
+    s->offers = 0;
     switch (s->stmt.verb) {
     case PX_V_BEGIN:
         begin(s);
--- a/tests/process/t_sessions.sh
+++ b/tests/process/t_sessions.sh
@@ -33,6 +33,12 @@
 se_load_end
 
 halves_to=$(ms)
+t_say "instances refuse what the proxy puts there in the middle of transactions"
+se_load 4 18 "${P[@]}"
+for k in 1 2 3 4 5 6 7 8; do sleep 0.3; se_world busy-sets/6 > /dev/null; done
+se_load_end
+t_check "no statement was tried for ever" [ "$(grep -c '"kind":"deadline"' "$SE_DIR"/e0.log)" -lt 20 ]
+
 t_say "replicas 3 s behind: nothing stale"
 se_world lag/0/3000 > /dev/null
 se_load 3 12 "${P[@]}"
--- a/tests/standin/sessions.c
+++ b/tests/standin/sessions.c
@@ -56,12 +56,16 @@
     struct nt_timer pause;
     struct sr_buf in;
     int n, at;
+    int last; /* the step that was answered last */
     struct step step[STEPS];
     char row[WORD * 2];
     bool waiting, error, txn, over;
     int64_t asked, txn_at;
     long own_acked, own_sent; /* numbers of its own key: known to be there, perhaps there */
     long txn_own;             /* written in the open transaction */
+    long txn_sent;            /* the same, acknowledged or not */
+    long dead;                /* the last one whose transaction was rolled back */
+    bool doubtful;            /* the last error leaves open whether it ran */
 };
 
 static struct session sessions[SESSIONS];
@@ -120,7 +124,7 @@
 
 static void plan(struct session *s)
 {
-    uint64_t kind = rn_below(&s->r->rng, 8);
+    uint64_t kind = rn_below(&s->r->rng, 9);
     s->n = s->at = 0;
     if (kind == 0) {
         add(s, C_ANY, 0, "SET x v%d", s->id);
@@ -139,6 +143,13 @@
         add(s, C_ANY, 0, "BEGIN READ");
         add_reads(s);
         add(s, C_COMMIT, 0, "COMMIT");
+    } else if (kind == 8) {
+        add(s, C_ANY, 0, "BEGIN");
+        add_write(s, false);
+        add(s, C_ANY, 0, "SET y w%d", s->id);
+        add_write(s, false);
+        add(s, C_COMMIT, 0, "COMMIT");
+        add(s, C_OWN, 0, "READ k%llu.%d", s->r->seed, s->id);
     } else if (kind < 6) {
         add_write(s, kind == 4);
         add_reads(s);
@@ -162,6 +173,8 @@
         least = s->txn_own ? s->txn_own : s->db == 'b' ? 0 : s->own_acked;
         if (saw < least)
             broken(s, "its own write is missing", saw, least);
+        if (saw && saw == s->dead)
+            broken(s, "a write of a transaction that was not kept", saw, s->dead);
         if (saw > s->own_sent)
             broken(s, "a number that was never written", saw, s->own_sent);
         break;
@@ -251,6 +264,8 @@
     const struct step *st = &s->step[s->at];
     if (st->check == C_WRITE_OWN)
         s->own_sent = st->number;
+    if (st->check == C_WRITE_OWN && s->txn)
+        s->txn_sent = st->number;
     int n = snprintf(line, sizeof(line), "QUERY %d.%lu %s\r\n", s->id, s->r->ok, st->text);
     s->asked = ck_now();
     if (strncmp(st->text, "BEGIN", 5) == 0)
@@ -261,14 +276,29 @@
     nt_send(s->net, line, (size_t)n);
 }
 
+/* Whether what the transaction wrote may be seen: only if its COMMIT was acknowledged or left
+ * in doubt. */
+static void end_txn(struct session *s)
+{
+    const struct step *st = &s->step[s->last];
+    bool commit = strcmp(st->text, "COMMIT") == 0;
+    bool kept = commit && (!s->error || s->doubtful);
+    if (s->txn_sent && !kept)
+        s->dead = s->txn_sent;
+    s->txn_sent = 0;
+}
+
 static void ready(struct session *s, char state)
 {
+    s->last = s->at;
     s->waiting = false;
     if (s->error)
         s->at = s->n; /* the rest of the plan is dropped; a transaction is ended */
     else
         s->at++;
     s->txn = state == 'T';
+    if (state == 'I')
+        end_txn(s);
     if (!s->txn)
         s->txn_own = 0;
     if (state != 'I' && s->at >= s->n) {
@@ -292,7 +322,8 @@
         note_done(s);
     } else if (strncmp(text, "ERROR", 5) == 0) {
         s->error = true;
-        if (is_doubt(text))
+        s->doubtful = is_doubt(text);
+        if (s->doubtful)
             r->doubt++;
         else
             r->refused++;
@@ -343,6 +374,7 @@
     s->txn = s->waiting = false;
     s->asked = 0;
     s->txn_own = 0;
+    s->txn_sent = 0; /* a close leaves open what became of it */
     if (s->db == 'o')
         s->own_acked = 0;
     if (!s->over)
--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -69,7 +69,8 @@
 struct world {
     struct nt_loop *loop;
     int base, n_groups, deaf;
-    int halves; /* answers of reads and writes that are to break off before their end */
+    int busy_sets; /* SETs that are to be refused */
+    int halves;    /* answers of reads and writes that are to break off before their end */
     int n_controls, control_port[8], next_control;
     char control_ip[8][46];
     struct group g[GROUPS];
@@ -251,6 +252,11 @@
 
 static void do_set(struct conn *c, const char *name, const char *value)
 {
+    if (c->in->w->busy_sets > 0) {
+        c->in->w->busy_sets--;
+        error(c, "BUSY");
+        return;
+    }
     int i = 0;
     while (i < c->n_sets && strcmp(c->set[i][0], name) != 0)
         i++;
@@ -573,6 +579,8 @@
         w->inst[a][b].draining = true;
     else if (sscanf(req->path, "/lag/%d/%d", &a, &b) == 2)
         w->g[a].lag_ms = b;
+    else if (sscanf(req->path, "/busy-sets/%d", &a) == 1)
+        w->busy_sets = a;
     else if (sscanf(req->path, "/halves/%d", &a) == 1)
         w->halves = a;
     else if (sscanf(req->path, "/deaf-orders/%d", &a) == 1)
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -109,15 +109,20 @@
     CU_ASSERT_EQUAL(vw_group(&w, "reg")->n, 3);
     CU_ASSERT_EQUAL(vw_instance(vw_group(&w, "reg"), "a"), -1);
     CU_ASSERT_EQUAL(vw_instance(vw_group(&w, "reg"), "b"), vw_group(&w, "reg")->primary);
+    /* A known one moves to another's address: that one is gone. */
+    CU_ASSERT_TRUE(join(&w, 5, "c", 1, false));
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->n, 2);
+    CU_ASSERT_TRUE(vw_has_left(&w, "d"));
+    CU_ASSERT_TRUE(join(&w, 6, "e", 4, false));
     /* The primary leaves: no primary under a new term. */
-    CU_ASSERT_TRUE(leave(&w, 5, "b"));
+    CU_ASSERT_TRUE(leave(&w, 7, "b"));
     CU_ASSERT_EQUAL(vw_group(&w, "reg")->primary, -1);
     CU_ASSERT_EQUAL(vw_group(&w, "reg")->phase, VW_REPLACING);
     CU_ASSERT_EQUAL(vw_group(&w, "reg")->term, 2);
-    CU_ASSERT_FALSE(leave(&w, 6, "b"));
+    CU_ASSERT_FALSE(leave(&w, 8, "b"));
     /* What left does not come back by a call that was late. */
-    CU_ASSERT_FALSE(join(&w, 6, "b", 2, true) || join(&w, 6, "a", 1, true));
-    CU_ASSERT_TRUE(leave(&w, 6, "c") && leave(&w, 7, "d"));
+    CU_ASSERT_FALSE(join(&w, 8, "b", 2, true) || join(&w, 8, "a", 1, true));
+    CU_ASSERT_TRUE(leave(&w, 8, "c") && leave(&w, 9, "e"));
     /* A group whose instances have all left is read back as it is. */
     json_t *j = vw_view_json(&w);
     struct vw_view back = {0};
--- a/view/view.c
+++ b/view/view.c
@@ -387,10 +387,10 @@
         insert_group(v, &fresh);
         g = vw_group(v, ch->group);
     }
-    int i = vw_instance(g, ch->inst.id);
-    int other = i < 0 ? at_address(g, &ch->inst) : -1;
-    if (other >= 0)
+    int other = at_address(g, &ch->inst);
+    if (other >= 0 && strcmp(g->inst[other].id, ch->inst.id) != 0)
         apply_leave(v, g, g->inst[other].id);
+    int i = vw_instance(g, ch->inst.id);
     if (i < 0)
         i = g->n++;
     g->inst[i] = ch->inst;
