proxy: busy sessions move as well when a node ceases to hold their group; a test of holders and relays

Change: a session is closed at its next rest, within a second of the node's letting go. Also: the event holding_changed, the metric ferry_session_nodes.

--- a/proxy/holders.c
+++ b/proxy/holders.c
@@ -32,11 +32,18 @@
 {
     for (int i = 0; i < p->n_groups; i++) {
         struct px_group *g = p->groups[i];
-        int out[HO_MAX_HOLDERS], k = holders_of(p, g);
+        int out[HO_MAX_HOLDERS], k = holders_of(p, g), before = g->n_holders;
+        bool held = g->held;
         g->n_holders = k ? ho_pick(p->nodes, p->n_nodes, g->cfg.name, k, out) : 0;
         for (int h = 0; h < g->n_holders; h++)
             g->holders[h] = (uint16_t)out[h];
         g->held = k == 0 || holds(p, g);
+        if (held && !g->held)
+            g->let_go_at = ck_now();
+        if (held != g->held || before != g->n_holders)
+            FL_EVENT(&p->log, LG_INFO, "holding_changed",
+                     "group=%s held=%d holders=%d nodes=%d", g->cfg.name, g->held, g->n_holders,
+                     p->n_nodes);
     }
 }
 
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -98,6 +98,7 @@
     struct px_inst *inst[VW_MAX_INSTANCES]; /* indexed like cfg.inst */
     struct rt_group rt; /* samples of the primary's position; the rest is not used */
     bool held; /* this node has connections to its instances; else sessions go to a holder */
+    int64_t let_go_at; /* this node ceased to hold it */
     int n_holders;
     uint16_t holders[HO_MAX_HOLDERS]; /* in the proxy's nodes; none: all nodes hold it */
     int64_t settle_by;       /* planned change: what runs at the primary may end until then */
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -192,6 +192,7 @@
                 {"relayed_total", p->c.relayed},
                 {"log_lines_left_out_total", p->c.log_lines_left_out},
                 {"open", (uint64_t)p->n_sessions},
+                {"nodes", (uint64_t)p->n_nodes},
                 {"document", p->catalog.version}};
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
         sr_buf_printf(out, "ferry_session_%s %llu\n", rows[i].name,
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -208,7 +208,7 @@
     const struct px_group *g = px_group_of(s);
     if (s->relay || !g || g->held || !rests(s))
         return;
-    if (now - s->since > turn(s, CUT_OFF_CLOSE_OVER_US))
+    if (now - g->let_go_at > turn(s, CUT_OFF_CLOSE_OVER_US))
         nt_close(s->net, false);
 }
 
--- /dev/null
+++ b/tests/process/t_relays.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# More entry nodes than an instance has connections: a few hold the group, the others relay sessions;
+# a holder that is stopped, one that is killed.
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/sessions.sh"
+se_setup 27600
+for i in 0 1 2; do se_node control $i true; done
+for i in 0 1 2 3 4 5; do se_node entry $i; done
+P=()
+for i in 0 1 2 3 4 5; do P+=($((SE_BASE + 40 + i))); done
+few() { se_document "$1" | sed 's/"maxConns":25/"maxConns":5/'; }
+relayed() { curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + $1))/metrics" | awk '$1 == "ferry_session_relayed_total" {print $2}'; }
+relays() { # how many nodes have relayed, and whether so many as expected
+    local i n=0
+    for i in 0 1 2 3 4 5; do [ "$(relayed $i)" -gt 0 ] 2> /dev/null && n=$((n + 1)); done
+    [ $n = "$1" ]
+}
+holders() { for i in 0 1 2 3 4 5; do [ "$(relayed $i)" = 0 ] && echo $i; done; }
+t_check "a configuration with five connections an instance, for six nodes" se_put "$(few 7)" 200
+for i in 0 1 2 3 4 5; do t_check "entry node $i is ready" t_until se_ready $i; done
+knows_all() { curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + $1))/metrics" | awk '/^ferry_session_nodes 6$/ {n = 1} /^ferry_session_instance_share/ {g = 1} END {exit !(n && g)}'; }
+for i in 0 1 2 3 4 5; do t_check "entry node $i knows all six, and the group" t_until knows_all $i; done
+
+t_say "sessions on all nodes"
+se_load 4 21 "${P[@]}"
+se_load_end
+for i in 0 1 2 3 4 5; do echo "   node $i relayed $(relayed $i)"; done
+t_check "three of six relayed" relays 3
+t_check "work was done" [ "$(se_count ok)" -gt 500 ]
+mapfile -t H < <(holders)
+
+t_say "a holder is stopped: nothing in doubt"
+se_load 6 22 "${P[@]}"
+sleep 1; se_kill "e${H[0]}" TERM
+se_load_end
+t_check "no answer in doubt" [ "$(se_count doubt)" = 0 ]
+se_node entry "${H[0]}"
+t_check "it comes back" t_until se_ready "${H[0]}"
+
+t_say "a holder is killed"
+se_load 6 23 "${P[@]}"
+sleep 1; se_kill "e${H[1]}"
+se_load_end
+t_check "work went on" [ "$(se_count ok)" -gt 500 ]
+exit $T_BAD
