misc: an empty text may have no address

Cause: under the sanitizers every node of t_relays ended at misc/str.c:46, "null pointer passed as argument 2": sr_buf_add() handed an empty text that has no address to memcpy(), which is undefined. t_sessions on the same build did not reach that place. Change: sr_move(), used where an empty text or an empty list can arrive. A unit test adds an empty text without an address; before the change it ends the sanitized unit tests, in the ordinary build it passed already. Ruled out: a clash of ports and a slow start, which the failed test had looked like ("none relayed", "it comes back").

--- a/misc/str.c
+++ b/misc/str.c
@@ -8,7 +8,7 @@
 {
     if (s.len >= cap)
         return false;
-    memcpy(dst, s.p, s.len);
+    sr_move(dst, s.p, s.len);
     dst[s.len] = 0;
     return true;
 }
@@ -43,7 +43,7 @@
 void sr_buf_add(struct sr_buf *b, const void *p, size_t n)
 {
     reserve(b, n + 1);
-    memcpy(b->p + b->len, p, n);
+    sr_move(b->p + b->len, p, n);
     b->len += n;
     b->p[b->len] = 0;
 }
--- a/misc/str.h
+++ b/misc/str.h
@@ -37,6 +37,13 @@
 /* Allocation failure aborts: a node that can't allocate a few KB has nothing to offer. */
 void *sr_alloc(size_t n);
 void *sr_realloc(void *p, size_t n);
+/* memcpy() for `n` bytes of which there may be none: an empty text may have no address, and
+ * memcpy() asks for one. */
+static inline void sr_move(void *dst, const void *src, size_t n)
+{
+    if (n)
+        memcpy(dst, src, n);
+}
 void sr_buf_add(struct sr_buf *b, const void *p, size_t n);
 void sr_buf_printf(struct sr_buf *b, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
--- a/proxy/holders.c
+++ b/proxy/holders.c
@@ -50,7 +50,7 @@
 void px_nodes(struct px_proxy *p, const struct ho_node *nodes, int n)
 {
     p->nodes = sr_realloc(p->nodes, sizeof(*nodes) * (size_t)(n + 1));
-    memcpy(p->nodes, nodes, sizeof(*nodes) * (size_t)n);
+    sr_move(p->nodes, nodes, sizeof(*nodes) * (size_t)n);
     p->n_nodes = n;
     px_holders_changed(p);
 }
--- a/proxy/state.c
+++ b/proxy/state.c
@@ -7,7 +7,7 @@
 static char *copy(struct sr_str s)
 {
     char *p = sr_alloc(s.len + 1);
-    memcpy(p, s.p, s.len);
+    sr_move(p, s.p, s.len);
     return p;
 }
 
--- a/task/net.c
+++ b/task/net.c
@@ -116,7 +116,7 @@
         uint32_t be = htonl((uint32_t)len);
         memcpy(p, &be, FRAME_HEADER);
     }
-    memcpy(p + head, data, len);
+    sr_move(p + head, data, len);
     bool idle = !c->head;
     *c->tail = o;
     c->tail = &o->next;
--- a/tests/unit/test_misc.c
+++ b/tests/unit/test_misc.c
@@ -57,6 +57,20 @@
     ck_resume();
 }
 
+/* An empty text may have no address: adding it changes nothing. The sanitizers of the debug
+ * build stop here when the copy is given no address. */
+static void an_empty_text_may_have_no_address(void)
+{
+    struct sr_buf b = {0};
+    sr_buf_add(&b, NULL, 0);
+    CU_ASSERT_EQUAL(b.len, 0);
+    sr_buf_add(&b, "ab", 2);
+    sr_buf_add(&b, NULL, 0);
+    CU_ASSERT_EQUAL(b.len, 2);
+    CU_ASSERT_STRING_EQUAL((const char *)b.p, "ab");
+    sr_buf_free(&b);
+}
+
 static void time_line_is_bounded(void)
 {
     static struct tl_ring r;
@@ -135,6 +149,7 @@
     TEST(s, every_kind_has_an_answer);
     TEST(s, histogram_error_is_bounded);
     TEST(s, hlc_orders_and_ignores_a_bad_clock);
+    TEST(s, an_empty_text_may_have_no_address);
     TEST(s, time_line_is_bounded);
     TEST(s, log_levels);
     TEST(s, positions_over_terms);
