entry: an observer's silence is no evidence against an instance

Cause: a control VM without a disk follows the leader as an entry node does, but takes no callers and connects to no instance. Asked by control whether it reaches the primary it answered "silent". On a deployment with three such VMs every question ended with "down for 3 nodes, up for 1" and a needless change of primary, one after the other from the first second on. Change: an observer answers that it does not know. Ruled out: lost health checks and slow instances: the nodes that take callers all reported "up" in the same questions.

--- a/entry/link.c
+++ b/entry/link.c
@@ -248,6 +248,13 @@
     en_holding_changed(n);
 }
 
+static enum wr_health health_by_watch(const struct en_inst *in, int64_t now)
+{
+    if (in->refusing)
+        return WR_REFUSED;
+    return in->watch && now - in->heard <= CHECK_FRESH_US ? WR_OK : WR_SILENT;
+}
+
 static void on_check(struct en_link *l, const struct wr_check *c)
 {
     char id[VW_NAME];
@@ -255,12 +262,9 @@
     int64_t now = ck_now();
     m.check.health = l->node->px ? px_health(l->node->px, c->inst) : WR_UNKNOWN;
     struct en_inst *in = sr_copy(id, sizeof(id), c->inst) ? en_inst(l->node, id) : NULL;
-    if (in && in->refusing)
-        m.check.health = WR_REFUSED;
-    else if (in && (!in->watch || now - in->heard > CHECK_FRESH_US))
-        m.check.health = WR_SILENT;
-    else if (in)
-        m.check.health = WR_OK;
+    /* An observer takes no callers and connects to no instance: its silence is no evidence. */
+    if (in && !l->node->s->observer)
+        m.check.health = health_by_watch(in, now);
     send_msg(l, &m);
 }
 
