control, entry: an observer has a role of its own, no lease, no view, no connections

Cause: a control node without a disk greeted the leader as an entry node. It was given the view and a lease, so it opened connections of the WebSocket driver to every instance (the message that instances did not know, the many new connections) and every change of primary waited for the lease of a node that serves nobody.

Change: WR_ROLE_OBSERVER; the leader answers its renewals with how long to send callers here, and keeps nothing of it.

--- a/control/control.h
+++ b/control/control.h
@@ -237,7 +237,7 @@
 void ct_send_peer(struct ct_node *n, uint64_t id, const struct wr_msg *m);
 void ct_send_conn(struct ct_conn *c, const struct wr_msg *m);
 
-/* nodes.c: entry nodes */
+/* nodes.c: entry nodes, and observers */
 void ct_renewed(struct ct_conn *c, const struct wr_renew *r);
 /* This node leads now: entry nodes need not look for it. */
 void ct_say_leading(struct ct_conn *c);
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -140,10 +140,21 @@
 void ct_say_leading(struct ct_conn *c)
 {
     struct wr_msg m = {.type = WR_NOT_LEADER, .leader = sr_from(c->node->s->name)};
-    if (c->greeted && c->role == WR_ROLE_ENTRY)
+    if (c->greeted && c->role != WR_ROLE_CONTROL)
         ct_send_conn(c, &m);
 }
 
+/* An observer sends callers here for a while. That is no lease: a node that does not lead any
+ * more sends them on, and nothing has to wait until an observer knows. */
+static void tell_observer(struct ct_conn *c, const struct wr_renew *r)
+{
+    struct wr_msg m = {.type = WR_GRANT};
+    m.grant.seq = r->seq;
+    m.grant.hlc = ck_hlc_now(&c->node->tl->hlc);
+    m.grant.duration_ms = (uint32_t)c->node->s->lease_ms;
+    ct_send_conn(c, &m);
+}
+
 void ct_renewed(struct ct_conn *c, const struct wr_renew *r)
 {
     struct ct_node *n = c->node;
@@ -154,6 +165,10 @@
         not_leader(c);
         return;
     }
+    if (c->role == WR_ROLE_OBSERVER) {
+        tell_observer(c, r);
+        return;
+    }
     struct wr_msg m = {.type = WR_GRANT};
     m.grant.seq = r->seq;
     m.grant.hlc = ck_hlc_now(&n->tl->hlc);
--- a/control/peers.c
+++ b/control/peers.c
@@ -299,8 +299,10 @@
         nt_close(net, true);
     } else if (c->role == WR_ROLE_CONTROL) {
         from_control(c, &m);
-    } else {
+    } else if (c->role == WR_ROLE_ENTRY) {
         from_entry(c, &m);
+    } else if (m.type == WR_RENEW) {
+        ct_renewed(c, &m.renew);
     }
 }
 
--- a/entry/link.c
+++ b/entry/link.c
@@ -262,8 +262,7 @@
     int64_t now = ck_now();
     m.check.health = l->node->px ? px_health(l->node->px, c->inst) : WR_UNKNOWN;
     struct en_inst *in = sr_copy(id, sizeof(id), c->inst) ? en_inst(l->node, id) : NULL;
-    /* An observer takes no callers and connects to no instance: its silence is no evidence. */
-    if (in && !l->node->s->observer)
+    if (in)
         m.check.health = health_by_watch(in, now);
     send_msg(l, &m);
 }
@@ -394,11 +393,9 @@
 
 /* ---- sockets ---- */
 
-/* Where other entry nodes send callers on to; 0: not here. */
+/* Where other entry nodes send callers on to. */
 static int callers_port(const struct st_settings *s)
 {
-    if (s->observer)
-        return 0;
     return s->sessions.port ? s->sessions.port : s->entry_port;
 }
 
@@ -415,7 +412,7 @@
                                 .domain = sr_from(s->domain),
                                 .ip = sr_from(s->entry_ip),
                                 .port = (uint32_t)callers_port(s),
-                                .role = WR_ROLE_ENTRY,
+                                .role = s->observer ? WR_ROLE_OBSERVER : WR_ROLE_ENTRY,
                                 .id = l->node->id};
     send_msg(l, &m);
 }
--- a/tests/process/t_observers.sh
+++ b/tests/process/t_observers.sh
@@ -24,4 +24,9 @@
 t_check "work was done" [ "$(se_count ok)" -gt 500 ]
 # The leader and the one node that takes callers are two; a third can only be an observer.
 t_check "no observer counts against the primary" [ "$(cat "$SE_DIR"/c*.log | grep -c 'down for [3-9] nodes')" = 0 ]
+
+t_say "an observer has nothing to do with instances, and no change of primary waits for it"
+t_check "nobody but the proxy's lines speaks to instances" [ "$(se_world status | awk '$1 == "strangers" {print $2}')" = 0 ]
+leases() { for i in 0 1 2; do curl -s -m 2 "http://$(se_ip $i):$((SE_BASE + 20))/v1/status"; echo; done | grep '"leads":true' | sed 's/.*"entry_nodes":\([0-9]*\).*/\1/'; }
+t_check "the one node that takes callers has a lease, observers have none" [ "$(leases)" = 1 ]
 exit $T_BAD
--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -79,6 +79,8 @@
     char keys[KEYS][WORD];
     int n_keys;
     uint64_t refused_orders, orders;
+    uint64_t
+        strangers; /* connections to instances that began with something else than STARTUP */
 };
 
 static int key_of(struct world *w, const char *name)
@@ -356,6 +358,7 @@
     } else if (c->greeted && sscanf(text, "QUERY %63s %n", id, &used) == 1) {
         statement(c, text + used);
     } else {
+        c->in->w->strangers += !c->greeted;
         nt_close(c->net, true);
     }
 }
@@ -589,8 +592,9 @@
         sr_buf_printf(&out, "%s primary %d term %llu token %llu log %d\n", w->g[g].name,
                       w->g[g].primary, (unsigned long long)w->g[g].term,
                       (unsigned long long)w->g[g].token, w->g[g].n_log);
-    sr_buf_printf(&out, "orders %llu fenced %llu\n", (unsigned long long)w->orders,
-                  (unsigned long long)w->refused_orders);
+    sr_buf_printf(&out, "orders %llu fenced %llu\nstrangers %llu\n",
+                  (unsigned long long)w->orders, (unsigned long long)w->refused_orders,
+                  (unsigned long long)w->strangers);
     nt_http_reply(req->conn, 200, "text/plain", out.p, out.len);
     sr_buf_free(&out);
 }
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -95,7 +95,7 @@
     h->domain = get_s(r);
     h->ip = get_s(r);
     h->port = get_max(r, 65535);
-    h->role = (enum wr_role)get_max(r, WR_ROLE_CONTROL);
+    h->role = (enum wr_role)get_max(r, WR_ROLE_OBSERVER);
     h->id = get_u(r);
     h->expect = get_u(r);
 }
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -31,7 +31,11 @@
     WR_CONTROLS,   /* control to whoever connects: where the control nodes are, as it knows */
 };
 
-enum wr_role { WR_ROLE_ENTRY = 1, WR_ROLE_CONTROL };
+enum wr_role {
+    WR_ROLE_ENTRY = 1,
+    WR_ROLE_CONTROL,
+    WR_ROLE_OBSERVER, /* asks the leader who leads; holds no lease, no view, no connections */
+};
 enum wr_health { WR_UNKNOWN, WR_OK, WR_SILENT, WR_REFUSED };
 
 struct wr_hello {
@@ -39,7 +43,7 @@
     struct sr_str cluster, name, domain, ip;
     uint32_t port; /* where its HTTP answers */
     enum wr_role role;
-    uint64_t id;     /* control: the identity on disk; entry: drawn at start */
+    uint64_t id;     /* control: the identity on disk; else drawn at start */
     uint64_t expect; /* control: the identity expected of the other side, 0 any */
 };
 
