--- a/control/peers.c
+++ b/control/peers.c
@@ -209,21 +209,14 @@
 static void on_hello(struct ct_conn *c, const struct wr_hello *h)
 {
     struct ct_node *n = c->node;
-    if (h->version != WR_VERSION) {
-        refuse(c, "it speaks another version");
-        return;
-    }
-    if (!sr_eq(h->cluster, sr_from(n->s->cluster))) {
-        refuse(c, "it belongs to another cluster");
-        return;
-    }
-    if (h->expect && h->expect != n->id) {
-        refuse(c, "it expects another identity: this data folder is not the one it knew");
+    const char *wrong = wr_hello_wrong(h, n->s->cluster, n->id);
+    if (wrong) {
+        refuse(c, wrong);
         return;
     }
     if (!sr_copy(c->name, sizeof(c->name), h->name) ||
         !sr_copy(c->domain, sizeof(c->domain), h->domain) ||
-        !sr_copy(c->ip, sizeof(c->ip), h->ip) || h->id == 0) {
+        !sr_copy(c->ip, sizeof(c->ip), h->ip)) {
         refuse(c, "its greeting is wrong");
         return;
     }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -276,6 +276,8 @@
     int64_t now = ck_now();
     lease_tick(n);
     en_links_tick(n, now);
+    if (n->s->observer)
+        en_observer_tick(n);
     en_sweep(n, now);
     en_txn_sweep(n, now);
     if (n->px)
@@ -369,7 +371,7 @@
         randombytes_buf(&n->key, sizeof(n->key));
     vw_init(&n->view);
     en_links_start(n);
-    if (!en_callers_listen(n, err) || !start_proxy(n, err)) {
+    if (!en_callers_listen(n, err) || !en_observer_listen(n, err) || !start_proxy(n, err)) {
         free(n);
         return NULL;
     }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -24,6 +24,7 @@
 struct en_inst;
 struct en_req;
 struct en_txn;
+struct ob_conn;
 
 /* What an outside platform's interface brings; ferryd gives it to en_create. */
 struct en_interface {
@@ -203,7 +204,9 @@
     const struct en_interface *outside; /* NULL: our own interface only */
     struct px_proxy *px;                /* callers whose connection is a session; NULL none */
     struct en_link links[EN_MAX_LINKS];
-    int leader; /* index of the link that answered last; -1 */
+    int leader;               /* index of the link that answered last; -1 */
+    struct ob_conn *observed; /* an observer's: who connected to it */
+    int n_observed;
     int64_t next_renew;
     bool awaiting; /* the last renewal is unanswered */
     uint64_t shares_seq, acked;
@@ -226,6 +229,8 @@
 const char *en_not_ready(const struct en_node *n);
 /* IP number of the control node that granted the last lease, "" if there is none live. */
 const char *en_leader_ip(const struct en_node *n);
+/* Its name, in the same way. */
+const char *en_leader_name(const struct en_node *n);
 /* Stop accepting, tell callers to go elsewhere, finish, give the lease back; then done(ud). */
 void en_stop(struct en_node *n, void (*done)(void *ud), void *ud);
 struct en_group *en_group(struct en_node *n, const char *name);
@@ -312,12 +317,20 @@
 /* The settings name other control nodes. */
 void en_links_seeds(struct en_node *n);
 void en_links_tick(struct en_node *n, int64_t now);
+/* A control node is said to be there. */
+void en_link_learned(struct en_node *n, struct sr_str name, struct sr_str ip, int port);
 void en_send_ack(struct en_node *n, uint64_t generation);
 /* A planned stop: the lease and the shares go back. */
 void en_give_back(struct en_node *n);
 void en_suspect(struct en_inst *in, enum wr_health health);
 void en_tell_suspicion(struct en_node *n, const char *inst, enum wr_health health);
 
+/* observer.c: a control node without a disk */
+/* Nothing is done, and true, for a node that is none. */
+bool en_observer_listen(struct en_node *n, struct er_err *err);
+/* Tell who connected what is news. */
+void en_observer_tick(struct en_node *n);
+
 /* ops.c */
 void en_http(const struct nt_http *req);
 
--- a/entry/link.c
+++ b/entry/link.c
@@ -34,6 +34,11 @@
     return n->leader >= 0 && en_leased(n) ? n->links[n->leader].peer.ip : "";
 }
 
+const char *en_leader_name(const struct en_node *n)
+{
+    return n->leader >= 0 && en_leased(n) ? n->links[n->leader].peer.name : "";
+}
+
 /* ---- renewing ---- */
 
 static int wanted(struct en_inst *in)
@@ -313,12 +318,28 @@
     return l;
 }
 
+/* Whether it is this node's own: an observer may be named by its own settings. */
+static bool own_address(const struct en_node *n, const struct st_peer *p)
+{
+    return n->s->observer && p->port == n->s->control_port &&
+           strcmp(p->ip, n->s->control_ip) == 0;
+}
+
+void en_link_learned(struct en_node *n, struct sr_str name, struct sr_str ip, int port)
+{
+    struct st_peer p = {.port = port};
+    if (sr_copy(p.name, sizeof(p.name), name) && sr_copy(p.ip, sizeof(p.ip), ip) &&
+        !own_address(n, &p))
+        add_link(n, &p);
+}
+
 void en_links_seeds(struct en_node *n)
 {
     for (int i = 0; i < EN_MAX_LINKS; i++)
         n->links[i].seed = false;
     for (int i = 0; i < n->s->n_voters; i++) {
-        struct en_link *l = add_link(n, &n->s->voters[i]);
+        const struct st_peer *p = &n->s->voters[i];
+        struct en_link *l = own_address(n, p) ? NULL : add_link(n, p);
         if (l)
             l->seed = true;
     }
@@ -346,10 +367,8 @@
         }
     }
     for (uint32_t i = 0; i < list->n; i++) {
-        struct st_peer p = {.port = (int)list->nodes[i].port};
-        if (sr_copy(p.name, sizeof(p.name), list->nodes[i].name) &&
-            sr_copy(p.ip, sizeof(p.ip), list->nodes[i].ip))
-            add_link(n, &p);
+        const struct wr_node *x = &list->nodes[i];
+        en_link_learned(n, x->name, x->ip, (int)x->port);
     }
 }
 
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -306,6 +306,17 @@
     return true;
 }
 
+const char *wr_hello_wrong(const struct wr_hello *h, const char *cluster, uint64_t id)
+{
+    if (h->version != WR_VERSION)
+        return "it speaks another version";
+    if (!sr_eq(h->cluster, sr_from(cluster)))
+        return "it belongs to another cluster";
+    if (h->expect && h->expect != id)
+        return "it expects another identity: this data folder is not the one it knew";
+    return h->id ? NULL : "its greeting names no identity";
+}
+
 void wr_decoder_free(struct wr_decoder *d)
 {
     if (d->ready)
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -134,5 +134,7 @@
 bool wr_decode(struct wr_decoder *d, const char *data, size_t len, struct wr_msg *m,
                struct er_err *err);
 void wr_decoder_free(struct wr_decoder *d);
+/* Why a greeting is not for the node of this cluster and identity; NULL if it is. */
+const char *wr_hello_wrong(const struct wr_hello *h, const char *cluster, uint64_t id);
 
 #endif
