task, control, entry: a connect that nobody answers is made anew after 0.25 s

The same code stood in control/peers.c and entry/link.c. Ruled out: the quiet time of a voter that starts (0.3 s), the election itself (0.3 to 0.6 s).

--- a/control/control.h
+++ b/control/control.h
@@ -16,6 +16,7 @@
 #include "settings/settings.h"
 #include "takeover/takeover.h"
 #include "task/net.h"
+#include "task/redial.h"
 #include "timeline/timeline.h"
 #include "view/view.h"
 #include "wire/wire.h"
@@ -104,7 +105,7 @@
     struct qr_member m; /* id 0: an address only; who answers there greets us itself */
     struct nt_conn *net;
     bool open, wanted;
-    int64_t next_try, tried;
+    struct rd_line line;
     int64_t began; /* when it was heard of, or open last */
 };
 
--- a/control/peers.c
+++ b/control/peers.c
@@ -6,8 +6,6 @@
 #include "misc/clock.h"
 
 enum {
-    RECONNECT_US = 100000,
-    OPEN_US = 1000000,    /* a connection that is not open by then is tried anew */
     FORGET_US = 10000000, /* an address where nobody of ours answers is forgotten */
     MAX_QUEUED_TO_PEER = 4 << 20
 };
@@ -106,6 +104,7 @@
 {
     struct ct_peer *p = ud;
     p->open = true;
+    rd_opened(&p->line);
     p->began = ck_now();
     hello(p->node, net, p->m.id);
 }
@@ -133,7 +132,7 @@
     (void)refused;
     p->net = NULL;
     p->open = false;
-    p->next_try = ck_now() + RECONNECT_US;
+    rd_closed(&p->line, ck_now());
 }
 
 static const struct nt_ops peer_ops = {peer_open, peer_message, peer_close};
@@ -188,10 +187,11 @@
         next = p->next;
         if (outdated(n, p, now)) {
             drop_peer(n, p);
-        } else if (!p->net && now >= p->next_try) {
+        } else if (!p->net && rd_due(&p->line, now)) {
             p->net = nt_connect(n->loop, p->m.ip, p->m.port, true, &peer_ops, p);
-            p->tried = now;
-        } else if (p->net && !p->open && now - p->tried > OPEN_US) {
+            rd_dialed(&p->line, now);
+        } else if (p->net && !p->open && rd_hangs(&p->line, now)) {
+            rd_gave_up(&p->line);
             nt_close(p->net, true);
         }
     }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -15,6 +15,7 @@
 #include "session/token.h"
 #include "settings/settings.h"
 #include "task/net.h"
+#include "task/redial.h"
 #include "timeline/timeline.h"
 #include "view/view.h"
 #include "wire/wire.h"
@@ -170,7 +171,7 @@
     struct st_peer peer;
     struct nt_conn *net;
     bool open;
-    int64_t next_try, tried;
+    struct rd_line line;
 };
 
 enum { EN_MAX_LINKS = 2 * ST_MAX_PEERS };
--- a/entry/link.c
+++ b/entry/link.c
@@ -6,8 +6,6 @@
 #include "misc/clock.h"
 
 enum {
-    RECONNECT_US = 100000,
-    OPEN_US = 1000000, /* a connection that is not open by then is tried anew */
     RENEW_PARTS = 6,
     LIST_ZERO = 4,
     SEEK_US = 40000,
@@ -424,6 +422,7 @@
     const struct st_settings *s = l->node->s;
     (void)net;
     l->open = true;
+    rd_opened(&l->line);
     struct wr_msg m = {.type = WR_HELLO};
     m.hello = (struct wr_hello){.version = WR_VERSION,
                                 .cluster = sr_from(s->cluster),
@@ -459,7 +458,7 @@
     l->open = false;
     if (leader(l->node) == l)
         l->node->next_renew = 0; /* ask another at once */
-    l->next_try = ck_now() + RECONNECT_US;
+    rd_closed(&l->line, ck_now());
 }
 
 static const struct nt_ops link_ops = {on_open, on_message, on_close};
@@ -477,10 +476,11 @@
 {
     for (int i = 0; i < EN_MAX_LINKS; i++) {
         struct en_link *l = &n->links[i];
-        if (l->used && !l->net && now >= l->next_try) {
+        if (l->used && !l->net && rd_due(&l->line, now)) {
             l->net = nt_connect(n->loop, l->peer.ip, l->peer.port, true, &link_ops, l);
-            l->tried = now;
-        } else if (l->net && !l->open && now - l->tried > OPEN_US) {
+            rd_dialed(&l->line, now);
+        } else if (l->net && !l->open && rd_hangs(&l->line, now)) {
+            rd_gave_up(&l->line);
             nt_close(l->net, true);
         }
     }
--- /dev/null
+++ b/task/redial.c
@@ -0,0 +1,35 @@
+#include "task/redial.h"
+
+bool rd_due(const struct rd_line *l, int64_t now)
+{
+    return now >= l->next_try;
+}
+
+void rd_dialed(struct rd_line *l, int64_t now)
+{
+    l->dialed = now;
+}
+
+bool rd_hangs(const struct rd_line *l, int64_t now)
+{
+    int64_t us = RD_FIRST_US;
+    for (int i = 0; i < l->unanswered && us < RD_LONGEST_US; i++)
+        us *= 2;
+    return now - l->dialed > us;
+}
+
+void rd_gave_up(struct rd_line *l)
+{
+    if (l->unanswered < RD_LONGEST_US / RD_FIRST_US)
+        l->unanswered++;
+}
+
+void rd_opened(struct rd_line *l)
+{
+    l->unanswered = 0;
+}
+
+void rd_closed(struct rd_line *l, int64_t now)
+{
+    l->next_try = now + RD_RETRY_US;
+}
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -6,6 +6,7 @@
 
 #include "misc/clock.h"
 #include "task/net.h"
+#include "task/redial.h"
 #include "tests/unit/unit.h"
 
 struct seen {
@@ -172,10 +173,38 @@
     CU_ASSERT(t.client.closed && !t.client.opened);
 }
 
+/* ---- connects that nobody answers ---- */
+
+/* A VM that comes back is met soon, not when the kernel sends the lost packet again; one that
+ * never answers is asked less and less often. */
+static void unanswered_connects_are_made_anew(void)
+{
+    struct rd_line l = {0};
+    CU_ASSERT(rd_due(&l, 0));
+    rd_dialed(&l, 1000);
+    CU_ASSERT_FALSE(rd_hangs(&l, 1000 + 250000));
+    CU_ASSERT(rd_hangs(&l, 1001 + 250000));
+    rd_gave_up(&l);
+    rd_closed(&l, 300000);
+    CU_ASSERT_FALSE(rd_due(&l, 399999));
+    CU_ASSERT(rd_due(&l, 400000));
+    rd_dialed(&l, 400000);
+    CU_ASSERT_FALSE(rd_hangs(&l, 400000 + 500000));
+    CU_ASSERT(rd_hangs(&l, 400001 + 500000));
+    for (int i = 0; i < 20; i++)
+        rd_gave_up(&l);
+    CU_ASSERT_FALSE(rd_hangs(&l, 400000 + 1000000));
+    CU_ASSERT(rd_hangs(&l, 400001 + 1000000));
+    rd_opened(&l);
+    rd_dialed(&l, 5000000);
+    CU_ASSERT(rd_hangs(&l, 5000001 + 250000));
+}
+
 void net_suite(void)
 {
     CU_pSuite s = CU_add_suite("net", NULL, NULL);
     TEST(s, refused_is_told_from_silent);
     TEST(s, frames_and_websocket_echo);
     TEST(s, refusing_listener_opens_nobody);
+    TEST(s, unanswered_connects_are_made_anew);
 }
