control: the list of entry nodes outlives an election and a lapsed lease

Change: no list until all connected nodes have a lease or a lease's time is over; a node is listed for 3 s more while its connection is there. Test: t_relays kills the leader; the check that nobody took or gave up a group failed twice of two before, passes twice of two. Ruled out: killed nodes (their connection ends, they leave the list at once).

--- a/control/control.h
+++ b/control/control.h
@@ -184,6 +184,7 @@
     uint32_t n_nodes;
     uint64_t nodes_hash;
     int64_t nodes_at;
+    int64_t leading_since;
     struct wr_decoder dec;
     struct nt_timer tick, soon;
     int n_groups, n_insts;
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -6,7 +6,14 @@
 #include "control/control.h"
 #include "misc/clock.h"
 
-enum { MAX_VIEWS_QUEUED = 8 << 20, NODES_EVERY_US = 100000 };
+enum {
+    MAX_VIEWS_QUEUED = 8 << 20,
+    NODES_EVERY_US = 100000,
+    /* A node whose lease ran out is listed so long while its connection is there: it is stalled
+     * or behind a slow link and comes back, and each change of the list moves groups and with
+     * them sessions. Origin: above the time in which a dark peer's connection ends (2.5 s). */
+    NODES_KEPT_US = 3000000,
+};
 
 /* Whole views on their way to nodes: hundreds that start together would each have one queued.
  */
@@ -118,6 +125,25 @@
     free(s);
 }
 
+static bool is_listed(const struct ct_conn *c, int64_t now)
+{
+    bool entry = c->greeted && c->role == WR_ROLE_ENTRY && c->port;
+    return entry && ls_node_live(&c->node->giver, c->id, now - NODES_KEPT_US);
+}
+
+/* A new leader knows of no lease at first: until all that are connected have one, or a lease's
+ * time is over, the lists that its predecessor sent are better. */
+static bool list_settled(const struct ct_node *n, int64_t now)
+{
+    if (now - n->leading_since >= CK_MS(n->s->lease_ms))
+        return true;
+    for (const struct ct_conn *c = n->conns; c; c = c->next) {
+        if (c->greeted && c->role == WR_ROLE_ENTRY && !is_listed(c, now))
+            return false;
+    }
+    return true;
+}
+
 /* The entry nodes with a lease; made at most every NODES_EVERY_US, for all that ask. */
 static void make_nodes(struct ct_node *n, int64_t now)
 {
@@ -128,8 +154,7 @@
     n->n_nodes = 0;
     n->nodes_hash = 1;
     for (struct ct_conn *c = n->conns; c && n->n_nodes < WR_MAX_NODES; c = c->next) {
-        bool entry = c->greeted && c->role == WR_ROLE_ENTRY && c->port;
-        if (!entry || !ls_node_live(&n->giver, c->id, now))
+        if (!is_listed(c, now))
             continue;
         n->nodes[n->n_nodes++] = (struct wr_node){sr_from(c->name), sr_from(c->domain),
                                                   sr_from(c->ip), (uint32_t)c->port};
@@ -141,6 +166,8 @@
 static void send_nodes(struct ct_conn *to, int64_t now)
 {
     struct ct_node *n = to->node;
+    if (!list_settled(n, now))
+        return;
     make_nodes(n, now);
     if (n->nodes_hash == to->nodes_hash)
         return;
--- a/tests/process/t_relays.sh
+++ b/tests/process/t_relays.sh
@@ -29,6 +29,18 @@
 t_check "work was done" [ "$(se_count ok)" -gt 500 ]
 mapfile -t H < <(holders)
 
+t_say "the control leader is killed: holders stay who they are"
+leader() { for i in 0 1 2; do curl -s -m 2 "http://$(se_ip $i):$((SE_BASE + 20))/v1/status" | grep -q '"leads":true' && { echo $i; return; }; done; }
+holdings() { cat "$SE_DIR"/e*.log | grep -c '"event":"holding_changed"'; }
+another_leads() { local now; now=$(leader); [ -n "$now" ] && [ "$now" != "$old" ]; }
+old=$(leader) before=$(holdings)
+se_load 4 24 "${P[@]}"
+sleep 0.5; se_kill "c$old"
+t_check "another leads" t_until another_leads
+se_load_end
+t_check "no node took or gave up a group" [ "$(holdings)" = "$before" ]
+se_node control "$old" false
+
 t_say "a holder is stopped: nothing in doubt"
 se_load 6 22 "${P[@]}"
 sleep 1; se_kill "e${H[0]}" TERM
