proxy, takeover: a primary that serves its group alone hands over

Change: proxy/relief (pure, table) and a health of its own, unfit, for which the takeover only ever hands over, never replaces (table).

--- a/control/promotions.c
+++ b/control/promotions.c
@@ -102,7 +102,7 @@
 static void probed(struct ct_group *g, const char *inst, uint64_t vantage, const char *domain,
                    enum pr_health health)
 {
-    pr_probed(&g->pr, inst, vantage, domain, health, ck_now());
+    pr_probed(&g->pr, inst, vantage, domain, health == PR_UNFIT ? PR_UP : health, ck_now());
 }
 
 static void said(struct ct_group *g, const char *inst, const struct ep_reply *r)
@@ -117,7 +117,7 @@
 
 static void checked(struct ct_group *g, uint64_t nonce, enum pr_health health)
 {
-    pr_checked(&g->pr, nonce, health);
+    pr_checked(&g->pr, nonce, health == PR_UNFIT ? PR_UP : health);
 }
 
 static bool busy(const struct ct_group *g)
--- a/control/takeovers.c
+++ b/control/takeovers.c
@@ -26,7 +26,8 @@
     static const enum tk_health map[] = {[PR_UNKNOWN] = TK_UNKNOWN,
                                          [PR_UP] = TK_UP,
                                          [PR_SILENT] = TK_SILENT,
-                                         [PR_REFUSED] = TK_REFUSED};
+                                         [PR_REFUSED] = TK_REFUSED,
+                                         [PR_UNFIT] = TK_UNFIT};
     return map[h];
 }
 
--- a/control/watch.c
+++ b/control/watch.c
@@ -312,7 +312,7 @@
 
 static enum pr_health health_of(enum wr_health h)
 {
-    static const enum pr_health map[] = {PR_UNKNOWN, PR_UP, PR_SILENT, PR_REFUSED};
+    static const enum pr_health map[] = {PR_UNKNOWN, PR_UP, PR_SILENT, PR_REFUSED, PR_UNFIT};
     return map[h];
 }
 
--- a/promote/promote.h
+++ b/promote/promote.h
@@ -35,7 +35,8 @@
     } fault;
 };
 
-enum pr_health { PR_UNKNOWN, PR_UP, PR_SILENT, PR_REFUSED };
+/* PR_UNFIT: up, but not fit to lead; what steers by fences takes it for up. */
+enum pr_health { PR_UNKNOWN, PR_UP, PR_SILENT, PR_REFUSED, PR_UNFIT };
 
 struct pr_report {
     uint64_t vantage; /* 0: unused */
--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -197,6 +197,8 @@
 {
     bool failed = c->error == ER_FAILED || c->error == ER_TIMEOUT;
     bool read = !c->session->writes && c->session->stmt.verb != PX_V_COMMIT;
+    if (read && c->error == ER_NONE)
+        c->inst->served_at = ck_now();
     if (read && (failed || c->error == ER_NONE))
         px_outlier_note(&c->inst->outlier, !failed, ck_now());
 }
--- a/proxy/groups.c
+++ b/proxy/groups.c
@@ -119,6 +119,8 @@
     bool new_term = g->cfg.term != v->term, new_phase = g->cfg.phase != v->phase;
     sync_instances(g, v);
     g->cfg = *v;
+    if (new_term)
+        g->term_since = ck_now();
     if (new_term || new_phase) {
         FL_EVENT(&g->p->log, LG_INFO, "group_changed", "group=%s phase=%s term=%llu primary=%s",
                  v->name, vw_phase_name(v->phase), (unsigned long long)v->term,
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -9,6 +9,8 @@
     LOST_TIMES = 5, /* a statement out for so many service times has probably lost its answer */
     QUIET_US = 300000,  /* a statement without an answer for so long, and nothing else heard */
     SILENT_US = 400000, /* a connection that is not greeted for so long */
+    /* A lagging replica is asked anew after 250 ms, if reads come. */
+    BEHIND_GAP_US = 500000,
     ALONE_US =
         1000000, /* a failing instance is reported after this; each is asked often by then */
     FRESH_US = 400000, /* an instance heard within this is taken for well */
@@ -161,7 +163,9 @@
     in->told_at = now;
     FL_EVENT(&in->p->log, LG_INFO, "instance_suspected", "instance=%s group=%s why=%s",
              in->cfg.id, in->group->cfg.name,
-             health == WR_REFUSED ? "refuses" : "does not answer");
+             health == WR_REFUSED ? "refuses"
+             : health == WR_UNFIT ? "serves alone"
+                                  : "does not answer, or fails");
     in->p->cfg.host.suspect(in->p->cfg.host.ud, in->cfg.id, health);
 }
 
@@ -208,6 +212,25 @@
     return in->alone_since && now - in->alone_since > ALONE_US;
 }
 
+static bool is_behind(const struct px_inst *in, int64_t now)
+{
+    return now - in->behind_until < BEHIND_GAP_US && now - in->served_at > BEHIND_GAP_US;
+}
+
+/* The group's primary serves alone, and callers are refused for it. */
+static bool needs_relief(struct px_inst *in, int64_t now)
+{
+    struct px_group *g = in->group;
+    struct px_relief_view v = {.refused_at = g->refused_at, .term_since = g->term_since};
+    for (int i = 0; i < g->cfg.n; i++) {
+        if (i == in->at || g->cfg.inst[i].draining)
+            continue;
+        v.replicas++;
+        v.behind += is_behind(g->inst[i], now);
+    }
+    return px_relief_due(&g->relief, &v, now);
+}
+
 enum wr_health px_health(const struct px_proxy *p, struct sr_str id)
 {
     const struct px_inst *in = px_inst(p, id);
@@ -218,6 +241,8 @@
         return WR_REFUSED;
     if (silent(in, now) || outlived_doubt(in, now))
         return WR_SILENT;
+    if (in->unfit)
+        return WR_UNFIT;
     if (px_outlier_failing(&in->outlier, now))
         return WR_UNKNOWN; /* no better one is known */
     return now - in->heard < FRESH_US ? WR_OK : WR_UNKNOWN;
@@ -255,8 +280,12 @@
         in->alone_since = 0;
     else if (!in->alone_since)
         in->alone_since = now;
+    bool leads = !in->gone && in->at == in->group->cfg.primary;
+    in->unfit = leads && needs_relief(in, now);
     if (silent(in, now) || outlived_doubt(in, now))
         px_inst_suspect(in, WR_SILENT);
+    else if (in->unfit)
+        px_inst_suspect(in, WR_UNFIT);
 }
 
 /* ---- end ---- */
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -8,6 +8,7 @@
 #include "misc/rng.h"
 #include "proxy/outlier.h"
 #include "proxy/place.h"
+#include "proxy/relief.h"
 #include "proxy/proxy.h"
 #include "proxy/state.h"
 #include "proxy/window.h"
@@ -89,10 +90,12 @@
     /* how it serves */
     struct px_window window;
     struct px_outlier outlier;
+    bool unfit;           /* the primary, and should hand over */
     int64_t alone_since;  /* it fails much and others of its group do not; 0: not so */
     int64_t service_us;   /* smoothed time of a statement */
     struct ps_pos known;  /* its log held this when it was heard last */
     int64_t behind_until; /* it lacked a position; not asked for one like it before */
+    int64_t served_at;    /* it served a read */
 };
 
 /* A group of the view. */
@@ -105,6 +108,9 @@
     int64_t let_go_at; /* this node ceased to hold it */
     int n_holders;
     uint16_t holders[HO_MAX_HOLDERS]; /* in the proxy's nodes; none: all nodes hold it */
+    struct px_relief relief;
+    int64_t refused_at;      /* a statement waited for its primary in vain */
+    int64_t term_since;      /* this node acts on its term */
     int64_t settle_by;       /* planned change: what runs at the primary may end until then */
     int64_t primary_refused; /* the view's primary said that it is none: not asked before */
 };
--- /dev/null
+++ b/proxy/relief.c
@@ -0,0 +1,24 @@
+#include "proxy/relief.h"
+
+enum {
+    /* It has to last so long. Origin: replicas are tens of milliseconds behind in calm times, and
+     * a change of primary costs 0.4 to 0.8 s (docs/design/platform.md). */
+    LASTING_US = 1500000,
+    REFUSED_US = 700000, /* callers are refused now: the last refusal is no older */
+    /* A primary leads at least so long: what made the last one hand over may not have been its
+     * replicas. */
+    TERM_US = 8000000,
+};
+
+bool px_relief_due(struct px_relief *r, const struct px_relief_view *v, int64_t now)
+{
+    bool alone = v->replicas > 0 && v->behind == v->replicas;
+    bool refused = v->refused_at && now - v->refused_at < REFUSED_US;
+    if (!alone || !refused) {
+        r->since = 0;
+        return false;
+    }
+    if (!r->since)
+        r->since = now;
+    return now - r->since >= LASTING_US && now - v->term_since >= TERM_US;
+}
--- /dev/null
+++ b/proxy/relief.h
@@ -0,0 +1,27 @@
+/* Whether a primary that serves a group alone should hand over.
+ *
+ * Pure. Replicas that apply what they receive late serve no read that must see it, so all of
+ * the group's load meets the primary's few slots. A successor leads with all that it has
+ * received, and the primary of before, which has applied all of it, serves reads beside it. So
+ * a change of primary brings an instance back, at the price of a pause of some hundred
+ * milliseconds; it is asked for only where callers are refused. */
+#ifndef FL_PROXY_RELIEF_H
+#define FL_PROXY_RELIEF_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct px_relief {
+    int64_t since; /* all of it has been so; 0: it is not */
+};
+
+struct px_relief_view {
+    int replicas, behind; /* of the group; those that lacked positions and served none lately */
+    int64_t refused_at;   /* a statement waited for the primary in vain */
+    int64_t term_since;   /* the primary leads for this node */
+};
+
+/* To be told regularly. True: the primary should hand over. */
+bool px_relief_due(struct px_relief *r, const struct px_relief_view *v, int64_t now);
+
+#endif
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -192,6 +192,8 @@
 static void wait_tick(struct px_session *s, int64_t now)
 {
     if (now - s->arrived > longest_wait(s)) {
+        if (s->inst->at == s->inst->group->cfg.primary)
+            s->inst->group->refused_at = now;
         px_refuse(s, ER_OVERLOAD, "no connection to the database is free; retry in 100 ms");
         return;
     }
--- a/takeover/takeover.c
+++ b/takeover/takeover.c
@@ -89,6 +89,7 @@
     t->checks_out--;
     t->checks_up += health == TK_UP;
     t->checks_down += health == TK_SILENT || health == TK_REFUSED;
+    t->checks_unfit += health == TK_UNFIT;
 }
 
 static void act(struct tk_actions *out, enum tk_action_kind kind, int inst, uint64_t term)
@@ -163,7 +164,7 @@
                 struct tk_actions *out)
 {
     t->nonce++;
-    t->checks_out = t->checks_up = t->checks_down = 0;
+    t->checks_out = t->checks_up = t->checks_down = t->checks_unfit = 0;
     t->suspects = 0;
     enter(t, TK_ASKING, now);
     act(out, TK_DO_CHECK, g->primary, 0);
@@ -191,6 +192,19 @@
     }
 }
 
+/* A primary that is there and unfit hands over what it has; otherwise it stays. */
+static bool should_hand_over(struct tk_group *t, const struct vw_group *g, int64_t now,
+                             struct tk_actions *out)
+{
+    const struct tk_inst *p = &t->inst[g->primary];
+    int next = best_other(t, g, now);
+    if (p->health != TK_UP || next < 0)
+        return false;
+    snprintf(t->why, sizeof(t->why), "%.40s: unfit for %d nodes", p->id, t->checks_unfit);
+    hand_over(t, g, next, now, out);
+    return true;
+}
+
 static void asking(struct tk_group *t, const struct vw_group *g, int64_t now,
                    struct tk_actions *out)
 {
@@ -208,6 +222,8 @@
             replace(t, g, now, out);
         return;
     }
+    if (t->checks_unfit > up && should_hand_over(t, g, now, out))
+        return;
     t->ask_after = now + t->cfg.recheck_us;
     enter(t, TK_IDLE, now);
 }
--- a/takeover/takeover.h
+++ b/takeover/takeover.h
@@ -27,7 +27,8 @@
     int64_t recheck_us; /* after entry nodes saw the primary up, ask again after this */
 };
 
-enum tk_health { TK_UNKNOWN, TK_UP, TK_SILENT, TK_REFUSED };
+/* TK_UNFIT: it is there, and another should lead. Only entry nodes say so. */
+enum tk_health { TK_UNKNOWN, TK_UP, TK_SILENT, TK_REFUSED, TK_UNFIT };
 
 /* One instance as the leader knows it. Indexed like the view's group. */
 struct tk_inst {
@@ -59,7 +60,7 @@
     char open_call[VW_NAME]; /* instance of calls whose outcome is open; "" none */
     bool open_mixed;         /* such calls name different instances */
     /* of the entry nodes that were asked last: no answer yet, up, down */
-    int checks_out, checks_up, checks_down;
+    int checks_out, checks_up, checks_down, checks_unfit;
     uint64_t nonce;    /* of that question */
     int64_t ask_after; /* they saw it up: not asked again before */
     int suspects;      /* entry nodes that say the primary does not answer, since last asked */
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -2,8 +2,10 @@
  * serves a read. */
 #include <string.h>
 
+#include "misc/clock.h"
 #include "proxy/outlier.h"
 #include "proxy/place.h"
+#include "proxy/relief.h"
 #include "proxy/state.h"
 #include "proxy/window.h"
 #include "tests/unit/unit.h"
@@ -96,6 +98,31 @@
     CU_ASSERT_EQUAL(px_place(c, 3, false, none, 0, &rng), 2);
 }
 
+/* ---- a primary that serves alone ---- */
+
+static void a_lone_primary_is_relieved(void)
+{
+    struct px_relief r = {0};
+    int64_t now = CK_SEC(100);
+    struct px_relief_view v = {.replicas = 2, .behind = 2, .term_since = CK_SEC(1)};
+    CU_ASSERT_FALSE(px_relief_due(&r, &v, now)); /* nobody is refused */
+    for (int i = 0; i < 15; i++) {
+        v.refused_at = now += 100000;
+        CU_ASSERT_FALSE(px_relief_due(&r, &v, now)); /* not long enough */
+    }
+    v.refused_at = now += 100000;
+    CU_ASSERT_TRUE(px_relief_due(&r, &v, now));
+    v.term_since = now - CK_SEC(3);
+    CU_ASSERT_FALSE(px_relief_due(&r, &v, now)); /* it leads for a short time only */
+    v.term_since = CK_SEC(1);
+    v.behind = 1;
+    CU_ASSERT_FALSE(px_relief_due(&r, &v, now)); /* one replica serves */
+    v.behind = 2;
+    CU_ASSERT_FALSE(px_relief_due(&r, &v, now)); /* and it begins anew */
+    v.replicas = v.behind = 0;
+    CU_ASSERT_FALSE(px_relief_due(&r, &v, now + CK_SEC(9))); /* nobody could take over */
+}
+
 /* ---- a session's state ---- */
 
 /* What a connection is asked, one after the other, before the session's statement. */
@@ -221,6 +248,7 @@
     TEST(s, lagging_replicas_are_left_alone);
     TEST(s, failing_instances_are_told_from_unlucky_ones);
     TEST(s, reads_avoid_failing_instances);
+    TEST(s, a_lone_primary_is_relieved);
     TEST(s, window_follows_the_instance);
     TEST(s, values_follow_the_session);
     TEST(s, prepared_statements_go_by_their_content);
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -230,6 +230,35 @@
     CU_ASSERT_EQUAL(done(TK_DO_CALL)->inst, 1);
 }
 
+static void ask_of_unfit(int unfit, int up)
+{
+    tk_suspected(&t, "a");
+    tick(false);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(done(TK_DO_CHECK));
+    tk_checking(&t, unfit + up);
+    for (int i = 0; i < unfit; i++)
+        tk_checked(&t, t.nonce, TK_UNFIT);
+    for (int i = 0; i < up; i++)
+        tk_checked(&t, t.nonce, TK_UP);
+    tick(false);
+}
+
+/* A primary that is there and that most nodes want relieved hands over all that it has; without
+ * a majority, or if this leader does not reach it, it stays. */
+static void unfit_primary_hands_over(void)
+{
+    fresh();
+    ask_of_unfit(3, 1);
+    CU_ASSERT_PTR_NOT_NULL(done(TK_DO_HAND));
+    fresh();
+    ask_of_unfit(2, 1); /* this leader is the second that finds it up */
+    CU_ASSERT_PTR_NULL(done(TK_DO_HAND));
+    fresh();
+    tk_seen(&t, "a", TK_UNKNOWN);
+    ask_of_unfit(3, 0);
+    CU_ASSERT_TRUE(!done(TK_DO_HAND) && !done(TK_DO_REPLACE));
+}
+
 /* A late order made another instance the primary: what the view says is not true any more. */
 static void demoted_primary_is_noticed(void)
 {
@@ -265,6 +294,7 @@
     TEST(s, new_leader_takes_a_new_token);
     TEST(s, refused_call_goes_elsewhere);
     TEST(s, draining_primary_hands_over);
+    TEST(s, unfit_primary_hands_over);
     TEST(s, demoted_primary_is_noticed);
     TEST(s, nobody_left_waits);
 }
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -213,7 +213,7 @@
 {
     c->nonce = get_u(r);
     c->inst = get_s(r);
-    c->health = (enum wr_health)get_max(r, WR_REFUSED);
+    c->health = (enum wr_health)get_max(r, WR_UNFIT);
 }
 
 static void get_probes(struct rd *r, struct wr_probes *p)
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -36,7 +36,13 @@
     WR_ROLE_CONTROL,
     WR_ROLE_OBSERVER, /* asks the leader who leads; holds no lease, no view, no connections */
 };
-enum wr_health { WR_UNKNOWN, WR_OK, WR_SILENT, WR_REFUSED };
+enum wr_health {
+    WR_UNKNOWN,
+    WR_OK,
+    WR_SILENT,
+    WR_REFUSED,
+    WR_UNFIT, /* it is there, and another of its group should lead */
+};
 
 struct wr_hello {
     uint32_t version;
