--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -7,7 +7,8 @@
  * every stale read is the proxy's doing. Orders come to base - 1 by HTTP, commands of a test to
  * base - 2: /kill/G/I, /revive/G/I, /lag/G/MS, /drain/G/I, /deaf-orders/N (the next N go
  * unanswered and are carried out late), /halves/N (the next N answers break off), /grey/G/I/P
- * (P in a hundred reads fail there), /status. */
+ * (P in a hundred reads fail there), /via/N (instances say that they are N ports further, where
+ * a ferry-pipe is), /status. */
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -47,6 +48,7 @@
     unsigned grey; /* of a hundred reads so many fail */
     unsigned reads;
     uint64_t failed;
+    int applied;
     uint64_t seq;
     struct conn *conns;
     int n_conns;
@@ -75,6 +77,7 @@
     struct nt_loop *loop;
     int base, n_groups, deaf;
     int busy_sets; /* SETs that are to be refused */
+    int via;       /* added to the ports that instances tell */
     int halves;    /* answers of reads and writes that are to break off before their end */
     int n_controls, control_port[8], next_control;
     char control_ip[8][46];
@@ -108,17 +111,19 @@
     return in->g->primary == in->at;
 }
 
-static int applied(const struct inst *in)
+/* What was applied stays so when the lag grows: no instance goes back. */
+static int applied(struct inst *in)
 {
     const struct group *g = in->g;
     int n = g->n_log;
     int64_t until = ck_now() - CK_MS(g->lag_ms);
-    while (!leads(in) && n > 0 && g->log[n - 1].at > until)
+    while (!leads(in) && n > in->applied && g->log[n - 1].at > until)
         n--;
+    in->applied = n;
     return n;
 }
 
-static const char *value_at(const struct inst *in, int key)
+static const char *value_at(struct inst *in, int key)
 {
     for (int n = applied(in); n > 0; n--) {
         if (in->g->log[n - 1].key == key)
@@ -143,7 +148,7 @@
 
 static void ready(struct conn *c)
 {
-    const struct inst *in = c->in;
+    struct inst *in = c->in;
     int n = applied(in);
     uint64_t term = n ? in->g->log[n - 1].term : in->g->term;
     say(c, "READY %c %llu.%d",
@@ -555,7 +560,7 @@
         "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%d\",\"version\":\"v1\","
         "\"capacity\":3,\"state\":\"%s\",\"warmupLeftMs\":0,\"dbRole\":\"%s\",\"callSeq\":%"
         "llu}",
-        in->g->name, in->port, in->at, in->draining ? "draining" : "ready",
+        in->g->name, in->port + w->via, in->at, in->draining ? "draining" : "ready",
         leads(in) ? "primary" : "replica", (unsigned long long)++in->seq);
     nt_http_get(w->loop, w->control_ip[w->next_control], w->control_port[w->next_control],
                 "POST", path, body, beaten, w);
@@ -582,6 +587,13 @@
         nt_close(c->net, true);
 }
 
+static void set_lag(struct world *w, int g, int ms)
+{
+    for (int i = 0; i < INSTS; i++)
+        applied(&w->inst[g][i]);
+    w->g[g].lag_ms = ms;
+}
+
 static void command(const struct nt_http *req)
 {
     struct world *w = req->ud;
@@ -596,11 +608,13 @@
     else if (sscanf(req->path, "/grey/%d/%d/%d", &a, &b, &p) == 3)
         w->inst[a][b].grey = (unsigned)p;
     else if (sscanf(req->path, "/lag/%d/%d", &a, &b) == 2)
-        w->g[a].lag_ms = b;
+        set_lag(w, a, b);
     else if (sscanf(req->path, "/busy-sets/%d", &a) == 1)
         w->busy_sets = a;
     else if (sscanf(req->path, "/halves/%d", &a) == 1)
         w->halves = a;
+    else if (sscanf(req->path, "/via/%d", &a) == 1)
+        w->via = a;
     else if (sscanf(req->path, "/deaf-orders/%d", &a) == 1)
         w->deaf = a;
     for (int g = 0; g < w->n_groups; g++)
