control: a connection to an instance that is silent for good is made anew

Change: three times what counts as silent (2.4 s as deployed), then the connection is closed and opened anew. Ruled out: the platform's order without an answer (the next term was never ordered at all); entry nodes' connections (a write was served again).

--- a/control/watch.c
+++ b/control/watch.c
@@ -8,6 +8,7 @@
 
 enum {
     RETRY_US = 30000,
+    SILENT_TIMES = 3, /* a connection is made anew after so many times what counts as silent */
     FRESH_PROBES = 4,
     TELL_US = 1000000,
     CALM_EVERY = 10, /* ticks between two looks at a group where nothing is under way */
@@ -189,6 +190,11 @@
     }
     if (!in->open && now - in->opening > silent_after(in->node))
         report(in, PR_SILENT);
+    /* A connection may be silent for good while a new one would work. */
+    if (now - (in->open ? in->answered : in->opening) > SILENT_TIMES * silent_after(in->node)) {
+        in->node->driver->close(in->c);
+        return;
+    }
     if (!in->open)
         return;
     if (now - in->probed >= probe_every(in->node))
