proxy: what counts as failing is said as it is; one place notes an instance that fails alone

Cause: outlier.h said that reads are counted, but lost answers to any statement are, too (proxy/conn.c); MOST, PRIOR_GOOD and the two tests of outlier.h didn't say what they hold; two comments had been broken over lines by the formatter. Change: comments, names of constants, note_alone out of px_inst_tick, fail_rate beside the times it is weighed with. No value and no order of calls changed.

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -192,7 +192,8 @@
         px_window_done(&c->inst->window, us, px_inst_running(c->inst) - 1, ck_now());
 }
 
-/* Only reads tell of the instance: a write may fail by what it writes. */
+/* Of the answers, only those to reads tell of the instance: a write may fail by what it writes.
+ * An answer that is lost counts against it whatever was asked. */
 static void note_outcome(struct px_conn *c)
 {
     bool failed = c->error == ER_FAILED || c->error == ER_TIMEOUT;
--- a/proxy/outlier.c
+++ b/proxy/outlier.c
@@ -2,22 +2,23 @@
 
 #include <math.h>
 
-enum {
-    /* Weights halve in so long. Origin: a node at an instance asks it a few times a second on
-     * the grown deployments (13 holders a group), so that some ten answers count. */
-    HALF_US = 2000000,
-};
+/* Weights halve in so long. Origin: a node at an instance asks it a few times a second on the
+ * grown deployments (13 holders a group), so that some ten answers count. */
+enum { HALF_US = 2000000 };
 
-/* Origin: an instance that loses one answer in forty (the users' pages) or refuses while it is
+/* Failing is a weight of failures of LEAST_BAD at least that is above FAILING_RATE of all.
+ * Origin: an instance that loses one answer in forty (the users' pages) or refuses while it is
  * restarted stays below both; one that fails two in five is found within some ten answers. */
 #define LEAST_BAD 2.0
 #define FAILING_RATE 0.2
+/* The weight of answers without which an instance is not known to be sound. */
 #define LEAST_GOOD 2.0
-#define MOST                                                                                   \
-    40.0 /* answers that count: what an instance did in busy times is soon forgotten           \
-          */
-#define PRIOR_GOOD 2.0 /* successes that an instance is credited with */
+/* The most that all weights add up to: a busy past is soon forgotten. */
+#define MOST_WEIGHT 40.0
+/* The weight of answers that an instance is credited with when its rate is asked for. */
+#define CREDIT_GOOD 2.0
 
+/* What a count of o->at weighs now. */
 static double weight(const struct px_outlier *o, int64_t now)
 {
     return exp2(-(double)(now - o->at) / HALF_US);
@@ -29,7 +30,7 @@
     o->good = o->good * w + good;
     o->bad = o->bad * w + !good;
     o->at = now;
-    double scale = MOST / (o->good + o->bad);
+    double scale = MOST_WEIGHT / (o->good + o->bad);
     if (scale < 1) {
         o->good *= scale;
         o->bad *= scale;
@@ -39,7 +40,7 @@
 double px_outlier_rate(const struct px_outlier *o, int64_t now)
 {
     double w = weight(o, now);
-    return o->bad * w / ((o->good + o->bad) * w + PRIOR_GOOD);
+    return o->bad * w / ((o->good + o->bad) * w + CREDIT_GOOD);
 }
 
 bool px_outlier_failing(const struct px_outlier *o, int64_t now)
--- a/proxy/place.h
+++ b/proxy/place.h
@@ -2,7 +2,7 @@
  *
  * Every instance of a group can, if its log holds the floor; the instance checks that itself.
  * The cost of asking one: what it takes there as last measured, times what this node has
- * waiting there, and what is lost where it will probably refuse. */
+ * waiting there, and what is lost where it will probably refuse or fail. */
 #ifndef FL_PROXY_PLACE_H
 #define FL_PROXY_PLACE_H
 
@@ -13,12 +13,12 @@
 #include "misc/rng.h"
 
 struct px_candidate {
-    bool usable;      /* there, not draining, not tried before for this read */
-    double fail_rate; /* of reads there lately, 0 to 1 */
+    bool usable; /* there, not draining, not tried before for this read */
     bool primary;
     bool free_conn;       /* an idle connection, or room for one more */
     int waiting;          /* statements of this node there, running or waiting */
     int64_t service_us;   /* smoothed time of a statement there */
+    double fail_rate;     /* of what was asked there lately, 0 to 1; px_outlier_rate */
     int distance;         /* 0 the same failure domain, 1 another, 2 another region */
     struct ps_pos known;  /* its log held this when it was heard last */
     int64_t behind_until; /* it refused a floor like this; not before then */
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -9,9 +9,10 @@
     LOST_TIMES = 5, /* a statement out for so many service times has probably lost its answer */
     QUIET_US = 300000,  /* a statement without an answer for so long, and nothing else heard */
     SILENT_US = 400000, /* a connection that is not greeted for so long */
-    ALONE_US =
-        1000000, /* a failing instance is reported after this; each is asked often by then */
-    FRESH_US = 400000, /* an instance heard within this is taken for well */
+    FRESH_US = 400000,  /* an instance heard within this is taken for well */
+    /* An instance that fails alone is reported after this. Origin: by then each of its group
+     * has been asked often enough to tell. */
+    ALONE_US = 1000000,
 };
 
 struct px_inst *px_inst_new(struct px_group *g, const struct vw_instance *cfg)
@@ -202,6 +203,14 @@
     return false;
 }
 
+static void note_alone(struct px_inst *in, int64_t now)
+{
+    if (!fails_alone(in, now))
+        in->alone_since = 0;
+    else if (!in->alone_since)
+        in->alone_since = now;
+}
+
 /* It has failed alone for so long that others, if they fail as well, would have shown it. */
 static bool outlived_doubt(const struct px_inst *in, int64_t now)
 {
@@ -251,10 +260,7 @@
     in->asks = false;
     if (ask && opening(in) == 0 && now >= in->next_open && !in->gone)
         px_conn_open(in);
-    if (!fails_alone(in, now))
-        in->alone_since = 0;
-    else if (!in->alone_since)
-        in->alone_since = now;
+    note_alone(in, now);
     if (silent(in, now) || outlived_doubt(in, now))
         px_inst_suspect(in, WR_SILENT);
 }
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -82,11 +82,11 @@
     bool idle = in->n_conns > in->busy;
     return (struct px_candidate){
         .usable = px_inst_usable(in, now) && !(s->skip & (1u << in->at)),
-        .fail_rate = px_outlier_rate(&in->outlier, now),
         .primary = in->at == g->cfg.primary,
         .free_conn = idle || px_inst_has_room(in, now),
         .waiting = in->busy + in->n_waiters,
         .service_us = in->service_us,
+        .fail_rate = px_outlier_rate(&in->outlier, now),
         .distance = rt_distance(s->p->cfg.domain, in->cfg.domain),
         .known = in->known,
         .behind_until = in->behind_until,
