control, wire: the kept views by their names; the ring of changes walked in one place; roles as they are

Cause: frames[whole] was indexed by a truth value, send_view asked three times whether the whole view is needed, the ring's bounds stood twice in agree.c, the head of a grant twice in nodes.c, and comments of messages and lists knew of no observers and no nodes whose lease ended a moment ago. Change: changes_frame and whole_frame, make_frame, past_at, oldest_past, granted; comments. Checked: a document in a change is replaced as a whole (view/view.c, apply_document) and its version only has to rise, so the comment on documents that are left out is true. No behaviour is changed.

--- a/control/agree.c
+++ b/control/agree.c
@@ -49,12 +49,25 @@
     return text;
 }
 
+/* Number of the oldest change that is remembered; n->n_past if none is. */
+static uint64_t oldest_past(const struct ct_node *n)
+{
+    return n->n_past > CT_HISTORY ? n->n_past - CT_HISTORY : 0;
+}
+
+static const struct ct_past *past_at(const struct ct_node *n, uint64_t k)
+{
+    return &n->past[k % CT_HISTORY];
+}
+
+/* Index of the newest remembered change that is a document; 0 none. */
 static uint64_t newest_document(const struct ct_node *n)
 {
-    uint64_t oldest = n->n_past > CT_HISTORY ? n->n_past - CT_HISTORY : 0;
+    uint64_t oldest = oldest_past(n);
     for (uint64_t k = n->n_past; k > oldest; k--) {
-        if (n->past[(k - 1) % CT_HISTORY].document)
-            return n->past[(k - 1) % CT_HISTORY].index;
+        const struct ct_past *p = past_at(n, k - 1);
+        if (p->document)
+            return p->index;
     }
     return 0;
 }
@@ -72,15 +85,14 @@
         return whole_view(n);
     }
     struct sr_buf b = {0};
-    uint64_t oldest = n->n_past > CT_HISTORY ? n->n_past - CT_HISTORY : 0, k = n->n_past;
-    while (k > oldest && n->past[(k - 1) % CT_HISTORY].index > from)
+    uint64_t oldest = oldest_past(n), newest = newest_document(n), k = n->n_past;
+    while (k > oldest && past_at(n, k - 1)->index > from)
         k--;
-    uint64_t newest = newest_document(n);
     sr_buf_add(&b, "[", 1);
     for (; k < n->n_past; k++) {
-        const struct ct_past *p = &n->past[k % CT_HISTORY];
+        const struct ct_past *p = past_at(n, k);
         if (p->document && p->index < newest)
-            continue; /* the newest says all */
+            continue; /* a document replaces the one before as a whole */
         sr_buf_printf(&b, "%s[%llu,%s]", b.len > 1 ? "," : "", (unsigned long long)p->index,
                       p->text);
     }
--- a/control/control.h
+++ b/control/control.h
@@ -78,13 +78,13 @@
 /* A change as it was committed, for nodes that missed some. */
 struct ct_past {
     uint64_t index;
-    bool document;
+    bool document; /* it is a VW_CH_DOCUMENT */
     char *text;
 };
 
-/* A WR_VIEW as it goes to all nodes that lack the same: made once. */
+/* An encoded WR_VIEW, kept for the next node that lacks the same. */
 struct ct_frame {
-    uint64_t from, to;
+    uint64_t from, to; /* generations */
     struct sr_buf bytes;
 };
 
@@ -184,16 +184,16 @@
     uint32_t n_nodes;
     uint64_t nodes_hash;
     int64_t nodes_at;
-    int64_t leading_since;
     struct wr_decoder dec;
     struct nt_timer tick, soon;
     int n_groups, n_insts;
     struct ct_group **groups;
     struct ix_index group_at, inst_at; /* number in `groups` by group, by instance */
     unsigned ticks;
-    struct ct_frame frames[2]; /* as sent last: changes; the whole view */
+    struct ct_frame changes_frame, whole_frame; /* as sent last */
     /* leading */
     bool leading; /* a quorum vouched and this term's first entry is applied */
+    int64_t leading_since;
     struct ls_giver giver;
     struct sh_table shares;
     uint64_t shares_seq;    /* of the last WR_SHARES sent to anybody */
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -25,15 +25,8 @@
     return sum;
 }
 
-/* What nodes of generation `from` lack, encoded; made anew only if it is not what was sent
- * last: a change goes to all nodes at once, and hundreds that start together ask for the same.
- */
-static const struct ct_frame *view_frame(struct ct_node *n, uint64_t from)
+static void make_frame(struct ct_node *n, uint64_t from, struct ct_frame *f)
 {
-    bool whole = ct_needs_whole_view(n, from);
-    struct ct_frame *f = &n->frames[whole];
-    if (f->bytes.len && f->to == n->view.generation && (whole || f->from == from))
-        return f;
     struct wr_msg m = {.type = WR_VIEW};
     char *text = ct_changes_since(n, from, &m.view.from);
     m.view.to = n->view.generation;
@@ -43,6 +36,17 @@
     f->bytes.len = 0;
     wr_encode(&f->bytes, &m);
     free(text);
+}
+
+/* What nodes of generation `from` lack, encoded; made anew only if it is not what was sent
+ * last: a change goes to all nodes at once, and hundreds that start together ask for the same.
+ */
+static const struct ct_frame *view_frame(struct ct_node *n, uint64_t from, bool whole)
+{
+    struct ct_frame *f = whole ? &n->whole_frame : &n->changes_frame;
+    bool same = f->bytes.len && f->to == n->view.generation && (whole || f->from == from);
+    if (!same)
+        make_frame(n, from, f);
     return f;
 }
 
@@ -54,11 +58,12 @@
     uint64_t from = c->sent_gen > has ? c->sent_gen : has;
     if (from >= n->view.generation)
         return;
-    if (ct_needs_whole_view(n, from) && views_queued(n) > MAX_VIEWS_QUEUED)
+    bool whole = ct_needs_whole_view(n, from);
+    if (whole && views_queued(n) > MAX_VIEWS_QUEUED)
         return;
-    const struct ct_frame *f = view_frame(n, from);
+    const struct ct_frame *f = view_frame(n, from, whole);
     n->c.views++;
-    n->c.snapshots += ct_needs_whole_view(n, from);
+    n->c.snapshots += whole;
     n->c.view_bytes += f->bytes.len;
     c->sent_gen = n->view.generation;
     c->sent_at = ck_now();
@@ -125,6 +130,7 @@
     free(s);
 }
 
+/* An entry node that others are told of: it has a lease, or had one until a moment ago. */
 static bool is_listed(const struct ct_conn *c, int64_t now)
 {
     bool entry = c->greeted && c->role == WR_ROLE_ENTRY && c->port;
@@ -144,7 +150,7 @@
     return true;
 }
 
-/* The entry nodes with a lease; made at most every NODES_EVERY_US, for all that ask. */
+/* The entry nodes that are listed; made at most every NODES_EVERY_US, for all that ask. */
 static void make_nodes(struct ct_node *n, int64_t now)
 {
     if (n->nodes_at && now - n->nodes_at < NODES_EVERY_US)
@@ -190,13 +196,20 @@
         ct_send_conn(c, &m);
 }
 
+/* The part of the answer that every renewal gets. */
+static struct wr_msg granted(struct ct_node *n, const struct wr_renew *r)
+{
+    struct wr_msg m = {.type = WR_GRANT};
+    m.grant.seq = r->seq;
+    m.grant.hlc = ck_hlc_now(&n->tl->hlc);
+    return m;
+}
+
 /* An observer sends callers here for a while. That is no lease: a node that does not lead any
  * more sends them on, and nothing has to wait until an observer knows. */
 static void tell_observer(struct ct_conn *c, const struct wr_renew *r)
 {
-    struct wr_msg m = {.type = WR_GRANT};
-    m.grant.seq = r->seq;
-    m.grant.hlc = ck_hlc_now(&c->node->tl->hlc);
+    struct wr_msg m = granted(c->node, r);
     m.grant.duration_ms = (uint32_t)c->node->s->lease_ms;
     ct_send_conn(c, &m);
 }
@@ -215,9 +228,7 @@
         tell_observer(c, r);
         return;
     }
-    struct wr_msg m = {.type = WR_GRANT};
-    m.grant.seq = r->seq;
-    m.grant.hlc = ck_hlc_now(&n->tl->hlc);
+    struct wr_msg m = granted(n, r);
     m.grant.generation = n->view.generation;
     int64_t us = r->stopping ? 0 : ls_grant(&n->giver, c->id, qr_vouched_until(n->q), now);
     m.grant.duration_ms = (uint32_t)(us / 1000);
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -17,9 +17,10 @@
 enum wr_type {
     WR_HELLO = 1,  /* both ways, first */
     WR_QUORUM,     /* control to control: struct qr_msg */
-    WR_RENEW,      /* entry to leader */
-    WR_GRANT,      /* leader to entry */
-    WR_NOT_LEADER, /* control to entry: who leads, as far as known; itself: just elected */
+    WR_RENEW,      /* entry or observer to leader */
+    WR_GRANT,      /* leader to entry; to an observer: I lead, no lease */
+    WR_NOT_LEADER, /* control or observer to entry: who leads, as far as known; itself: elected
+                    */
     WR_VIEW,       /* leader to entry: changes or a snapshot */
     WR_ACK,        /* entry to leader: the generation applied */
     WR_SHARES,     /* leader to entry: connections it may hold */
@@ -27,8 +28,8 @@
     WR_CHECKED,    /* entry to leader */
     WR_PROBES,     /* control follower to leader: what its probes see */
     WR_SUSPECT,    /* entry to leader: an instance stopped answering */
-    WR_NODES,      /* leader to entry: the entry nodes that hold a lease */
-    WR_CONTROLS,   /* control to whoever connects: where the control nodes are, as it knows */
+    WR_NODES,      /* leader to entry: the entry nodes that hold a lease, or did a moment ago */
+    WR_CONTROLS,   /* control or observer to whoever connects: where the control nodes are */
 };
 
 enum wr_role {
@@ -128,9 +129,12 @@
     bool ready;
 };
 
-/* A view's text is sent deflated if it is longer than this; a document of 700 routes shrinks to
- * a tenth, and nodes have links of 2 Mbit/s (users' pages). */
-enum { WR_PACK_ABOVE = 1024, WR_MAX_VIEW = 16 << 20 };
+enum {
+    /* A view's text of more bytes is sent deflated. Origin: a document of 700 routes shrinks to
+     * a tenth, and nodes have links of 2 Mbit/s (users' pages). */
+    WR_PACK_ABOVE = 1024,
+    WR_MAX_VIEW = 16 << 20, /* bytes that such a text is inflated to at most */
+};
 
 /* Append the encoded message to `out`. */
 void wr_encode(struct sr_buf *out, const struct wr_msg *m);
