pool, proxy, entry: how long a renewal names an instance stands in one place

Cause: proxy/proxy.c and entry/link.c counted renewals after the last held connection each in its own way (NAMED_AFTER, LIST_ZERO), by a predicate that changed what it looked at; NAMED_AFTER's comment said four after, it is three after the last that says something. px_wants was described as before it left instances out. Who granted the lease was looked up twice in link.c. Change: sh_to_name (pool/shares) with a unit test, SH_NAMED, granter. Same numbers, same messages.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -9,6 +9,7 @@
 #include "lease/lease.h"
 #include "misc/hist.h"
 #include "misc/log.h"
+#include "pool/shares.h"
 #include "proxy/proxy.h"
 #include "route/holders.h"
 #include "route/route.h"
@@ -123,7 +124,7 @@
     bool refusing;
     bool gone;
     int peak_want;
-    int listed; /* renewals that name it still */
+    int named; /* renewals that name it still */
 };
 
 struct en_txn {
--- a/entry/link.c
+++ b/entry/link.c
@@ -5,13 +5,7 @@
 #include "entry/entry.h"
 #include "misc/clock.h"
 
-enum {
-    RENEW_PARTS = 6,
-    LIST_ZERO = 4,
-    SEEK_US = 40000,
-    SUSPECT_US = 100000,
-    CHECK_FRESH_US = 150000
-};
+enum { RENEW_PARTS = 6, SEEK_US = 40000, SUSPECT_US = 100000, CHECK_FRESH_US = 150000 };
 
 static void send_msg(struct en_link *l, const struct wr_msg *m)
 {
@@ -27,14 +21,21 @@
     return n->leader >= 0 ? &n->links[n->leader] : NULL;
 }
 
+/* Whom the last lease is from, if it is live; else a peer without name and address. */
+static const struct st_peer *granter(const struct en_node *n)
+{
+    static const struct st_peer nobody;
+    return n->leader >= 0 && en_leased(n) ? &n->links[n->leader].peer : &nobody;
+}
+
 const char *en_leader_ip(const struct en_node *n)
 {
-    return n->leader >= 0 && en_leased(n) ? n->links[n->leader].peer.ip : "";
+    return granter(n)->ip;
 }
 
 const char *en_leader_name(const struct en_node *n)
 {
-    return n->leader >= 0 && en_leased(n) ? n->links[n->leader].peer.name : "";
+    return granter(n)->name;
 }
 
 /* ---- renewing ---- */
@@ -62,9 +63,7 @@
             uint32_t has = (uint32_t)held(in), want = (uint32_t)wanted(in);
             if (!n->groups[g]->held)
                 want = 0;
-            if (has || want)
-                in->listed = LIST_ZERO; /* what was given up is said a few times more */
-            if (in->listed > 0 && in->listed--)
+            if (sh_to_name(&in->named, has, want))
                 shares[k++] = (struct wr_share){sr_from(in->cfg.id), has, want};
         }
     }
--- a/pool/shares.c
+++ b/pool/shares.c
@@ -9,6 +9,16 @@
 /* Leases that ran out are looked for at least this often. */
 #define EXPIRY_US CK_MS(500)
 
+bool sh_to_name(int *left, uint32_t held, uint32_t want)
+{
+    if (held || want)
+        *left = SH_NAMED;
+    if (*left == 0)
+        return false;
+    (*left)--;
+    return true;
+}
+
 void sh_begin(struct sh_table *t, int64_t quiet_until)
 {
     sh_free(t);
--- a/pool/shares.h
+++ b/pool/shares.h
@@ -13,7 +13,12 @@
 #include "misc/clock.h"
 #include "misc/index.h"
 
-enum { SH_ID = 48 };
+enum {
+    SH_ID = 48,
+    /* Renewals that name an instance, from the last on at which something was held or wanted
+     * there. Origin: a lease has six (entry/link.c), and one may be lost with its leader. */
+    SH_NAMED = 4,
+};
 #define SH_FORGET_US CK_SEC(60) /* the default of forget_us */
 
 struct sh_node {
@@ -43,6 +48,12 @@
     int last; /* the instance asked for last: a renewal asks for it several times */
 };
 
+/* Whether a node's next renewal is to name an instance where it has `held` connections and
+ * would use `want`. What was given up is said a few times more, as a renewal may be lost with
+ * its leader; then not: most nodes have to do with few of many instances. `left` is the node's,
+ * 0 at first: how many renewals still name the instance. */
+bool sh_to_name(int *left, uint32_t held, uint32_t want);
+
 /* A leader begins at `now`; shares dealt by an earlier one may be held until `quiet_until`. */
 void sh_begin(struct sh_table *t, int64_t quiet_until);
 void sh_free(struct sh_table *t);
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -6,6 +6,7 @@
 #include "misc/clock.h"
 #include "misc/log.h"
 #include "misc/rng.h"
+#include "pool/shares.h"
 #include "proxy/outlier.h"
 #include "proxy/place.h"
 #include "proxy/proxy.h"
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -6,9 +6,6 @@
 
 enum {
     SLOW_TICK_US = 50000, /* sessions that rest are looked at so often */
-    /* Renewals that name an instance after nothing is held or wanted there any more: one may be
-     * lost with its leader. */
-    NAMED_AFTER = 4,
     /* Of the time from the order to stop until the process is killed: */
     STOP_FORCE_PERCENT = 55,  /* transactions still open then are rolled back */
     STOP_LINGER_PERCENT = 75, /* whoever has not closed by then is closed with the process */
@@ -47,14 +44,6 @@
 
 /* ---- shares ---- */
 
-/* Whether the next renewal is to name it. Most nodes hold few of many groups. */
-static bool concerns_us(struct px_inst *in, const struct wr_share *s)
-{
-    if (s->held || s->want)
-        in->named = NAMED_AFTER;
-    return in->named > 0 && in->named--;
-}
-
 static void add_want(struct px_inst *in, struct wr_share *out)
 {
     int held = in->n_conns > in->share ? in->n_conns : in->share;
@@ -71,8 +60,10 @@
     uint32_t k = 0;
     for (int g = 0; g < p->n_groups; g++) {
         for (int i = 0; i < p->groups[g]->cfg.n && k < cap; i++) {
-            add_want(p->groups[g]->inst[i], &out[k]);
-            k += concerns_us(p->groups[g]->inst[i], &out[k]);
+            struct px_inst *in = p->groups[g]->inst[i];
+            add_want(in, &out[k]);
+            if (sh_to_name(&in->named, out[k].held, out[k].want))
+                k++;
         }
     }
     return k;
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -49,7 +49,8 @@
 /* Whether nothing acts on an older view any more: a planned change of primary waits until what
  * runs at the old one has ended, within a bound. */
 bool px_settled(const struct px_proxy *p);
-/* Connections held and wanted, an entry an instance; returns how many. */
+/* Connections held and wanted, an entry for each instance that the next renewal is to name;
+ * returns how many. */
 uint32_t px_wants(struct px_proxy *p, struct wr_share *out, uint32_t cap);
 /* Whether instances came to the view since this was asked last. */
 bool px_has_news(struct px_proxy *p);
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -267,6 +267,19 @@
     }
 }
 
+static void what_was_given_up_is_named_a_few_times_more(void)
+{
+    int left = 0, more = 0;
+    CU_ASSERT_FALSE(sh_to_name(&left, 0, 0)); /* never held */
+    CU_ASSERT_TRUE(sh_to_name(&left, 0, 1));
+    CU_ASSERT_TRUE(sh_to_name(&left, 1, 0));
+    while (more < 10 && sh_to_name(&left, 0, 0))
+        more++;
+    CU_ASSERT_EQUAL(more, 3);
+    CU_ASSERT_FALSE(sh_to_name(&left, 0, 0));
+    CU_ASSERT_TRUE(sh_to_name(&left, 1, 1));
+}
+
 void shares_suite(void)
 {
     CU_pSuite s = CU_add_suite("shares", NULL, NULL);
@@ -277,5 +290,6 @@
     TEST(s, new_leader_deals_nothing_new_at_first);
     TEST(s, given_up_share_is_free_at_once);
     TEST(s, only_changes_are_told);
+    TEST(s, what_was_given_up_is_named_a_few_times_more);
     TEST(s, sum_never_exceeds_the_limit);
 }
