task, control, ferryctl: callback, metrics and parse in parts

Change: connected, connect_failed, woken; put_counters and put_shares; add_word, check_words. WSI_DESTROY joins the cases that do the same. Checked: unit 147 passed (test_net opens, refuses and closes connections); lint clean. Ruled out: a table of options in place of ferryctl's switch, as argp's own table names them already.

--- a/control/ops.c
+++ b/control/ops.c
@@ -69,9 +69,15 @@
     return o;
 }
 
-static void metrics(struct ct_node *n, struct nt_conn *c)
+static void put_shares(struct sr_buf *b, const struct sh_table *t)
+{
+    for (int i = 0; i < t->n; i++)
+        sr_buf_printf(b, "ferry_control_shares{instance=\"%s\"} %d\n", t->inst[i].id,
+                      sh_counted(t, t->inst[i].id));
+}
+
+static void put_counters(struct sr_buf *b, const struct ct_node *n)
 {
-    struct sr_buf b = {0};
     uint64_t syncs;
     int64_t longest;
     dk_stats(n->disk, &syncs, &longest);
@@ -107,11 +113,15 @@
         {"net_oversized_total", nt_stats(n->loop)->oversized},
     };
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
-        sr_buf_printf(&b, "ferry_control_%s %llu\n", rows[i].name,
+        sr_buf_printf(b, "ferry_control_%s %llu\n", rows[i].name,
                       (unsigned long long)rows[i].v);
-    for (int i = 0; i < n->shares.n; i++)
-        sr_buf_printf(&b, "ferry_control_shares{instance=\"%s\"} %d\n", n->shares.inst[i].id,
-                      sh_counted(&n->shares, n->shares.inst[i].id));
+}
+
+static void metrics(struct ct_node *n, struct nt_conn *c)
+{
+    struct sr_buf b = {0};
+    put_counters(&b, n);
+    put_shares(&b, &n->shares);
     nt_http_reply(c, 200, "text/plain; version=0.0.4", b.p, b.len);
     sr_buf_free(&b);
 }
--- a/ferryctl/main.c
+++ b/ferryctl/main.c
@@ -56,6 +56,21 @@
     }
 }
 
+static void add_word(struct ctl *c, char *word, struct argp_state *st)
+{
+    if (c->n_args == CT_MAX_ARGS)
+        argp_error(st, "too many words");
+    c->args[c->n_args++] = word;
+}
+
+static void check_words(const struct ctl *c, struct argp_state *st)
+{
+    if (c->n_args == 0)
+        argp_error(st, "a command is needed");
+    if (c->n == 0 && strcmp(c->args[0], "explain") != 0)
+        argp_error(st, "--control or FERRY_CONTROL must name the control nodes");
+}
+
 static error_t parse(int key, char *arg, struct argp_state *st)
 {
     struct ctl *c = st->input;
@@ -91,15 +106,10 @@
         c->svg = arg;
         break;
     case ARGP_KEY_ARG:
-        if (c->n_args == CT_MAX_ARGS)
-            argp_error(st, "too many words");
-        c->args[c->n_args++] = arg;
+        add_word(c, arg, st);
         break;
     case ARGP_KEY_END:
-        if (c->n_args == 0)
-            argp_error(st, "a command is needed");
-        if (c->n == 0 && strcmp(c->args[0], "explain") != 0)
-            argp_error(st, "--control or FERRY_CONTROL must name the control nodes");
+        check_words(c, st);
         break;
     default:
         return ARGP_ERR_UNKNOWN;
--- a/task/net.c
+++ b/task/net.c
@@ -334,6 +334,33 @@
                    strcmp(why, "closed before established") == 0);
 }
 
+static int connected(struct nt_conn *c)
+{
+    if (c->opened)
+        return 0;
+    if (c->closing)
+        return -1;
+    c->opened = true;
+    if (c->kind != K_WS)
+        np_watch_peer(c);
+    if (c->ops)
+        c->ops->open(c, c->ud);
+    return 0;
+}
+
+static void connect_failed(struct nt_conn *c, const char *why)
+{
+    c->refused = looks_refused(why) && ck_now() - c->began < REFUSED_WITHIN_US;
+    np_conn_closed(c);
+}
+
+/* nt_wake was called, by whichever thread. */
+static void woken(const struct nt_loop *l)
+{
+    if (l && l->wake)
+        l->wake(l->wake_ud);
+}
+
 static int callback(struct lws *wsi, enum lws_callback_reasons why, void *user, void *in,
                     size_t len)
 {
@@ -363,16 +390,7 @@
         return ln ? accept_peer(ln, wsi, ln->what.stream ? K_STREAM : K_RAW) : 0;
     case LWS_CALLBACK_CLIENT_ESTABLISHED:
     case LWS_CALLBACK_RAW_CONNECTED:
-        if (!c || c->opened)
-            return c ? 0 : -1;
-        if (c->closing)
-            return -1;
-        c->opened = true;
-        if (c->kind != K_WS)
-            np_watch_peer(c);
-        if (c->ops)
-            c->ops->open(c, c->ud);
-        return 0;
+        return c ? connected(c) : -1;
     case LWS_CALLBACK_RECEIVE:
     case LWS_CALLBACK_CLIENT_RECEIVE:
         return c ? on_ws_data(c, in, len) : -1;
@@ -383,15 +401,10 @@
     case LWS_CALLBACK_RAW_WRITEABLE:
         return c ? on_writable(c) : -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-        if (c) {
-            c->refused = looks_refused(in) && ck_now() - c->began < REFUSED_WITHIN_US;
-            np_conn_closed(c);
-        }
-        return 0;
-    case LWS_CALLBACK_WSI_DESTROY:
         if (c)
-            np_conn_closed(c);
+            connect_failed(c, in);
         return 0;
+    case LWS_CALLBACK_WSI_DESTROY:
     case LWS_CALLBACK_CLOSED:
     case LWS_CALLBACK_CLIENT_CLOSED:
     case LWS_CALLBACK_RAW_CLOSE:
@@ -399,12 +412,9 @@
         if (c)
             np_conn_closed(c);
         return 0;
-    case LWS_CALLBACK_EVENT_WAIT_CANCELLED: {
-        struct nt_loop *l = lws_context_user(lws_get_context(wsi));
-        if (l && l->wake)
-            l->wake(l->wake_ud);
+    case LWS_CALLBACK_EVENT_WAIT_CANCELLED:
+        woken(lws_context_user(lws_get_context(wsi)));
         return 0;
-    }
     default:
         return 0;
     }
