tests: ferry-world in three files, a file for its instances' lines and one for the orders

Cause: tests/standin/world.c was 689 lines with seven subjects; a command was obeyed and the status written in one function; the list of its commands lacked /busy-sets. Change: world.h (what the parts share), world_lines.c, world_orders.c; obey and put_status; the commands' listener has callbacks of its own, as tests/standin/platform.c. The functions are moved as they were.

--- /dev/null
+++ b/tests/standin/world.h
@@ -0,0 +1,72 @@
+/* What the parts of ferry-world share: groups, their logs and their instances. */
+#ifndef FL_STANDIN_WORLD_H
+#define FL_STANDIN_WORLD_H
+
+#include "misc/clock.h"
+#include "misc/err.h"
+#include "misc/rng.h"
+#include "misc/str.h"
+#include "task/net.h"
+
+struct conn;
+struct world;
+
+enum { GROUPS = 4, INSTS = 3, LOG = 200000, KEYS = 512, WORD = 64 };
+
+struct entry {
+    int key;
+    char value[WORD];
+    int64_t at;
+    uint64_t term;
+};
+
+struct group {
+    char name[16];
+    int lag_ms, n_log, primary;
+    uint64_t term, token;
+    struct entry *log;
+};
+
+struct inst {
+    struct world *w;
+    struct group *g;
+    int at, port;
+    bool dead, draining;
+    unsigned grey;   /* of a hundred reads so many fail */
+    unsigned reads;  /* that it was asked for */
+    uint64_t failed; /* of these */
+    uint64_t seq;    /* of its registrations */
+    struct conn *conns;
+    int n_conns;
+};
+
+struct world {
+    struct nt_loop *loop;
+    int base, n_groups;
+    int deaf;      /* orders that are to get no answer */
+    int busy_sets; /* SETs that are to be refused */
+    int halves;    /* answers of reads and writes that are to break off before their end */
+    int n_controls, control_port[8], next_control;
+    char control_ip[8][46];
+    struct group g[GROUPS];
+    struct inst inst[GROUPS][INSTS];
+    struct nt_timer beat;
+    struct rn_rng rng;
+    char keys[KEYS][WORD];
+    int n_keys;
+    uint64_t refused_orders, orders;
+    uint64_t strangers; /* connections to instances that did not begin with STARTUP */
+};
+
+/* world_lines.c */
+/* Whether it is its group's primary. */
+bool wd_leads(const struct inst *in);
+/* A group with an empty log, whose instances listen. */
+void wd_make_group(struct world *w, int g, struct er_err *err);
+/* Dead: its connections end, and it takes none. */
+void wd_kill(struct inst *in, bool dead);
+
+/* world_orders.c */
+bool wd_orders_listen(struct world *w, struct er_err *err);
+
+#endif
--- /dev/null
+++ b/tests/standin/world_lines.c
@@ -0,0 +1,390 @@
+/* The instances of ferry-world: a group's log as each has it, statements, callers' lines. */
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "proxy/wire.h"
+#include "tests/standin/world.h"
+
+enum { MAX_SETS = 16 };
+
+struct conn {
+    struct conn *next;
+    struct inst *in;
+    struct nt_conn *net;
+    struct sr_buf buf;
+    bool greeted, txn, read_only, failed, was_primary;
+    uint64_t term;
+    int n_writes, n_sets, n_prep;
+    struct entry writes[16];
+    char set[MAX_SETS][2][WORD], prep[MAX_SETS * 8][3][WORD];
+};
+
+static int key_of(struct world *w, const char *name)
+{
+    for (int i = 0; i < w->n_keys; i++) {
+        if (strcmp(w->keys[i], name) == 0)
+            return i;
+    }
+    if (w->n_keys == KEYS)
+        abort();
+    snprintf(w->keys[w->n_keys], WORD, "%s", name);
+    return w->n_keys++;
+}
+
+/* ---- the log as an instance sees it ---- */
+
+bool wd_leads(const struct inst *in)
+{
+    return in->g->primary == in->at;
+}
+
+static int applied(const struct inst *in)
+{
+    const struct group *g = in->g;
+    int n = g->n_log;
+    int64_t until = ck_now() - CK_MS(g->lag_ms);
+    while (!wd_leads(in) && n > 0 && g->log[n - 1].at > until)
+        n--;
+    return n;
+}
+
+static const char *value_at(const struct inst *in, int key)
+{
+    for (int n = applied(in); n > 0; n--) {
+        if (in->g->log[n - 1].key == key)
+            return in->g->log[n - 1].value;
+    }
+    return "0";
+}
+
+/* ---- answers ---- */
+
+static void say(struct conn *c, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+static void say(struct conn *c, const char *fmt, ...)
+{
+    char line[256];
+    va_list ap;
+    va_start(ap, fmt);
+    int n = vsnprintf(line, sizeof(line) - 2, fmt, ap);
+    va_end(ap);
+    memcpy(line + n, "\r\n", 2);
+    nt_send(c->net, line, (size_t)n + 2);
+}
+
+static void ready(struct conn *c)
+{
+    const struct inst *in = c->in;
+    int n = applied(in);
+    uint64_t term = n ? in->g->log[n - 1].term : in->g->term;
+    say(c, "READY %c %llu.%d",
+        c->failed ? 'E'
+        : c->txn  ? 'T'
+                  : 'I',
+        (unsigned long long)term, n);
+}
+
+static void error(struct conn *c, const char *what)
+{
+    say(c, "ERROR %s inst", what);
+    c->failed = c->txn;
+    ready(c);
+}
+
+static void complete(struct conn *c, const char *signature)
+{
+    bool half = c->in->w->halves > 0 && signature[0] != '-';
+    c->in->w->halves -= half;
+    if (!half)
+        say(c, "COMPLETE %s", signature);
+    ready(c);
+}
+
+/* ---- statements ---- */
+
+static void end_txn(struct conn *c)
+{
+    c->txn = c->failed = false;
+    c->n_writes = 0;
+}
+
+static const char *set_value(const struct conn *c, const char *name)
+{
+    for (int i = 0; i < c->n_sets; i++) {
+        if (strcmp(c->set[i][0], name) == 0)
+            return c->set[i][1];
+    }
+    return "-";
+}
+
+/* "@x" reads what the session has set; else the key's value. */
+static void do_read(struct conn *c, const char *key, const char *shape)
+{
+    struct inst *in = c->in;
+    in->reads++;
+    if (rn_below(&in->w->rng, 100) < in->grey) {
+        in->failed++;
+        error(c, "FAILED");
+        return;
+    }
+    const char *v =
+        key[0] == '@' ? set_value(c, key + 1) : value_at(c->in, key_of(c->in->w, key));
+    for (int i = 0; c->txn && i < c->n_writes; i++) {
+        if (strcmp(c->in->w->keys[c->writes[i].key], key) == 0)
+            v = c->writes[i].value;
+    }
+    say(c, "DATAROW %s%s", shape, v);
+    complete(c, "r.1");
+}
+
+static void append(struct conn *c, const struct entry *e)
+{
+    struct group *g = c->in->g;
+    if (g->n_log == LOG)
+        abort();
+    g->log[g->n_log] = *e;
+    /* Keys hold the highest number that was written: callers' numbers are not in log order. */
+    for (int n = g->n_log; n > 0; n--) {
+        if (g->log[n - 1].key != e->key)
+            continue;
+        if (atol(g->log[n - 1].value) > atol(e->value))
+            memcpy(g->log[g->n_log].value, g->log[n - 1].value, WORD);
+        break;
+    }
+    g->log[g->n_log].at = ck_now();
+    g->log[g->n_log++].term = g->term;
+}
+
+static void do_write(struct conn *c, const char *key, const char *value)
+{
+    struct entry e = {.key = key_of(c->in->w, key)};
+    if (!wd_leads(c->in) || (c->txn && (c->read_only || c->term != c->in->g->term))) {
+        error(c, "READONLY");
+        return;
+    }
+    snprintf(e.value, sizeof(e.value), "%s", value);
+    if (c->txn && c->n_writes < 16)
+        c->writes[c->n_writes++] = e;
+    else
+        append(c, &e);
+    complete(c, "w.1");
+}
+
+static void do_commit(struct conn *c)
+{
+    bool lost = c->n_writes > 0 && (!wd_leads(c->in) || c->term != c->in->g->term);
+    if (!c->txn || c->failed || lost) {
+        end_txn(c);
+        error(c, lost ? "READONLY" : "MALFORMED");
+        return;
+    }
+    for (int i = 0; i < c->n_writes; i++)
+        append(c, &c->writes[i]);
+    end_txn(c);
+    complete(c, "c.1");
+}
+
+static void do_begin(struct conn *c, bool read_only)
+{
+    if (!read_only && !wd_leads(c->in)) {
+        error(c, "READONLY");
+        return;
+    }
+    c->txn = true;
+    c->read_only = read_only;
+    c->term = c->in->g->term;
+    complete(c, "-");
+}
+
+static void do_set(struct conn *c, const char *name, const char *value)
+{
+    if (c->in->w->busy_sets > 0) {
+        c->in->w->busy_sets--;
+        error(c, "BUSY");
+        return;
+    }
+    int i = 0;
+    while (i < c->n_sets && strcmp(c->set[i][0], name) != 0)
+        i++;
+    if (i == MAX_SETS)
+        abort();
+    c->n_sets = i == c->n_sets ? i + 1 : c->n_sets;
+    snprintf(c->set[i][0], WORD, "%s", name);
+    snprintf(c->set[i][1], WORD, "%s", value);
+    complete(c, "-");
+}
+
+static void do_prepare(struct conn *c, const char *name, const char *kind, const char *shape)
+{
+    if (c->n_prep == MAX_SETS * 8)
+        abort();
+    snprintf(c->prep[c->n_prep][0], WORD, "%s", name);
+    snprintf(c->prep[c->n_prep][1], WORD, "%s", kind);
+    snprintf(c->prep[c->n_prep++][2], WORD, "%s", shape);
+    complete(c, "-");
+}
+
+static void do_execute(struct conn *c, const char *name, const char *key, const char *value)
+{
+    for (int i = 0; i < c->n_prep; i++) {
+        if (strcmp(c->prep[i][0], name) != 0)
+            continue;
+        char shape[WORD + 2];
+        snprintf(shape, sizeof(shape), "%s:", c->prep[i][2]);
+        if (strcmp(c->prep[i][1], "WRITE") == 0)
+            do_write(c, key, value);
+        else
+            do_read(c, key, shape);
+        return;
+    }
+    error(c, "NOSTMT");
+}
+
+static void do_status(struct conn *c)
+{
+    const struct inst *in = c->in;
+    say(c, "DATAROW %s %llu %llu.%d 0 %d 0 %d", wd_leads(in) ? "primary" : "replica",
+        (unsigned long long)in->g->term, (unsigned long long)in->g->term, in->g->n_log,
+        wd_leads(in) ? 0 : in->g->lag_ms, in->n_conns);
+    complete(c, "-");
+}
+
+static void statement(struct conn *c, const char *text)
+{
+    char w[4][WORD] = {"", "", "", ""};
+    unsigned long long term;
+    int pos, used = 0;
+    if (sscanf(text, "WAITLSN %llu.%d %n", &term, &pos, &used) == 2) {
+        text += used;
+        if (applied(c->in) < pos) { /* of whatever term: no promotion loses any */
+            error(c, "LAGGING");
+            return;
+        }
+    }
+    sscanf(text, "%63s %63s %63s %63s", w[0], w[1], w[2], w[3]);
+    if (strcmp(w[0], "READ") == 0)
+        do_read(c, w[1], "");
+    else if (strcmp(w[0], "WRITE") == 0)
+        do_write(c, w[1], w[2]);
+    else if (strcmp(w[0], "BEGIN") == 0)
+        do_begin(c, strcmp(w[1], "READ") == 0);
+    else if (strcmp(w[0], "COMMIT") == 0)
+        do_commit(c);
+    else if (strcmp(w[0], "SET") == 0)
+        do_set(c, w[1], w[2]);
+    else if (strcmp(w[0], "PREPARE") == 0)
+        do_prepare(c, w[1], w[2], w[3]);
+    else if (strcmp(w[0], "EXECUTE") == 0)
+        do_execute(c, w[1], w[2], w[3]);
+    else if (strcmp(w[0], "STATUS") == 0)
+        do_status(c);
+    else if (strcmp(w[0], "ROLLBACK") == 0 || strcmp(w[0], "DISCARD") == 0) {
+        if (w[0][0] == 'D')
+            c->n_sets = c->n_prep = 0;
+        end_txn(c);
+        complete(c, "-");
+    } else {
+        error(c, "MALFORMED");
+    }
+}
+
+static void line(struct conn *c, const char *text)
+{
+    char group[WORD], who[WORD], id[WORD] = "", own[WORD];
+    int used = 0;
+    snprintf(own, sizeof(own), "i-%d-%d", (int)(c->in->g - c->in->w->g), c->in->at);
+    if (sscanf(text, "STARTUP %63s %63s %63s", group, who, id) >= 2) {
+        c->greeted = strcmp(group, c->in->g->name) == 0 && (!id[0] || strcmp(id, own) == 0);
+        if (c->greeted)
+            ready(c);
+        else
+            say(c, "ERROR MISROUTED %s", own);
+    } else if (c->greeted && sscanf(text, "QUERY %63s %n", id, &used) == 1) {
+        statement(c, text + used);
+    } else {
+        c->in->w->strangers += !c->greeted;
+        nt_close(c->net, true);
+    }
+}
+
+/* ---- sockets ---- */
+
+static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
+{
+    struct conn *c = ud;
+    struct sr_str l;
+    size_t at = 0;
+    (void)net;
+    sr_buf_add(&c->buf, data, len);
+    while (!c->in->dead && px_next_line(&c->buf, &at, &l)) {
+        char text[512];
+        if (sr_copy(text, sizeof(text), l))
+            line(c, text);
+    }
+    px_consume(&c->buf, at);
+}
+
+static void on_open(struct nt_conn *net, void *ud)
+{
+    (void)net;
+    (void)ud;
+}
+
+static void on_close(struct nt_conn *net, void *ud, bool opened, bool refused)
+{
+    struct conn *c = ud, **at = &c->in->conns;
+    (void)net;
+    (void)opened;
+    (void)refused;
+    while (*at != c)
+        at = &(*at)->next;
+    *at = c->next;
+    c->in->n_conns--;
+    sr_buf_free(&c->buf);
+    free(c);
+}
+
+static const struct nt_ops inst_ops = {on_open, on_message, on_close};
+
+static void *on_accept(struct nt_conn *net, void *ud)
+{
+    struct inst *in = ud;
+    if (in->dead)
+        return NULL;
+    struct conn *c = sr_alloc(sizeof(*c));
+    c->in = in;
+    c->net = net;
+    c->next = in->conns;
+    in->conns = c;
+    in->n_conns++;
+    return c;
+}
+
+/* ---- start and end ---- */
+
+void wd_make_group(struct world *w, int g, struct er_err *err)
+{
+    struct group *gr = &w->g[g];
+    snprintf(gr->name, sizeof(gr->name), "reg%d", g);
+    gr->term = 1;
+    gr->lag_ms = 20;
+    gr->log = sr_alloc(sizeof(*gr->log) * LOG);
+    for (int i = 0; i < INSTS; i++) {
+        struct inst *in = &w->inst[g][i];
+        *in = (struct inst){.w = w, .g = gr, .at = i, .port = w->base + 10 * g + i};
+        struct nt_listen l = {.ip = "127.0.0.1",
+                              .port = in->port,
+                              .stream = true,
+                              .ops = &inst_ops,
+                              .accept = on_accept,
+                              .ud = in};
+        nt_listen(w->loop, &l, err);
+    }
+}
+
+void wd_kill(struct inst *in, bool dead)
+{
+    in->dead = dead;
+    for (struct conn *c = in->conns; dead && c; c = c->next)
+        nt_close(c->net, true);
+}
