--- a/entry/entry.h
+++ b/entry/entry.h
@@ -26,7 +26,7 @@
 struct en_inst;
 struct en_req;
 struct en_txn;
-struct ob_conn;
+struct en_asker;
 
 /* What an outside platform's interface brings; ferryd gives it to en_create. */
 struct en_interface {
@@ -207,9 +207,9 @@
     const struct en_interface *outside; /* NULL: our own interface only */
     struct px_proxy *px;                /* callers whose connection is a session; NULL none */
     struct en_link links[EN_MAX_LINKS];
-    int leader;               /* index of the link that answered last; -1 */
-    struct ob_conn *observed; /* an observer's: who connected to it */
-    int n_observed;
+    int leader;              /* index of the link that answered last; -1 */
+    struct en_asker *askers; /* an observer's: who connected to it */
+    int n_askers;
     int64_t next_renew;
     bool awaiting; /* the last renewal is unanswered */
     uint64_t shares_seq, acked;
@@ -320,7 +320,7 @@
 /* The settings name other control nodes. */
 void en_links_seeds(struct en_node *n);
 void en_links_tick(struct en_node *n, int64_t now);
-/* A control node is said to be there. */
+/* A control node is said to be there: connect to it, unless it is this node. */
 void en_link_learned(struct en_node *n, struct sr_str name, struct sr_str ip, int port);
 void en_send_ack(struct en_node *n, uint64_t generation);
 /* A planned stop: the lease and the shares go back. */
@@ -329,9 +329,10 @@
 void en_tell_suspicion(struct en_node *n, const char *inst, enum wr_health health);
 
 /* observer.c: a control node without a disk */
-/* Nothing is done, and true, for a node that is none. */
+/* Take connections from entry and control nodes. True, and nothing done, if n is no observer.
+ */
 bool en_observer_listen(struct en_node *n, struct er_err *err);
-/* Tell who connected what is news. */
+/* Tell who connected where control nodes are, if that is news. */
 void en_observer_tick(struct en_node *n);
 
 /* ops.c */
--- a/entry/link.c
+++ b/entry/link.c
@@ -5,7 +5,12 @@
 #include "entry/entry.h"
 #include "misc/clock.h"
 
-enum { RENEW_PARTS = 6, SEEK_US = 40000, SUSPECT_US = 100000, CHECK_FRESH_US = 150000 };
+enum {
+    RENEW_PARTS = 6,         /* renewals in a lease's time */
+    SEEK_US = 40000,         /* between renewals while nobody is known to grant one */
+    SUSPECT_US = 100000,     /* an instance is reported again at the earliest */
+    CHECK_FRESH_US = 150000, /* an instance heard within this is taken for well */
+};
 
 static void send_msg(struct en_link *l, const struct wr_msg *m)
 {
--- a/entry/observer.c
+++ b/entry/observer.c
@@ -9,17 +9,17 @@
 #include "entry/entry.h"
 
 /* A connection that another process opened to us. */
-struct ob_conn {
-    struct ob_conn *next;
+struct en_asker {
+    struct en_asker *next;
     struct en_node *node;
     struct nt_conn *net;
     bool greeted;
-    uint64_t told; /* hash of the list it was told */
+    uint64_t told; /* hash of the list it was told; 0 none */
 };
 
-enum { MAX_CONNS = 2048 };
+enum { MAX_ASKERS = 2048 }; /* connections; as many as a control node takes (CT_MAX_CONNS) */
 
-static void send_msg(struct ob_conn *c, const struct wr_msg *m)
+static void send_msg(struct en_asker *c, const struct wr_msg *m)
 {
     struct sr_buf b = {0};
     wr_encode(&b, m);
@@ -52,7 +52,7 @@
     uint64_t hash;
     uint32_t k = reachable(n, nodes, &hash);
     struct wr_msg m = {.type = WR_CONTROLS, .nodes = {k, nodes}};
-    for (struct ob_conn *c = n->observed; k > 0 && c; c = c->next) {
+    for (struct en_asker *c = n->askers; k > 0 && c; c = c->next) {
         if (!c->greeted || c->told == hash)
             continue;
         c->told = hash;
@@ -61,7 +61,7 @@
 }
 
 /* It grants nothing: whoever asks is told who does, as far as it knows. */
-static void answer_renewal(struct ob_conn *c)
+static void answer_renewal(struct en_asker *c)
 {
     struct wr_msg m = {.type = WR_NOT_LEADER, .leader = sr_from(en_leader_name(c->node))};
     send_msg(c, &m);
@@ -69,7 +69,7 @@
 
 /* ---- hearing ---- */
 
-static void on_hello(struct ob_conn *c, const struct wr_hello *h)
+static void on_hello(struct en_asker *c, const struct wr_hello *h)
 {
     struct en_node *n = c->node;
     const char *wrong = wr_hello_wrong(h, n->s->cluster, n->id);
@@ -85,7 +85,7 @@
 
 static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
 {
-    struct ob_conn *c = ud;
+    struct en_asker *c = ud;
     struct wr_msg m;
     struct er_err err = {0};
     if (!wr_decode(&c->node->dec, data, len, &m, &err)) {
@@ -108,14 +108,14 @@
 
 static void on_close(struct nt_conn *net, void *ud, bool opened, bool refused)
 {
-    struct ob_conn *c = ud, **at = &c->node->observed;
+    struct en_asker *c = ud, **at = &c->node->askers;
     (void)net;
     (void)opened;
     (void)refused;
     while (*at != c)
         at = &(*at)->next;
     *at = c->next;
-    c->node->n_observed--;
+    c->node->n_askers--;
     free(c);
 }
 
@@ -124,14 +124,14 @@
 static void *accept_conn(struct nt_conn *net, void *ud)
 {
     struct en_node *n = ud;
-    if (n->n_observed >= MAX_CONNS)
+    if (n->n_askers >= MAX_ASKERS)
         return NULL;
-    struct ob_conn *c = sr_alloc(sizeof(*c));
+    struct en_asker *c = sr_alloc(sizeof(*c));
     c->node = n;
     c->net = net;
-    c->next = n->observed;
-    n->observed = c;
-    n->n_observed++;
+    c->next = n->askers;
+    n->askers = c;
+    n->n_askers++;
     return c;
 }
 
