--- a/wire/encode.c
+++ b/wire/encode.c
@@ -30,15 +30,10 @@
     msgpack_pack_bin_body(pk, s.p, s.len);
 }
 
-/* The text, and its length before it was deflated; 0: as it is. */
+/* The text deflated, and its length before. */
 static void put_packed(msgpack_packer *pk, struct sr_str s)
 {
     uLongf len = compressBound(s.len);
-    if (s.len <= WR_PACK_ABOVE) {
-        put_s(pk, s);
-        put_u(pk, 0);
-        return;
-    }
     Bytef *p = sr_alloc(len);
     if (compress2(p, &len, (const Bytef *)s.p, s.len, Z_BEST_SPEED) != Z_OK)
         abort(); /* out of memory: the room is enough */
@@ -116,10 +111,14 @@
 
 static void put_view(msgpack_packer *pk, const struct wr_view *v)
 {
-    head(pk, WR_VIEW, 4);
+    bool packed = v->text.len > WR_PACK_ABOVE;
+    head(pk, WR_VIEW, packed ? 4 : 3); /* a length that is absent: as it is */
     put_u(pk, v->from);
     put_u(pk, v->to);
-    put_packed(pk, v->text);
+    if (packed)
+        put_packed(pk, v->text);
+    else
+        put_s(pk, v->text);
 }
 
 static void put_shares(msgpack_packer *pk, const struct wr_share *s, uint32_t n)
