--- a/bench/yardstick.sh
+++ b/bench/yardstick.sh
@@ -57,7 +57,7 @@
             for (j = 1; j <= m; j++) {
                 k = order[j]; mean = s[k, 2] / n[k]; var = sq[k] / n[k] - mean * mean
                 printf "%-34s %5d %7.4f %7.4f %7.4f %7.4f %7.4f %8.3f %7.3f %7.4f %6d\n", k, n[k], mean,
-                    var > 0 ? sqrt(var) : 0, s[k, 3] / n[k], s[k, 4] / n[k], s[k, 5] / n[k], s[k, 6] / n[k],
+                    (var > 0 ? sqrt(var) : 0), s[k, 3] / n[k], s[k, 4] / n[k], s[k, 5] / n[k], s[k, 6] / n[k],
                     s[k, 7] / n[k], s[k, 8] / n[k], s[k, 9]
             }
         }'
