quorum, control: a voter whose disk is full stays, keeps nothing it can't sync, and goes on by itself

Change: such a failure takes back what was not synced (the log is cut to its last sync) and writes the same actions again until they fit. Meanwhile nothing is reported as durable, so the voter acknowledges and votes for nothing; a leader hands over as soon as a follower holds its log. A half-written file is removed, since it takes the room that the log needs. Other failures (EIO) stay final. A bound on writes in flight holds for followers, too: messages over it are as if lost.

--- a/control/control.c
+++ b/control/control.c
@@ -95,6 +95,24 @@
     n->stopped(n->stopped_ud, failed);
 }
 
+/* A voter whose disk has no room stays: it acknowledges and votes for nothing that it can't
+ * keep, so others decide without it, and it goes on by itself once there is room. */
+static void note_room(struct ct_node *n)
+{
+    struct er_err err = {0};
+    bool full = dk_full(n->disk, &err);
+    if (full == n->disk_full)
+        return;
+    n->disk_full = full;
+    if (full) {
+        tl_add(n->tl, TL_DISK, "", 0, "full: %.100s", err.text);
+        FL_EVENT(&n->log, LG_ERR, "disk_full", "folder=%s why=%s", n->s->data, err.text);
+    } else {
+        tl_add(n->tl, TL_DISK, "", 0, "has room again");
+        FL_EVENT(&n->log, LG_INFO, "disk_has_room", "folder=%s", n->s->data);
+    }
+}
+
 static void on_disk(void *ud)
 {
     struct ct_node *n = ud;
@@ -111,6 +129,7 @@
         end(n, true);
         return;
     }
+    note_room(n);
     qr_persisted(n->q, dk_done(n->disk), ck_now());
 }
 
@@ -143,7 +162,7 @@
         end(n, false);
         return;
     }
-    if (n->stopping)
+    if (n->stopping || n->disk_full)
         qr_hand_over(n->q, now);
     nt_timer_set(n->loop, &n->tick, TICK_US, tick, n);
 }
--- a/control/control.h
+++ b/control/control.h
@@ -206,7 +206,8 @@
     struct hi_hist force;
     struct ct_waiting waiting[CT_MAX_WAITING];
     bool was_leader;
-    bool failed; /* the disk failed */
+    bool failed;    /* the disk failed */
+    bool disk_full; /* writes wait for room */
     bool stopping;
     int64_t stop_by;
     void (*stopped)(void *ud, bool failed);
--- a/control/ops.c
+++ b/control/ops.c
@@ -85,6 +85,7 @@
         const char *name;
         uint64_t v;
     } rows[] = {
+        {"disk_full", n->disk_full},
         {"term", qr_term(n->q)},
         {"commit_index", qr_commit(n->q)},
         {"generation", n->view.generation},
--- a/misc/err.c
+++ b/misc/err.c
@@ -30,6 +30,7 @@
     [ER_CONFLICT] = {"conflict", ER_ANS_REJECTED, 409},
     [ER_STALE_PLAN] = {"stale_plan", ER_ANS_REJECTED, 412},
     [ER_DISK] = {"disk", ER_ANS_NOT_RUN, 500},
+    [ER_DISK_FULL] = {"disk_full", ER_ANS_NOT_RUN, 500},
     [ER_CORRUPT] = {"corrupt", ER_ANS_NOT_RUN, 500},
     [ER_CONFIG] = {"config", ER_ANS_REJECTED, 400},
     [ER_IO] = {"io", ER_ANS_NOT_RUN, 500},
--- a/misc/err.h
+++ b/misc/err.h
@@ -29,6 +29,7 @@
     ER_CONFLICT,       /* another intent holds the number */
     ER_STALE_PLAN,     /* the world moved since the plan was made */
     ER_DISK,           /* the data folder failed */
+    ER_DISK_FULL,      /* the data folder has no room; that may pass */
     ER_CORRUPT,        /* a stored record fails its checksum */
     ER_CONFIG,         /* a setting is wrong */
     ER_IO,             /* a socket call failed */
--- a/quorum/disk.c
+++ b/quorum/disk.c
@@ -1,12 +1,18 @@
 #include "quorum/disk.h"
 
+#include <errno.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "misc/clock.h"
 #include "misc/str.h"
 
+/* Between two tries on a disk without room. Origin: short beside what frees room (seconds), and
+ * ten refused writes a second cost nothing. */
+#define ROOM_RETRY_US CK_MS(100)
+
 struct job {
     struct job *next;
     struct qr_persist p;
@@ -21,6 +27,7 @@
     pthread_cond_t more;
     struct job *head, **tail;
     bool stop, failed;
+    bool full; /* the first job of `batch` that is not durable waits for room */
     uint64_t done, syncs;
     int64_t longest_us;
     struct er_err err;
@@ -63,16 +70,64 @@
     free(j);
 }
 
-/* Write a batch and sync once. Returns the last seq, 0 on failure. */
-static uint64_t do_batch(struct dk_disk *d, struct job *batch, struct er_err *err)
+static void drop_jobs(struct job **at, const struct job *end)
 {
-    uint64_t seq = 0;
-    for (struct job *j = batch; j; j = j->next) {
+    while (*at != end) {
+        struct job *next = (*at)->next;
+        job_free(*at);
+        *at = next;
+    }
+}
+
+/* Write a batch and sync once; *seq is the last job's then. On failure *batch begins with the
+ * first job that is not durable: a snapshot stands for all before it. */
+static bool do_batch(struct dk_disk *d, struct job **batch, uint64_t *seq, struct er_err *err)
+{
+    struct job *j = *batch;
+    while (j) {
         if (!so_write(d->store, &j->p, err))
-            return 0;
-        seq = j->p.seq;
+            return false;
+        bool durable = j->p.snapshot;
+        *seq = j->p.seq;
+        j = j->next;
+        if (durable)
+            drop_jobs(batch, j);
+    }
+    return so_sync(d->store, err);
+}
+
+/* Wait for room or the order to stop. Called and left with the lock held. */
+static void wait_for_room(struct dk_disk *d)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    until.tv_nsec += ROOM_RETRY_US * 1000;
+    until.tv_sec += until.tv_nsec / 1000000000;
+    until.tv_nsec %= 1000000000;
+    while (!d->stop && pthread_cond_timedwait(&d->more, &d->lock, &until) != ETIMEDOUT)
+        ;
+}
+
+/* Do the batch, however long it takes until there is room. Called and left with the lock held;
+ * false: a failure for good, or the order to stop. */
+static bool finish_batch(struct dk_disk *d, struct job **batch, uint64_t *seq)
+{
+    for (;;) {
+        struct er_err err = {0};
+        bool again = d->full;
+        pthread_mutex_unlock(&d->lock);
+        bool ok = (!again || so_undo(d->store, &err)) && do_batch(d, batch, seq, &err);
+        pthread_mutex_lock(&d->lock);
+        d->full = !ok && err.kind == ER_DISK_FULL;
+        if (ok)
+            return true;
+        d->err = err;
+        if (!d->full || d->stop)
+            return false;
+        if (!again)
+            d->wake(d->ud);
+        wait_for_room(d);
     }
-    return so_sync(d->store, err) ? seq : 0;
 }
 
 static void *run(void *ud)
@@ -87,25 +142,20 @@
         struct job *batch = d->head;
         d->head = NULL;
         d->tail = &d->head;
-        pthread_mutex_unlock(&d->lock);
-        struct er_err err = {0};
+        uint64_t seq = 0;
         int64_t t0 = ck_now();
-        uint64_t seq = do_batch(d, batch, &err);
+        bool ok = finish_batch(d, &batch, &seq);
         int64_t took = ck_now() - t0;
-        while (batch) {
-            struct job *next = batch->next;
-            job_free(batch);
-            batch = next;
-        }
-        pthread_mutex_lock(&d->lock);
+        drop_jobs(&batch, NULL);
         d->syncs++;
         if (took > d->longest_us)
             d->longest_us = took;
-        d->failed = seq == 0;
-        if (seq)
+        if (ok)
             d->done = seq;
+        else if (d->full) /* there was no room until the end */
+            break;
         else
-            d->err = err;
+            d->failed = true;
         d->wake(d->ud);
     }
     pthread_mutex_unlock(&d->lock);
@@ -120,7 +170,11 @@
     d->ud = ud;
     d->tail = &d->head;
     pthread_mutex_init(&d->lock, NULL);
-    pthread_cond_init(&d->more, NULL);
+    pthread_condattr_t steady;
+    pthread_condattr_init(&steady);
+    pthread_condattr_setclock(&steady, CLOCK_MONOTONIC);
+    pthread_cond_init(&d->more, &steady);
+    pthread_condattr_destroy(&steady);
     if (pthread_create(&d->thread, NULL, run, d) != 0)
         abort();
     return d;
@@ -154,6 +208,16 @@
     return failed;
 }
 
+bool dk_full(struct dk_disk *d, struct er_err *err)
+{
+    pthread_mutex_lock(&d->lock);
+    bool full = d->full;
+    if (full)
+        *err = d->err;
+    pthread_mutex_unlock(&d->lock);
+    return full;
+}
+
 void dk_stats(struct dk_disk *d, uint64_t *syncs, int64_t *longest_us)
 {
     pthread_mutex_lock(&d->lock);
--- a/quorum/quorum.c
+++ b/quorum/quorum.c
@@ -7,10 +7,18 @@
 
 #include "misc/str.h"
 
+/* Whether so many writes wait for the disk that no event may add more: one adds two at most,
+ * and compaction another. */
+static bool disk_clogged(const struct qr *q)
+{
+    enum { SPARE = 8 };
+    return q->n_fl >= QR_MAX_INFLIGHT - SPARE;
+}
+
 void qr_receive(struct qr *q, const struct qr_msg *m, int64_t now)
 {
-    if (m->to != q->cfg.self)
-        return;
+    if (m->to != q->cfg.self || disk_clogged(q))
+        return; /* as if lost on the way: its sender sends it again */
     switch (m->type) {
     case QR_PREVOTE:
         qc_on_prevote(q, m, now);
@@ -48,7 +56,7 @@
 {
     if (q->role == QR_LEADER) {
         qc_lead_tick(q, now);
-    } else if (now >= q->deadline) {
+    } else if (now >= q->deadline && !disk_clogged(q)) {
         q->transfer = false;
         qc_start_election(q, now);
     }
@@ -99,7 +107,7 @@
     if (q->role != QR_LEADER)
         return er_set(err, ER_NOT_LEADER, "this node does not lead term %llu",
                       (unsigned long long)q->term);
-    if (q->n_fl >= QR_MAX_INFLIGHT - 8)
+    if (disk_clogged(q))
         return er_set(err, ER_OVERLOAD, "%d log writes wait for the disk", q->n_fl);
     return true;
 }
--- a/quorum/store.c
+++ b/quorum/store.c
@@ -21,13 +21,14 @@
 
 enum rec_type { REC_HARD = 1, REC_ENTRY, REC_TRUNCATE, REC_SNAPSHOT };
 
-static const struct so_files system_files = {write, fdatasync, fsync, rename};
+static const struct so_files system_files = {write, fdatasync, fsync, rename, ftruncate};
 
 struct so_store {
     const struct so_files *f;
     char dir[512];
     int dir_fd, log_fd;
     uint64_t log_bytes;
+    uint64_t synced_bytes;    /* of them, those that are durable */
     struct qr_entry *entries; /* only while loading */
     uint32_t n, cap;
     char *snap;
@@ -93,6 +94,13 @@
     snprintf(out, cap, "%s/%s", s->dir, name);
 }
 
+/* A disk without room, a quota or a size limit may change; other failures are for good. */
+static enum er_kind kind_of(int error)
+{
+    bool full = error == ENOSPC || error == EDQUOT || error == EFBIG;
+    return full ? ER_DISK_FULL : ER_DISK;
+}
+
 static bool write_all(const struct so_store *s, int fd, const char *p, size_t n,
                       const char *what, struct er_err *err)
 {
@@ -100,9 +108,10 @@
         ssize_t k = s->f->write(fd, p, n);
         if (k < 0 && errno == EINTR)
             continue;
-        if (k <= 0)
-            return er_set(err, ER_DISK, "%s: write failed: %s", what,
-                          k < 0 ? strerror(errno) : "nothing written");
+        if (k < 0)
+            return er_set(err, kind_of(errno), "%s: write failed: %s", what, strerror(errno));
+        if (k == 0)
+            return er_set(err, ER_DISK, "%s: write failed: nothing written", what);
         p += k;
         n -= (size_t)k;
     }
@@ -137,15 +146,17 @@
     snprintf(tmp, sizeof(tmp), "%s.new", to);
     int fd = open(tmp, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     if (fd < 0)
-        return er_set(err, ER_DISK, "%s: %s", tmp, strerror(errno));
+        return er_set(err, kind_of(errno), "%s: %s", tmp, strerror(errno));
     bool ok = write_all(s, fd, b->p, b->len, tmp, err);
     if (ok && s->f->sync(fd) < 0)
-        ok = er_set(err, ER_DISK, "%s: sync failed: %s", tmp, strerror(errno));
+        ok = er_set(err, kind_of(errno), "%s: sync failed: %s", tmp, strerror(errno));
     close(fd);
     if (ok && s->f->rename(tmp, to) < 0)
-        ok = er_set(err, ER_DISK, "%s: rename failed: %s", to, strerror(errno));
+        ok = er_set(err, kind_of(errno), "%s: rename failed: %s", to, strerror(errno));
+    if (!ok)
+        unlink(tmp); /* the half of it takes room that the log may need */
     if (ok && s->f->sync(s->dir_fd) < 0)
-        ok = er_set(err, ER_DISK, "%s: sync failed: %s", s->dir, strerror(errno));
+        ok = er_set(err, kind_of(errno), "%s: sync failed: %s", s->dir, strerror(errno));
     return ok;
 }
 
@@ -208,7 +219,7 @@
         close(s->log_fd);
     s->log_fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     if (s->log_fd < 0)
-        return er_set(err, ER_DISK, "%s: %s", path, strerror(errno));
+        return er_set(err, kind_of(errno), "%s: %s", path, strerror(errno));
     return true;
 }
 
@@ -220,7 +231,8 @@
     for (uint32_t i = 0; i < p->n; i++)
         encode_entry(&out, &p->entries[i]);
     bool ok = replace_file(s, "log", &out, err);
-    s->log_bytes = out.len;
+    if (ok)
+        s->log_bytes = s->synced_bytes = out.len;
     sr_buf_free(&out);
     return ok && open_log(s, err);
 }
@@ -244,7 +256,19 @@
 bool so_sync(struct so_store *s, struct er_err *err)
 {
     if (s->f->datasync(s->log_fd) < 0)
-        return er_set(err, ER_DISK, "log: sync failed: %s", strerror(errno));
+        return er_set(err, kind_of(errno), "log: sync failed: %s", strerror(errno));
+    s->synced_bytes = s->log_bytes;
+    return true;
+}
+
+bool so_undo(struct so_store *s, struct er_err *err)
+{
+    if (s->log_fd < 0 && !open_log(s, err))
+        return false;
+    if (s->f->set_length(s->log_fd, (off_t)s->synced_bytes) < 0)
+        return er_set(err, kind_of(errno), "log: can't be cut to %" PRIu64 " bytes: %s",
+                      s->synced_bytes, strerror(errno));
+    s->log_bytes = s->synced_bytes;
     return true;
 }
 
@@ -344,7 +368,7 @@
         if (truncate(path, (off_t)off) < 0)
             ok = er_set(err, ER_DISK, "%s: %s", path, strerror(errno));
     }
-    s->log_bytes = off;
+    s->log_bytes = s->synced_bytes = off;
     sr_buf_free(&b);
     return ok;
 }
