proxy, entry, control: bytes by kind of peer and distance among the metrics

A connection may be metered; the proxy counts by instance and node, near and far, the entry role what it exchanges with control, control what it exchanges with other control nodes.

--- a/control/control.h
+++ b/control/control.h
@@ -206,8 +206,9 @@
     struct hi_hist force;
     struct ct_waiting waiting[CT_MAX_WAITING];
     bool was_leader;
-    bool failed;    /* the disk failed */
-    bool disk_full; /* writes wait for room */
+    bool failed;                    /* the disk failed */
+    bool disk_full;                 /* writes wait for room */
+    struct nt_traffic peer_traffic; /* on connections to other control nodes made here */
     bool stopping;
     int64_t stop_by;
     void (*stopped)(void *ud, bool failed);
--- a/control/ops.c
+++ b/control/ops.c
@@ -108,6 +108,8 @@
         {"force_us_p50", (uint64_t)hi_quantile(&n->force, 0.5)},
         {"force_us_p99", (uint64_t)hi_quantile(&n->force, 0.99)},
         {"force_count", n->force.count},
+        {"peer_bytes_in_total", n->peer_traffic.bytes_in},
+        {"peer_bytes_out_total", n->peer_traffic.bytes_out},
         {"net_bytes_in_total", nt_stats(n->loop)->bytes_in},
         {"net_bytes_out_total", nt_stats(n->loop)->bytes_out},
         {"net_bad_frames_total", nt_stats(n->loop)->bad_frames},
--- a/control/peers.c
+++ b/control/peers.c
@@ -189,6 +189,7 @@
             drop_peer(n, p);
         } else if (!p->net && rd_due(&p->line, now)) {
             p->net = nt_connect(n->loop, p->m.ip, p->m.port, true, &peer_ops, p);
+            nt_meter(p->net, &n->peer_traffic);
             rd_dialed(&p->line, now);
         } else if (p->net && !p->open && rd_hangs(&p->line, now)) {
             rd_gave_up(&p->line);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -189,7 +189,8 @@
     struct vw_view view;
     struct ls_holder lease;
     bool had_lease;
-    int64_t lease_lost_at; /* long ago if it never had one: not ready at all */
+    struct nt_traffic control_traffic; /* with control */
+    int64_t lease_lost_at;             /* long ago if it never had one: not ready at all */
     int n_groups;
     struct en_group **groups;
     struct en_req *reqs;
--- a/entry/link.c
+++ b/entry/link.c
@@ -483,6 +483,7 @@
         struct en_link *l = &n->links[i];
         if (l->used && !l->net && rd_due(&l->line, now)) {
             l->net = nt_connect(n->loop, l->peer.ip, l->peer.port, true, &link_ops, l);
+            nt_meter(l->net, &n->control_traffic);
             rd_dialed(&l->line, now);
         } else if (l->net && !l->open && rd_hangs(&l->line, now)) {
             rd_gave_up(&l->line);
--- a/entry/ops.c
+++ b/entry/ops.c
@@ -96,6 +96,10 @@
     struct sr_buf b = {0};
     put_counters(&b, &n->c);
     put_net(&b, nt_stats(n->loop));
+    sr_buf_printf(
+        &b, "ferry_control_link_bytes_out_total %llu\nferry_control_link_bytes_in_total %llu\n",
+        (unsigned long long)n->control_traffic.bytes_out,
+        (unsigned long long)n->control_traffic.bytes_in);
     put_hist(&b, "read", &n->lat_read);
     put_hist(&b, "write", &n->lat_write);
     sr_buf_printf(&b, "ferry_generation %llu\nferry_lease %d\nferry_requests_held %d\n",
--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -431,6 +431,7 @@
     in->conns = c;
     in->n_conns++;
     c->net = nt_connect_stream(in->p->loop, in->cfg.ip, in->cfg.port, &ops, c);
+    px_meter(in->p, c->net, PX_TO_INSTANCE, in->cfg.domain);
 }
 
 void px_conn_tick(struct px_conn *c, int64_t now)
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -177,6 +177,10 @@
     unsigned skip; /* bits of instances that could not serve it */
 };
 
+/* Whom bytes are exchanged with, beside callers. */
+enum px_peer { PX_TO_INSTANCE, PX_TO_NODE, PX_PEERS };
+enum { PX_DISTANCES = 3 }; /* rt_distance: the same failure domain, another, another region */
+
 /* For /metrics. */
 struct px_counters {
     uint64_t sessions, statements;
@@ -223,9 +227,13 @@
     int log_budget;
 
     struct px_counters c;
+    struct nt_traffic traffic[PX_PEERS][PX_DISTANCES];
     struct hi_hist latency_read, latency_write;
 };
 
+/* Count the bytes of a connection to an instance or node in that failure domain. */
+void px_meter(struct px_proxy *p, struct nt_conn *net, enum px_peer to, const char *domain);
+
 /* answer.c: what callers are told */
 void px_greet(struct px_session *s);
 /* Answer the session's statement with what the connection holds, a failure included; then go on
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -165,6 +165,26 @@
     sr_buf_printf(out, "ferry_session_%s_us_count %llu\n", name, (unsigned long long)h->count);
 }
 
+void px_meter(struct px_proxy *p, struct nt_conn *net, enum px_peer to, const char *domain)
+{
+    nt_meter(net, &p->traffic[to][rt_distance(p->cfg.domain, domain)]);
+}
+
+static void put_traffic(struct sr_buf *out, const struct px_proxy *p)
+{
+    static const char *const peer[PX_PEERS] = {"instance", "node"};
+    static const char *const far[PX_DISTANCES] = {"domain", "region", "any"};
+    for (int i = 0; i < PX_PEERS * PX_DISTANCES; i++) {
+        int to = i / PX_DISTANCES, at = i % PX_DISTANCES;
+        const struct nt_traffic *t = &p->traffic[to][at];
+        sr_buf_printf(out,
+                      "ferry_session_bytes_out_total{peer=\"%s\",within=\"%s\"} %llu\n"
+                      "ferry_session_bytes_in_total{peer=\"%s\",within=\"%s\"} %llu\n",
+                      peer[to], far[at], (unsigned long long)t->bytes_out, peer[to], far[at],
+                      (unsigned long long)t->bytes_in);
+    }
+}
+
 static void put_instance(struct sr_buf *out, const struct px_inst *in)
 {
     const char *id = in->cfg.id;
@@ -204,6 +224,7 @@
     for (int k = 1; k < ER_COUNT; k++)
         sr_buf_printf(out, "ferry_session_failed_by_total{reason=\"%s\"} %llu\n", er_name(k),
                       (unsigned long long)p->c.by_reason[k]);
+    put_traffic(out, p);
     put_hist(out, "read", &p->latency_read);
     put_hist(out, "write", &p->latency_write);
     for (int g = 0; g < p->n_groups; g++) {
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -169,6 +169,7 @@
     r->tail.len = 0;
     r->began = ck_now();
     r->net = nt_connect_stream(p->loop, p->nodes[i].ip, p->nodes[i].port, &ops, r);
+    px_meter(p, r->net, PX_TO_NODE, p->nodes[i].domain);
 }
 
 /* ---- the session's side ---- */
--- a/task/net.c
+++ b/task/net.c
@@ -152,6 +152,11 @@
     return c->queued;
 }
 
+void nt_meter(struct nt_conn *c, struct nt_traffic *t)
+{
+    c->traffic = t;
+}
+
 void nt_local_ip(const struct nt_conn *c, char *out, size_t cap)
 {
     struct sockaddr_storage a = {0};
@@ -180,6 +185,20 @@
     free(o);
 }
 
+static void note_out(struct nt_conn *c, size_t n)
+{
+    c->loop->st.bytes_out += n;
+    if (c->traffic)
+        c->traffic->bytes_out += n;
+}
+
+static void note_in(struct nt_conn *c, size_t n)
+{
+    c->loop->st.bytes_in += n;
+    if (c->traffic)
+        c->traffic->bytes_in += n;
+}
+
 /* A large frame goes in slices: lws keeps a copy of what the kernel does not take at once. */
 static int write_slice(struct nt_conn *c)
 {
@@ -187,7 +206,7 @@
     size_t n = o->len - o->off < WRITE_BATCH ? o->len - o->off : WRITE_BATCH;
     if (lws_write(c->wsi, o->data + LWS_PRE + o->off, n, LWS_WRITE_RAW) < 0)
         return -1;
-    c->loop->st.bytes_out += n;
+    note_out(c, n);
     o->off += n;
     if (o->off == o->len)
         np_pop_out(c);
@@ -212,7 +231,7 @@
         }
         if (lws_write(c->wsi, batch + LWS_PRE, n, LWS_WRITE_RAW) < 0)
             return -1;
-        c->loop->st.bytes_out += n;
+        note_out(c, n);
     }
     return 0;
 }
@@ -223,7 +242,7 @@
         struct out *o = c->head;
         if (lws_write(c->wsi, o->data + LWS_PRE, o->len, LWS_WRITE_TEXT) < 0)
             return -1;
-        c->loop->st.bytes_out += o->len;
+        note_out(c, o->len);
         np_pop_out(c);
     }
     return 0;
@@ -280,7 +299,7 @@
 
 static int on_raw_data(struct nt_conn *c, const void *in, size_t len)
 {
-    c->loop->st.bytes_in += len;
+    note_in(c, len);
     if (c->kind == K_STREAM) {
         deliver(c, in, len);
         return c->closing && c->hard ? -1 : 0;
@@ -291,7 +310,7 @@
 
 static int on_ws_data(struct nt_conn *c, const void *in, size_t len)
 {
-    c->loop->st.bytes_in += len;
+    note_in(c, len);
     if (c->in.len + len > NT_MAX_MESSAGE) {
         c->loop->st.oversized++;
         return -1;
--- a/task/net.h
+++ b/task/net.h
@@ -58,6 +58,11 @@
     uint64_t messages_in, messages_out;
 };
 
+/* Bytes of some connections, as their user groups them; without the transport's own. */
+struct nt_traffic {
+    uint64_t bytes_in, bytes_out;
+};
+
 struct nt_timer {
     struct nt_timer *next;
     int64_t due; /* ck_now microseconds; 0 while not set */
@@ -120,6 +125,9 @@
 /* From now on this connection's callbacks go nowhere; it closes by itself. */
 void nt_forget(struct nt_conn *c);
 size_t nt_queued(const struct nt_conn *c);
+/* From now on the connection's bytes are added to `t`, too, which must outlive it. Not for
+ * plain HTTP. */
+void nt_meter(struct nt_conn *c, struct nt_traffic *t);
 /* The address of our side, as text; "" if it can't be told. */
 void nt_local_ip(const struct nt_conn *c, char *out, size_t cap);
 /* Tell ops->close if the peer of an HTTP request goes away before the reply. */
--- a/task/net_priv.h
+++ b/task/net_priv.h
@@ -30,6 +30,7 @@
     bool opened, refused, closing, hard, dead;
     struct out *head, **tail;
     size_t queued;
+    struct nt_traffic *traffic; /* NULL: not metered */
     struct sr_buf in;
     int64_t began;        /* of connecting */
     struct nt_timer late; /* delivers a failed connect from the loop */
