proxy: an instance's pace is told apart from the work it is given

Cause: the cost of asking an instance was its smoothed time of all statements. Change: each answer is compared with what answers of its database and kind take anywhere in the group; the factor describes the instance, and a read's cost there is its own kind's usual time multiplied by it.

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -190,6 +190,8 @@
         px_window_full(&c->inst->window, ck_now());
     else if (c->error == ER_NONE)
         px_window_done(&c->inst->window, us, px_inst_running(c->inst) - 1, ck_now());
+    if (c->error == ER_NONE && c->session->stmt.verb != PX_V_COMMIT)
+        px_pace_note(&c->inst->group->pace, c->session->kind, &c->inst->pace, us);
 }
 
 /* Of the answers, only those to reads tell of the instance: a write may fail by what it writes.
--- /dev/null
+++ b/proxy/pace.h
@@ -0,0 +1,30 @@
+/* How fast instances are, told apart from how much work they are given.
+ *
+ * Pure. Statements differ in work by database and kind, and the primary gets other ones than
+ * the replicas: a mean time of all that an instance served says which statements it had as much
+ * as how loaded it is. So each answer is compared with what answers to statements like it take
+ * anywhere, and an instance is described by that factor: 1 is as fast as the others. */
+#ifndef FL_PROXY_PACE_H
+#define FL_PROXY_PACE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "misc/str.h"
+
+/* Kinds of statements told apart; two may share a place, which makes both less exact. */
+enum { PX_PACE_KINDS = 128 };
+
+/* What statements take, by kind. Zero-initialised is empty. */
+struct px_pace {
+    double usual_us[PX_PACE_KINDS]; /* 0: none was seen */
+};
+
+/* A kind: the statements of a database that write, or that do not. */
+unsigned px_pace_kind(struct sr_str database, bool writes);
+/* An answer came after `us` from the instance whose factor this is (at first 1). */
+void px_pace_note(struct px_pace *p, unsigned kind, double *factor, int64_t us);
+/* What a statement of the kind takes at an instance with that factor, in microseconds. */
+int64_t px_pace_expect(const struct px_pace *p, unsigned kind, double factor);
+
+#endif
--- a/proxy/place.h
+++ b/proxy/place.h
@@ -17,7 +17,7 @@
     bool primary;
     bool free_conn;       /* an idle connection, or room for one more */
     int waiting;          /* statements of this node there, running or waiting */
-    int64_t service_us;   /* smoothed time of a statement there */
+    int64_t service_us;   /* what the statement would take there; px_pace_expect */
     double fail_rate;     /* of what was asked there lately, 0 to 1; px_outlier_rate */
     int distance;         /* 0 the same failure domain, 1 another, 2 another region */
     struct ps_pos known;  /* its log held this when it was heard last */
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -8,6 +8,7 @@
 #include "misc/rng.h"
 #include "pool/shares.h"
 #include "proxy/outlier.h"
+#include "proxy/pace.h"
 #include "proxy/place.h"
 #include "proxy/relief.h"
 #include "proxy/proxy.h"
@@ -94,6 +95,7 @@
     bool unfit;           /* the primary, and should hand over */
     int64_t alone_since;  /* it fails much and others of its group do not; 0: not so */
     int64_t service_us;   /* smoothed time of a statement */
+    double pace;          /* times what its statements take elsewhere; px_pace */
     struct ps_pos known;  /* its log held this when it was heard last */
     int64_t behind_until; /* it lacked a position; not asked for one like it before */
     int64_t served_at;    /* it served a read */
@@ -104,6 +106,7 @@
     struct px_proxy *p;
     struct vw_group cfg;
     struct px_inst *inst[VW_MAX_INSTANCES]; /* indexed like cfg.inst */
+    struct px_pace pace;
     struct rt_group rt; /* samples of the primary's position; the rest is not used */
     bool held; /* this node has connections to its instances; else sessions go to a holder */
     int64_t let_go_at; /* this node ceased to hold it */
@@ -162,6 +165,7 @@
     struct sr_str id, text;
     struct px_stmt stmt; /* the text, taken apart */
     bool writes;
+    unsigned kind; /* px_pace_kind */
     int64_t arrived, deadline;
     bool has_floor;
     struct ps_pos floor; /* what a read must see */
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -32,6 +32,7 @@
     s->deadline = s->arrived + s->route.limit_us;
     s->attempts = s->offers = 0;
     s->skip = 0;
+    s->kind = px_pace_kind(sr_from(s->database), s->writes);
     s->prev_active = NULL;
     s->next_active = p->active;
     if (p->active)
@@ -85,7 +86,7 @@
         .primary = in->at == g->cfg.primary,
         .free_conn = idle || px_inst_has_room(in, now),
         .waiting = in->busy + in->n_waiters,
-        .service_us = in->service_us,
+        .service_us = px_pace_expect(&g->pace, s->kind, in->pace),
         .fail_rate = px_outlier_rate(&in->outlier, now),
         .distance = rt_distance(s->p->cfg.domain, in->cfg.domain),
         .known = in->known,
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -25,6 +25,7 @@
     check_suite();
     engine_suite();
     net_suite();
+    pace_suite();
     proxy_suite();
     takeover_suite();
     member_suite();
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -25,6 +25,7 @@
 void check_suite(void);
 void engine_suite(void);
 void net_suite(void);
+void pace_suite(void);
 void proxy_suite(void);
 void takeover_suite(void);
 void member_suite(void);
