proxy: a resting transaction does not make an instance look busy

Cause: what a read has before it at an instance was counted in connections in use; a transaction between two statements holds a connection, but occupies nothing there, so the primary and instances with open read transactions looked loaded.

--- a/proxy/work.c
+++ b/proxy/work.c
@@ -85,7 +85,8 @@
         .usable = px_inst_usable(in, now) && !(s->skip & (1u << in->at)),
         .primary = in->at == g->cfg.primary,
         .free_conn = idle || px_inst_has_room(in, now),
-        .waiting = in->busy + in->n_waiters,
+        /* A transaction that rests between two statements holds a connection, but no slot. */
+        .waiting = px_inst_running(in) + in->n_waiters,
         .service_us = px_pace_expect(&g->pace, s->kind, in->pace),
         .fail_rate = px_outlier_rate(&in->outlier, now),
         .distance = rt_distance(s->p->cfg.domain, in->cfg.domain),
