--- a/control/agree.c
+++ b/control/agree.c
@@ -4,6 +4,13 @@
 #include "control/control.h"
 #include "misc/clock.h"
 
+enum {
+    /* The log is replaced by a snapshot once it holds so many times its bytes: a restart then
+     * applies a few documents at most, and a snapshot is written for that many changes. */
+    SNAPSHOT_TIMES = 3,
+    SNAPSHOT_LEAST_BYTES = 64 * 1024, /* a shorter log is applied within some milliseconds */
+};
+
 static void on_send(void *ud, const struct qr_msg *m)
 {
     struct wr_msg w = {.type = WR_QUORUM, .quorum = *m};
@@ -130,6 +137,7 @@
         return;
     }
     n->c.applied++;
+    n->applied_bytes += len;
     if (vw_apply(&n->view, index, &ch, &err)) {
         remember(n, index, ch.kind, data, len);
         note_change(n, &ch);
@@ -173,6 +181,8 @@
         FL_ERR(&n->log, "snapshot %llu: %s", (unsigned long long)index, err.text);
     json_decref(j);
     forget_all(n, n->view.generation);
+    n->applied_bytes = 0;
+    n->snapshot_bytes = len;
     ct_document_changed(n);
     ct_groups_sync(n);
     FL_INFO(&n->log, "restored from a snapshot up to %llu", (unsigned long long)index);
@@ -225,14 +235,27 @@
     return ok;
 }
 
-void ct_compact_tick(struct ct_node *n)
+/* What a restart has to apply before this node can lead: many entries, or large ones. */
+static bool log_is_long(const struct ct_node *n)
 {
     uint64_t commit = qr_commit(n->q), first = qr_first(n->q);
-    if (commit < first || commit - first < (uint64_t)n->s->snapshot_entries)
+    if (commit < first)
+        return false;
+    uint64_t bytes = n->snapshot_bytes * SNAPSHOT_TIMES;
+    if (bytes < SNAPSHOT_LEAST_BYTES)
+        bytes = SNAPSHOT_LEAST_BYTES;
+    return commit - first >= (uint64_t)n->s->snapshot_entries || n->applied_bytes > bytes;
+}
+
+void ct_compact_tick(struct ct_node *n)
+{
+    if (!log_is_long(n))
         return;
     json_t *j = vw_view_json(&n->view);
     char *s = json_dumps(j, JSON_COMPACT);
-    qr_compact(n->q, commit, s, (uint32_t)strlen(s));
+    n->snapshot_bytes = strlen(s);
+    n->applied_bytes = 0;
+    qr_compact(n->q, qr_commit(n->q), s, (uint32_t)n->snapshot_bytes);
     free(s);
     json_decref(j);
 }
--- a/control/control.h
+++ b/control/control.h
@@ -207,6 +207,8 @@
     struct ct_waiting waiting[CT_MAX_WAITING];
     bool was_leader;
     bool failed;                    /* the disk failed */
+    uint64_t applied_bytes;         /* of changes, since the last snapshot */
+    uint64_t snapshot_bytes;        /* of the last snapshot made here */
     bool document_due;              /* ct_document_changed is to be called */
     bool disk_full;                 /* writes wait for room */
     struct nt_traffic peer_traffic; /* on connections to other control nodes made here */
