proxy: a node that ends a relayed session says so first, and nothing asked meanwhile is lost

Cause: a holder that stops, or gives its group up, closed relayed sessions that rest, as it closes its callers' own. Change: the holder sends an end message and runs nothing that comes after; the relaying node answers what it has passed on since the last answer as not run (retry at once), then ends the caller's connection. Whole lines only are passed on, so the end message never reaches a caller in part.

--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -113,6 +113,15 @@
     px_session_go_on(s);
 }
 
+void px_refuse_relayed(struct px_session *s, enum er_kind kind, const char *detail)
+{
+    struct sr_buf b = {0};
+    note_failure(s, kind, detail);
+    put_failure(s, &b, kind, detail);
+    put_ready(s, &b, false, no_pos);
+    send_all(s, &b);
+}
+
 void px_answer_own(struct px_session *s)
 {
     struct sr_buf b = {0};
--- a/proxy/pace.c
+++ b/proxy/pace.c
@@ -7,10 +7,12 @@
  * or two, as queues come and go faster than work changes. */
 #define USUAL_WEIGHT (1.0 / 64)
 #define FACTOR_WEIGHT (1.0 / 8)
-#define FACTOR_MOST 50.0 /* one answer that hung for seconds is forgotten after thirty others  \
-                          */
-#define FIRST_US 15000.0 /* before any answer: of the order of a short statement and its way   \
-                          */
+#define FACTOR_MOST                                                                            \
+    50.0 /* one answer that hung for seconds is forgotten after thirty others                  \
+          */
+#define FIRST_US                                                                               \
+    15000.0 /* before any answer: of the order of a short statement and its way                \
+             */
 
 unsigned px_pace_kind(struct sr_str database, bool writes)
 {
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -141,7 +141,8 @@
     bool came_relayed;      /* another node relays it to us */
     struct px_relay *relay; /* another node serves it; NULL: we do */
     int64_t opened_at;
-    int64_t since; /* it connected, or its last statement ended */
+    int64_t left_at; /* it was ended here, and who relays it is told; 0: not so */
+    int64_t since;   /* it connected, or its last statement ended */
 
     /* what it keeps from statement to statement */
     char database[CG_NAME];
@@ -247,6 +248,8 @@
 void px_answer_own(struct px_session *s);
 /* The statement, at work or not, ends with this failure; go on as after px_answer. */
 void px_refuse(struct px_session *s, enum er_kind kind, const char *detail);
+/* What was asked of a relayed session ran nowhere. */
+void px_refuse_relayed(struct px_session *s, enum er_kind kind, const char *detail);
 /* A failure that ends the session. */
 void px_fail_and_close(struct px_session *s, enum er_kind kind, const char *detail);
 
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -5,6 +5,7 @@
  * relayed session lives at the other node with its values, prepared names and transactions;
  * here only its bytes pass. It ends when either end does, so nothing has to be moved. */
 #include <stdlib.h>
+#include <string.h>
 
 #include "proxy/priv.h"
 
@@ -23,11 +24,13 @@
     struct px_session *s;
     struct nt_conn *net; /* to the other node; NULL: none */
     int tries;
-    bool greeted;        /* by the other node */
-    bool spoke;          /* the caller got something: another greeting would be one too many */
-    bool rests;          /* there, after the last answer */
-    struct px_tail tail; /* of what comes from the other node */
-    int64_t began;       /* this try */
+    bool greeted;     /* by the other node */
+    bool spoke;       /* the caller got something: another greeting would be one too many */
+    bool rests;       /* there, after the last answer */
+    bool asked;       /* a whole message went there since */
+    enum px_txn txn;  /* after the last answer */
+    struct sr_buf in; /* a line from the other node that is not whole yet */
+    int64_t began;    /* this try */
 };
 
 bool px_is_relayed(const struct px_msg *open)
@@ -90,6 +93,12 @@
 
 static void connect_next(struct px_relay *r);
 
+static void relay_free(struct px_relay *r)
+{
+    sr_buf_free(&r->in);
+    free(r);
+}
+
 static void on_open(struct nt_conn *net, void *ud)
 {
     struct px_relay *r = ud;
@@ -101,15 +110,11 @@
     sr_buf_free(&b);
 }
 
-/* Whether what came ends with the session resting: then it may be closed without harm. */
-static bool ends_resting(struct px_relay *r, const char *data, size_t len)
+static void send_there(struct px_relay *r, const char *data, size_t len)
 {
-    struct px_msg m;
-    struct sr_str line;
-    if (!px_tail_add(&r->tail, data, len, &line))
-        return false;
-    r->s->p->cfg.codec->parse(line, &m);
-    return m.kind == PX_READY && m.txn == PX_IDLE;
+    r->rests = false;
+    r->asked = r->asked || memchr(data, '\n', len) != NULL;
+    nt_send(r->net, data, len);
 }
 
 /* What the caller said before it was greeted. */
@@ -118,26 +123,80 @@
     struct px_session *s = r->s;
     if (s->in.len == 0)
         return;
-    r->rests = false;
-    nt_send(r->net, s->in.p, s->in.len);
+    send_there(r, s->in.p, s->in.len);
     s->in.len = 0;
 }
 
-static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
+/* The other node ends the session while it rests there, so what was asked meanwhile ran
+ * nowhere, and the caller is told so. */
+static void ended_there(struct px_relay *r)
 {
-    struct px_relay *r = ud;
-    (void)net;
-    r->rests = ends_resting(r, data, len);
-    bool greets = !r->greeted && r->rests;
-    if (greets) {
-        r->greeted = true;
-        r->s->p->c.relayed++;
+    struct px_session *s = r->s;
+    if (!s->net)
+        return;
+    if (r->asked) {
+        s->txn = r->txn;
+        px_refuse_relayed(s, r->txn == PX_IDLE ? ER_STOPPING : ER_ABORTED,
+                          "the node that serves the session stops; retry at once");
     }
+    nt_close(s->net, false);
+}
+
+/* Pass the first `n` bytes of what came on; they are whole lines. */
+static void pass_on(struct px_relay *r, size_t n)
+{
     r->spoke = true;
     if (r->s->net)
-        nt_send(r->s->net, data, len);
+        nt_send(r->s->net, r->in.p, n);
+    px_consume(&r->in, n);
+}
+
+/* Note what the last of these whole lines says of the session; false: it is an end. */
+static bool note_last(struct px_relay *r, struct sr_str last)
+{
+    struct px_msg m;
+    r->s->p->cfg.codec->parse(last, &m);
+    if (m.kind != PX_READY)
+        return m.kind != PX_END;
+    r->txn = m.txn;
+    r->rests = m.txn == PX_IDLE;
+    r->asked = false;
+    return true;
+}
+
+/* The other node greeted: what the caller said meanwhile goes there. */
+static void greeted(struct px_relay *r)
+{
+    r->greeted = true;
+    r->s->p->c.relayed++;
+    send_early(r);
+}
+
+static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
+{
+    struct px_relay *r = ud;
+    struct sr_str last;
+    sr_buf_add(&r->in, data, len);
+    size_t n = px_whole_lines(&r->in, &last);
+    if (n == 0) {
+        if (r->in.len > PX_MAX_LINE)
+            nt_close(net, true);
+        return;
+    }
+    bool ended = !note_last(r, last);
+    if (ended) { /* for us, not for the caller */
+        struct sr_buf before = {.p = r->in.p, .len = (size_t)(last.p - r->in.p)};
+        n = px_whole_lines(&before, &last);
+        if (n > 0)
+            note_last(r, last);
+    }
+    bool greets = !r->greeted && r->rests;
+    if (n > 0)
+        pass_on(r, n);
     if (greets)
-        send_early(r);
+        greeted(r);
+    if (ended)
+        ended_there(r);
 }
 
 static void on_close(struct nt_conn *net, void *ud, bool opened, bool refused)
@@ -148,7 +207,7 @@
     (void)refused;
     r->net = NULL;
     if (!r->s) {
-        free(r);
+        relay_free(r);
     } else if (!r->spoke && r->tries < MAX_TRIES) {
         connect_next(r);
     } else if (r->s->net) {
@@ -166,7 +225,7 @@
         nt_close(r->s->net, false);
         return;
     }
-    r->tail.len = 0;
+    r->in.len = 0;
     r->began = ck_now();
     r->net = nt_connect_stream(p->loop, p->nodes[i].ip, p->nodes[i].port, &ops, r);
     px_meter(p, r->net, PX_TO_NODE, p->nodes[i].domain);
@@ -185,7 +244,6 @@
 void px_relay_bytes(struct px_session *s, const char *data, size_t len)
 {
     struct px_relay *r = s->relay;
-    r->rests = false;
     if (!r->greeted && s->in.len + len <= MAX_QUEUED) {
         sr_buf_add(&s->in, data, len);
         return;
@@ -194,7 +252,7 @@
         nt_close(s->net, true); /* the other node does not read */
         return;
     }
-    nt_send(r->net, data, len);
+    send_there(r, data, len);
 }
 
 void px_relay_end(struct px_session *s)
@@ -207,7 +265,7 @@
     if (r->net)
         nt_close(r->net, true); /* on_close frees it */
     else
-        free(r);
+        relay_free(r);
 }
 
 void px_relay_tick(struct px_session *s, int64_t now)
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -12,6 +12,8 @@
      * once; transactions may end meanwhile. Shares of the time until the process is killed. */
     STOP_CLOSE_FROM_PERCENT = 30,
     STOP_CLOSE_OVER_PERCENT = 25,
+    STOP_LEAVE_PERCENT = 60, /* relayed sessions go then, also from failed transactions */
+    LEAVE_US = 1000000,      /* who relays a session closes it at once, or has gone */
 };
 
 /* ---- opening ---- */
@@ -90,6 +92,8 @@
 {
     struct px_session *s = ud;
     (void)net;
+    if (s->left_at)
+        return; /* said not to be run */
     if (s->relay) {
         px_relay_bytes(s, data, len);
         return;
@@ -182,7 +186,31 @@
 {
     if (s->relay)
         return px_rests_elsewhere(s);
-    return s->opened && s->stage == PX_S_REST && s->txn == PX_IDLE && s->in.len == 0;
+    return !s->left_at && s->opened && s->stage == PX_S_REST && s->txn == PX_IDLE &&
+           s->in.len == 0;
+}
+
+/* End a session that has nothing at work. A caller's own question that crosses the close on its
+ * way was read by nobody; one that another node read and passed on would be lost, so that node
+ * is told first, and what still comes is not run. */
+static void end_resting(struct px_session *s, int64_t now)
+{
+    struct sr_buf b = {0};
+    struct px_msg m = {.kind = PX_END};
+    if (!s->came_relayed) {
+        nt_close(s->net, false);
+        return;
+    }
+    s->left_at = now;
+    s->p->cfg.codec->put(&b, &m);
+    nt_send(s->net, b.p, b.len);
+    sr_buf_free(&b);
+}
+
+static void left_tick(struct px_session *s, int64_t now)
+{
+    if (now - s->left_at > LEAVE_US)
+        nt_close(s->net, true);
 }
 
 /* When in a span this session's turn is: they don't all come back at once. */
@@ -199,7 +227,7 @@
     if (s->relay || !px_cut_off(p, now) || !rests(s) || s->opened_at > p->leased_at)
         return;
     if (now - p->leased_at - PX_CUT_OFF_US > turn(s, CUT_OFF_CLOSE_OVER_US))
-        nt_close(s->net, false);
+        end_resting(s, now);
 }
 
 /* Another node holds the group now: the session's next life is there. */
@@ -209,24 +237,33 @@
     if (s->relay || !g || g->held || !rests(s))
         return;
     if (now - g->let_go_at > turn(s, CUT_OFF_CLOSE_OVER_US))
-        nt_close(s->net, false);
+        end_resting(s, now);
 }
 
 static void stop_tick(struct px_session *s, int64_t now)
 {
     struct px_proxy *p = s->p;
-    if (!p->stopping || !rests(s))
+    if (!p->stopping || s->left_at)
+        return;
+    bool late = now - p->stop_began > p->cfg.grace_us * STOP_LEAVE_PERCENT / 100;
+    if (late && s->came_relayed && s->stage == PX_S_REST && s->in.len == 0)
+        end_resting(s, now);
+    if (!rests(s))
         return;
     int64_t from = p->cfg.grace_us * STOP_CLOSE_FROM_PERCENT / 100;
     int64_t mine = turn(s, p->cfg.grace_us * STOP_CLOSE_OVER_PERCENT / 100);
     if (now - p->stop_began > from + mine)
-        nt_close(s->net, false);
+        end_resting(s, now);
 }
 
 void px_sessions_slow_tick(struct px_proxy *p, int64_t now)
 {
     for (struct px_session *s = p->sessions, *next; s; s = next) {
         next = s->next;
+        if (s->left_at) {
+            left_tick(s, now);
+            continue;
+        }
         open_tick(s, now);
         txn_tick(s, now);
         stop_tick(s, now);
--- a/proxy/wire.c
+++ b/proxy/wire.c
@@ -32,41 +32,16 @@
     in->len -= n;
 }
 
-/* How many bytes stand behind the last line end of the first `len`. */
-static size_t behind_end(const char *data, size_t len)
+size_t px_whole_lines(const struct sr_buf *in, struct sr_str *last)
 {
-    size_t n = 0;
-    while (n < len && data[len - 1 - n] != '\n')
-        n++;
-    return n;
-}
-
-static void keep(struct px_tail *t, const char *data, size_t len)
-{
-    size_t room = sizeof(t->part) - t->len;
-    size_t n = len < room ? len : room;
-    memcpy(t->part + t->len, data, n);
-    t->len += n;
-}
-
-bool px_tail_add(struct px_tail *t, const char *data, size_t len, struct sr_str *line)
-{
-    size_t rest = behind_end(data, len);
-    if (rest > 0 || len == 0) {
-        if (rest < len)
-            t->len = 0;
-        keep(t, data + len - rest, rest);
-        return false;
-    }
-    size_t last = behind_end(data, len - 1); /* of the line that ends here */
-    if (last == len - 1) {                   /* it began in an earlier piece */
-        keep(t, data, last);
-        *line = (struct sr_str){t->part, t->len};
-    } else {
-        *line = (struct sr_str){data + len - 1 - last, last};
-    }
-    t->len = 0;
-    if (line->len > 0 && line->p[line->len - 1] == '\r')
-        line->len--;
-    return true;
+    size_t end = in->len;
+    while (end > 0 && in->p[end - 1] != '\n')
+        end--;
+    if (end == 0)
+        return 0;
+    size_t from = end - 1;
+    while (from > 0 && in->p[from - 1] != '\n')
+        from--;
+    px_next_line(in, &from, last);
+    return end;
 }
--- a/proxy/wire.h
+++ b/proxy/wire.h
@@ -3,7 +3,8 @@
  *
  * On a session: PX_OPEN is answered by PX_READY, or by PX_FAILURE and a close. Each
  * PX_STATEMENT is answered by any PX_ROW, then PX_DONE or PX_FAILURE, then PX_READY. PX_END is
- * the end. */
+ * the end; between entry nodes, from the one that serves a relayed session, it says that
+ * nothing that came after its last PX_READY was or will be run. */
 #ifndef FL_PROXY_WIRE_H
 #define FL_PROXY_WIRE_H
 
@@ -105,15 +106,8 @@
 /* Drop the first `n` bytes, which were read. */
 void px_consume(struct sr_buf *in, size_t n);
 
-/* The last line of a stream that is only passed on: it comes in pieces that may end anywhere.
- */
-struct px_tail {
-    size_t len;
-    char part[128]; /* of the line that is not whole yet; longer ones are cut */
-};
-
-/* More of the stream. Whether it ends with a whole line now, which *line then is; it points
- * into `data` or `t`. */
-bool px_tail_add(struct px_tail *t, const char *data, size_t len, struct sr_str *line);
+/* How many bytes of `in` are whole lines, and the last of them, if any; it points into `in`.
+ * For a stream that is only passed on: its pieces may end anywhere. */
+size_t px_whole_lines(const struct sr_buf *in, struct sr_str *last);
 
 #endif
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -26,6 +26,7 @@
     engine_suite();
     net_suite();
     pace_suite();
+    relay_suite();
     proxy_suite();
     takeover_suite();
     member_suite();
--- a/tests/unit/test_lines.c
+++ b/tests/unit/test_lines.c
@@ -236,25 +236,32 @@
     size_t n = sizeof(stream) - 1;
     for (size_t a = 0; a <= n; a++) {
         for (size_t b = a; b <= n; b++) {
-            struct px_tail t = {0};
+            struct sr_buf in = {0};
             struct sr_str line = {0};
-            bool whole = false;
-            size_t cut[4] = {0, a, b, n};
+            size_t cut[4] = {0, a, b, n}, whole = 0;
             for (int k = 0; k < 3; k++) {
-                if (cut[k + 1] > cut[k])
-                    whole = px_tail_add(&t, stream + cut[k], cut[k + 1] - cut[k], &line);
+                if (cut[k + 1] == cut[k])
+                    continue;
+                px_consume(&in, whole); /* passed on already */
+                sr_buf_add(&in, stream + cut[k], cut[k + 1] - cut[k]);
+                whole = px_whole_lines(&in, &line);
             }
-            CU_ASSERT_TRUE(whole && is(line, "READY I -"));
+            CU_ASSERT_TRUE(whole == in.len && is(line, "READY I -"));
+            sr_buf_free(&in);
         }
     }
-    struct px_tail t = {0};
+    struct sr_buf in = {0};
     struct sr_str line;
     char longer[400];
     memset(longer, 'x', sizeof(longer));
-    CU_ASSERT_FALSE(px_tail_add(&t, longer, sizeof(longer), &line));
-    CU_ASSERT_FALSE(px_tail_add(&t, longer, sizeof(longer), &line));
-    CU_ASSERT_TRUE(px_tail_add(&t, "\n", 1, &line));
-    CU_ASSERT_TRUE(px_tail_add(&t, "\r\n", 2, &line) && line.len == 0);
+    CU_ASSERT_EQUAL(px_whole_lines(&in, &line), 0);
+    sr_buf_add(&in, longer, sizeof(longer));
+    CU_ASSERT_EQUAL(px_whole_lines(&in, &line), 0);
+    sr_buf_add(&in, "\n", 1);
+    CU_ASSERT_TRUE(px_whole_lines(&in, &line) == 401 && line.len == 400);
+    sr_buf_add(&in, "\r\nREADY", 7);
+    CU_ASSERT_TRUE(px_whole_lines(&in, &line) == 403 && line.len == 0);
+    sr_buf_free(&in);
 }
 
 void lines_suite(void)
--- /dev/null
+++ b/tests/unit/test_relay.c
@@ -0,0 +1,253 @@
+/* The relay of sessions between entry nodes: what a caller gets when the node that serves its
+ * session ends it, as a fault table. Real sockets on loopback; the other node is a stand-in. */
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "misc/clock.h"
+#include "platform/platform.h"
+#include "proxy/proxy.h"
+#include "task/net.h"
+#include "tests/unit/unit.h"
+
+enum { NODES = 5 }; /* more than hold the group, so that one has to relay */
+
+static const char document[] =
+    "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"db\",\"pathPrefix\":\"/\",\"kind\":"
+    "\"primary\",\"timeoutMs\":1000,\"latencySloMs\":200,\"priority\":1,\"service\":\"g\","
+    "\"maxAttempts\":2}],\"services\":[{\"name\":\"g\",\"healthPath\":\"/\",\"maxConns\":1,"
+    "\"syncReplicas\":0}],\"limits\":{\"txIdleMs\":3000}}";
+
+/* What the other node does with the caller's question, and what the caller is told. */
+static const struct fault {
+    const char *what, *answer, *told;
+    bool refused;
+} faults[] = {
+    {"it answers, then ends the session at rest", "COMPLETE x\r\nREADY I -\r\nTERMINATE\r\n",
+     "READY I -\r\nCOMPLETE x\r\nREADY I -\r\n", false},
+    {"it had ended the session before the question came", "TERMINATE\r\n",
+     "READY I -\r\nERROR BUSY ", true},
+    {"the same in two pieces", "TERMI|NATE\r\n", "READY I -\r\nERROR BUSY ", true},
+    {"it ended the session in a failed transaction", "COMPLETE x\r\nREADY E -\r\nTERMINATE\r\n",
+     "READY I -\r\nCOMPLETE x\r\nREADY E -\r\n", false},
+    {"an answer in pieces, all of it passed on", "DATAROW y\r\nCOMP|LETE x\r\nREADY I -\r\n",
+     "READY I -\r\nDATAROW y\r\nCOMPLETE x\r\nREADY I -\r\n", false},
+};
+
+static struct world {
+    struct nt_loop *loop;
+    const struct fault *f;
+    struct nt_conn *there; /* the relayed session at the other node */
+    struct sr_buf got;     /* by the caller */
+    bool asked, closed;
+    struct nt_timer rest; /* sends the second piece */
+    struct nt_timer late;
+} w;
+
+static void stop(void *ud)
+{
+    (void)ud;
+    nt_stop(w.loop);
+}
+
+/* ---- the other node ---- */
+
+static void send_second(void *ud)
+{
+    const char *bar = strchr(w.f->answer, '|');
+    (void)ud;
+    if (w.there)
+        nt_send(w.there, bar + 1, strlen(bar + 1));
+}
+
+static void send_answer(struct nt_conn *c)
+{
+    const char *bar = strchr(w.f->answer, '|');
+    nt_send(c, w.f->answer, bar ? (size_t)(bar - w.f->answer) : strlen(w.f->answer));
+    if (bar)
+        nt_timer_set(w.loop, &w.rest, CK_MS(20), send_second, NULL);
+}
+
+static void there_message(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    (void)ud;
+    if (len > 7 && memcmp(data, "STARTUP", 7) == 0)
+        nt_send(c, "READY I -\r\n", 11);
+    else
+        send_answer(c);
+}
+
+static void there_open(struct nt_conn *c, void *ud)
+{
+    (void)c;
+    (void)ud;
+}
+
+static void there_close(struct nt_conn *c, void *ud, bool opened, bool refused)
+{
+    (void)c;
+    (void)ud;
+    (void)opened;
+    (void)refused;
+    w.there = NULL;
+}
+
+static const struct nt_ops there_ops = {there_open, there_message, there_close};
+
+static void *there_accept(struct nt_conn *c, void *ud)
+{
+    (void)ud;
+    w.there = c;
+    return &w;
+}
+
+/* ---- the caller ---- */
+
+static void caller_open(struct nt_conn *c, void *ud)
+{
+    (void)ud;
+    nt_send(c, "STARTUP db me\r\n", 15);
+}
+
+static void caller_message(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    (void)ud;
+    sr_buf_add(&w.got, data, len);
+    if (!w.asked)
+        nt_send(c, "QUERY q1 READ x\r\n", 17);
+    else if (!strstr(w.f->answer, "TERM") && w.got.len >= strlen(w.f->told))
+        nt_stop(w.loop); /* nothing is closed in this case */
+    w.asked = true;
+}
+
+static void caller_close(struct nt_conn *c, void *ud, bool opened, bool refused)
+{
+    (void)c;
+    (void)ud;
+    (void)opened;
+    (void)refused;
+    w.closed = true;
+    nt_stop(w.loop);
+}
+
+static const struct nt_ops caller_ops = {caller_open, caller_message, caller_close};
+
+/* ---- the proxy between them ---- */
+
+static int free_port(void)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET};
+    socklen_t n = sizeof(a);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CU_ASSERT_EQUAL(bind(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+    getsockname(fd, (struct sockaddr *)&a, &n);
+    close(fd);
+    return ntohs(a.sin_port);
+}
+
+static bool leased(void *ud)
+{
+    (void)ud;
+    return true;
+}
+
+static void suspect(void *ud, const char *inst, enum wr_health health)
+{
+    (void)ud;
+    (void)inst;
+    (void)health;
+}
+
+/* All nodes but ours are the stand-in; ours is the first that does not hold the group. */
+static const char *fill_nodes(struct ho_node nodes[NODES], int port)
+{
+    int holders[HO_MAX_HOLDERS];
+    for (int i = 0; i < NODES; i++) {
+        nodes[i] = (struct ho_node){.domain = "z", .ip = "127.0.0.1", .port = port};
+        snprintf(nodes[i].name, sizeof(nodes[i].name), "n%d", i);
+    }
+    ho_prepare(nodes, NODES);
+    int k = ho_pick(nodes, NODES, "g", 3, holders);
+    for (int i = 0; i < NODES; i++) {
+        bool holds = false;
+        for (int h = 0; h < k; h++)
+            holds = holds || holders[h] == i;
+        if (!holds)
+            return nodes[i].name;
+    }
+    return NULL;
+}
+
+static struct px_proxy *make_proxy(const char *name, int port)
+{
+    static struct vw_group group;
+    struct er_err err = {0};
+    struct px_config cfg = {.name = name,
+                            .domain = "z",
+                            .ip = "127.0.0.1",
+                            .port = port,
+                            .max_sessions = 8,
+                            .grace_us = CK_SEC(1),
+                            .seed = 1,
+                            .codec = &pf_lines,
+                            .documents = &pf_documents,
+                            .host = {leased, suspect, NULL}};
+    struct px_proxy *p = px_create(w.loop, &cfg, &err);
+    struct vw_view view = {.generation = 1, .n = 1, .groups = &group};
+    group = (struct vw_group){.name = "g", .primary = -1};
+    view.doc = (struct vw_document){1, strdup(document), strlen(document)};
+    px_view(p, &view);
+    free(view.doc.text);
+    return p;
+}
+
+static void play(const struct fault *f)
+{
+    struct er_err err = {0};
+    struct ho_node nodes[NODES];
+    w = (struct world){.loop = nt_loop_create(64, &err), .f = f};
+    int there = free_port();
+    struct nt_listen l = {.ip = "127.0.0.1",
+                          .port = there,
+                          .stream = true,
+                          .ops = &there_ops,
+                          .accept = there_accept};
+    CU_ASSERT_PTR_NOT_NULL(nt_listen(w.loop, &l, &err));
+    const char *name = fill_nodes(nodes, there);
+    int here = free_port();
+    struct px_proxy *p = make_proxy(name, here);
+    px_nodes(p, nodes, NODES);
+    nt_connect_stream(w.loop, "127.0.0.1", here, &caller_ops, &w);
+    nt_timer_set(w.loop, &w.late, CK_SEC(2), stop, NULL);
+    nt_run(w.loop);
+    nt_timer_cancel(&w.late);
+    nt_timer_cancel(&w.rest);
+}
+
+/* Promise attacked: a planned stop of the node that serves a session loses no question that
+ * another node has read: it is answered, or refused as not run, before the connection ends. */
+static void ends_of_relayed_sessions_lose_no_question(void)
+{
+    for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+        const struct fault *f = &faults[i];
+        play(f);
+        bool ends = strstr(f->answer, "TERM") != NULL;
+        bool told =
+            w.got.len >= strlen(f->told) && memcmp(w.got.p, f->told, strlen(f->told)) == 0;
+        bool refused = memmem(w.got.p, w.got.len, "ERROR", 5);
+        bool clean = !memmem(w.got.p, w.got.len, "TERMI", 5) && (refused == f->refused);
+        if (!told || !clean || w.closed != ends)
+            CU_FAIL(f->what);
+        sr_buf_free(&w.got);
+    }
+}
+
+void relay_suite(void)
+{
+    CU_pSuite s = CU_add_suite("relay", NULL, NULL);
+    TEST(s, ends_of_relayed_sessions_lose_no_question);
+}
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -26,6 +26,7 @@
 void engine_suite(void);
 void net_suite(void);
 void pace_suite(void);
+void relay_suite(void);
 void proxy_suite(void);
 void takeover_suite(void);
 void member_suite(void);
