control, proxy: a stopping node gives its groups to other holders at once

Cause: a node that stops stayed in the list of holders until it gave its lease back at three quarters of its time. A session that is busy was looked at every 50 ms only, and hardly ever found at rest. Change: renewals of a stopping node say that it leaves; it is not listed any more, other nodes take its groups, its relayed sessions go over within a second. It refuses new relayed sessions before the greeting, so that another holder is asked, and a session whose turn has come ends with its answer.

--- a/control/control.h
+++ b/control/control.h
@@ -103,6 +103,7 @@
     int64_t sent_at;        /* when */
     bool shares_told;       /* the node knows all its shares but for those that changed since */
     uint64_t nodes_hash;
+    bool leaving; /* entry: it stops soon, and is not listed any more */
 };
 
 /* Our connection to another control node; everything we send it goes here. */
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -133,7 +133,7 @@
 /* An entry node that others are told of: it has a lease, or had one until a moment ago. */
 static bool is_listed(const struct ct_conn *c, int64_t now)
 {
-    bool entry = c->greeted && c->role == WR_ROLE_ENTRY && c->port;
+    bool entry = c->greeted && c->role == WR_ROLE_ENTRY && c->port && !c->leaving;
     return entry && ls_node_live(&c->node->giver, c->id, now - NODES_KEPT_US);
 }
 
@@ -144,7 +144,8 @@
     if (now - n->leading_since >= CK_MS(n->s->lease_ms))
         return true;
     for (const struct ct_conn *c = n->conns; c; c = c->next) {
-        if (c->greeted && c->role == WR_ROLE_ENTRY && !is_listed(c, now))
+        bool waited_for = c->greeted && c->role == WR_ROLE_ENTRY && !c->leaving;
+        if (waited_for && !is_listed(c, now))
             return false;
     }
     return true;
@@ -236,6 +237,7 @@
         ls_released(&n->giver, c->id);
     else
         n->c.grants++;
+    c->leaving = r->leaving;
     ls_acked(&n->giver, c->id, r->generation);
     note_generation(c, r->generation, now);
     send_view(c, r->generation);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -315,6 +315,7 @@
     en_callers_notice(n);
     if (n->px)
         px_stop(n->px, ck_now());
+    n->next_renew = ck_now(); /* others are to hold its groups from now on */
     tl_add(n->tl, TL_STOP, "", 0, "planned stop, %d requests to finish", n->n_reqs);
     FL_INFO(&n->log, "stopping: %d requests to finish", n->n_reqs);
 }
--- a/entry/link.c
+++ b/entry/link.c
@@ -82,7 +82,8 @@
                                 .stopping = stopping,
                                 .n = k,
                                 .shares = shares,
-                                .shares_seq = n->shares_seq};
+                                .shares_seq = n->shares_seq,
+                                .leaving = n->stopping};
     send_msg(l, &m);
 }
 
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -43,6 +43,10 @@
         return;
     }
     s->came_relayed = px_is_relayed(m);
+    if (s->came_relayed && s->p->stopping) {
+        nt_close(s->net, true); /* before a greeting: another holder is asked */
+        return;
+    }
     try_open(s);
 }
 
@@ -60,6 +64,8 @@
         px_fail_and_close(s, ER_BAD_INPUT, "not a message that is expected here");
 }
 
+static void leave_if_due(struct px_session *s, int64_t now);
+
 void px_session_go_on(struct px_session *s)
 {
     struct px_msg m;
@@ -80,6 +86,8 @@
         else
             nt_pause_reading(s->net, full);
     }
+    if (s->net)
+        leave_if_due(s, ck_now()); /* a busy session rests for moments only */
 }
 
 static void on_open(struct nt_conn *net, void *ud)
@@ -236,6 +244,8 @@
     const struct px_group *g = px_group_of(s);
     if (s->relay || !g || g->held || !rests(s))
         return;
+    if (s->p->stopping && !s->came_relayed)
+        return; /* the balancer would send its caller here again: stop_tick */
     if (now - g->let_go_at > turn(s, CUT_OFF_CLOSE_OVER_US))
         end_resting(s, now);
 }
@@ -256,6 +266,16 @@
         end_resting(s, now);
 }
 
+/* Its place is elsewhere: here, or this node, ends. */
+static void leave_if_due(struct px_session *s, int64_t now)
+{
+    if (s->left_at)
+        return;
+    stop_tick(s, now);
+    cut_off_tick(s, now);
+    moved_tick(s, now);
+}
+
 void px_sessions_slow_tick(struct px_proxy *p, int64_t now)
 {
     for (struct px_session *s = p->sessions, *next; s; s = next) {
@@ -266,9 +286,7 @@
         }
         open_tick(s, now);
         txn_tick(s, now);
-        stop_tick(s, now);
-        cut_off_tick(s, now);
-        moved_tick(s, now);
+        leave_if_due(s, now);
         px_relay_tick(s, now);
     }
 }
--- a/tests/process/t_relays.sh
+++ b/tests/process/t_relays.sh
@@ -53,6 +53,17 @@
 t_say "a holder is stopped: nothing in doubt"
 se_load 6 22 "${P[@]}"
 sleep 1; se_kill "e${H[0]}" TERM
+# Whether the others know five nodes while the stopping one still runs.
+left_early() {
+    local i
+    kill -0 "${SE_PID[e${H[0]}]}" 2> /dev/null || return 1
+    for i in 0 1 2 3 4 5; do
+        [ $i = "${H[0]}" ] && continue
+        curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + i))/metrics" | grep -q '^ferry_session_nodes 5$' || return 1
+    done
+    kill -0 "${SE_PID[e${H[0]}]}" 2> /dev/null
+}
+t_check "the others do without it before it has stopped" t_until left_early
 se_load_end
 t_check "no answer in doubt" [ "$(se_count doubt)" = 0 ]
 se_node entry "${H[0]}"
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -213,6 +213,7 @@
     m->stopping = get_b(r);
     m->shares = get_shares(r, &m->n);
     m->shares_seq = get_u(r);
+    m->leaving = get_b(r); /* mostly left out */
 }
 
 static void get_grant(struct rd *r, struct wr_grant *g)
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -134,13 +134,15 @@
 
 static void put_renew(msgpack_packer *pk, const struct wr_renew *r)
 {
-    head(pk, WR_RENEW, 6);
+    head(pk, WR_RENEW, r->leaving ? 7 : 6);
     put_u(pk, r->seq);
     put_u(pk, r->generation);
     put_u(pk, r->hlc);
     put_b(pk, r->stopping);
     put_shares(pk, r->shares, r->n);
     put_u(pk, r->shares_seq);
+    if (r->leaving)
+        put_b(pk, true);
 }
 
 static void put_grant(msgpack_packer *pk, const struct wr_grant *g)
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -65,6 +65,8 @@
     uint32_t n;
     struct wr_share *shares;
     uint64_t shares_seq; /* of the last WR_SHARES applied */
+    bool leaving; /* it stops soon, keeps its lease till then, and is to hold no group any more
+                   */
 };
 
 struct wr_grant {
