proxy: a full instance is asked for a connection again after 60 ms while lost VMs may fill it

Cause: after a loss of all power an instance keeps the dark connections for 3 s and refuses new ones. Each node asked again every 400 ms, so some came in 0.3 s after there was room. Change: 60 ms for the first 3.5 s in which an instance refuses, 400 ms after.

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -5,10 +5,15 @@
 #include "proxy/priv.h"
 
 enum {
-    OPEN_US = 1000000,    /* an instance that does not greet by then is tried anew */
-    ORPHAN_US = 400000,   /* an answer that is later is taken for lost: its connection goes */
-    RETRY_US = 100000,    /* after a connect that failed */
-    TOO_MANY_US = 400000, /* the instance has no connection free: others must close some */
+    OPEN_US = 1000000,  /* an instance that does not greet by then is tried anew */
+    ORPHAN_US = 400000, /* an answer that is later is taken for lost: its connection goes */
+    RETRY_US = 100000,  /* after a connect that failed */
+    /* The instance has no connection free: others must close some. Soon asked again while dark
+     * connections of lost VMs may be what fills it: it drops them within 3 s (users' pages),
+     * and what is free then should not lie idle. */
+    TOO_MANY_US = 400000,
+    TOO_MANY_SOON_US = 60000,
+    DARK_US = 3500000,
 };
 
 /* ---- sending ---- */
@@ -210,6 +215,7 @@
 {
     struct px_inst *in = c->inst;
     c->phase = PX_C_IDLE;
+    in->full_since = 0;
     in->p->c.opened++;
     px_inst_pump(in);
 }
@@ -298,8 +304,14 @@
 static void open_refused(struct px_conn *c, const struct px_msg *m)
 {
     struct px_inst *in = c->inst;
+    int64_t now = ck_now();
     bool full = m->error == ER_TOO_MANY;
-    in->next_open = ck_now() + (full ? TOO_MANY_US : RETRY_US);
+    if (!full)
+        in->full_since = 0;
+    else if (!in->full_since)
+        in->full_since = now;
+    bool soon = full && now - in->full_since < DARK_US;
+    in->next_open = now + (soon ? TOO_MANY_SOON_US : full ? TOO_MANY_US : RETRY_US);
     FL_INFO(&in->p->log, "instance %s refuses a connection: %s %.*s", in->cfg.id,
             er_name(m->error), (int)m->detail.len, m->detail.p);
     px_conn_close(c);
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -73,11 +73,12 @@
     /* connections */
     struct px_conn *conns;
     int n_conns;
-    int share;         /* how many this node may have */
-    int busy;          /* connections that are neither opening nor idle */
-    int named;         /* renewals that name it still */
-    int peak;          /* the most that were busy or waited for, lately */
-    int64_t next_open; /* no new connection before */
+    int share;          /* how many this node may have */
+    int busy;           /* connections that are neither opening nor idle */
+    int named;          /* renewals that name it still */
+    int peak;           /* the most that were busy or waited for, lately */
+    int64_t next_open;  /* no new connection before */
+    int64_t full_since; /* it has refused connections as too many since; 0: it has not */
 
     /* sessions that wait for one, in the order in which they are served */
     struct px_session *waiters;
