proxy, control: a node without connections relays new sessions to those that connect first

Cause: for 1 to 2 s after a loss of all power an instance has room for its reserve only. Change: three nodes a group, one in each failure domain, connect first; a node that is not among them and has no connection to the group's primary relays new sessions to them, until it has some.

--- a/control/control.c
+++ b/control/control.c
@@ -154,6 +154,7 @@
     ct_peers_tick(n, now);
     ct_watch_tick(n, now);
     force_tick(n, now);
+    ct_nodes_tick(n, now);
     ct_intents_tick(n, now);
     ct_platform_tick(n, now);
     ct_members_tick(n, now);
--- a/control/control.h
+++ b/control/control.h
@@ -323,6 +323,9 @@
 
 /* members.c: voters are added and replaced without an operator */
 void ct_members_tick(struct ct_node *n, int64_t now);
+/* Tell entry nodes which others there are, if that is news: when many start together it is
+ * known some 100 ms sooner than by their next renewals. */
+void ct_nodes_tick(struct ct_node *n, int64_t now);
 /* Tell whoever is connected where the control nodes are, if that is news. */
 void ct_tell_controls(struct ct_conn *c);
 
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -183,6 +183,17 @@
     ct_send_conn(to, &m);
 }
 
+void ct_nodes_tick(struct ct_node *n, int64_t now)
+{
+    bool tells = n->leading && (n->s->holders || n->s->registers);
+    if (!tells || now - n->nodes_at < NODES_EVERY_US)
+        return;
+    for (struct ct_conn *c = n->conns; c; c = c->next) {
+        if (c->greeted && c->role == WR_ROLE_ENTRY)
+            send_nodes(c, now);
+    }
+}
+
 static void not_leader(struct ct_conn *c)
 {
     struct wr_msg m = {.type = WR_NOT_LEADER};
--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -216,6 +216,7 @@
     struct px_inst *in = c->inst;
     c->phase = PX_C_IDLE;
     in->full_since = 0;
+    in->wants_first = false;
     in->p->c.opened++;
     px_inst_pump(in);
 }
--- a/proxy/groups.c
+++ b/proxy/groups.c
@@ -156,6 +156,8 @@
     }
     FL_EVENT(&p->log, LG_INFO, "document_in_force", "document=%llu before=%llu routes=%d",
              (unsigned long long)c.version, (unsigned long long)p->catalog.version, c.n_routes);
+    if (!p->catalog.version)
+        p->configured_at = ck_now();
     cg_free(&p->catalog);
     p->catalog = c;
 }
--- a/proxy/holders.c
+++ b/proxy/holders.c
@@ -1,5 +1,11 @@
 /* Which entry nodes hold connections to a group's instances, where an instance accepts fewer
- * connections than there are nodes; sessions elsewhere are relayed to one of them (relay.c). */
+ * connections than there are nodes; sessions elsewhere are relayed to one of them (relay.c).
+ *
+ * Where all nodes hold a group, a few of them connect first. After all VMs have lost power an
+ * instance keeps their dark connections for seconds, and only its reserve is free: taken by
+ * whoever comes first it would serve the callers of a few nodes; taken by these few, one in
+ * each failure domain, it serves the sessions of all, which are relayed to them until the other
+ * nodes get connections of their own. */
 #include "proxy/priv.h"
 
 enum {
@@ -34,10 +40,11 @@
         struct px_group *g = p->groups[i];
         int out[HO_MAX_HOLDERS], k = holders_of(p, g), before = g->n_holders;
         bool held = g->held;
-        g->n_holders = k ? ho_pick(p->nodes, p->n_nodes, g->cfg.name, k, out) : 0;
+        g->n_holders = ho_pick(p->nodes, p->n_nodes, g->cfg.name, k ? k : LEAST_HOLDERS, out);
         for (int h = 0; h < g->n_holders; h++)
             g->holders[h] = (uint16_t)out[h];
-        g->held = k == 0 || holds(p, g);
+        g->first = holds(p, g);
+        g->held = k == 0 || g->first;
         if (held && !g->held)
             g->let_go_at = ck_now();
         if (held != g->held || before != g->n_holders)
@@ -47,6 +54,17 @@
     }
 }
 
+bool px_reaches(const struct px_group *g)
+{
+    if (g->cfg.primary < 0)
+        return true;
+    for (const struct px_conn *c = g->inst[g->cfg.primary]->conns; c; c = c->next) {
+        if (c->phase != PX_C_OPENING && !c->closing)
+            return true;
+    }
+    return false;
+}
+
 void px_nodes(struct px_proxy *p, const struct ho_node *nodes, int n)
 {
     p->nodes = sr_realloc(p->nodes, sizeof(*nodes) * (size_t)(n + 1));
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -13,6 +13,9 @@
     /* An instance that fails alone is reported after this. Origin: by then each of its group
      * has been asked often enough to tell. */
     ALONE_US = 1000000,
+    /* Where all nodes connect at once, those that relay for the others come first by this.
+     * Origin: leases of nodes that start together are granted within some 50 ms. */
+    FIRST_HEAD_US = 100000,
     /* A lagging replica is asked anew after 250 ms, if reads come. */
     BEHIND_GAP_US = 500000,
 };
@@ -34,6 +37,17 @@
     return in->n_conns < in->share && now >= in->next_open && !in->cfg.draining && !in->gone;
 }
 
+void px_inst_want_first(struct px_inst *in, int64_t now)
+{
+    if (in->n_conns > 0 || in->share == 0 || in->wants_first)
+        return;
+    in->wants_first = true;
+    if (!in->group->first && in->next_open < now + FIRST_HEAD_US)
+        in->next_open = now + FIRST_HEAD_US;
+    else if (px_inst_has_room(in, now))
+        px_conn_open(in);
+}
+
 static struct px_conn *idle_conn(const struct px_inst *in, const struct px_session *s)
 {
     struct px_conn *best = NULL;
@@ -281,6 +295,8 @@
     px_inst_pump(in);
     bool open = px_window_open(&in->window, px_inst_running(in), ck_now());
     open_for_waiters(in, open, now);
+    if (in->wants_first && in->n_conns == 0 && px_inst_has_room(in, now))
+        px_conn_open(in);
     /* One more than the share, to learn whether it is there: refused, it is. */
     bool ask = in->asks || quiet(in, now);
     in->asks = false;
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -78,6 +78,7 @@
     int named;          /* renewals that name it still */
     int peak;           /* the most that were busy or waited for, lately */
     int64_t next_open;  /* no new connection before */
+    bool wants_first;   /* a connection is to be opened before anybody waits for it */
     int64_t full_since; /* it has refused connections as too many since; 0: it has not */
 
     /* sessions that wait for one, in the order in which they are served */
@@ -109,10 +110,12 @@
     struct px_inst *inst[VW_MAX_INSTANCES]; /* indexed like cfg.inst */
     struct px_pace pace;
     struct rt_group rt; /* samples of the primary's position; the rest is not used */
-    bool held; /* this node has connections to its instances; else sessions go to a holder */
+    bool held;  /* this node has connections to its instances; else sessions go to a holder */
+    bool first; /* this node is among `holders` */
     int64_t let_go_at; /* this node ceased to hold it */
+    /* In the proxy's nodes: those that hold it, or where all do, those that connect first. */
     int n_holders;
-    uint16_t holders[HO_MAX_HOLDERS]; /* in the proxy's nodes; none: all nodes hold it */
+    uint16_t holders[HO_MAX_HOLDERS];
     struct px_relief relief;
     int64_t refused_at;      /* a statement waited for its primary in vain */
     int64_t term_since;      /* this node acts on its term */
@@ -214,6 +217,7 @@
     struct px_group **groups; /* sorted by name */
     int n_nodes;
     struct ho_node *nodes; /* entry nodes with a lease, prepared */
+    int64_t configured_at; /* the first document came */
     struct px_inst *gone;  /* not in the view, with connections still */
     bool news;             /* instances came since px_has_news */
     int64_t leased_at;     /* when the lease was live last */
@@ -275,7 +279,8 @@
 bool px_cut_off(const struct px_proxy *p, int64_t now);
 
 /* relay.c: sessions that another node serves */
-/* Whether another node holds the session's group, and may be asked to serve it. */
+/* Whether another node holds the session's group, or probably has connections to it while this
+ * node has none, and may be asked to serve it. */
 bool px_should_relay(const struct px_session *s);
 void px_relay_start(struct px_session *s);
 /* What the caller of a relayed session says. */
@@ -291,6 +296,8 @@
 /* holders.c: which nodes hold connections to which groups */
 /* The view, the document or the nodes changed. */
 void px_holders_changed(struct px_proxy *p);
+/* Whether this node has an open connection to the group's primary, as far as there is one. */
+bool px_reaches(const struct px_group *g);
 
 /* work.c: one statement on its way */
 enum { PX_PARK_US = 20000 }; /* between two looks at what a parked statement waits for */
@@ -347,6 +354,8 @@
 void px_inst_tick(struct px_inst *in, int64_t now);
 /* Whether a statement may go there: it is there as far as is known, and stays. */
 bool px_inst_usable(const struct px_inst *in, int64_t now);
+/* The node got a share: its first connection is opened before anybody waits for it. */
+void px_inst_want_first(struct px_inst *in, int64_t now);
 /* Whether one more connection may be opened. */
 bool px_inst_has_room(const struct px_inst *in, int64_t now);
 /* Tell the entry role that the primary does not answer, or refuses; now and then only. */
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -82,9 +82,7 @@
     if (!in)
         return;
     in->share = connections;
-    /* The first is opened before anybody waits for it. */
-    if (in->n_conns == 0 && px_inst_has_room(in, ck_now()))
-        px_conn_open(in);
+    px_inst_want_first(in, ck_now());
 }
 
 void px_lease_lost(struct px_proxy *p)
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -86,7 +86,7 @@
     const struct px_group *g = wanted_group(s);
     if (!g || s->p->n_nodes < 2 || s->came_relayed)
         return false;
-    return !g->held;
+    return !g->held || (!g->first && !px_reaches(g));
 }
 
 /* ---- the other node ---- */
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -15,26 +15,30 @@
 
 enum { NODES = 5 }; /* more than hold the group, so that one has to relay */
 
-static const char document[] =
+static const char document_of[] =
     "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"db\",\"pathPrefix\":\"/\",\"kind\":"
     "\"primary\",\"timeoutMs\":1000,\"latencySloMs\":200,\"priority\":1,\"service\":\"g\","
-    "\"maxAttempts\":2}],\"services\":[{\"name\":\"g\",\"healthPath\":\"/\",\"maxConns\":1,"
+    "\"maxAttempts\":2}],\"services\":[{\"name\":\"g\",\"healthPath\":\"/\",\"maxConns\":%d,"
     "\"syncReplicas\":0}],\"limits\":{\"txIdleMs\":3000}}";
 
 /* What the other node does with the caller's question, and what the caller is told. */
 static const struct fault {
     const char *what, *answer, *told;
     bool refused;
+    /* All nodes hold the group, and ours, which does not connect first, reaches no instance. */
+    bool all_hold;
 } faults[] = {
     {"it answers, then ends the session at rest", "COMPLETE x\r\nREADY I -\r\nTERMINATE\r\n",
-     "READY I -\r\nCOMPLETE x\r\nREADY I -\r\n", false},
+     "READY I -\r\nCOMPLETE x\r\nREADY I -\r\n", false, false},
     {"it had ended the session before the question came", "TERMINATE\r\n",
-     "READY I -\r\nERROR BUSY ", true},
-    {"the same in two pieces", "TERMI|NATE\r\n", "READY I -\r\nERROR BUSY ", true},
+     "READY I -\r\nERROR BUSY ", true, false},
+    {"the same in two pieces", "TERMI|NATE\r\n", "READY I -\r\nERROR BUSY ", true, false},
     {"it ended the session in a failed transaction", "COMPLETE x\r\nREADY E -\r\nTERMINATE\r\n",
-     "READY I -\r\nCOMPLETE x\r\nREADY E -\r\n", false},
+     "READY I -\r\nCOMPLETE x\r\nREADY E -\r\n", false, false},
     {"an answer in pieces, all of it passed on", "DATAROW y\r\nCOMP|LETE x\r\nREADY I -\r\n",
-     "READY I -\r\nDATAROW y\r\nCOMPLETE x\r\nREADY I -\r\n", false},
+     "READY I -\r\nDATAROW y\r\nCOMPLETE x\r\nREADY I -\r\n", false, false},
+    {"all nodes hold the group, but this one has no connection to its primary",
+     "COMPLETE x\r\nREADY I -\r\n", "READY I -\r\nCOMPLETE x\r\nREADY I -\r\n", false, true},
 };
 
 static struct world {
@@ -185,6 +189,7 @@
 static struct px_proxy *make_proxy(const char *name, int port)
 {
     static struct vw_group group;
+    char document[sizeof(document_of) + 8];
     struct er_err err = {0};
     struct px_config cfg = {.name = name,
                             .domain = "z",
@@ -198,7 +203,10 @@
                             .host = {leased, suspect, NULL}};
     struct px_proxy *p = px_create(w.loop, &cfg, &err);
     struct vw_view view = {.generation = 1, .n = 1, .groups = &group};
-    group = (struct vw_group){.name = "g", .primary = -1};
+    group = (struct vw_group){.name = "g", .term = 1, .n = 1};
+    group.inst[0] = (struct vw_instance){.id = "i", .ip = "127.0.0.1", .domain = "z"};
+    group.inst[0].port = free_port(); /* nobody is there */
+    snprintf(document, sizeof(document), document_of, w.f->all_hold ? 25 : 1);
     view.doc = (struct vw_document){1, strdup(document), strlen(document)};
     px_view(p, &view);
     free(view.doc.text);
