--- a/bench/yardstick.sh
+++ b/bench/yardstick.sh
@@ -3,6 +3,7 @@
 #
 #   bench/yardstick.sh play BENCH OUT SITE DAYS SEEDS [WHY]   in the tree it stands in; DAYS and SEEDS are lists with commas
 #   bench/yardstick.sh show OUT                               mean, spread, worst windows, worst class, prices, a line a day
+#   bench/yardstick.sh windows OUT                            the two-second windows that lose most, means over the seeds
 #   bench/yardstick.sh compare OUT-A OUT-B                    B less A, paired by day and seed, with its standard error
 #
 # BENCH is the bench's program, SITE a site file of it. OUT is a folder: one report a play. JOBS (8) days are played at once;
@@ -64,6 +65,34 @@
     prices "$1"
 }
 
+# A line a window that loses a hundredth or more of all that is lost, in order of time.
+windows()
+{
+    for f in "$1"/*.txt; do
+        awk -v key="$(basename "$f" .txt)" '
+            BEGIN { sub(/\.[^.]*$/, "", key) }
+            /^from second/ { on = 1; next }
+            on && NF < 9 { on = 0 }
+            on { print key, $1, $2, $3, $4, $5, $6, $2 * (1 - $8) }' "$f"
+    done | awk '
+        {
+            k = $1 " " $2; if (!(k in n)) order[++m] = k
+            n[k]++; for (i = 3; i <= 8; i++) s[k, i] += $i
+            asked += $3; lost += $8
+        }
+        END {
+            printf "lost in all %.4f of what was asked\n%-28s %6s %7s %6s %6s %8s %7s %7s\n", lost / asked, "day", "second",
+                "asked", "in time", "late", "refused", "failed", "share"
+            for (j = 1; j <= m; j++) {
+                k = order[j]; if (s[k, 8] < lost / 100) continue
+                split(k, part, " "); sum += s[k, 8]
+                printf "%-28s %6d %7.0f %6.2f %6.2f %8.2f %7.2f %7.3f\n", part[1], part[2], s[k, 3] / n[k], s[k, 4] / s[k, 3],
+                    s[k, 5] / s[k, 3], s[k, 6] / s[k, 3], s[k, 7] / s[k, 3], s[k, 8] / lost
+            }
+            printf "these windows: %.2f of what is lost\n", sum / lost
+        }'
+}
+
 compare()
 {
     { table "$1" | sed 's/^/A\t/'; table "$2" | sed 's/^/B\t/'; } | awk -F'\t' '
@@ -89,6 +118,7 @@
 case ${1:-} in
 play) shift; [ $# -ge 5 ] || exit 2; play "$@" ;;
 show) shift; [ $# -eq 1 ] || exit 2; show "$@" ;;
+windows) shift; [ $# -eq 1 ] || exit 2; windows "$@" ;;
 compare) shift; [ $# -eq 2 ] || exit 2; compare "$@" ;;
-*) sed -n '2,9p' "$0" >&2; exit 2 ;;
+*) sed -n '2,10p' "$0" >&2; exit 2 ;;
 esac
