proxy: a node that is cut off refuses at once what needs control

Cause: a node without a lease for 0.3 s held each such statement for another 150 ms before it sent its caller elsewhere, more than the whole aim of the shortest operations. Change: it is refused at once, to be tried at another node.

--- a/proxy/work.c
+++ b/proxy/work.c
@@ -7,9 +7,6 @@
      * a refusal then still leaves its caller time to try another node. */
     WAIT_PERCENT = 70,
     LEAST_WAIT_US = 30000,
-    /* A node that is cut off lets a statement wait so long for it to end, then its caller is
-     * better served elsewhere. */
-    CUT_OFF_PARK_US = 150000,
     MOVE_US = 20000, /* waiting at an instance for longer, a read may move to another */
     /* A read without an answer is asked of another instance after this share of its aim, but
      * not before a few times what a statement takes there. */
@@ -212,9 +209,8 @@
 {
     if (now > s->deadline)
         px_expire(s);
-    else if (s->stage == PX_S_PARKED && px_cut_off(s->p, now) &&
-             now - s->arrived > CUT_OFF_PARK_US)
-        px_refuse(s, ER_NO_LEASE, "this node is cut off; another may serve it, in 50 ms");
+    else if (s->stage == PX_S_PARKED && px_cut_off(s->p, now))
+        px_refuse(s, ER_NO_LEASE, "this node is cut off; another may serve it, at once");
     else if (s->stage == PX_S_PARKED && now >= s->retry_at)
         px_route_work(s);
     else if (s->stage == PX_S_WAITING)
