proxy: the price of distance follows the statement, and a failure costs another try at least

A failure was priced in multiples of the statement alone, so at 0.3 ms it weighed less than the trip to another failure domain, and a fixed 5 ms for distance made that worse. Change: a failure costs 20 ms beside the multiple; distance costs its trip and a quarter of the statement.

--- a/proxy/place.c
+++ b/proxy/place.c
@@ -5,15 +5,18 @@
      * Origin: a guess that days on the users' bench did not contradict. */
     PRIMARY_PERCENT = 150,
     NO_CONN_US = 12000, /* a new connection occupies an instance for so long (users' pages) */
-    /* A trip to another failure domain and back takes 1 to 3 ms, and its bytes are paid for. A
-     * third of a usual statement: the near instance is asked while it is idle or little slower,
-     * the far one as soon as it saves a statement's wait. Dearer by far (12 ms) callers wait
-     * longer. */
-    DISTANCE_US = 5000,
+    DISTANCE_US = 1500, /* a trip to another failure domain and back */
+    /* The bytes of a far answer are paid for: beyond the trip, a far instance is taken for
+     * dearer by this part of the statement. The near one is asked while it is idle or little
+     * slower, the far one as soon as that saves a statement's wait. With twice as much callers
+     * wait longer.
+     */
+    FAR_PERCENT = 25,
     /* A read that fails costs its caller another try: an instance that fails half of them is
      * taken for five times as slow, so that it is asked only where the others are that full. */
     FAIL_TIMES = 8,
-    NOISE_PERCENT = 10, /* nodes that know the same do not all choose the same */
+    FAIL_LEAST_US = 20000, /* the try that follows, however short the statement is */
+    NOISE_PERCENT = 10,    /* nodes that know the same do not all choose the same */
 };
 
 /* It refused a position like this a moment ago, and was not heard to have it since. */
@@ -30,8 +33,8 @@
         us = us * PRIMARY_PERCENT / 100;
     if (!c->free_conn)
         us += NO_CONN_US;
-    us += (int64_t)c->distance * DISTANCE_US;
-    us += (int64_t)((double)us * c->fail_rate * FAIL_TIMES);
+    us += c->distance * (DISTANCE_US + c->service_us * FAR_PERCENT / 100);
+    us += (int64_t)((double)(us * FAIL_TIMES + FAIL_LEAST_US) * c->fail_rate);
     return us + us * (int64_t)rn_below(rng, NOISE_PERCENT) / 100;
 }
 
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -33,6 +33,29 @@
     CU_ASSERT_EQUAL(px_place(c, 3, false, none, 0, &rng), -1);
 }
 
+/* The near one is asked while it is about as fast, whatever statements take; not where it is
+ * busy, or fails. */
+static void near_instances_are_asked_for_their_bytes_only(void)
+{
+    static const int64_t takes[] = {200, 800, 5000, 20000, 80000};
+    struct ps_pos none = {0};
+    for (int i = 0; i < 5; i++) {
+        struct rn_rng rng = rn_seed(2);
+        struct px_candidate c[2] = {at(false, 0), at(false, 0)};
+        c[0].service_us = c[1].service_us = takes[i];
+        c[1].distance = 1;
+        for (int k = 0; k < 50; k++)
+            CU_ASSERT_EQUAL(px_place(c, 2, false, none, 0, &rng), 0);
+        c[0].fail_rate = 0.5;
+        for (int k = 0; k < 50; k++)
+            CU_ASSERT_EQUAL(px_place(c, 2, false, none, 0, &rng), 1);
+        c[0].fail_rate = 0;
+        c[0].waiting = takes[i] < 800 ? 12 : 4; /* a trip takes time, too */
+        for (int k = 0; k < 50; k++)
+            CU_ASSERT_EQUAL(px_place(c, 2, false, none, 0, &rng), 1);
+    }
+}
+
 /* A replica that refused a position is not asked for it again at once; when it is heard to have
  * it, or after a while, it is. */
 static void lagging_replicas_are_left_alone(void)
@@ -245,6 +268,7 @@
 {
     CU_pSuite s = CU_add_suite("proxy", NULL, NULL);
     TEST(s, reads_go_where_they_are_served_soonest);
+    TEST(s, near_instances_are_asked_for_their_bytes_only);
     TEST(s, lagging_replicas_are_left_alone);
     TEST(s, failing_instances_are_told_from_unlucky_ones);
     TEST(s, reads_avoid_failing_instances);
