--- a/proxy/relief.c
+++ b/proxy/relief.c
@@ -2,8 +2,9 @@
 
 enum {
     /* It has to last so long. Origin: replicas are tens of milliseconds behind in calm times,
-     * and a change of primary costs 0.4 to 0.8 s (docs/design/platform.md). */
-    LASTING_US = 1500000,
+     * and callers that a full primary refuses lose more in a second than by the change of
+     * primary, 0.4 to 0.8 s (docs/design/platform.md). */
+    LASTING_US = 500000,
     REFUSED_US = 700000, /* callers are refused now: the last refusal is no older */
     /* A primary leads at least so long: what made the last one hand over may not have been its
      * replicas. */
