--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -101,25 +101,26 @@
     px_session_go_on(s);
 }
 
-void px_refuse(struct px_session *s, enum er_kind kind, const char *detail)
+static void tell_failure(struct px_session *s, enum er_kind kind, const char *detail)
 {
     struct sr_buf b = {0};
     note_failure(s, kind, detail);
-    px_end_work(s);
     put_failure(s, &b, kind, detail);
     put_ready(s, &b, false, no_pos);
     send_all(s, &b);
+}
+
+void px_refuse(struct px_session *s, enum er_kind kind, const char *detail)
+{
+    px_end_work(s);
+    tell_failure(s, kind, detail);
     s->since = ck_now();
     px_session_go_on(s);
 }
 
 void px_refuse_relayed(struct px_session *s, enum er_kind kind, const char *detail)
 {
-    struct sr_buf b = {0};
-    note_failure(s, kind, detail);
-    put_failure(s, &b, kind, detail);
-    put_ready(s, &b, false, no_pos);
-    send_all(s, &b);
+    tell_failure(s, kind, detail);
 }
 
 void px_answer_own(struct px_session *s)
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -47,7 +47,9 @@
     struct nt_conn *there; /* the relayed session at the other node */
     struct sr_buf got;     /* by the caller */
     bool asked, closed;
+    struct px_proxy *p;
     struct nt_timer rest; /* sends the second piece */
+    struct nt_timer tick;
     struct nt_timer late;
 } w;
 
@@ -57,6 +59,13 @@
     nt_stop(w.loop);
 }
 
+static void tick(void *ud)
+{
+    (void)ud;
+    px_tick(w.p, ck_now());
+    nt_timer_set(w.loop, &w.tick, CK_MS(5), tick, NULL);
+}
+
 /* ---- the other node ---- */
 
 static void send_second(void *ud)
@@ -227,13 +236,15 @@
     CU_ASSERT_PTR_NOT_NULL(nt_listen(w.loop, &l, &err));
     const char *name = fill_nodes(nodes, there);
     int here = free_port();
-    struct px_proxy *p = make_proxy(name, here);
-    px_nodes(p, nodes, NODES);
+    w.p = make_proxy(name, here);
+    px_nodes(w.p, nodes, NODES);
+    tick(NULL);
     nt_connect_stream(w.loop, "127.0.0.1", here, &caller_ops, &w);
     nt_timer_set(w.loop, &w.late, CK_SEC(2), stop, NULL);
     nt_run(w.loop);
     nt_timer_cancel(&w.late);
     nt_timer_cancel(&w.rest);
+    nt_timer_cancel(&w.tick);
 }
 
 /* Promise attacked: a planned stop of the node that serves a session loses no question that
