--- a/proxy/pace.c
+++ b/proxy/pace.c
@@ -7,12 +7,10 @@
  * or two, as queues come and go faster than work changes. */
 #define USUAL_WEIGHT (1.0 / 64)
 #define FACTOR_WEIGHT (1.0 / 8)
-#define FACTOR_MOST                                                                            \
-    50.0 /* one answer that hung for seconds is forgotten after thirty others                  \
-          */
-#define FIRST_US                                                                               \
-    15000.0 /* before any answer: of the order of a short statement and its way                \
-             */
+/* One answer that hung for seconds is forgotten after thirty others. */
+#define FACTOR_MOST 50.0
+/* Before any answer: of the order of a short statement and its way. */
+#define FIRST_US 15000.0
 
 unsigned px_pace_kind(struct sr_str database, bool writes)
 {
