tests: t_failover waits until the primary is to be replaced, then looks that nobody is

It now waits for the replacement to begin (as before it must), and looks 1.5 s after that, when still nobody may be promoted; if it fails it prints what it saw.

--- a/tests/process/t_failover.sh
+++ b/tests/process/t_failover.sh
@@ -49,8 +49,11 @@
 t_load --seconds 7 --seed 16
 sleep 1; p=$(cl_primary 0); q=$(((p + 1) % 3))
 cl_kill "i0$p"; cl_kill "i0$q"
+t_check "the primary is to be replaced" t_until t_says replacing ctl status
 sleep 1.5
-t_check "with one instance left nobody is promoted" grep -q replacing <<< "$("$CL_BUILD/ferryctl" status)"
+left=$("$CL_BUILD/ferryctl" status)
+t_check "with one instance left nobody is promoted" grep -q replacing <<< "$left"
+grep -q replacing <<< "$left" || echo "   lost i0$p and i0$q; status: $left"
 cl_instance 0 "$q"
 t_load_end
 t_until t_serving
