--- a/control/takeovers.c
+++ b/control/takeovers.c
@@ -3,7 +3,7 @@
 #include "misc/clock.h"
 
 enum {
-    /* Origin of each: measured days on the users' bench; docs/design/platform.md. */
+    /* Origin of each: measured on the users' platform; docs/design/platform.md. */
     ANSWER_US = 1000000, /* the platform answers in milliseconds or not at all */
     LEAD_US = 3000000,   /* it takes 300 to 600 ms until the instance leads */
     SETTLE_US = 800000,  /* replicas receive within a network trip; deaf ones not for seconds */
--- a/proxy/place.c
+++ b/proxy/place.c
@@ -2,7 +2,7 @@
 
 enum {
     /* The primary's time is what writes need: a read there is taken for dearer by a half.
-     * Origin: a guess that days on the users' bench did not contradict. */
+     * Origin: a guess; 250 % was no better for callers (docs/DECISIONS.md). */
     PRIMARY_PERCENT = 150,
     NO_CONN_US = 12000, /* a new connection occupies an instance for so long (users' pages) */
     DISTANCE_US = 1500, /* a trip to another failure domain and back */
--- a/proxy/window.c
+++ b/proxy/window.c
@@ -1,7 +1,7 @@
 #include "proxy/window.h"
 
 /* Origin of the figures: the usual ones of additive increase and multiplicative decrease, tried
- * on the users' bench (journal). */
+ * under overload on the users' platform. */
 #define START 8.0
 #define MOST 64.0
 #define LEAST 0.15
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -335,17 +335,22 @@
 static struct qr_members one_member = {.n = 1, .m = {{.id = 5, .voter = true}}};
 static struct qr_entry fourth = {4, 1, QR_DATA, 7, "entry 4"};
 
+/* Make the action a snapshot of all up to `index`. */
+static void make_snapshot(struct qr_persist *p, uint64_t index)
+{
+    p->snapshot = true;
+    p->snap_index = index;
+    p->snap_term = 1;
+    p->members = &one_member;
+    p->data = "state";
+    p->len = 5;
+}
+
 static struct qr_persist faulty_action(const struct disk_fault *f)
 {
     struct qr_persist p = {.seq = 9, .term = 1, .vote = 5, .n = 1, .entries = &fourth};
-    if (!f->snapshot)
-        return p;
-    p.snapshot = true;
-    p.snap_index = 3;
-    p.snap_term = 1;
-    p.members = &one_member;
-    p.data = "state";
-    p.len = 5;
+    if (f->snapshot)
+        make_snapshot(&p, 3);
     return p;
 }
 
@@ -443,18 +448,9 @@
     struct qr_persist p = {.seq = 1, .term = 1, .vote = 5, .n = 1, .entries = &e[0]};
     dk_write(d, &p);
     p.seq = 2;
-    if (snapshot) {
-        p.snapshot = true;
-        p.snap_index = 4;
-        p.snap_term = 1;
-        p.members = &one_member;
-        p.data = "state";
-        p.len = 5;
-        p.n = 0;
-    } else {
-        p.vote = 5;
-        p.n = 0;
-    }
+    p.n = 0;
+    if (snapshot)
+        make_snapshot(&p, 4);
     dk_write(d, &p);
     p = (struct qr_persist){.seq = 3, .term = 2, .vote = 5, .n = 1, .entries = &e[1]};
     dk_write(d, &p);
