control, entry: lists of nodes go out as differences from the one a node has

Cause: with 300 entry nodes the list of nodes takes 11 KB, and each new leader sent it to all of them as soon as they had leases: 3.4 MB, 0.27 s of its link of 100 Mbit/s, heartbeats in line behind it, and an election takes 0.2 to 0.4 s. So the next leader began the same.

Change: a node tells with its renewal which list it has (a hash); the leader sends what came and went since, made once for all that lack the same, a whole list deflated (2 KB); route/nodelist, pure. Also: a list sent by a node that the entry node did not take for the leader was lost to it; what the node has counts now, not what it was sent.

Ruled out: the leader's processor (0.06 of 0.32 cores at most); the size of views (1 MB in all when a document changes). Test: unit suite nodelist has this load: 300 nodes, new leaders, half of them back within a second; bytes against what a link carries in a quarter of an election time. It could not be built on the code before; it shows the old form over that bound five times.

--- a/control/control.c
+++ b/control/control.c
@@ -69,7 +69,7 @@
     for (struct ct_conn *c = n->conns; c; c = c->next) {
         c->sent_gen = 0;
         c->shares_told = false;
-        c->nodes_hash = 0;
+        c->nodes_known = false;
         ct_say_leading(c);
     }
     FL_INFO(&n->log, "a quorum vouches for term %llu, generation %llu",
--- a/control/control.h
+++ b/control/control.h
@@ -13,6 +13,7 @@
 #include "promote/promote.h"
 #include "quorum/disk.h"
 #include "registry/registry.h"
+#include "route/nodelist.h"
 #include "settings/settings.h"
 #include "takeover/takeover.h"
 #include "task/net.h"
@@ -82,9 +83,9 @@
     char *text;
 };
 
-/* An encoded WR_VIEW, kept for the next node that lacks the same. */
+/* An encoded WR_VIEW or WR_NODES, kept for the next node that lacks the same. */
 struct ct_frame {
-    uint64_t from, to; /* generations */
+    uint64_t from, to; /* generations, or hashes of lists */
     struct sr_buf bytes;
 };
 
@@ -102,8 +103,10 @@
     uint64_t sent_gen;      /* entry: generation sent last */
     int64_t sent_at;        /* when */
     bool shares_told;       /* the node knows all its shares but for those that changed since */
-    uint64_t nodes_hash;
-    bool leaving; /* entry: it stops soon, and is not listed any more */
+    uint64_t nodes_hash;    /* entry: the list of nodes it has, or was sent last */
+    int64_t nodes_sent;     /* when; 0: it has told which it has, if nodes_known */
+    bool nodes_known;       /* it renewed its lease with this leader */
+    bool leaving;           /* entry: it stops soon, and is not listed any more */
 };
 
 /* Our connection to another control node; everything we send it goes here. */
@@ -180,10 +183,7 @@
     int n_conns;
     struct ct_peer *peers;
     struct nt_listener *peer_listener, *ops_listener;
-    /* entry nodes with a lease, as of nodes_at; strings are the connections' */
-    struct wr_node *nodes;
-    uint32_t n_nodes;
-    uint64_t nodes_hash;
+    struct nl_book nodes; /* entry nodes with a lease, as of nodes_at */
     int64_t nodes_at;
     struct wr_decoder dec;
     struct nt_timer tick, soon;
@@ -191,7 +191,8 @@
     struct ct_group **groups;
     struct ix_index group_at, inst_at; /* number in `groups` by group, by instance */
     unsigned ticks;
-    struct ct_frame changes_frame, whole_frame; /* as sent last */
+    struct ct_frame changes_frame, whole_frame; /* of the view, as sent last */
+    struct ct_frame nodes_changes, nodes_whole; /* of the list of nodes */
     /* leading */
     bool leading; /* a quorum vouched and this term's first entry is applied */
     int64_t leading_since;
@@ -218,7 +219,8 @@
     void (*stopped)(void *ud, bool failed);
     void *stopped_ud;
     struct {
-        uint64_t grants, refused_grants, views, view_bytes, snapshots, proposals, applied;
+        uint64_t grants, refused_grants, views, view_bytes, snapshots, node_lists,
+            node_list_bytes, proposals, applied;
         uint64_t refused_changes, promotions, bad_messages, wrong_cluster, platform_failures;
     } c;
 };
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -1,8 +1,6 @@
 /* Entry nodes: leases, the view they act on, their shares. */
 #include <stdlib.h>
 
-#include <xxhash.h>
-
 #include "control/control.h"
 #include "misc/clock.h"
 
@@ -151,36 +149,100 @@
     return true;
 }
 
+static bool list_node(const struct ct_conn *c, struct ho_node *x)
+{
+    *x = (struct ho_node){.port = c->port};
+    return sr_copy(x->name, sizeof(x->name), sr_from(c->name)) &&
+           sr_copy(x->domain, sizeof(x->domain), sr_from(c->domain)) &&
+           sr_copy(x->ip, sizeof(x->ip), sr_from(c->ip));
+}
+
 /* The entry nodes that are listed; made at most every NODES_EVERY_US, for all that ask. */
 static void make_nodes(struct ct_node *n, int64_t now)
 {
+    int k = 0;
     if (n->nodes_at && now - n->nodes_at < NODES_EVERY_US)
         return;
     n->nodes_at = now;
-    n->nodes = sr_realloc(n->nodes, sizeof(*n->nodes) * (size_t)(n->n_conns + 1));
-    n->n_nodes = 0;
-    n->nodes_hash = 1;
-    for (struct ct_conn *c = n->conns; c && n->n_nodes < WR_MAX_NODES; c = c->next) {
-        if (!is_listed(c, now))
-            continue;
-        n->nodes[n->n_nodes++] = (struct wr_node){sr_from(c->name), sr_from(c->domain),
-                                                  sr_from(c->ip), (uint32_t)c->port};
-        n->nodes_hash += XXH64(c->name, strlen(c->name), (uint64_t)c->port); /* in any order */
+    struct ho_node *list = sr_alloc(sizeof(*list) * HO_MAX_NODES);
+    for (struct ct_conn *c = n->conns; c && k < HO_MAX_NODES; c = c->next) {
+        if (is_listed(c, now))
+            k += list_node(c, &list[k]);
     }
+    uint64_t hash = nl_sort(list, k);
+    nl_note(&n->nodes, list, k, hash);
+    free(list);
+}
+
+static struct wr_node wire_node(const struct ho_node *x)
+{
+    return (struct wr_node){sr_from(x->name), sr_from(x->domain), sr_from(x->ip),
+                            (uint32_t)x->port};
+}
+
+static void encode_nodes(const struct nl_change *ch, bool told, struct sr_buf *out)
+{
+    struct wr_node *came = sr_alloc(sizeof(*came) * (size_t)(ch->n_came + 1));
+    struct sr_str *gone = sr_alloc(sizeof(*gone) * (size_t)(ch->n_gone + 1));
+    struct wr_msg m = {.type = WR_NODES,
+                       .nodes = {.n = (uint32_t)ch->n_came,
+                                 .nodes = came,
+                                 .from = ch->from,
+                                 .to = told ? ch->to : 0,
+                                 .n_gone = (uint32_t)ch->n_gone,
+                                 .gone = gone}};
+    for (int i = 0; i < ch->n_came; i++)
+        came[i] = wire_node(ch->came[i]);
+    for (int i = 0; i < ch->n_gone; i++)
+        gone[i] = sr_from(ch->gone[i]);
+    wr_encode(out, &m);
+    free(came);
+    free(gone);
+}
+
+/* What a node that has list `has` lacks, encoded; made anew only if it is not what was sent
+ * last: most that ask have the same list. */
+static const struct ct_frame *nodes_frame(struct ct_node *n, uint64_t has)
+{
+    uint64_t to = nl_newest(&n->nodes)->hash;
+    struct nl_change ch;
+    struct ct_frame *f = has > NL_EMPTY ? &n->nodes_changes : &n->nodes_whole;
+    if (f->bytes.len && f->from == has && f->to == to)
+        return f;
+    nl_since(&n->nodes, has, &ch);
+    f->from = has;
+    f->to = to;
+    f->bytes.len = 0;
+    encode_nodes(&ch, has != 0, &f->bytes);
+    return f;
 }
 
 /* Tell the node which entry nodes there are, if that is news for it. */
 static void send_nodes(struct ct_conn *to, int64_t now)
 {
     struct ct_node *n = to->node;
-    if (!list_settled(n, now))
+    if (!to->nodes_known || !list_settled(n, now))
         return;
     make_nodes(n, now);
-    if (n->nodes_hash == to->nodes_hash)
+    if (nl_newest(&n->nodes)->hash == to->nodes_hash)
         return;
-    to->nodes_hash = n->nodes_hash;
-    struct wr_msg m = {.type = WR_NODES, .nodes = {n->n_nodes, n->nodes}};
-    ct_send_conn(to, &m);
+    const struct ct_frame *f = nodes_frame(n, to->nodes_hash);
+    n->c.node_lists++;
+    n->c.node_list_bytes += f->bytes.len;
+    to->nodes_hash = f->to;
+    to->nodes_sent = now;
+    if (to->net)
+        nt_send(to->net, f->bytes.p, f->bytes.len);
+}
+
+/* Which list a node has counts, not what it was sent: it may not have taken that. What was sent
+ * a moment ago may still be on its way. */
+static void note_nodes(struct ct_conn *c, uint64_t has, int64_t now)
+{
+    bool late = now - c->nodes_sent > CK_MS(c->node->s->lease_ms) / 2;
+    if (!c->nodes_known || late)
+        c->nodes_hash = has;
+    c->nodes_known = true;
 }
 
 void ct_nodes_tick(struct ct_node *n, int64_t now)
@@ -254,6 +316,7 @@
     send_view(c, r->generation);
     take_shares(c, r, now);
     send_shares(c, r);
+    note_nodes(c, r->nodes, now);
     if (n->s->holders || n->s->registers)
         send_nodes(c, now);
     ct_send_conn(c, &m);
--- a/control/ops.c
+++ b/control/ops.c
@@ -94,6 +94,8 @@
         {"refused_grants_total", n->c.refused_grants},
         {"views_sent_total", n->c.views},
         {"view_bytes_total", n->c.view_bytes},
+        {"node_lists_total", n->c.node_lists},
+        {"node_list_bytes_total", n->c.node_list_bytes},
         {"view_snapshots_total", n->c.snapshots},
         {"proposals_total", n->c.proposals},
         {"changes_applied_total", n->c.applied},
--- a/control/peers.c
+++ b/control/peers.c
@@ -310,7 +310,6 @@
         at = &(*at)->next;
     *at = c->next;
     c->node->n_conns--;
-    c->node->nodes_at = 0; /* the list points into this connection */
     free(c);
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -12,6 +12,7 @@
 #include "pool/shares.h"
 #include "proxy/proxy.h"
 #include "route/holders.h"
+#include "route/nodelist.h"
 #include "route/route.h"
 #include "session/token.h"
 #include "settings/settings.h"
@@ -201,6 +202,7 @@
     uint64_t up_tags;  /* drawn so far */
     int n_nodes;
     struct ho_node nodes[HO_MAX_NODES]; /* live entry nodes, as control says */
+    uint64_t nodes_hash;                /* of that list */
     int n_reqs, n_callers;
     struct en_caller *callers;
     uint64_t txn_seq;
--- a/entry/link.c
+++ b/entry/link.c
@@ -83,7 +83,8 @@
                                 .n = k,
                                 .shares = shares,
                                 .shares_seq = n->shares_seq,
-                                .leaving = n->stopping};
+                                .leaving = n->stopping,
+                                .nodes = n->nodes_hash};
     send_msg(l, &m);
 }
 
@@ -238,18 +239,33 @@
     }
 }
 
+static bool read_node(const struct wr_node *x, struct ho_node *to)
+{
+    *to = (struct ho_node){.port = (int)x->port};
+    return sr_copy(to->name, sizeof(to->name), x->name) &&
+           sr_copy(to->domain, sizeof(to->domain), x->domain) &&
+           sr_copy(to->ip, sizeof(to->ip), x->ip);
+}
+
 static void on_nodes(struct en_node *n, const struct wr_nodes *m)
 {
-    n->n_nodes = 0;
-    for (uint32_t i = 0; i < m->n && n->n_nodes < HO_MAX_NODES; i++) {
-        const struct wr_node *x = &m->nodes[i];
-        struct ho_node *to = &n->nodes[n->n_nodes];
-        if (!sr_copy(to->name, sizeof(to->name), x->name) ||
-            !sr_copy(to->domain, sizeof(to->domain), x->domain) ||
-            !sr_copy(to->ip, sizeof(to->ip), x->ip))
-            continue;
-        to->port = (int)x->port;
-        n->n_nodes++;
+    struct ho_node *named = sr_alloc(sizeof(*named) * (size_t)(m->n + m->n_gone + 1));
+    struct nl_change ch = {.from = m->from, .to = m->to};
+    for (uint32_t i = 0; i < m->n; i++) {
+        if (read_node(&m->nodes[i], &named[i]))
+            ch.came[ch.n_came++] = &named[i];
+    }
+    for (uint32_t i = 0; i < m->n_gone; i++) {
+        struct ho_node *x = &named[m->n + i];
+        if (sr_copy(x->name, sizeof(x->name), m->gone[i]))
+            ch.gone[ch.n_gone++] = x->name;
+    }
+    bool taken = nl_apply(n->nodes, &n->n_nodes, &n->nodes_hash, &ch);
+    free(named);
+    if (!taken) {
+        FL_WARN(&n->log, "a change of the list of nodes belongs to another list; asking anew");
+        n->nodes_hash = NL_EMPTY;
+        return;
     }
     ho_prepare(n->nodes, n->n_nodes);
     if (n->px)
@@ -474,6 +490,7 @@
 void en_links_start(struct en_node *n)
 {
     n->leader = -1;
+    n->nodes_hash = NL_EMPTY;
     n->next_renew = ck_now();
     en_links_seeds(n);
 }
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -11,6 +11,7 @@
     misc_suite();
     token_suite();
     route_suite();
+    nodelist_suite();
     admit_suite();
     shares_suite();
     lease_suite();
--- a/tests/unit/test_text.c
+++ b/tests/unit/test_text.c
@@ -40,6 +40,8 @@
 
 /* ---- wire ---- */
 
+enum { MAX_SAMPLES = 24 };
+
 static int samples(struct wr_msg *m)
 {
     static struct wr_share shares[2];
@@ -89,13 +91,21 @@
     m[n++] = (struct wr_msg){.type = WR_CHECK, .check = {9, SR_LIT("i1"), WR_UNKNOWN}};
     static struct wr_node node = {SR_LIT("e0"), SR_LIT("d"), SR_LIT("127.0.0.1"), 7000};
     m[n++] = (struct wr_msg){.type = WR_NODES, .nodes = {1, &node}};
+    static struct sr_str gone[] = {SR_LIT("e1"), SR_LIT("e2")};
+    m[n++] = (struct wr_msg){.type = WR_NODES, .nodes = {1, &node, 7, 8, 2, gone}};
+    static struct wr_node many[WR_PACK_NODES_ABOVE + 1];
+    for (int i = 0; i <= WR_PACK_NODES_ABOVE; i++)
+        many[i] = node;
+    m[n++] = (struct wr_msg){.type = WR_NODES, .nodes = {WR_PACK_NODES_ABOVE + 1, many, 0, 9}};
+    m[n++] =
+        (struct wr_msg){.type = WR_RENEW, .renew = {1, 2, 3, false, 2, shares, 4, .nodes = 9}};
     m[n++] = (struct wr_msg){.type = WR_PROBES, .probes = {1, &probe}};
     return n;
 }
 
 static void wire_round_trip(void)
 {
-    struct wr_msg m[16], back;
+    struct wr_msg m[MAX_SAMPLES], back;
     struct wr_decoder d = {0};
     int n = samples(m);
     for (int i = 0; i < n; i++) {
@@ -155,7 +165,7 @@
 
 static void wire_fuzz(void)
 {
-    struct wr_msg m[16], back;
+    struct wr_msg m[MAX_SAMPLES], back;
     struct wr_decoder d = {0};
     struct rn_rng r = rn_seed(77);
     int n = samples(m), good = 0;
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -90,10 +90,10 @@
 }
 
 /* What put_packed wrote; no more than the bound is unpacked, whatever the sender claims. */
-static struct sr_str get_packed(struct rd *r)
+static struct sr_str get_packed(struct rd *r, uint64_t max)
 {
     struct sr_str s = get_s(r);
-    uLongf len = get_max(r, WR_MAX_VIEW);
+    uLongf len = get_max(r, max);
     if (r->bad || len == 0)
         return s;
     char *p = room(r, len, 1);
@@ -202,7 +202,7 @@
 {
     v->from = get_u(r);
     v->to = get_u(r);
-    v->text = get_packed(r);
+    v->text = get_packed(r, WR_MAX_VIEW);
 }
 
 static void get_renew(struct rd *r, struct wr_renew *m)
@@ -214,6 +214,7 @@
     m->shares = get_shares(r, &m->n);
     m->shares_seq = get_u(r);
     m->leaving = get_b(r); /* mostly left out */
+    m->nodes = get_u(r);
 }
 
 static void get_grant(struct rd *r, struct wr_grant *g)
@@ -250,7 +251,7 @@
     }
 }
 
-static void get_nodes(struct rd *r, struct wr_nodes *m)
+static void get_node_list(struct rd *r, struct wr_nodes *m)
 {
     struct rd list = get_list(r, WR_MAX_NODES);
     m->n = list.a->size;
@@ -265,6 +266,44 @@
     }
 }
 
+static void get_gone(struct rd *r, struct wr_nodes *m)
+{
+    struct rd list = get_list(r, WR_MAX_NODES);
+    m->n_gone = list.a->size;
+    m->gone = room(r, m->n_gone, sizeof(*m->gone));
+    for (uint32_t i = 0; i < m->n_gone && !r->bad; i++) {
+        m->gone[i] = get_s(&list);
+        r->bad = r->bad || list.bad;
+    }
+}
+
+/* A list that came deflated. */
+static void get_packed_list(struct rd *r, struct wr_nodes *m)
+{
+    struct sr_str s = get_packed(r, (uint64_t)WR_MAX_NODES * WR_MAX_NODE_BYTES);
+    msgpack_object o;
+    size_t off = 0;
+    if (r->bad || s.len == 0)
+        return;
+    if (msgpack_unpack(s.p, s.len, &off, r->zone, &o) != MSGPACK_UNPACK_SUCCESS) {
+        r->bad = true;
+        return;
+    }
+    msgpack_object_array one = {1, &o};
+    struct rd in = {&one, 0, false, r->zone};
+    get_node_list(&in, m);
+    r->bad = in.bad;
+}
+
+static void get_nodes(struct rd *r, struct wr_nodes *m)
+{
+    get_node_list(r, m);
+    m->from = get_u(r);
+    m->to = get_u(r);
+    get_gone(r, m);
+    get_packed_list(r, m);
+}
+
 static void get_body(struct rd *r, struct wr_msg *m)
 {
     switch (m->type) {
@@ -301,9 +340,11 @@
         get_probes(r, &m->probes);
         break;
     case WR_NODES:
-    case WR_CONTROLS:
         get_nodes(r, &m->nodes);
         break;
+    case WR_CONTROLS:
+        get_node_list(r, &m->nodes);
+        break;
     }
 }
 
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -134,15 +134,17 @@
 
 static void put_renew(msgpack_packer *pk, const struct wr_renew *r)
 {
-    head(pk, WR_RENEW, r->leaving ? 7 : 6);
+    head(pk, WR_RENEW, r->nodes ? 8 : r->leaving ? 7 : 6); /* what is absent reads as zero */
     put_u(pk, r->seq);
     put_u(pk, r->generation);
     put_u(pk, r->hlc);
     put_b(pk, r->stopping);
     put_shares(pk, r->shares, r->n);
     put_u(pk, r->shares_seq);
-    if (r->leaving)
-        put_b(pk, true);
+    if (r->leaving || r->nodes)
+        put_b(pk, r->leaving);
+    if (r->nodes)
+        put_u(pk, r->nodes);
 }
 
 static void put_grant(msgpack_packer *pk, const struct wr_grant *g)
@@ -179,9 +181,8 @@
     }
 }
 
-static void put_nodes(msgpack_packer *pk, enum wr_type type, const struct wr_nodes *n)
+static void put_node_list(msgpack_packer *pk, const struct wr_nodes *n)
 {
-    head(pk, type, 1);
     msgpack_pack_array(pk, n->n);
     for (uint32_t i = 0; i < n->n; i++) {
         msgpack_pack_array(pk, 4);
@@ -192,6 +193,36 @@
     }
 }
 
+static void put_controls(msgpack_packer *pk, const struct wr_nodes *n)
+{
+    head(pk, WR_CONTROLS, 1);
+    put_node_list(pk, n);
+}
+
+/* A long list goes deflated, at the end; its plain place stays empty then. */
+static void put_nodes(msgpack_packer *pk, const struct wr_nodes *n)
+{
+    bool packed = n->to && n->n > WR_PACK_NODES_ABOVE;
+    struct wr_nodes none = {0};
+    head(pk, WR_NODES, packed ? 6 : n->to ? 4 : 1);
+    put_node_list(pk, packed ? &none : n);
+    if (!n->to)
+        return;
+    put_u(pk, n->from);
+    put_u(pk, n->to);
+    msgpack_pack_array(pk, n->n_gone);
+    for (uint32_t i = 0; i < n->n_gone; i++)
+        put_s(pk, n->gone[i]);
+    if (!packed)
+        return;
+    struct sr_buf list = {0};
+    msgpack_packer inner;
+    msgpack_packer_init(&inner, &list, append);
+    put_node_list(&inner, n);
+    put_packed(pk, (struct sr_str){list.p, list.len});
+    sr_buf_free(&list);
+}
+
 static void put_not_leader(msgpack_packer *pk, struct sr_str leader)
 {
     head(pk, WR_NOT_LEADER, 1);
@@ -250,8 +281,10 @@
         put_probes(&pk, &m->probes);
         break;
     case WR_NODES:
+        put_nodes(&pk, &m->nodes);
+        break;
     case WR_CONTROLS:
-        put_nodes(&pk, m->type, &m->nodes);
+        put_controls(&pk, &m->nodes);
         break;
     }
 }
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -67,6 +67,7 @@
     uint64_t shares_seq; /* of the last WR_SHARES applied */
     bool leaving; /* it stops soon, keeps its lease till then, and is to hold no group any more
                    */
+    uint64_t nodes; /* hash of the list of nodes it has (route/nodelist.h); 0: not told */
 };
 
 struct wr_grant {
@@ -109,9 +110,13 @@
     uint32_t port; /* for callers */
 };
 
+/* WR_CONTROLS: a list. WR_NODES: the way from one list to another (route/nodelist.h). */
 struct wr_nodes {
     uint32_t n;
-    struct wr_node *nodes;
+    struct wr_node *nodes; /* all, or what came */
+    uint64_t from, to;     /* hashes of the lists; from = 0: `nodes` is all; to = 0: not told */
+    uint32_t n_gone;
+    struct sr_str *gone; /* names */
 };
 
 struct wr_msg {
@@ -142,6 +147,9 @@
      * a tenth, and nodes have links of 2 Mbit/s (users' pages). */
     WR_PACK_ABOVE = 1024,
     WR_MAX_VIEW = 16 << 20, /* bytes that such a text is inflated to at most */
+    /* A list of more nodes is sent deflated: 300 take 11 KB as they are, 2 KB so (counted). */
+    WR_PACK_NODES_ABOVE = 16,
+    WR_MAX_NODE_BYTES = 256, /* of one such node, at most */
 };
 
 /* Append the encoded message to `out`. */
