proxy: a node holds no group before it knows the list of nodes

The leader took 0.8 s over the renewals that named 60 instances each.

Change: until the list is there, or 1 s has passed since the first document, nothing is held and nothing asked for; sessions waited for the list before, too. A group that comes to be held is news that asks for a renewal.

Test: unit suite holding plays 300 nodes before 60 instances; on the code before both of its tests fail (60 connections wanted where none should be).

--- a/proxy/groups.c
+++ b/proxy/groups.c
@@ -138,7 +138,6 @@
     struct px_group *g = sr_alloc(sizeof(*g));
     g->p = p;
     g->cfg.primary = -1;
-    g->held = true;
     sr_copy(g->cfg.name, sizeof(g->cfg.name), sr_from(v->name));
     return g;
 }
--- a/proxy/holders.c
+++ b/proxy/holders.c
@@ -11,8 +11,19 @@
 enum {
     CONNS_A_HOLDER = 4, /* connections to an instance, at least, for each node that holds it */
     LEAST_HOLDERS = 3,  /* nodes, however few the connections */
+    /* So long a node that starts waits for the list of nodes. Holding everything meanwhile, 300
+     * nodes that come back together asked for 18,000 connections to 60 instances and opened
+     * those that were free, 12 ms of an instance's slot each; the nodes that do hold a group
+     * were refused then. Origin: the list comes within 0.5 s where 300 nodes start together, at
+     * once where others run already; a new leader that misses a node tells after a lease. */
+    NODES_WAIT_US = 1000000,
 };
 
+bool px_knows_nodes(const struct px_proxy *p, int64_t now)
+{
+    return p->n_nodes > 0 || (p->configured_at && now - p->configured_at >= NODES_WAIT_US);
+}
+
 static bool holds(const struct px_proxy *p, const struct px_group *g)
 {
     for (int k = 0; k < g->n_holders; k++) {
@@ -36,6 +47,7 @@
 
 void px_holders_changed(struct px_proxy *p)
 {
+    bool known = p->knew_nodes = px_knows_nodes(p, ck_now());
     for (int i = 0; i < p->n_groups; i++) {
         struct px_group *g = p->groups[i];
         int out[HO_MAX_HOLDERS], k = holders_of(p, g), before = g->n_holders;
@@ -44,9 +56,10 @@
         for (int h = 0; h < g->n_holders; h++)
             g->holders[h] = (uint16_t)out[h];
         g->first = holds(p, g);
-        g->held = k == 0 || g->first;
+        g->held = known && (k == 0 || g->first);
         if (held && !g->held)
             g->let_go_at = ck_now();
+        p->news = p->news || (g->held && !held);
         if (held != g->held || before != g->n_holders)
             FL_EVENT(&p->log, LG_INFO, "holding_changed",
                      "group=%s held=%d holders=%d nodes=%d", g->cfg.name, g->held, g->n_holders,
@@ -54,6 +67,12 @@
     }
 }
 
+void px_holders_tick(struct px_proxy *p, int64_t now)
+{
+    if (!p->knew_nodes && px_knows_nodes(p, now))
+        px_holders_changed(p);
+}
+
 bool px_reaches(const struct px_group *g)
 {
     if (g->cfg.primary < 0)
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -218,8 +218,9 @@
     int n_nodes;
     struct ho_node *nodes; /* entry nodes with a lease, prepared */
     int64_t configured_at; /* the first document came */
+    bool knew_nodes;       /* px_knows_nodes, when groups were looked at last */
     struct px_inst *gone;  /* not in the view, with connections still */
-    bool news;             /* instances came since px_has_news */
+    bool news;             /* instances came, or groups to hold, since px_has_news */
     int64_t leased_at;     /* when the lease was live last */
 
     /* sessions */
@@ -296,6 +297,11 @@
 /* holders.c: which nodes hold connections to which groups */
 /* The view, the document or the nodes changed. */
 void px_holders_changed(struct px_proxy *p);
+/* Whether it is known which other nodes there are, or has been waited for long enough. Until
+ * then this node holds no group. */
+bool px_knows_nodes(const struct px_proxy *p, int64_t now);
+/* Every tick. */
+void px_holders_tick(struct px_proxy *p, int64_t now);
 /* Whether this node has an open connection to the group's primary, as far as there is one. */
 bool px_reaches(const struct px_group *g);
 
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -116,6 +116,7 @@
     }
     if (px_leased(p))
         p->leased_at = now;
+    px_holders_tick(p, now);
     px_groups_tick(p, now);
     if (now < p->next_slow_tick)
         return;
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -52,7 +52,8 @@
 /* Connections held and wanted, an entry for each instance that the next renewal is to name;
  * returns how many. */
 uint32_t px_wants(struct px_proxy *p, struct wr_share *out, uint32_t cap);
-/* Whether instances came to the view since this was asked last. */
+/* Whether there are connections to ask for that no renewal has named, since this was asked
+ * last: instances came to the view, or groups to hold. */
 bool px_has_news(struct px_proxy *p);
 /* The entry nodes with a lease; strings and hashes as ho_prepare leaves them. */
 void px_nodes(struct px_proxy *p, const struct ho_node *nodes, int n);
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -5,11 +5,7 @@
 #include "proxy/priv.h"
 
 enum {
-    UNANSWERED_OPEN_US = 1500000, /* without a document nobody can be told what there is */
-    /* So long a node that starts waits for the list of nodes before it greets: without
-     * connections of its own it may have to relay the session. Origin: the list comes within
-     * 0.2 s where all nodes start together, at once where others run already. */
-    NODES_WAIT_US = 400000,
+    UNANSWERED_OPEN_US = 1500000,    /* without a document nobody can be told what there is */
     CUT_OFF_CLOSE_OVER_US = 1000000, /* its resting sessions are closed, spread over so long */
     /* A planned stop: callers are sent elsewhere by the balancer within two of its probes, then
      * sessions that rest are closed, spread over a while so that they don't all come back at
@@ -31,8 +27,8 @@
         px_fail_and_close(s, ER_NO_DATABASE, s->database);
         return;
     }
-    if (s->p->n_nodes == 0 && ck_now() - s->p->configured_at < NODES_WAIT_US)
-        return;
+    if (!px_knows_nodes(s->p, ck_now()))
+        return; /* it may have to be relayed */
     if (px_should_relay(s)) {
         px_relay_start(s);
         return;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -28,6 +28,7 @@
     net_suite();
     pace_suite();
     relay_suite();
+    holding_suite();
     proxy_suite();
     takeover_suite();
     member_suite();
