entry: connections that no renewal has named are asked for as soon as the last one is answered

Cause: a node that starts learns instances and groups with the answer to its first renewal; the renewal that was meant to follow at once was put off by that answer's lease, for a sixth of it (0.2 s). Change: news is looked at when a renewal is due, not when the view comes.

No test of its own: only px_has_news is checked (unit suite holding).

--- a/entry/link.c
+++ b/entry/link.c
@@ -106,10 +106,18 @@
     }
 }
 
+/* Connections that no renewal has named are asked for as soon as the last one is answered: a
+ * node that starts learns only with that answer what there is, and would have none for a sixth
+ * of a lease (0.2 s) more. */
+static bool renewal_due(struct en_node *n, int64_t now)
+{
+    return now >= n->next_renew || (!n->awaiting && n->px && px_has_news(n->px));
+}
+
 /* A few renewals a lease; one that is not answered in time goes to the next control node. */
 static void renew_tick(struct en_node *n, int64_t now)
 {
-    if (now < n->next_renew)
+    if (!renewal_due(n, now))
         return;
     struct en_link *l = leader(n);
     if (n->awaiting || !l || !l->open)
@@ -213,8 +221,6 @@
            (unsigned long long)v->to, (unsigned long long)before);
     en_view_changed(n);
     en_ack_view(n);
-    if (n->px && px_has_news(n->px))
-        n->next_renew = ck_now(); /* connections to new instances are asked for at once */
 }
 
 void en_send_ack(struct en_node *n, uint64_t generation)
