proxy: a node that can't tell abstains when a lone primary's relief is asked about

Cause: a primary whose replicas are all behind hands over if more nodes call it unfit than well. Each node counts refusals of its own callers in the last 0.7 s; with sixteen holders each has a sixteenth of them, and one that had none just now voted "well". Change: a node that sees all replicas behind, and no refusal of its own just now, says that it does not know.

--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -244,18 +244,29 @@
     return now - in->behind_until < BEHIND_GAP_US && now - in->served_at > BEHIND_GAP_US;
 }
 
-/* The group's primary serves alone, and callers are refused for it. */
-static bool needs_relief(struct px_inst *in, int64_t now)
+static struct px_relief_view relief_view(const struct px_group *g, int64_t now)
 {
-    struct px_group *g = in->group;
     struct px_relief_view v = {.refused_at = g->refused_at, .term_since = g->term_since};
     for (int i = 0; i < g->cfg.n; i++) {
-        if (i == in->at || g->cfg.inst[i].draining)
+        if (i == g->cfg.primary || g->cfg.inst[i].draining)
             continue;
         v.replicas++;
         v.behind += is_behind(g->inst[i], now);
     }
-    return px_relief_due(&g->relief, &v, now);
+    return v;
+}
+
+/* The group's primary serves alone, and callers are refused for it. */
+static bool needs_relief(struct px_inst *in, int64_t now)
+{
+    struct px_relief_view v = relief_view(in->group, now);
+    return px_relief_due(&in->group->relief, &v, now);
+}
+
+static bool serves_alone(const struct px_inst *in, int64_t now)
+{
+    struct px_relief_view v = relief_view(in->group, now);
+    return in->at == in->group->cfg.primary && px_relief_alone(&v);
 }
 
 enum wr_health px_health(const struct px_proxy *p, struct sr_str id)
@@ -272,6 +283,8 @@
         return WR_UNFIT;
     if (px_outlier_failing(&in->outlier, now))
         return WR_UNKNOWN; /* no better one is known */
+    if (serves_alone(in, now))
+        return WR_UNKNOWN;
     return now - in->heard < FRESH_US ? WR_OK : WR_UNKNOWN;
 }
 
--- a/proxy/relief.c
+++ b/proxy/relief.c
@@ -11,11 +11,15 @@
     TERM_US = 8000000,
 };
 
+bool px_relief_alone(const struct px_relief_view *v)
+{
+    return v->replicas > 0 && v->behind == v->replicas;
+}
+
 bool px_relief_due(struct px_relief *r, const struct px_relief_view *v, int64_t now)
 {
-    bool alone = v->replicas > 0 && v->behind == v->replicas;
     bool refused = v->refused_at && now - v->refused_at < REFUSED_US;
-    if (!alone || !refused) {
+    if (!px_relief_alone(v) || !refused) {
         r->since = 0;
         return false;
     }
--- a/proxy/relief.h
+++ b/proxy/relief.h
@@ -23,5 +23,11 @@
 
 /* To be told regularly. True: the primary should hand over. */
 bool px_relief_due(struct px_relief *r, const struct px_relief_view *v, int64_t now);
+/* Whether the primary serves alone. A node that sees that, and whose own callers are not
+ * refused now, can't tell that the primary is enough, and should not say so when all nodes are
+ * asked: of sixteen nodes that share 20 refusals a second each has one every 0.8 s, and a
+ * majority of those that had one just now takes 15 s; with the others abstaining, 0.6 s (model
+ * in the unit tests). */
+bool px_relief_alone(const struct px_relief_view *v);
 
 #endif
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -146,6 +146,35 @@
     CU_ASSERT_FALSE(px_relief_due(&r, &v, now + CK_SEC(9))); /* nobody could take over */
 }
 
+/* Load: both replicas of a group are far behind, its primary alone serves what 16 nodes bring
+ * and refuses 20 statements a second of theirs. Each node notes its own refusals only; asked
+ * together, as the leader asks them every 0.1 s, they have to agree soon that it is too much.
+ */
+static void nodes_that_share_the_refusals_agree(void)
+{
+    enum { NODES_HERE = 16, REFUSED_A_SECOND = 20, ROUNDS_A_SECOND = 10, WITHIN_ROUNDS = 20 };
+    struct px_relief r[NODES_HERE] = {{0}};
+    int64_t refused_at[NODES_HERE] = {0}, now = CK_SEC(100);
+    struct rn_rng rng = rn_seed(5);
+    int agreed = 0;
+    for (int round = 1; !agreed && round <= WITHIN_ROUNDS; round++) {
+        int unfit = 0, up = 1; /* the leader reaches it */
+        now += CK_SEC(1) / ROUNDS_A_SECOND;
+        for (int k = 0; k < REFUSED_A_SECOND / ROUNDS_A_SECOND; k++)
+            refused_at[rn_below(&rng, NODES_HERE)] = now;
+        for (int i = 0; i < NODES_HERE; i++) {
+            struct px_relief_view v = {2, 2, refused_at[i], CK_SEC(1)};
+            bool due = px_relief_due(&r[i], &v, now);
+            unfit += due;
+            up += !due && !px_relief_alone(&v);
+        }
+        agreed = unfit > up ? round : 0;
+    }
+    CU_ASSERT(agreed > 0);
+    struct px_relief_view one_serves = {2, 1, now, CK_SEC(1)};
+    CU_ASSERT_FALSE(px_relief_alone(&one_serves)); /* that node says that the primary is well */
+}
+
 /* ---- a session's state ---- */
 
 /* What a connection is asked, one after the other, before the session's statement. */
@@ -296,6 +325,7 @@
     TEST(s, failing_instances_are_told_from_unlucky_ones);
     TEST(s, reads_avoid_failing_instances);
     TEST(s, a_lone_primary_is_relieved);
+    TEST(s, nodes_that_share_the_refusals_agree);
     TEST(s, window_follows_the_instance);
     TEST(s, nodes_that_begin_together_fit_the_queue);
     TEST(s, values_follow_the_session);
