proxy: a node that is cut off from control opens no relayed session

Cause: a node without a lease stays on the list of nodes for up to three seconds; sessions that others relayed to it were greeted and each of their statements refused as "cut off". Change: it closes them before a greeting, as a stopping node does; the relaying node asks the next holder. Test: a_node_that_is_cut_off_opens_no_relayed_session fails before.

--- a/proxy/session.c
+++ b/proxy/session.c
@@ -45,8 +45,10 @@
         return;
     }
     s->came_relayed = px_is_relayed(m);
-    if (s->came_relayed && s->p->stopping) {
-        nt_close(s->net, true); /* before a greeting: another holder is asked */
+    /* Closed before a greeting, so that another holder is asked. A node that is cut off from
+     * control is listed for three seconds more and would refuse whatever it is asked. */
+    if (s->came_relayed && (s->p->stopping || px_cut_off(s->p, ck_now()))) {
+        nt_close(s->net, true);
         return;
     }
     try_open(s);
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -47,6 +47,7 @@
     struct nt_conn *there; /* the relayed session at the other node */
     struct sr_buf got;     /* by the caller */
     bool asked, closed;
+    bool no_lease;
     struct px_proxy *p;
     struct nt_timer rest; /* sends the second piece */
     struct nt_timer tick;
@@ -165,7 +166,7 @@
 static bool leased(void *ud)
 {
     (void)ud;
-    return true;
+    return !w.no_lease;
 }
 
 static void suspect(void *ud, const char *inst, enum wr_health health)
@@ -265,8 +266,75 @@
     }
 }
 
+/* ---- a node that can't serve what is relayed to it ---- */
+
+static void relaying_open(struct nt_conn *c, void *ud)
+{
+    (void)ud;
+    nt_send(c, "STARTUP db ~ferry\r\n", 19);
+}
+
+static void relaying_message(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    (void)c;
+    (void)ud;
+    sr_buf_add(&w.got, data, len);
+    nt_stop(w.loop);
+}
+
+static const struct nt_ops relaying_ops = {relaying_open, relaying_message, caller_close};
+
+static void relay_a_session(void *ud)
+{
+    nt_connect_stream(w.loop, "127.0.0.1", *(int *)ud, &relaying_ops, &w);
+}
+
+static void lose_the_lease(void *ud)
+{
+    (void)ud;
+    w.no_lease = true;
+}
+
+/* The first node that holds the group is asked to open a session for another node's caller,
+ * after it had a lease. */
+static void relay_to_holder(bool loses_lease)
+{
+    static const struct fault none = {"", "", "", false, false};
+    struct er_err err = {0};
+    struct ho_node nodes[NODES];
+    struct nt_timer lose = {0};
+    int holders[HO_MAX_HOLDERS], here = free_port();
+    w = (struct world){.loop = nt_loop_create(64, &err), .f = &none};
+    fill_nodes(nodes, here);
+    ho_pick(nodes, NODES, "g", 3, holders);
+    w.p = make_proxy(nodes[holders[0]].name, here);
+    px_nodes(w.p, nodes, NODES);
+    tick(NULL);
+    if (loses_lease)
+        nt_timer_set(w.loop, &lose, CK_MS(50), lose_the_lease, NULL);
+    nt_timer_set(w.loop, &w.rest, CK_MS(500), relay_a_session, &here);
+    nt_timer_set(w.loop, &w.late, CK_SEC(2), stop, NULL);
+    nt_run(w.loop);
+    nt_timer_cancel(&w.late);
+    nt_timer_cancel(&w.rest);
+    nt_timer_cancel(&w.tick);
+}
+
+/* Load: a sixth of all nodes are cut off from control, holders among them; sessions that are
+ * relayed to these go on to another holder at once. */
+static void a_node_that_is_cut_off_opens_no_relayed_session(void)
+{
+    relay_to_holder(false);
+    CU_ASSERT(w.got.len > 0 && !w.closed);
+    sr_buf_free(&w.got);
+    relay_to_holder(true);
+    CU_ASSERT(w.got.len == 0 && w.closed);
+    sr_buf_free(&w.got);
+}
+
 void relay_suite(void)
 {
     CU_pSuite s = CU_add_suite("relay", NULL, NULL);
     TEST(s, ends_of_relayed_sessions_lose_no_question);
+    TEST(s, a_node_that_is_cut_off_opens_no_relayed_session);
 }
