proxy: a node that is cut off relays its own callers to one that is not

Cause: where under half of a failure domain's nodes are ready the balancer uses all of them, so callers keep coming to nodes without a lease, which refused every statement. Change: it relays their sessions to a holder; holders are asked one after the other for 1.5 s; a node that reached none serves the session itself, as before, and asks nobody for a second. Test: a_cut_off_node_relays_its_callers fails before.

--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -216,12 +216,13 @@
     int n_groups;
     struct px_group **groups; /* sorted by name */
     int n_nodes;
-    struct ho_node *nodes; /* entry nodes with a lease, prepared */
-    int64_t configured_at; /* the first document came */
-    bool knew_nodes;       /* px_knows_nodes, when groups were looked at last */
-    struct px_inst *gone;  /* not in the view, with connections still */
-    bool news;             /* instances came, or groups to hold, since px_has_news */
-    int64_t leased_at;     /* when the lease was live last */
+    struct ho_node *nodes;  /* entry nodes with a lease, prepared */
+    int64_t configured_at;  /* the first document came */
+    bool knew_nodes;        /* px_knows_nodes, when groups were looked at last */
+    struct px_inst *gone;   /* not in the view, with connections still */
+    bool news;              /* instances came, or groups to hold, since px_has_news */
+    int64_t leased_at;      /* when the lease was live last */
+    int64_t isolated_until; /* cut off, and no other node answers: none is asked before */
 
     /* sessions */
     struct px_session *sessions, *active;
@@ -264,6 +265,8 @@
 
 /* session.c: the caller's connection */
 bool px_listen(struct px_proxy *p, struct er_err *err);
+/* Greet the caller: its session lives at this node. */
+void px_open_here(struct px_session *s);
 /* Work through what the caller sent while its last statement was at work. */
 void px_session_go_on(struct px_session *s);
 /* Look at all sessions: whose time to open, to rest or to stay is over. */
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -13,7 +13,12 @@
     /* A holder that does not greet by then is passed over: a caller waits 2 s for its greeting.
      */
     GREET_US = 500000,
-    MAX_TRIES = 3,
+    /* Holders are asked one after the other for so long: most refuse at once, as they are down
+     * or cut off, and their caller has half a second left for the greeting then. */
+    TRY_FOR_US = 1500000,
+    /* A node that is cut off from control and did not reach another node either asks none for
+     * so long: its callers are told at once. */
+    ISOLATED_US = 1000000,
     MAX_QUEUED = 256 * 1024, /* bytes on their way to a side that does not read */
 };
 
@@ -81,11 +86,16 @@
     return g && g->n_holders > 0 ? pick_target(s, g, try) : -1;
 }
 
+/* A node that is cut off from control can prove nothing by itself, but others may have a lease:
+ * where most nodes of a failure domain are cut off the balancer goes on using them. */
 bool px_should_relay(const struct px_session *s)
 {
     const struct px_group *g = wanted_group(s);
+    int64_t now = ck_now();
     if (!g || s->p->n_nodes < 2 || s->came_relayed)
         return false;
+    if (px_cut_off(s->p, now))
+        return now >= s->p->isolated_until;
     return !g->held || (!g->first && !px_reaches(g));
 }
 
@@ -208,7 +218,7 @@
     r->net = NULL;
     if (!r->s) {
         relay_free(r);
-    } else if (!r->spoke && r->tries < MAX_TRIES) {
+    } else if (!r->spoke) {
         connect_next(r);
     } else if (r->s->net) {
         nt_close(r->s->net, false); /* the session is gone with its node */
@@ -217,12 +227,33 @@
 
 static const struct nt_ops ops = {on_open, on_message, on_close};
 
+/* Nobody opens the session. A node that is cut off answers itself: what is asked ran nowhere.
+ */
+static void give_up(struct px_relay *r)
+{
+    struct px_session *s = r->s;
+    if (!s->net || !px_cut_off(s->p, ck_now())) {
+        if (s->net)
+            nt_close(s->net, false);
+        return;
+    }
+    s->relay = NULL;
+    relay_free(r);
+    px_open_here(s);
+}
+
+static bool may_try(const struct px_relay *r)
+{
+    const struct px_group *g = wanted_group(r->s);
+    return g && r->tries < g->n_holders && ck_now() - r->s->since < TRY_FOR_US;
+}
+
 static void connect_next(struct px_relay *r)
 {
     struct px_proxy *p = r->s->p;
-    int i = next_target(r->s, r->tries++);
+    int i = may_try(r) ? next_target(r->s, r->tries++) : -1;
     if (i < 0) {
-        nt_close(r->s->net, false);
+        give_up(r);
         return;
     }
     r->in.len = 0;
@@ -271,6 +302,9 @@
 void px_relay_tick(struct px_session *s, int64_t now)
 {
     struct px_relay *r = s->relay;
-    if (r && r->net && !r->greeted && now - r->began > GREET_US)
-        nt_close(r->net, true);
+    if (!r || !r->net || r->greeted || now - r->began <= GREET_US)
+        return;
+    if (px_cut_off(s->p, now))
+        s->p->isolated_until = now + ISOLATED_US;
+    nt_close(r->net, true);
 }
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -332,9 +332,66 @@
     sr_buf_free(&w.got);
 }
 
+/* ---- a node that is cut off from control, and its own callers ---- */
+
+static void call_the_node(void *ud)
+{
+    nt_connect_stream(w.loop, "127.0.0.1", *(int *)ud, &caller_ops, &w);
+}
+
+/* A holder that had a lease and lost it is called. `reaches`: another holder can be reached and
+ * has a lease; else nobody is at the others' addresses. */
+static void call_cut_off_node(const struct fault *f, bool reaches)
+{
+    struct er_err err = {0};
+    struct ho_node nodes[NODES];
+    struct nt_timer lose = {0};
+    int holders[HO_MAX_HOLDERS], here = free_port(), there = free_port();
+    w = (struct world){.loop = nt_loop_create(64, &err), .f = f};
+    struct nt_listen l = {.ip = "127.0.0.1",
+                          .port = there,
+                          .stream = true,
+                          .ops = &there_ops,
+                          .accept = there_accept};
+    if (reaches)
+        CU_ASSERT_PTR_NOT_NULL(nt_listen(w.loop, &l, &err));
+    fill_nodes(nodes, there);
+    ho_pick(nodes, NODES, "g", 3, holders);
+    w.p = make_proxy(nodes[holders[0]].name, here);
+    px_nodes(w.p, nodes, NODES);
+    tick(NULL);
+    nt_timer_set(w.loop, &lose, CK_MS(50), lose_the_lease, NULL);
+    nt_timer_set(w.loop, &w.rest, CK_MS(500), call_the_node, &here);
+    nt_timer_set(w.loop, &w.late, CK_SEC(3), stop, NULL);
+    nt_run(w.loop);
+    nt_timer_cancel(&w.late);
+    nt_timer_cancel(&w.rest);
+    nt_timer_cancel(&w.tick);
+}
+
+/* Load: most nodes of a failure domain are cut off from control, and the balancer uses them
+ * still. What their callers ask is served by a node that has a lease; where none can be reached
+ * they are told at once that it ran nowhere. */
+static void a_cut_off_node_relays_its_callers(void)
+{
+    static const struct fault served = {"", "COMPLETE x\r\nREADY I -\r\n",
+                                        "READY I -\r\nCOMPLETE x\r\nREADY I -\r\n", false,
+                                        false},
+                              alone = {"", "", "READY I -\r\nERROR BUSY ", true, false};
+    const struct fault *rows[] = {&served, &alone};
+    for (int i = 0; i < 2; i++) {
+        const struct fault *f = rows[i];
+        call_cut_off_node(f, i == 0);
+        size_t n = strlen(f->told);
+        CU_ASSERT(w.got.len >= n && memcmp(w.got.p, f->told, n) == 0);
+        sr_buf_free(&w.got);
+    }
+}
+
 void relay_suite(void)
 {
     CU_pSuite s = CU_add_suite("relay", NULL, NULL);
     TEST(s, ends_of_relayed_sessions_lose_no_question);
     TEST(s, a_node_that_is_cut_off_opens_no_relayed_session);
+    TEST(s, a_cut_off_node_relays_its_callers);
 }
