proxy: a connection that is being opened counts as a statement in the window

Cause: it takes a slot for 12 ms, and as many were opened at once as callers waited, up to the share. Change: openings and statements that are out are within the window together. Test: connections_are_opened_within_the_window fails before (eight at once, one now).

--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -139,9 +139,15 @@
     return k;
 }
 
-static void open_for_waiters(struct px_inst *in, bool window_open, int64_t now)
+/* A connection that is being opened takes an instance's slot for as long as a statement, so it
+ * counts as one in the window. Sixteen nodes that each opened eight at once after a loss of all
+ * power filled an instance's queue with them, and 1,300 statements in 0.2 s were refused as
+ * busy. */
+static void open_for_waiters(struct px_inst *in, int64_t now)
 {
-    if (window_open && opening(in) < in->n_waiters && px_inst_has_room(in, now))
+    int out = opening(in);
+    bool open = px_window_open(&in->window, px_inst_running(in) + out, now);
+    if (open && out < in->n_waiters && px_inst_has_room(in, now))
         px_conn_open(in);
 }
 
@@ -156,7 +162,7 @@
     }
     enqueue(in, s);
     note_demand(in);
-    open_for_waiters(in, open, ck_now());
+    open_for_waiters(in, ck_now());
 }
 
 void px_inst_pump(struct px_inst *in)
@@ -309,8 +315,7 @@
         px_conn_tick(c, now);
     shed(in);
     px_inst_pump(in);
-    bool open = px_window_open(&in->window, px_inst_running(in), ck_now());
-    open_for_waiters(in, open, now);
+    open_for_waiters(in, now);
     if (in->wants_first && in->n_conns == 0 && px_inst_has_room(in, now))
         px_conn_open(in);
     /* One more than the share, to learn whether it is there: refused, it is. */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -29,6 +29,7 @@
     pace_suite();
     relay_suite();
     holding_suite();
+    opening_suite();
     proxy_suite();
     takeover_suite();
     member_suite();
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -29,6 +29,7 @@
 void pace_suite(void);
 void relay_suite(void);
 void holding_suite(void);
+void opening_suite(void);
 void proxy_suite(void);
 void takeover_suite(void);
 void member_suite(void);
