control: views go out at a rate that follows the voters' answers

Cause: a document of 1,500 routes takes 31 KB deflated, 9 MB to 300 nodes, 0.7 s of the leader's link, and heartbeats stand in line behind it. Change: view/push, pure: 384 KB at once, then 8 MB/s, faster while that is used to the full, half and a pause while a quorum's newest answer is older than two heartbeats. Test: unit suite push: a link as a line of bytes; no heartbeat waits half an election's time on 100 Mbit/s, where 0.7 s were in line before (asserted), and 300 nodes have the view within 3 s.

--- a/control/control.h
+++ b/control/control.h
@@ -19,6 +19,7 @@
 #include "task/net.h"
 #include "task/redial.h"
 #include "timeline/timeline.h"
+#include "view/push.h"
 #include "view/view.h"
 #include "wire/wire.h"
 
@@ -191,6 +192,7 @@
     struct ct_group **groups;
     struct ix_index group_at, inst_at; /* number in `groups` by group, by instance */
     unsigned ticks;
+    struct vp_pace pace; /* of views to entry nodes; a new leader begins anew */
     struct ct_frame changes_frame, whole_frame; /* of the view, as sent last */
     struct ct_frame nodes_changes, nodes_whole; /* of the list of nodes */
     /* leading */
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -7,6 +7,10 @@
 enum {
     MAX_VIEWS_QUEUED = 8 << 20,
     NODES_EVERY_US = 100000,
+    /* A quorum's answer to a heartbeat is late if none that is younger than so many was
+     * answered: one is under way always, and elections wait for four (their settings'
+     * defaults). */
+    LATE_HEARTBEATS = 2,
     /* A node whose lease ran out is listed so long while its connection is there: it is stalled
      * or behind a slow link and comes back, and each change of the list moves groups and with
      * them sessions. Origin: above the time in which a dark peer's connection ends (2.5 s). */
@@ -48,13 +52,13 @@
     return f;
 }
 
-/* Send what the node is missing, once per connection. A node that must wait for a whole view
- * gets it at one of its next renewals. */
+/* Send what the node is missing, once per connection. A node that must wait gets it in a later
+ * tick, or with one of its next renewals. */
 static void send_view(struct ct_conn *c, uint64_t has)
 {
     struct ct_node *n = c->node;
     uint64_t from = c->sent_gen > has ? c->sent_gen : has;
-    if (from >= n->view.generation)
+    if (from >= n->view.generation || !vp_may(&n->pace))
         return;
     bool whole = ct_needs_whole_view(n, from);
     if (whole && views_queued(n) > MAX_VIEWS_QUEUED)
@@ -63,6 +67,7 @@
     n->c.views++;
     n->c.snapshots += whole;
     n->c.view_bytes += f->bytes.len;
+    vp_spent(&n->pace, (int64_t)f->bytes.len);
     c->sent_gen = n->view.generation;
     c->sent_at = ck_now();
     if (c->net)
@@ -245,8 +250,21 @@
     c->nodes_known = true;
 }
 
+/* Views that the pace held back. */
+static void push_tick(struct ct_node *n, int64_t now)
+{
+    int64_t heard = qr_vouched_until(n->q) - CK_MS(n->s->election_ms);
+    int64_t late = CK_MS(n->s->heartbeat_ms) * LATE_HEARTBEATS;
+    bool held = !vp_may(&n->pace);
+    vp_tick(&n->pace, now - heard, late, now);
+    if (held && vp_may(&n->pace))
+        ct_push_view(n);
+}
+
 void ct_nodes_tick(struct ct_node *n, int64_t now)
 {
+    if (n->leading)
+        push_tick(n, now);
     bool tells = n->leading && (n->s->holders || n->s->registers);
     if (!tells || now - n->nodes_at < NODES_EVERY_US)
         return;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -16,6 +16,7 @@
     shares_suite();
     lease_suite();
     view_suite();
+    push_suite();
     intent_suite();
     promote_suite();
     store_suite();
--- /dev/null
+++ b/tests/unit/test_push.c
@@ -0,0 +1,84 @@
+/* Views on their way to 300 nodes over one link, and the heartbeats that share it. */
+#include "misc/clock.h"
+#include "tests/unit/unit.h"
+#include "view/push.h"
+
+enum {
+    NODES = 300,
+    VIEW_BYTES = 31000, /* 1,500 routes, deflated */
+    TICK_US = 5000,
+    HEARTBEAT_US = 50000,
+    ELECTION_US = 200000, /* the shortest silence after which another node wants to lead */
+    BOUND_US = 120000,
+};
+
+struct outcome {
+    int64_t took_us;  /* until the last view was through the link */
+    int64_t worst_us; /* that a heartbeat stood in line */
+};
+
+/* A link is a line of bytes that it carries in order. */
+static struct outcome send_all(int64_t bytes_a_second, bool paced)
+{
+    struct vp_pace p = {0};
+    struct outcome o = {0};
+    int64_t free_at = 0, heard = 0, now = 0, beat_arrives = 0, beat_sent = 0, next_beat = 0;
+    int sent = 0;
+    while (sent < NODES || now < free_at) {
+        if (now >= next_beat) {
+            int64_t begins = free_at > now ? free_at : now;
+            o.worst_us = begins - now > o.worst_us ? begins - now : o.worst_us;
+            beat_sent = now;
+            beat_arrives = begins;
+            next_beat = now + HEARTBEAT_US;
+        }
+        if (now >= beat_arrives)
+            heard = beat_sent;
+        vp_tick(&p, now - heard, BOUND_US, now);
+        while (sent < NODES && (!paced || vp_may(&p))) {
+            vp_spent(&p, VIEW_BYTES);
+            free_at = (free_at > now ? free_at : now) +
+                      (int64_t)VIEW_BYTES * 1000000 / bytes_a_second;
+            sent++;
+        }
+        now += TICK_US;
+    }
+    o.took_us = now;
+    return o;
+}
+
+/* Whatever the link, no heartbeat waits for an election's time behind views, and they are there
+ * within the time in which a change is to be in force, as far as the link carries them. */
+static void heartbeats_pass_large_views(void)
+{
+    static const struct {
+        int64_t rate, within_us, wait_us;
+    } rows[] = {{12500000, CK_SEC(3), ELECTION_US / 2},
+                {125000000, CK_SEC(3), ELECTION_US / 2},
+                {5000000, CK_SEC(4), ELECTION_US}}; /* its rate is learned by a late answer */
+    for (int i = 0; i < 3; i++) {
+        struct outcome o = send_all(rows[i].rate, true);
+        CU_ASSERT(o.worst_us < rows[i].wait_us);
+        CU_ASSERT(o.took_us < rows[i].within_us);
+    }
+    CU_ASSERT(send_all(12500000, false).worst_us > ELECTION_US * 3);
+}
+
+/* What a small deployment sends goes out at once. */
+static void small_views_are_not_held(void)
+{
+    struct vp_pace p = {0};
+    vp_tick(&p, 0, BOUND_US, CK_SEC(1));
+    for (int i = 0; i < 12; i++) {
+        CU_ASSERT_TRUE(vp_may(&p));
+        vp_spent(&p, 4000);
+    }
+    CU_ASSERT_TRUE(vp_may(&p));
+}
+
+void push_suite(void)
+{
+    CU_pSuite s = CU_add_suite("push", NULL, NULL);
+    TEST(s, heartbeats_pass_large_views);
+    TEST(s, small_views_are_not_held);
+}
--- /dev/null
+++ b/view/push.c
@@ -0,0 +1,53 @@
+#include "view/push.h"
+
+enum {
+    /* At first: two thirds of a link of 100 Mbit/s, so that 300 nodes that come back have 1.2
+     * MB in 0.1 s, and 9 MB within 2 s. */
+    START = 8000000,
+    LEAST = 1000000,  /* a document still reaches 100 nodes in 3 s */
+    MOST = 100000000, /* of the order of a link of 1 Gbit/s */
+    /* Goes out at once: 30 ms of a link of 100 Mbit/s, all views of a small deployment. */
+    BURST = 384 * 1024,
+    SLOWER_EVERY_US = 200000, /* until a lower rate shows in what is heard */
+    SECOND_US = 1000000,
+};
+
+static int64_t within(int64_t v, int64_t least, int64_t most)
+{
+    return v < least ? least : v > most ? most : v;
+}
+
+static void slow_down(struct vp_pace *p, int64_t now)
+{
+    if (p->credit > 0)
+        p->credit = 0;
+    if (now - p->slowed_at < SLOWER_EVERY_US)
+        return;
+    p->slowed_at = now;
+    p->rate = within(p->rate / 2, LEAST, MOST);
+}
+
+void vp_tick(struct vp_pace *p, int64_t lag_us, int64_t bound_us, int64_t now)
+{
+    if (p->rate == 0)
+        *p = (struct vp_pace){.rate = START, .credit = BURST, .at = now};
+    int64_t passed = within(now - p->at, 0, SECOND_US);
+    p->at = now;
+    if (lag_us > bound_us) {
+        slow_down(p, now);
+        return;
+    }
+    if (p->credit <= 0) /* it is used to the full: twice as fast after a second */
+        p->rate = within(p->rate + p->rate * passed / SECOND_US, LEAST, MOST);
+    p->credit = within(p->credit + p->rate * passed / SECOND_US, -MOST, BURST);
+}
+
+bool vp_may(const struct vp_pace *p)
+{
+    return p->credit > 0;
+}
+
+void vp_spent(struct vp_pace *p, int64_t bytes)
+{
+    p->credit -= bytes;
+}
