proxy: a cut-off node that reaches nobody refuses with the greeting

Change: its caller is told with the greeting that this node is cut off, and comes to another node with the next try; nothing ran.

--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -140,6 +140,11 @@
     send_all(s, &b);
 }
 
+void px_fail_cut_off(struct px_session *s)
+{
+    px_fail_and_close(s, ER_NO_LEASE, "this node is cut off; another may serve it, at once");
+}
+
 void px_fail_and_close(struct px_session *s, enum er_kind kind, const char *detail)
 {
     struct sr_buf b = {0};
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -257,6 +257,8 @@
 void px_refuse(struct px_session *s, enum er_kind kind, const char *detail);
 /* What was asked of a relayed session ran nowhere. */
 void px_refuse_relayed(struct px_session *s, enum er_kind kind, const char *detail);
+/* Instead of a greeting: this node is cut off, and so are those that it reaches. */
+void px_fail_cut_off(struct px_session *s);
 /* A failure that ends the session. */
 void px_fail_and_close(struct px_session *s, enum er_kind kind, const char *detail);
 
@@ -265,8 +267,6 @@
 
 /* session.c: the caller's connection */
 bool px_listen(struct px_proxy *p, struct er_err *err);
-/* Greet the caller: its session lives at this node. */
-void px_open_here(struct px_session *s);
 /* Work through what the caller sent while its last statement was at work. */
 void px_session_go_on(struct px_session *s);
 /* Look at all sessions: whose time to open, to rest or to stay is over. */
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -87,7 +87,9 @@
 }
 
 /* A node that is cut off from control can prove nothing by itself, but others may have a lease:
- * where most nodes of a failure domain are cut off the balancer goes on using them. */
+ * where most nodes of a failure domain are cut off the balancer goes on using them. If it
+ * reaches none, its callers are told with the greeting: a session that was opened here would
+ * bring each of its tries here again, and has to be closed when the lease is back. */
 bool px_should_relay(const struct px_session *s)
 {
     const struct px_group *g = wanted_group(s);
@@ -95,7 +97,7 @@
     if (!g || s->p->n_nodes < 2 || s->came_relayed)
         return false;
     if (px_cut_off(s->p, now))
-        return now >= s->p->isolated_until;
+        return true;
     return !g->held || (!g->first && !px_reaches(g));
 }
 
@@ -227,25 +229,23 @@
 
 static const struct nt_ops ops = {on_open, on_message, on_close};
 
-/* Nobody opens the session. A node that is cut off answers itself: what is asked ran nowhere.
- */
+/* Nobody opens the session. */
 static void give_up(struct px_relay *r)
 {
-    struct px_session *s = r->s;
-    if (!s->net || !px_cut_off(s->p, ck_now())) {
-        if (s->net)
-            nt_close(s->net, false);
+    if (!r->s->net)
         return;
-    }
-    s->relay = NULL;
-    relay_free(r);
-    px_open_here(s);
+    if (px_cut_off(r->s->p, ck_now()))
+        px_fail_cut_off(r->s);
+    else
+        nt_close(r->s->net, false);
 }
 
 static bool may_try(const struct px_relay *r)
 {
     const struct px_group *g = wanted_group(r->s);
-    return g && r->tries < g->n_holders && ck_now() - r->s->since < TRY_FOR_US;
+    int64_t now = ck_now();
+    bool isolated = px_cut_off(r->s->p, now) && now < r->s->p->isolated_until;
+    return g && !isolated && r->tries < g->n_holders && now - r->s->since < TRY_FOR_US;
 }
 
 static void connect_next(struct px_relay *r)
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -33,15 +33,9 @@
         px_relay_start(s);
         return;
     }
-    px_open_here(s);
-}
-
-void px_open_here(struct px_session *s)
-{
     s->opened = true;
     s->opened_at = ck_now();
     px_greet(s);
-    px_session_go_on(s);
 }
 
 static void open_session(struct px_session *s, const struct px_msg *m)
@@ -184,7 +178,9 @@
     if (!s->database[0] || s->opened || s->relay)
         return;
     try_open(s);
-    if (!s->opened && !s->relay && now - s->since > UNANSWERED_OPEN_US)
+    if (s->opened)
+        px_session_go_on(s);
+    else if (!s->relay && now - s->since > UNANSWERED_OPEN_US)
         px_fail_and_close(s, ER_NO_LEASE, "no configuration has come yet; retry in 500 ms");
 }
 
@@ -250,7 +246,7 @@
 static void moved_tick(struct px_session *s, int64_t now)
 {
     const struct px_group *g = px_group_of(s);
-    if (s->relay || !g || g->held || !rests(s) || px_cut_off(s->p, now))
+    if (s->relay || !g || g->held || !rests(s))
         return;
     if (s->p->stopping && !s->came_relayed)
         return; /* the balancer would send its caller here again: stop_tick */
