proxy: why a caller's connection was closed is counted, and logged if a question was open

Each close names its cause now: ferry_session_closed_total{why}, ferry_session_cut_total, event session_cut (bounded with the failures). No decision changes. Test: the fault table of relays checks the count; a relayed session that is not taken is counted.

--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -145,11 +145,41 @@
     px_fail_and_close(s, ER_NO_LEASE, "this node is cut off; another may serve it, at once");
 }
 
+static const char *const end_names[PX_ENDS] = {
+    [PX_END_BY_CALLER] = "caller",
+    [PX_END_REFUSED] = "refused",
+    [PX_END_ELSEWHERE] = "elsewhere",
+    [PX_END_NOT_TAKEN] = "not_taken",
+    [PX_END_HOLDER_ENDS] = "holder_ends",
+    [PX_END_HOLDER_LOST] = "holder_lost",
+    [PX_END_NO_HOLDER] = "no_holder",
+    [PX_END_NOT_READ] = "not_read",
+    [PX_END_LEFT] = "left",
+};
+
+const char *px_end_name(enum px_end why)
+{
+    return end_names[why];
+}
+
+void px_close(struct px_session *s, enum px_end why, bool at_once)
+{
+    struct px_proxy *p = s->p;
+    bool cut = why != PX_END_BY_CALLER && (s->stage != PX_S_REST || px_asked_elsewhere(s));
+    p->c.ends[why]++;
+    p->c.cut += cut;
+    if (cut && may_log(p))
+        FL_EVENT(&p->log, LG_INFO, "session_cut", "session=%llu database=%s why=%s relayed=%d",
+                 (unsigned long long)s->state.session, s->database, end_names[why],
+                 s->relay != NULL);
+    nt_close(s->net, at_once);
+}
+
 void px_fail_and_close(struct px_session *s, enum er_kind kind, const char *detail)
 {
     struct sr_buf b = {0};
     put_failure(s, &b, kind, detail);
     send_all(s, &b);
     if (s->net)
-        nt_close(s->net, false);
+        px_close(s, PX_END_REFUSED, false);
 }
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -186,6 +186,20 @@
     unsigned skip; /* bits of instances that could not serve it */
 };
 
+/* Why this node closed a caller's connection. */
+enum px_end {
+    PX_END_BY_CALLER,   /* it said so */
+    PX_END_REFUSED,     /* by an error that ends the session */
+    PX_END_ELSEWHERE,   /* it rested, and another node is the place for it now */
+    PX_END_NOT_TAKEN,   /* relayed to us: another holder is to be asked */
+    PX_END_HOLDER_ENDS, /* the node that served it ends it */
+    PX_END_HOLDER_LOST, /* the connection to the node that served it is gone */
+    PX_END_NO_HOLDER,   /* no node opened it */
+    PX_END_NOT_READ,    /* the node that serves it takes no more */
+    PX_END_LEFT,        /* told to leave, it did not in time */
+    PX_ENDS
+};
+
 /* Whom bytes are exchanged with, beside callers. */
 enum px_peer { PX_TO_INSTANCE, PX_TO_NODE, PX_PEERS };
 enum { PX_DISTANCES = 3 }; /* rt_distance: the same failure domain, another, another region */
@@ -198,9 +212,10 @@
     uint64_t behind;  /* an instance lacked a read's position */
     uint64_t retries; /* another try of a statement */
     uint64_t parked;
-    uint64_t lost;    /* connections, with a statement on them */
-    uint64_t opened;  /* connections to instances */
-    uint64_t relayed; /* sessions that another node serves */
+    uint64_t lost;               /* connections, with a statement on them */
+    uint64_t opened;             /* connections to instances */
+    uint64_t relayed;            /* sessions that another node serves */
+    uint64_t ends[PX_ENDS], cut; /* sessions that were closed here; with a question open */
     uint64_t log_lines_left_out;
 };
 
@@ -259,6 +274,10 @@
 void px_refuse_relayed(struct px_session *s, enum er_kind kind, const char *detail);
 /* Instead of a greeting: this node is cut off, and so are those that it reaches. */
 void px_fail_cut_off(struct px_session *s);
+/* Close the caller's connection, at once or after what is queued, and note why: a caller whose
+ * question is open does not learn whether it ran. */
+void px_close(struct px_session *s, enum px_end why, bool at_once);
+const char *px_end_name(enum px_end why);
 /* A failure that ends the session. */
 void px_fail_and_close(struct px_session *s, enum er_kind kind, const char *detail);
 
@@ -294,6 +313,8 @@
 void px_relay_tick(struct px_session *s, int64_t now);
 /* Whether another node opens this session for a caller of its own. */
 bool px_is_relayed(const struct px_msg *open);
+/* Whether a question of the relayed session's went to the other node and has no answer yet. */
+bool px_asked_elsewhere(const struct px_session *s);
 /* Whether a relayed session has neither a statement nor a transaction at the other node. */
 bool px_rests_elsewhere(const struct px_session *s);
 
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -213,6 +213,7 @@
                 {"lost_connections_total", p->c.lost},
                 {"opened_connections_total", p->c.opened},
                 {"relayed_total", p->c.relayed},
+                {"cut_total", p->c.cut},
                 {"log_lines_left_out_total", p->c.log_lines_left_out},
                 {"open", (uint64_t)p->n_sessions},
                 {"nodes", (uint64_t)p->n_nodes},
@@ -223,6 +224,9 @@
     for (int k = 1; k < ER_COUNT; k++)
         sr_buf_printf(out, "ferry_session_failed_by_total{reason=\"%s\"} %llu\n", er_name(k),
                       (unsigned long long)p->c.by_reason[k]);
+    for (int k = 0; k < PX_ENDS; k++)
+        sr_buf_printf(out, "ferry_session_closed_total{why=\"%s\"} %llu\n", px_end_name(k),
+                      (unsigned long long)p->c.ends[k]);
     put_traffic(out, p);
     put_hist(out, "read", &p->latency_read);
     put_hist(out, "write", &p->latency_write);
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -43,6 +43,11 @@
     return sr_eq(open->who, sr_from(relayed_by));
 }
 
+bool px_asked_elsewhere(const struct px_session *s)
+{
+    return s->relay && s->relay->asked;
+}
+
 bool px_rests_elsewhere(const struct px_session *s)
 {
     return s->relay && s->relay->greeted && s->relay->rests;
@@ -150,8 +155,9 @@
         s->txn = r->txn;
         px_refuse_relayed(s, r->txn == PX_IDLE ? ER_STOPPING : ER_ABORTED,
                           "the node that serves the session stops; retry at once");
+        r->asked = false;
     }
-    nt_close(s->net, false);
+    px_close(s, PX_END_HOLDER_ENDS, false);
 }
 
 /* Pass the first `n` bytes of what came on; they are whole lines. */
@@ -223,7 +229,7 @@
     } else if (!r->spoke) {
         connect_next(r);
     } else if (r->s->net) {
-        nt_close(r->s->net, false); /* the session is gone with its node */
+        px_close(r->s, PX_END_HOLDER_LOST, false); /* it is gone with its node */
     }
 }
 
@@ -237,7 +243,7 @@
     if (px_cut_off(r->s->p, ck_now()))
         px_fail_cut_off(r->s);
     else
-        nt_close(r->s->net, false);
+        px_close(r->s, PX_END_NO_HOLDER, false);
 }
 
 static bool may_try(const struct px_relay *r)
@@ -280,7 +286,7 @@
         return;
     }
     if (!r->net || !r->greeted || nt_queued(r->net) > MAX_QUEUED) {
-        nt_close(s->net, true); /* the other node does not read */
+        px_close(s, PX_END_NOT_READ, true);
         return;
     }
     send_there(r, data, len);
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -48,7 +48,7 @@
     /* Closed before a greeting, so that another holder is asked. A node that is cut off from
      * control is listed for three seconds more and would refuse whatever it is asked. */
     if (s->came_relayed && (s->p->stopping || px_cut_off(s->p, ck_now()))) {
-        nt_close(s->net, true);
+        px_close(s, PX_END_NOT_TAKEN, true);
         return;
     }
     try_open(s);
@@ -59,7 +59,7 @@
 static void take(struct px_session *s, const struct px_msg *m)
 {
     if (m->kind == PX_END)
-        nt_close(s->net, true);
+        px_close(s, PX_END_BY_CALLER, true);
     else if (m->kind == PX_OPEN && !s->database[0])
         open_session(s, m);
     else if (m->kind == PX_STATEMENT && s->opened)
@@ -210,7 +210,7 @@
     struct sr_buf b = {0};
     struct px_msg m = {.kind = PX_END};
     if (!s->came_relayed) {
-        nt_close(s->net, false);
+        px_close(s, PX_END_ELSEWHERE, false);
         return;
     }
     s->left_at = now;
@@ -222,7 +222,7 @@
 static void left_tick(struct px_session *s, int64_t now)
 {
     if (now - s->left_at > LEAVE_US)
-        nt_close(s->net, true);
+        px_close(s, PX_END_LEFT, true);
 }
 
 /* When in a span this session's turn is: they don't all come back at once. */
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -248,6 +248,20 @@
     nt_timer_cancel(&w.tick);
 }
 
+/* How often the node says that it closed a caller's connection for this reason. */
+static int closed_for(const char *why)
+{
+    char name[80];
+    struct sr_buf text = {0};
+    snprintf(name, sizeof(name), "ferry_session_closed_total{why=\"%s\"} ", why);
+    px_metrics(w.p, &text);
+    sr_buf_add(&text, "", 1);
+    const char *at = strstr(text.p, name);
+    int n = at ? atoi(at + strlen(name)) : -1;
+    sr_buf_free(&text);
+    return n;
+}
+
 /* Promise attacked: a planned stop of the node that serves a session loses no question that
  * another node has read: it is answered, or refused as not run, before the connection ends. */
 static void ends_of_relayed_sessions_lose_no_question(void)
@@ -260,7 +274,7 @@
             w.got.len >= strlen(f->told) && memcmp(w.got.p, f->told, strlen(f->told)) == 0;
         bool refused = memmem(w.got.p, w.got.len, "ERROR", 5);
         bool clean = !memmem(w.got.p, w.got.len, "TERMI", 5) && (refused == f->refused);
-        if (!told || !clean || w.closed != ends)
+        if (!told || !clean || w.closed != ends || closed_for("holder_ends") != ends)
             CU_FAIL(f->what);
         sr_buf_free(&w.got);
     }
@@ -329,6 +343,7 @@
     sr_buf_free(&w.got);
     relay_to_holder(true);
     CU_ASSERT(w.got.len == 0 && w.closed);
+    CU_ASSERT_EQUAL(closed_for("not_taken"), 1);
     sr_buf_free(&w.got);
 }
 
