ferryctl: worth reads the logs of a run and tells its failures by cause and over time

The command prints causes, the phases of each return, a line each half second, and a picture. What was served stands in metrics, not in logs: the table compares causes and does not add up to all that is lost. No daemon changes.

--- a/ferryctl/ctl.h
+++ b/ferryctl/ctl.h
@@ -49,6 +49,9 @@
 /* timeline.c */
 int ctl_timeline(const struct ctl *c);
 
+/* worth.c: args are log files. */
+int ctl_worth(const struct ctl *c);
+
 /* explain.c: args are the request's id and the log files. */
 int ctl_explain(const struct ctl *c);
 
--- a/ferryctl/main.c
+++ b/ferryctl/main.c
@@ -24,7 +24,8 @@
     {"group", O_GROUP, "NAME", 0, "timeline: only this group", 0},
     {"node", O_NODE, "NAME", 0, "timeline: only this node", 0},
     {"kind", O_KIND, "NAME", 0, "timeline: only this kind of event", 0},
-    {"svg", O_SVG, "FILE", 0, "timeline: picture of the changes of primary", 0},
+    {"svg", O_SVG, "FILE", 0,
+     "timeline: picture of the changes of primary; worth: of the failures", 0},
     {0}};
 
 static const char doc[] =
@@ -40,6 +41,8 @@
     "  intent ID                   what became of an intent\n"
     "  explain REQUEST LOG...      what led to a failed request, from the logs of many "
     "processes\n"
+    "  worth LOG...                failures of a run by cause and over time, from the logs of "
+    "many processes\n"
     "\vExit codes: 0 done, 1 refused, 64 usage, 69 no control node answers, 75 may have been "
     "done: resend with the same --id.";
 
@@ -67,7 +70,8 @@
 {
     if (c->n_args == 0)
         argp_error(st, "a command is needed");
-    if (c->n == 0 && strcmp(c->args[0], "explain") != 0)
+    bool offline = strcmp(c->args[0], "explain") == 0 || strcmp(c->args[0], "worth") == 0;
+    if (c->n == 0 && !offline)
         argp_error(st, "--control or FERRY_CONTROL must name the control nodes");
 }
 
@@ -298,6 +302,8 @@
         return ctl_timeline(c);
     if (strcmp(cmd, "explain") == 0 && c->n_args > 2)
         return ctl_explain(c);
+    if (strcmp(cmd, "worth") == 0 && c->n_args > 1)
+        return ctl_worth(c);
     if (strcmp(cmd, "intent") == 0 && c->n_args == 2)
         return intent(c, c->args[1]);
     if (strcmp(cmd, "confirm") == 0 && c->n_args == 2)
--- /dev/null
+++ b/ferryctl/worth.c
@@ -0,0 +1,323 @@
+/* Where a run lost its callers' requests: the failures that the logs of its processes tell,
+ * by cause and over time, with what nodes and control did meanwhile.
+ *
+ * Logs hold failures only, 20 a second and node at the most: what was served, and how fast,
+ * stands in metrics. So counts here compare causes; they do not add up to all that was lost. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ferryctl/ctl.h"
+#include "misc/str.h"
+
+enum {
+    LINE = 4096, /* bytes; above what misc/log.c writes */
+    WINDOW_MS = 500,
+    MAX_WINDOWS = 7200, /* an hour; what is later is passed over */
+    MAX_NODES = 4096,
+};
+
+/* What a request that failed waited for, or met. */
+enum cause {
+    ROUTE,      /* a primary, a lease or a position */
+    CONNECTION, /* to an instance */
+    INSTANCE,   /* it said no, failed, or its answer was lost */
+    CUT_OFF,    /* its node was cut off from control */
+    CUT,        /* its caller's connection was closed with the question open */
+    OTHER,
+    CAUSES
+};
+
+static const char *const cause_names[CAUSES] = {
+    [ROUTE] = "waited for a route", [CONNECTION] = "waited for a connection",
+    [INSTANCE] = "at the instance", [CUT_OFF] = "its node was cut off",
+    [CUT] = "connection closed",    [OTHER] = "other",
+};
+
+static const char *const cause_colours[CAUSES] = {"#6a1b9a", "#ef6c00", "#c62828",
+                                                  "#1565c0", "#424242", "#9e9e9e"};
+
+/* Which failures belong to a cause, by the error's kind (misc/err.h). */
+static const struct {
+    const char *kind;
+    enum cause cause;
+} kinds[] = {{"deadline", ROUTE},   {"overload", CONNECTION}, {"busy", INSTANCE},
+             {"failed", INSTANCE},  {"timeout", INSTANCE},    {"lost", INSTANCE},
+             {"aborted", INSTANCE}, {"no_lease", CUT_OFF}};
+
+/* What happens once a node when it starts, or when it comes to know more. */
+enum phase { RUNS, LEASED, CONFIGURED, PHASES };
+static const char *const phase_names[PHASES] = {"runs", "has a lease", "has the document"};
+
+struct window {
+    int by_cause[CAUSES];
+    int by_phase[PHASES]; /* nodes that came to it */
+    int leaders;          /* elected */
+    int holdings;         /* groups that a node began or ceased to hold */
+    int changes;          /* of primary, begun */
+};
+
+struct totals {
+    long long first_ms; /* of all lines; 0: none */
+    int n_windows;      /* up to the last that holds anything */
+    int by_cause[CAUSES];
+    int n_nodes;
+    char nodes[MAX_NODES][48];
+    struct window w[MAX_WINDOWS];
+};
+
+static const char *text(const json_t *o, const char *key)
+{
+    const char *s = json_string_value(json_object_get(o, key));
+    return s ? s : "";
+}
+
+static enum cause cause_of(const char *kind)
+{
+    for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+        if (strcmp(kinds[i].kind, kind) == 0)
+            return kinds[i].cause;
+    }
+    return OTHER;
+}
+
+static void note_node(struct totals *t, const char *name)
+{
+    for (int i = 0; i < t->n_nodes; i++) {
+        if (strcmp(t->nodes[i], name) == 0)
+            return;
+    }
+    if (t->n_nodes < MAX_NODES)
+        sr_copy(t->nodes[t->n_nodes++], sizeof(t->nodes[0]), sr_from(name));
+}
+
+static struct window *window_of(struct totals *t, long long ms)
+{
+    long long i = (ms - t->first_ms) / WINDOW_MS;
+    if (i < 0 || i >= MAX_WINDOWS)
+        return NULL;
+    if (i >= t->n_windows)
+        t->n_windows = (int)i + 1;
+    return &t->w[i];
+}
+
+static void note_failure(struct totals *t, struct window *w, enum cause c)
+{
+    t->by_cause[c]++;
+    w->by_cause[c]++;
+}
+
+static void note_event(struct totals *t, struct window *w, const json_t *o)
+{
+    const char *event = text(o, "event");
+    if (strcmp(event, "request_failed") == 0)
+        note_failure(t, w, cause_of(text(o, "kind")));
+    else if (strcmp(event, "session_cut") == 0)
+        note_failure(t, w, CUT);
+    else if (strcmp(event, "lease_held") == 0)
+        w->by_phase[LEASED]++;
+    else if (strcmp(event, "document_in_force") == 0)
+        w->by_phase[CONFIGURED]++;
+    else if (strcmp(event, "holding_changed") == 0)
+        w->holdings++;
+    else if (strcmp(event, "change_of_primary") == 0)
+        w->changes++;
+}
+
+static void note_line(struct totals *t, const json_t *o)
+{
+    const char *msg = text(o, "msg");
+    struct window *w = window_of(t, json_integer_value(json_object_get(o, "ts_ms")));
+    if (!w)
+        return;
+    note_node(t, text(o, "node"));
+    if (strncmp(msg, "leads term", 10) == 0)
+        w->leaders++;
+    else if (strstr(msg, " runs, roles "))
+        w->by_phase[RUNS]++;
+    else
+        note_event(t, w, o);
+}
+
+/* The log may be a program's output with words before the JSON. */
+static json_t *parse_line(const char *line)
+{
+    const char *brace = strchr(line, '{');
+    return brace ? json_loads(brace, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
+}
+
+static void each_line(struct totals *t, FILE *f, void (*take)(struct totals *, const json_t *))
+{
+    char line[LINE];
+    while (fgets(line, sizeof(line), f)) {
+        json_t *o = parse_line(line);
+        if (json_is_integer(json_object_get(o, "ts_ms")))
+            take(t, o);
+        json_decref(o);
+    }
+}
+
+static void note_first(struct totals *t, const json_t *o)
+{
+    long long ms = json_integer_value(json_object_get(o, "ts_ms"));
+    if (t->first_ms == 0 || ms < t->first_ms)
+        t->first_ms = ms;
+}
+
+/* Twice over the files: the first time tells when the run began. */
+static bool read_files(struct totals *t, const struct ctl *c)
+{
+    static void (*const passes[])(struct totals *, const json_t *) = {note_first, note_line};
+    for (int k = 0; k < 2; k++) {
+        for (int i = 1; i < c->n_args; i++) {
+            FILE *f = fopen(c->args[i], "r");
+            if (!f) {
+                fprintf(stderr, "ferryctl: %s can't be read\n", c->args[i]);
+                return false;
+            }
+            each_line(t, f, passes[k]);
+            fclose(f);
+        }
+    }
+    return true;
+}
+
+static int failures(const struct window *w)
+{
+    int sum = 0;
+    for (int c = 0; c < CAUSES; c++)
+        sum += w->by_cause[c];
+    return sum;
+}
+
+static void show_causes(const struct totals *t)
+{
+    int sum = 0;
+    for (int c = 0; c < CAUSES; c++)
+        sum += t->by_cause[c];
+    printf("%d nodes, %.1f s, %d failures in the logs\n", t->n_nodes,
+           t->n_windows * WINDOW_MS / 1000.0, sum);
+    for (int c = 0; c < CAUSES; c++) {
+        if (t->by_cause[c])
+            printf("  %-24s %8d  %5.1f %%\n", cause_names[c], t->by_cause[c],
+                   100.0 * t->by_cause[c] / sum);
+    }
+}
+
+static bool eventful(const struct window *w)
+{
+    int sum = failures(w) + w->leaders + w->holdings + w->changes;
+    for (int p = 0; p < PHASES; p++)
+        sum += w->by_phase[p];
+    return sum > 0;
+}
+
+/* A line a window in which anything happened; nodes by the phase that they came to in it. */
+static void show_windows(const struct totals *t)
+{
+    printf("%9s %7s %7s %9s %8s %8s %6s %6s %9s %8s %8s %8s\n", "second", "route", "conn.",
+           "instance", "cut off", "closed", "other", "runs", "leased", "document", "holdings",
+           "leaders");
+    for (int i = 0; i < t->n_windows; i++) {
+        const struct window *w = &t->w[i];
+        if (!eventful(w))
+            continue;
+        printf("%9.1f", i * WINDOW_MS / 1000.0);
+        printf(" %7d %7d %9d %8d %8d %6d", w->by_cause[ROUTE], w->by_cause[CONNECTION],
+               w->by_cause[INSTANCE], w->by_cause[CUT_OFF], w->by_cause[CUT],
+               w->by_cause[OTHER]);
+        printf(" %6d %9d %8d %8d %8d\n", w->by_phase[RUNS], w->by_phase[LEASED],
+               w->by_phase[CONFIGURED], w->holdings, w->leaders);
+    }
+}
+
+/* From the first node that runs in a burst of starts to the half and the last of each phase:
+ * what a return is made of. A burst ends with a pause of that many windows without a start. */
+static void show_return(const struct totals *t, int from, int until)
+{
+    int started = 0;
+    for (int i = from; i < until; i++)
+        started += t->w[i].by_phase[RUNS];
+    printf("%d processes start from %.1f s on\n", started, from * WINDOW_MS / 1000.0);
+    for (int p = 0; p < PHASES; p++) {
+        int sum = 0, half = -1, last = -1;
+        for (int i = from; i < until; i++) {
+            sum += t->w[i].by_phase[p];
+            if (half < 0 && sum * 2 >= started)
+                half = i - from;
+            if (t->w[i].by_phase[p])
+                last = i - from;
+        }
+        if (half >= 0)
+            printf("  %-18s half within %.1f s, the last within %.1f s\n", phase_names[p],
+                   (half + 1) * WINDOW_MS / 1000.0, (last + 1) * WINDOW_MS / 1000.0);
+    }
+}
+
+static void show_returns(const struct totals *t)
+{
+    enum { QUIET = 10 }; /* windows: 5 s */
+    for (int i = 0; i < t->n_windows; i++) {
+        if (!t->w[i].by_phase[RUNS])
+            continue;
+        int until = i + 1;
+        for (int quiet = 0; until < t->n_windows && quiet < QUIET; until++)
+            quiet = t->w[until].by_phase[RUNS] ? 0 : quiet + 1;
+        show_return(t, i, until);
+        i = until;
+    }
+}
+
+static bool write_svg(const struct totals *t, const char *path)
+{
+    enum { BAR = 4, HEIGHT = 240 };
+    int most = 1;
+    FILE *f = fopen(path, "w");
+    if (!f)
+        return false;
+    for (int i = 0; i < t->n_windows; i++)
+        most = failures(&t->w[i]) > most ? failures(&t->w[i]) : most;
+    fprintf(f, "<svg xmlns='http://www.w3.org/2000/svg' width='%d' height='%d'>\n",
+            t->n_windows * BAR, HEIGHT + 20);
+    for (int i = 0; i < t->n_windows; i++) {
+        const struct window *w = &t->w[i];
+        double y = HEIGHT;
+        for (int c = 0; c < CAUSES; c++) {
+            double h = (double)w->by_cause[c] * HEIGHT / most;
+            y -= h;
+            if (h > 0)
+                fprintf(f,
+                        "<rect x='%d' y='%.1f' width='%d' height='%.1f' fill='%s'>"
+                        "<title>%.1f s: %s, %d</title></rect>\n",
+                        i * BAR, y, BAR, h, cause_colours[c], i * WINDOW_MS / 1000.0,
+                        cause_names[c], w->by_cause[c]);
+        }
+        if (w->leaders || w->changes || w->by_phase[LEASED])
+            fprintf(f,
+                    "<rect x='%d' y='%d' width='%d' height='12' fill='%s'><title>%.1f s: %d "
+                    "leaders, %d changes of primary, %d leases</title></rect>\n",
+                    i * BAR, HEIGHT + 4, BAR, w->leaders ? "#c62828" : "#2e7d32",
+                    i * WINDOW_MS / 1000.0, w->leaders, w->changes, w->by_phase[LEASED]);
+    }
+    fprintf(f, "</svg>\n");
+    return fclose(f) == 0;
+}
+
+int ctl_worth(const struct ctl *c)
+{
+    static struct totals t;
+    if (!read_files(&t, c))
+        return EX_REFUSED;
+    if (t.first_ms == 0) {
+        printf("no line of a log of ours is in the files\n");
+        return EX_REFUSED;
+    }
+    show_causes(&t);
+    show_returns(&t);
+    show_windows(&t);
+    if (c->svg && !write_svg(&t, c->svg)) {
+        fprintf(stderr, "ferryctl: %s can't be written\n", c->svg);
+        return EX_REFUSED;
+    }
+    return EX_GOOD;
+}
