--- /dev/null
+++ b/tests/unit/one_node.c
@@ -0,0 +1,53 @@
+#include "tests/unit/one_node.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "misc/clock.h"
+#include "platform/platform.h"
+#include "tests/unit/unit.h"
+
+int on_free_port(void)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET};
+    socklen_t n = sizeof(a);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CU_ASSERT_EQUAL(bind(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+    getsockname(fd, (struct sockaddr *)&a, &n);
+    close(fd);
+    return ntohs(a.sin_port);
+}
+
+static bool always(void *ud)
+{
+    (void)ud;
+    return true;
+}
+
+static void suspect(void *ud, const char *inst, enum wr_health health)
+{
+    (void)ud;
+    (void)inst;
+    (void)health;
+}
+
+struct px_proxy *on_create(struct nt_loop *l, const char *name, int port, int max_sessions,
+                           bool (*leased)(void *ud))
+{
+    struct er_err err = {0};
+    struct px_config cfg = {.name = name,
+                            .domain = "z",
+                            .ip = "127.0.0.1",
+                            .port = port,
+                            .max_sessions = max_sessions,
+                            .grace_us = CK_SEC(1),
+                            .seed = 1,
+                            .codec = &pf_lines,
+                            .documents = &pf_documents,
+                            .host = {leased ? leased : always, suspect, NULL}};
+    struct px_proxy *p = px_create(l, &cfg, &err);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(p);
+    return p;
+}
--- /dev/null
+++ b/tests/unit/one_node.h
@@ -0,0 +1,13 @@
+/* A node's proxy for unit tests: real sockets on loopback, the platform's codecs. */
+#ifndef FL_TESTS_ONE_NODE_H
+#define FL_TESTS_ONE_NODE_H
+
+#include "proxy/proxy.h"
+
+/* A port of 127.0.0.1 that was free just now. */
+int on_free_port(void);
+/* `name` must outlive the proxy; `leased` NULL: it always has a lease. */
+struct px_proxy *on_create(struct nt_loop *l, const char *name, int port, int max_sessions,
+                           bool (*leased)(void *ud));
+
+#endif
--- a/tests/unit/test_holding.c
+++ b/tests/unit/test_holding.c
@@ -1,13 +1,12 @@
 /* Which connections nodes ask for when hundreds of them come back together: 300 nodes before 60
  * instances of 131 connections. One proxy stands for each node in turn, as the name it goes by
  * is all that tells them apart. */
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "misc/clock.h"
-#include "platform/platform.h"
 #include "proxy/proxy.h"
+#include "tests/unit/one_node.h"
 #include "tests/unit/unit.h"
 
 enum {
@@ -22,36 +21,10 @@
 
 static char node_name[32];
 
-static bool leased(void *ud)
-{
-    (void)ud;
-    return true;
-}
-
-static void suspect(void *ud, const char *inst, enum wr_health health)
-{
-    (void)ud;
-    (void)inst;
-    (void)health;
-}
-
 static struct px_proxy *make_proxy(void)
 {
     struct er_err err = {0};
-    struct px_config cfg = {.name = node_name,
-                            .domain = "z",
-                            .ip = "127.0.0.1",
-                            .port = 0,
-                            .max_sessions = 8,
-                            .grace_us = CK_SEC(1),
-                            .seed = 1,
-                            .codec = &pf_lines,
-                            .documents = &pf_documents,
-                            .host = {leased, suspect, NULL}};
-    struct nt_loop *loop = nt_loop_create(64, &err);
-    struct px_proxy *p = px_create(loop, &cfg, &err);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(p);
-    return p;
+    return on_create(nt_loop_create(64, &err), node_name, 0, 8, NULL);
 }
 
 static void put_document(struct sr_buf *out)
--- a/tests/unit/test_opening.c
+++ b/tests/unit/test_opening.c
@@ -1,16 +1,13 @@
 /* How many connections a node opens at once to an instance that is slow to greet, while many of
  * its callers wait: each takes a slot there, and sixteen nodes do the same. */
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "misc/clock.h"
-#include "platform/platform.h"
 #include "proxy/proxy.h"
 #include "task/net.h"
+#include "tests/unit/one_node.h"
 #include "tests/unit/unit.h"
 
 enum { CALLERS = 12, SHARE = 8 };
@@ -87,31 +84,6 @@
 
 /* ---- the node between them ---- */
 
-static bool leased(void *ud)
-{
-    (void)ud;
-    return true;
-}
-
-static void suspect(void *ud, const char *inst, enum wr_health health)
-{
-    (void)ud;
-    (void)inst;
-    (void)health;
-}
-
-static int free_port(void)
-{
-    struct sockaddr_in a = {.sin_family = AF_INET};
-    socklen_t n = sizeof(a);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CU_ASSERT_EQUAL(bind(fd, (struct sockaddr *)&a, sizeof(a)), 0);
-    getsockname(fd, (struct sockaddr *)&a, &n);
-    close(fd);
-    return ntohs(a.sin_port);
-}
-
 static void tick(void *ud)
 {
     (void)ud;
@@ -128,17 +100,6 @@
 static void make_node(int port, int inst_port)
 {
     static struct vw_group group;
-    struct er_err err = {0};
-    struct px_config cfg = {.name = "n0",
-                            .domain = "z",
-                            .ip = "127.0.0.1",
-                            .port = port,
-                            .max_sessions = CALLERS,
-                            .grace_us = CK_SEC(1),
-                            .seed = 1,
-                            .codec = &pf_lines,
-                            .documents = &pf_documents,
-                            .host = {leased, suspect, NULL}};
     struct vw_view view = {.generation = 1, .n = 1, .groups = &group};
     struct ho_node nodes[2] = {{.name = "n0", .domain = "z", .ip = "127.0.0.1", .port = port},
                                {.name = "n1", .domain = "z", .ip = "127.0.0.1", .port = 1}};
@@ -146,7 +107,7 @@
     group.inst[0] = (struct vw_instance){.id = "i", .ip = "127.0.0.1", .domain = "z"};
     group.inst[0].port = inst_port;
     view.doc = (struct vw_document){1, strdup(document), strlen(document)};
-    w.p = px_create(w.loop, &cfg, &err);
+    w.p = on_create(w.loop, "n0", port, CALLERS, NULL);
     px_view(w.p, &view);
     free(view.doc.text);
     ho_prepare(nodes, 2);
@@ -157,7 +118,7 @@
 static void play(bool greets, int64_t for_us)
 {
     struct er_err err = {0};
-    int here = free_port(), there = free_port();
+    int here = on_free_port(), there = on_free_port();
     w = (struct world){.loop = nt_loop_create(64, &err), .greets = greets};
     struct nt_listen l = {.ip = "127.0.0.1",
                           .port = there,
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -1,16 +1,13 @@
 /* The relay of sessions between entry nodes: what a caller gets when the node that serves its
  * session ends it, as a fault table. Real sockets on loopback; the other node is a stand-in. */
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "misc/clock.h"
-#include "platform/platform.h"
 #include "proxy/proxy.h"
 #include "task/net.h"
+#include "tests/unit/one_node.h"
 #include "tests/unit/unit.h"
 
 enum { NODES = 5 }; /* more than hold the group, so that one has to relay */
@@ -151,31 +148,12 @@
 
 /* ---- the proxy between them ---- */
 
-static int free_port(void)
-{
-    struct sockaddr_in a = {.sin_family = AF_INET};
-    socklen_t n = sizeof(a);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CU_ASSERT_EQUAL(bind(fd, (struct sockaddr *)&a, sizeof(a)), 0);
-    getsockname(fd, (struct sockaddr *)&a, &n);
-    close(fd);
-    return ntohs(a.sin_port);
-}
-
 static bool leased(void *ud)
 {
     (void)ud;
     return !w.no_lease;
 }
 
-static void suspect(void *ud, const char *inst, enum wr_health health)
-{
-    (void)ud;
-    (void)inst;
-    (void)health;
-}
-
 /* All nodes but ours are the stand-in; ours is the first that does not hold the group. */
 static const char *fill_nodes(struct ho_node nodes[NODES], int port)
 {
@@ -200,22 +178,11 @@
 {
     static struct vw_group group;
     char document[sizeof(document_of) + 8];
-    struct er_err err = {0};
-    struct px_config cfg = {.name = name,
-                            .domain = "z",
-                            .ip = "127.0.0.1",
-                            .port = port,
-                            .max_sessions = 8,
-                            .grace_us = CK_SEC(1),
-                            .seed = 1,
-                            .codec = &pf_lines,
-                            .documents = &pf_documents,
-                            .host = {leased, suspect, NULL}};
-    struct px_proxy *p = px_create(w.loop, &cfg, &err);
+    struct px_proxy *p = on_create(w.loop, name, port, 8, leased);
     struct vw_view view = {.generation = 1, .n = 1, .groups = &group};
     group = (struct vw_group){.name = "g", .term = 1, .n = 1};
     group.inst[0] = (struct vw_instance){.id = "i", .ip = "127.0.0.1", .domain = "z"};
-    group.inst[0].port = free_port(); /* nobody is there */
+    group.inst[0].port = on_free_port(); /* nobody is there */
     snprintf(document, sizeof(document), document_of, w.f->all_hold ? 25 : 1);
     view.doc = (struct vw_document){1, strdup(document), strlen(document)};
     px_view(p, &view);
@@ -228,7 +195,7 @@
     struct er_err err = {0};
     struct ho_node nodes[NODES];
     w = (struct world){.loop = nt_loop_create(64, &err), .f = f};
-    int there = free_port();
+    int there = on_free_port();
     struct nt_listen l = {.ip = "127.0.0.1",
                           .port = there,
                           .stream = true,
@@ -236,7 +203,7 @@
                           .accept = there_accept};
     CU_ASSERT_PTR_NOT_NULL(nt_listen(w.loop, &l, &err));
     const char *name = fill_nodes(nodes, there);
-    int here = free_port();
+    int here = on_free_port();
     w.p = make_proxy(name, here);
     px_nodes(w.p, nodes, NODES);
     tick(NULL);
@@ -317,7 +284,7 @@
     struct er_err err = {0};
     struct ho_node nodes[NODES];
     struct nt_timer lose = {0};
-    int holders[HO_MAX_HOLDERS], here = free_port();
+    int holders[HO_MAX_HOLDERS], here = on_free_port();
     w = (struct world){.loop = nt_loop_create(64, &err), .f = &none};
     fill_nodes(nodes, here);
     ho_pick(nodes, NODES, "g", 3, holders);
@@ -361,7 +328,7 @@
     struct er_err err = {0};
     struct ho_node nodes[NODES];
     struct nt_timer lose = {0};
-    int holders[HO_MAX_HOLDERS], here = free_port(), there = free_port();
+    int holders[HO_MAX_HOLDERS], here = on_free_port(), there = on_free_port();
     w = (struct world){.loop = nt_loop_create(64, &err), .f = f};
     struct nt_listen l = {.ip = "127.0.0.1",
                           .port = there,
