--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -169,9 +169,9 @@
     p->c.ends[why]++;
     p->c.cut += cut;
     if (cut && may_log(p))
-        FL_EVENT(&p->log, LG_INFO, "session_cut", "session=%llu database=%s why=%s relayed=%d",
-                 (unsigned long long)s->state.session, s->database, end_names[why],
-                 s->relay != NULL);
+        FL_EVENT(&p->log, LG_INFO, "session_cut", "session=%llu database=%s relayed=%d why=%s",
+                 (unsigned long long)s->state.session, s->database, s->relay != NULL,
+                 end_names[why]);
     nt_close(s->net, at_once);
 }
 
