entry: requests of a connection are numbered from a number drawn for it

A connection counted its requests from one, so an answer that an instance sends on the wrong connection had the id that was waited for there, wherever two connections were equally old. Change: the count begins anywhere below 2^48 (JSON holds 53 bits exactly). Test: the stand-in counts statements with an id that a count from one would give; t_endpoints asks for none. The sessions of the outside interface have callers' ids and are not concerned.

--- a/entry/pool.c
+++ b/entry/pool.c
@@ -4,6 +4,11 @@
 #include "entry/entry.h"
 #include "misc/clock.h"
 
+/* Ids of a connection's requests go up from a number drawn for it: counted from one on each, an
+ * answer that an instance sends on the wrong connection had the id that is waited for there
+ * wherever two connections were equally old. JSON holds integers of 53 bits exactly. */
+#define ID_SPAN (1ull << 48)
+
 enum {
     REOPEN_US = 50000, /* between tries to connect to an instance that refused */
     STATUS_US = 25000, /* between position requests to a primary */
@@ -212,6 +217,7 @@
     char who[64];
     snprintf(who, sizeof(who), "entry:%s", in->node->s->name);
     ep->inst = in;
+    ep->last_id = rn_below(&in->node->rng, ID_SPAN);
     ep->next = in->eps;
     in->eps = ep;
     in->n_conns++;
--- a/tests/process/t_endpoints.sh
+++ b/tests/process/t_endpoints.sh
@@ -13,6 +13,8 @@
     for i in 0 1 2; do cl_fault 0 $i '{"mangle":""}'; done
     t_load_end
 done
+low_ids() { for i in 0 1 2; do cl_get "$(cl_instance_port 0 $i)" /state | sed -n 's/.*"low_ids":\([0-9]*\).*/\1/p'; done | awk '{n += $1} END {print n}'; }
+t_check "no connection counts its requests from one: an answer on another's is none of its own" [ "$(low_ids)" = 0 ]
 t_check "late replies were counted" [ "$(for e in 0 1 2; do cl_get "$(cl_entry_port $e)" /metrics | awk '$1 == "ferry_late_replies_total" {print $2}'; done | awk '{n += $1} END {print n}')" -gt 0 ]
 
 t_say "a replica accepts connections and says nothing, then recovers; then the primary is killed"
--- a/tests/standin/instance.c
+++ b/tests/standin/instance.c
@@ -166,10 +166,10 @@
             set_faults(in, o);
         json_decref(o);
     }
-    json_t *o = in_positions(in, json_pack("{s:i,s:i,s:I,s:I}", "conns", in->n_conns,
-                                           "peak_conns", in->peak_conns, "refused_conns",
-                                           (json_int_t)in->refused_conns, "statements",
-                                           (json_int_t)in->statements));
+    json_t *o = in_positions(
+        in, json_pack("{s:i,s:i,s:I,s:I,s:I}", "conns", in->n_conns, "peak_conns",
+                      in->peak_conns, "refused_conns", (json_int_t)in->refused_conns, "low_ids",
+                      (json_int_t)in->low_ids, "statements", (json_int_t)in->statements));
     char *s = json_dumps(o, JSON_COMPACT);
     nt_http_reply(req->conn, 200, "application/json", s, strlen(s));
     free(s);
--- a/tests/standin/instance.h
+++ b/tests/standin/instance.h
@@ -56,6 +56,7 @@
     struct in_conn *conns;
     int n_conns; /* counted against max_conns */
     int peak_conns;
+    uint64_t low_ids; /* statements with an id that a count from one would give */
     bool primary;
     bool clean;    /* replica: holds only what the primary it follows or followed has sent */
     uint64_t term; /* highest it was fenced, promoted or told to follow at */
--- a/tests/standin/serve.c
+++ b/tests/standin/serve.c
@@ -4,6 +4,8 @@
 #include "misc/clock.h"
 #include "tests/standin/instance.h"
 
+enum { LOW_ID = 1000000 }; /* a connection of a test asks less often */
+
 static const char *text(const json_t *o, const char *key)
 {
     const char *s = json_string_value(json_object_get(o, key));
@@ -293,6 +295,7 @@
     j->in = in;
     j->req = json_incref(req);
     c->busy = true;
+    in->low_ids += number(req, "id") < LOW_ID;
     bool read = strcmp(text(req, "op"), "read") == 0;
     if (!read || in_txn(c, req) || covered(in, req)) {
         enqueue(in, j);
