--- a/tests/process/t_control.sh
+++ b/tests/process/t_control.sh
@@ -48,8 +48,9 @@
 l=$(cl_leader); v=$(((l + 1) % 3))
 old_id=$("$CL_BUILD/ferryctl" members | awk -v n="c$v" '$2 == n {print $1}')
 cl_kill "c$v"; rm -rf "$CL_DIR/data-c$v"
-cl_control "$v"; sleep 1
-new_id=$(cl_get "$(cl_ops_port "$v")" /v1/status | sed -n 's/.*"id":"\([0-9a-f]*\)".*/\1/p')
+cl_control "$v"
+own_id() { new_id=$(cl_get "$(cl_ops_port "$v")" /v1/status | sed -n 's/.*"id":"\([0-9a-f]*\)".*/\1/p'); [ -n "$new_id" ]; }
+t_check "it starts with an identity" t_until own_id
 t_check "another identity ($old_id, now $new_id)" [ "$old_id" != "$new_id" ]
 t_check "it is no member" bash -c "! $CL_BUILD/ferryctl members | grep -q $new_id"
 echo "{\"id\":\"$new_id\",\"name\":\"c$v\",\"ip\":\"127.0.0.1\",\"port\":$((CL_BASE + 60 + v)),\"domain\":\"${CL_DOMAINS[$v]}\"}" > "$CL_DIR/new.json"
