account, proxy: keys belong to client accounts, connections to one account

Change: documents with accounts are read and checked (names once, a key in one account, errors name no key); a session's key gives its account at its opening and at each operation's start, unknown keys are refused; a connection to an instance is opened for one account and serves only that; where the share is used up, an idle connection of another account goes (proxy/fit, pure); an account's sessions meet at one holder of the group (rendezvous on the account), so that its connections do as well. A relayed session brings its key and the version of the relaying node's document; a holder that is behind waits for it. Documents without accounts go the old way.

--- a/catalog/catalog.c
+++ b/catalog/catalog.c
@@ -14,6 +14,7 @@
 {
     free(c->routes);
     free(c->services);
+    ac_free(&c->accounts);
     *c = (struct cg_catalog){0};
 }
 
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -6,6 +6,7 @@
 #ifndef FL_CATALOG_CATALOG_H
 #define FL_CATALOG_CATALOG_H
 
+#include "account/account.h"
 #include "misc/err.h"
 #include "misc/str.h"
 #include "view/view.h"
@@ -31,6 +32,7 @@
     int64_t aim_us;     /* what an operation should take */
     int priority;       /* 0 is served first */
     int attempts;       /* instances that a statement may be offered to, at most */
+    bool open_to_all;   /* callers need no key for it */
 };
 
 struct cg_service {
@@ -46,6 +48,7 @@
     struct cg_route *routes; /* by database, then prefix, once cg_check was called */
     int n_services;
     struct cg_service *services;
+    struct ac_table accounts;
     int64_t
         txn_idle_us; /* a transaction that rests longer may be ended; 0: no bound is given */
 };
--- a/misc/err.c
+++ b/misc/err.c
@@ -43,6 +43,8 @@
     [ER_FAILED] = {"failed", ER_ANS_REJECTED, 500},
     [ER_TIMEOUT] = {"timeout", ER_ANS_UNKNOWN, 504},
     [ER_ABORTED] = {"aborted", ER_ANS_NOT_RUN, 409},
+    [ER_NO_ACCOUNT] = {"no_account", ER_ANS_REJECTED, 401},
+    [ER_LIMIT] = {"limit", ER_ANS_NOT_RUN, 429},
 };
 
 bool er_set(struct er_err *err, enum er_kind kind, const char *fmt, ...)
--- a/misc/err.h
+++ b/misc/err.h
@@ -42,6 +42,8 @@
     ER_FAILED,         /* the statement ran and failed; it has no effect */
     ER_TIMEOUT,        /* no answer in the statement's time; it may still run */
     ER_ABORTED,        /* the transaction was rolled back: nothing of it is kept */
+    ER_NO_ACCOUNT,     /* the caller's key belongs to no account */
+    ER_LIMIT,          /* the client account is over its limit; not run */
     ER_COUNT
 };
 
--- /dev/null
+++ b/proxy/accounts.c
@@ -0,0 +1,19 @@
+/* Whom a session is for: its caller's key, and the document in force. */
+#include "proxy/priv.h"
+
+/* What instances are told of callers of a route that is open to all: no account is called so. */
+static const char nobody[] = "-";
+
+bool px_identify(struct px_session *s, const struct cg_route *r)
+{
+    const struct ac_table *accounts = &s->p->catalog.accounts;
+    const struct ac_account *a = ac_of_key(accounts, sr_from(s->key));
+    const char *who = a ? a->name : nobody;
+    if (!accounts->given)
+        who = s->p->cfg.name;
+    else if (!a && !r->open_to_all) {
+        s->p->c.unknown_keys++;
+        return false;
+    }
+    return sr_copy(s->account, sizeof(s->account), sr_from(who));
+}
--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -78,7 +78,7 @@
            floor, (unsigned long long)s->floor.term, (unsigned long long)s->floor.pos,
            (unsigned long long)s->seen.term, (unsigned long long)s->seen.pos, s->begun);
     c->phase = PX_C_RUNNING;
-    s->sent_at = ck_now();
+    s->sent_at = c->used_at = ck_now();
     s->offers++;
     bool ok = send_msg(c, &m);
     sr_buf_free(&text);
@@ -371,7 +371,7 @@
     struct px_conn *c = ud;
     struct px_msg m = {.kind = PX_OPEN,
                        .database = sr_from(c->inst->group->cfg.name),
-                       .who = sr_from(c->inst->p->cfg.name),
+                       .who = sr_from(c->account),
                        .expect = sr_from(c->inst->cfg.id)};
     (void)net;
     send_msg(c, &m);
@@ -436,9 +436,12 @@
 
 static const struct nt_ops ops = {on_open, on_message, on_close};
 
-void px_conn_open(struct px_inst *in)
+void px_conn_open(struct px_inst *in, const char *account)
 {
     struct px_conn *c = sr_alloc(sizeof(*c));
+    sr_copy(c->account, sizeof(c->account), sr_from(account));
+    sr_copy(in->last_account, sizeof(in->last_account), sr_from(account));
+    c->used_at = ck_now();
     c->inst = in;
     c->phase = PX_C_OPENING;
     c->sent_at = ck_now();
--- a/proxy/holders.c
+++ b/proxy/holders.c
@@ -10,7 +10,9 @@
 
 enum {
     CONNS_A_HOLDER = 4, /* connections to an instance, at least, for each node that holds it */
-    LEAST_HOLDERS = 3,  /* nodes, however few the connections */
+    /* Where connections belong to accounts, a holder serves all of its accounts on them. */
+    CONNS_A_HOLDER_ACCOUNTS = 4,
+    LEAST_HOLDERS = 3, /* nodes, however few the connections */
     /* All nodes hold a group where each may have so many connections to an instance, or where
      * they are no more than the holders that a group has at most. With one each it was worse
      * than with holders: of 300 nodes 184 were cut off from control, the 117 that were left
@@ -39,16 +41,22 @@
     return false;
 }
 
+static int bounded(int k)
+{
+    return k < LEAST_HOLDERS ? LEAST_HOLDERS : k > HO_MAX_HOLDERS ? HO_MAX_HOLDERS : k;
+}
+
 /* 0: all of them; else so many that each has a few connections. */
 static int holders_of(const struct px_proxy *p, const struct px_group *g)
 {
     const struct cg_service *svc = cg_service(&p->catalog, g->cfg.name);
     int conns = svc ? svc->max_conns : 0;
+    if (px_has_accounts(p))
+        return conns > 0 ? bounded(conns / CONNS_A_HOLDER_ACCOUNTS) : LEAST_HOLDERS;
     bool few = p->n_nodes <= conns && p->n_nodes <= HO_MAX_HOLDERS;
     if (conns <= 0 || few || p->n_nodes * CONNS_EACH <= conns)
         return 0;
-    int k = conns / CONNS_A_HOLDER;
-    return k < LEAST_HOLDERS ? LEAST_HOLDERS : k > HO_MAX_HOLDERS ? HO_MAX_HOLDERS : k;
+    return bounded(conns / CONNS_A_HOLDER);
 }
 
 void px_holders_changed(struct px_proxy *p)
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -29,6 +29,7 @@
     in->service_us = FIRST_SERVICE_US;
     in->pace = 1;
     px_window_init(&in->window);
+    sr_copy(in->last_account, sizeof(in->last_account), sr_from(g->p->cfg.name));
     return in;
 }
 
@@ -39,13 +40,13 @@
 
 void px_inst_want_first(struct px_inst *in, int64_t now)
 {
-    if (in->n_conns > 0 || in->share == 0 || in->wants_first)
-        return;
+    if (in->n_conns > 0 || in->share == 0 || in->wants_first || px_has_accounts(in->p))
+        return; /* whose account will be asked for first is not known */
     in->wants_first = true;
     if (!in->group->first && in->next_open < now + FIRST_HEAD_US)
         in->next_open = now + FIRST_HEAD_US;
     else if (px_inst_has_room(in, now))
-        px_conn_open(in);
+        px_conn_open(in, in->p->cfg.name);
 }
 
 static struct px_conn *idle_conn(const struct px_inst *in, const struct px_session *s)
@@ -53,7 +54,7 @@
     struct px_conn *best = NULL;
     int best_rank = 3;
     for (struct px_conn *c = in->conns; c; c = c->next) {
-        if (c->phase != PX_C_IDLE || c->closing)
+        if (c->phase != PX_C_IDLE || c->closing || strcmp(c->account, s->account) != 0)
             continue;
         /* Its own values first, then a connection that has none. */
         int rank = c->applied.session == s->state.session ? 0 : c->applied.session ? 2 : 1;
@@ -139,16 +140,104 @@
     return k;
 }
 
+/* ---- connections of accounts ---- */
+
+/* Idle connections of the account; the list is short, a share of an instance's. */
+static int idle_of(const struct px_inst *in, const char *account)
+{
+    int k = 0;
+    for (const struct px_conn *c = in->conns; c; c = c->next)
+        k += c->phase == PX_C_IDLE && !c->closing && strcmp(c->account, account) == 0;
+    return k;
+}
+
+/* Whether somebody waits for a connection of that account. */
+static bool waited_for(const struct px_inst *in, const char *account)
+{
+    for (const struct px_session *s = in->waiters; s; s = s->wait_next) {
+        if (strcmp(s->account, account) == 0)
+            return true;
+    }
+    return false;
+}
+
+/* The connection that goes if another account needs one; NULL: none can. */
+static struct px_conn *spare_conn(const struct px_inst *in, const char *account)
+{
+    enum { LOOKED_AT = 64 }; /* a node's share of an instance's connections is below that */
+    struct px_spare spare[LOOKED_AT];
+    struct px_conn *conns[LOOKED_AT];
+    int n = 0;
+    for (struct px_conn *c = in->conns; c && n < LOOKED_AT; c = c->next) {
+        bool idle = c->phase == PX_C_IDLE && !c->closing;
+        if (!idle || strcmp(c->account, account) == 0 || waited_for(in, c->account))
+            continue;
+        spare[n] = (struct px_spare){c->used_at, idle_of(in, c->account)};
+        conns[n++] = c;
+    }
+    int i = px_fit_spare(spare, n);
+    return i < 0 ? NULL : conns[i];
+}
+
+/* What the node has there, as seen for a statement that waits. */
+static struct px_fit_view fit_view(const struct px_inst *in, const struct px_session *s,
+                                   int64_t now)
+{
+    struct px_fit_view v = {.room = px_inst_has_room(in, now),
+                            .waited = now - s->waiting_since,
+                            .idle = idle_conn(in, s) != NULL};
+    for (const struct px_conn *c = in->conns; c; c = c->next) {
+        bool own = !c->closing && strcmp(c->account, s->account) == 0;
+        v.own += own;
+        v.coming += own && c->phase == PX_C_OPENING;
+    }
+    for (const struct px_session *w = in->waiters; w; w = w->wait_next) {
+        v.waiting += strcmp(w->account, s->account) == 0;
+        if (w == s)
+            break;
+    }
+    v.replaces = !v.room && now >= in->next_open && spare_conn(in, s->account) != NULL;
+    return v;
+}
+
+/* Connections that are on their way out make room soon: one for each that waits for it. */
+static int closing(const struct px_inst *in)
+{
+    int k = 0;
+    for (const struct px_conn *c = in->conns; c; c = c->next)
+        k += c->closing;
+    return k;
+}
+
+static void replace(struct px_inst *in, const char *account)
+{
+    struct px_conn *c = spare_conn(in, account);
+    if (!c || closing(in) > opening(in))
+        return; /* the last one that was closed is not used yet */
+    in->replaced++;
+    in->p->c.replaced++;
+    px_conn_close(c);
+}
+
 /* A connection that is being opened takes an instance's slot for as long as a statement, so it
  * counts as one in the window. Sixteen nodes that each opened eight at once after a loss of all
  * power filled an instance's queue with them, and 1,300 statements in 0.2 s were refused as
- * busy. */
+ * busy. Of those that wait the first that needs a connection gets it. */
 static void open_for_waiters(struct px_inst *in, int64_t now)
 {
     int out = opening(in);
-    bool open = px_window_open(&in->window, px_inst_running(in) + out, now);
-    if (open && out < in->n_waiters && px_inst_has_room(in, now))
-        px_conn_open(in);
+    if (out >= in->n_waiters || !px_window_open(&in->window, px_inst_running(in) + out, now))
+        return;
+    for (const struct px_session *s = in->waiters; s; s = s->wait_next) {
+        struct px_fit_view v = fit_view(in, s, now);
+        enum px_fit fit = px_fit(&v);
+        if (fit == PX_FIT_OPEN)
+            px_conn_open(in, s->account);
+        else if (fit == PX_FIT_REPLACE)
+            replace(in, s->account);
+        if (fit == PX_FIT_OPEN || fit == PX_FIT_REPLACE)
+            return;
+    }
 }
 
 void px_inst_take(struct px_inst *in, struct px_session *s)
@@ -165,16 +254,29 @@
     open_for_waiters(in, ck_now());
 }
 
+/* The first of those that wait of whose account a connection is idle. */
+static struct px_session *next_served(const struct px_inst *in, struct px_conn **c)
+{
+    for (struct px_session *s = in->waiters; s; s = s->wait_next) {
+        *c = idle_conn(in, s);
+        if (*c)
+            return s;
+    }
+    return NULL;
+}
+
 void px_inst_pump(struct px_inst *in)
 {
     while (in->waiters && px_window_open(&in->window, px_inst_running(in), ck_now())) {
-        struct px_session *s = in->waiters;
-        struct px_conn *c = idle_conn(in, s);
-        if (!c)
+        struct px_conn *c;
+        struct px_session *s = next_served(in, &c);
+        if (!s)
             break;
         px_inst_unwait(in, s);
         px_conn_run(c, s);
     }
+    if (in->waiters)
+        open_for_waiters(in, ck_now());
 }
 
 /* ---- suspicion ---- */
@@ -317,12 +419,12 @@
     px_inst_pump(in);
     open_for_waiters(in, now);
     if (in->wants_first && in->n_conns == 0 && px_inst_has_room(in, now))
-        px_conn_open(in);
+        px_conn_open(in, in->p->cfg.name);
     /* One more than the share, to learn whether it is there: refused, it is. */
     bool ask = in->asks || quiet(in, now);
     in->asks = false;
     if (ask && opening(in) == 0 && now >= in->next_open && !in->gone)
-        px_conn_open(in);
+        px_conn_open(in, in->waiters ? in->waiters->account : in->last_account);
     note_alone(in, now);
     bool leads = !in->gone && in->at == in->group->cfg.primary;
     in->unfit = leads && needs_relief(in, now);
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -7,6 +7,7 @@
 #include "misc/log.h"
 #include "misc/rng.h"
 #include "pool/shares.h"
+#include "proxy/fit.h"
 #include "proxy/outlier.h"
 #include "proxy/pace.h"
 #include "proxy/place.h"
@@ -39,6 +40,8 @@
     struct nt_conn *net;
     struct sr_buf in; /* what has come and is not taken yet */
     bool closing;
+    char account[AC_NAME]; /* it was opened for; px_identify */
+    int64_t used_at;       /* a statement was sent on it last, or it was opened */
     enum px_phase phase;
     struct px_session *session; /* it works for, or that has its transaction here */
     struct px_applied applied;
@@ -80,6 +83,8 @@
     int64_t next_open;  /* no new connection before */
     bool wants_first;   /* a connection is to be opened before anybody waits for it */
     int64_t full_since; /* it has refused connections as too many since; 0: it has not */
+    int replaced;       /* connections closed for those of other accounts, lately */
+    char last_account[AC_NAME]; /* the last connection was opened for */
 
     /* sessions that wait for one, in the order in which they are served */
     struct px_session *waiters;
@@ -150,8 +155,11 @@
 
     /* what it keeps from statement to statement */
     char database[CG_NAME];
-    struct px_state state; /* values and prepared names */
-    struct ps_pos seen;    /* its last commit, in group `seen_in` */
+    char key[AC_KEY];        /* that its caller showed; in no log */
+    char account[AC_NAME];   /* of its operation; what instances are told */
+    uint64_t least_document; /* who relays it acts on this version: no older one may answer */
+    struct px_state state;   /* values and prepared names */
+    struct ps_pos seen;      /* its last commit, in group `seen_in` */
     char seen_in[VW_NAME];
 
     /* its transaction */
@@ -214,6 +222,8 @@
     uint64_t parked;
     uint64_t lost;               /* connections, with a statement on them */
     uint64_t opened;             /* connections to instances */
+    uint64_t replaced;           /* of these, closed for another account's */
+    uint64_t unknown_keys;       /* operations and sessions refused for their key */
     uint64_t relayed;            /* sessions that another node serves */
     uint64_t ends[PX_ENDS], cut; /* sessions that were closed here; with a question open */
     uint64_t log_lines_left_out;
@@ -284,6 +294,16 @@
 /* statement.c: what a statement does to its session */
 void px_statement(struct px_session *s, const struct px_msg *m);
 
+/* accounts.c: whom a session is for */
+/* The account of the session's next operation on that route, by the document in force, to
+ * s->account. False: its key belongs to none, and the route asks for one. */
+bool px_identify(struct px_session *s, const struct cg_route *r);
+/* Whether the document lists accounts. */
+static inline bool px_has_accounts(const struct px_proxy *p)
+{
+    return p->catalog.accounts.given;
+}
+
 /* session.c: the caller's connection */
 bool px_listen(struct px_proxy *p, struct er_err *err);
 /* Work through what the caller sent while its last statement was at work. */
@@ -311,8 +331,9 @@
 /* The caller has gone; nothing happens if the session is not relayed. */
 void px_relay_end(struct px_session *s);
 void px_relay_tick(struct px_session *s, int64_t now);
-/* Whether another node opens this session for a caller of its own. */
-bool px_is_relayed(const struct px_msg *open);
+/* Whether another node opens this session for a caller of its own; *document: the version that
+ * it acts on. */
+bool px_is_relayed(const struct px_msg *open, uint64_t *document);
 /* Whether a question of the relayed session's went to the other node and has no answer yet. */
 bool px_asked_elsewhere(const struct px_session *s);
 /* Whether a relayed session has neither a statement nor a transaction at the other node. */
@@ -392,7 +413,7 @@
 void px_inst_suspect(struct px_inst *in, enum wr_health health);
 
 /* conn.c: connections to instances */
-void px_conn_open(struct px_inst *in);
+void px_conn_open(struct px_inst *in, const char *account);
 /* Prepare the connection for the session's statement, step by step, and run it. */
 void px_conn_run(struct px_conn *c, struct px_session *s);
 /* Nobody waits for what is out. */
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -48,7 +48,9 @@
 {
     int held = in->n_conns > in->share ? in->n_conns : in->share;
     bool none = in->cfg.draining || !in->group->held;
-    int want = none ? 0 : in->peak + 1; /* one at hand for what comes next */
+    /* One at hand for what comes next, and room for accounts that had to make place. */
+    int want = none ? 0 : in->peak + 1 + in->replaced;
+    in->replaced -= (in->replaced + 3) / 4;
     *out = (struct wr_share){sr_from(in->cfg.id), (uint32_t)held, (uint32_t)want};
     in->peak -= (in->peak + 3) / 4; /* demand is forgotten slowly: a share costs time to get */
     if (in->peak < in->busy + in->n_waiters)
@@ -212,6 +214,8 @@
                 {"parked_total", p->c.parked},
                 {"lost_connections_total", p->c.lost},
                 {"opened_connections_total", p->c.opened},
+                {"replaced_connections_total", p->c.replaced},
+                {"unknown_keys_total", p->c.unknown_keys},
                 {"relayed_total", p->c.relayed},
                 {"cut_total", p->c.cut},
                 {"log_lines_left_out_total", p->c.log_lines_left_out},
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -4,6 +4,7 @@
  * group (route/holders); a node that is cut off from control has neighbours that are not. A
  * relayed session lives at the other node with its values, prepared names and transactions;
  * here only its bytes pass. It ends when either end does, so nothing has to be moved. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,7 +23,8 @@
     MAX_QUEUED = 256 * 1024, /* bytes on their way to a side that does not read */
 };
 
-/* Who opens a relayed session: it is not relayed once more. */
+/* Who opens a relayed session, before the version of its document: it is not relayed once more.
+ * The caller's key follows as the last field. */
 static const char relayed_by[] = "~ferry";
 
 struct px_relay {
@@ -38,9 +40,21 @@
     int64_t began;    /* this try */
 };
 
-bool px_is_relayed(const struct px_msg *open)
+bool px_is_relayed(const struct px_msg *open, uint64_t *document)
 {
-    return sr_eq(open->who, sr_from(relayed_by));
+    size_t n = sizeof(relayed_by) - 1;
+    *document = 0;
+    if (open->who.len < n || memcmp(open->who.p, relayed_by, n) != 0)
+        return false;
+    if (open->who.len > n && open->who.p[n] != '.')
+        return false;
+    for (size_t i = n + 1; i < open->who.len; i++) {
+        char c = open->who.p[i];
+        if (c < '0' || c > '9')
+            return false;
+        *document = *document * 10 + (uint64_t)(c - '0');
+    }
+    return true;
 }
 
 bool px_asked_elsewhere(const struct px_session *s)
@@ -70,10 +84,27 @@
     return -1;
 }
 
+/* Where connections belong to accounts, an account's sessions meet where its connections are,
+ * near or not: of 78 accounts on three connections each node would open one for nearly each
+ * statement otherwise. -1: none is left. */
+static int pick_for_account(const struct px_session *s, const struct px_group *g, int try)
+{
+    const struct px_proxy *p = s->p;
+    for (int k = 0, others = 0; k < g->n_holders; k++) {
+        int i = ho_for_account(p->nodes, g->holders, g->n_holders, s->account, k);
+        bool other = i >= 0 && strcmp(p->nodes[i].name, p->cfg.name) != 0;
+        if (other && others++ == try)
+            return i;
+    }
+    return -1;
+}
+
 /* A near one costs a shorter trip and no bytes between failure domains; the second try goes
  * anywhere. */
 static int pick_target(const struct px_session *s, const struct px_group *g, int try)
 {
+    if (px_has_accounts(s->p))
+        return pick_for_account(s, g, try);
     int i = try == 0 ? pick_holder(s, g, try, true) : -1;
     return i >= 0 ? i : pick_holder(s, g, try, false);
 }
@@ -91,6 +122,14 @@
     return g && g->n_holders > 0 ? pick_target(s, g, try) : -1;
 }
 
+/* Whether this node is the first holder for the session's account. */
+static bool is_for_account(const struct px_session *s, const struct px_group *g)
+{
+    const struct px_proxy *p = s->p;
+    int i = ho_for_account(p->nodes, g->holders, g->n_holders, s->account, 0);
+    return i < 0 || strcmp(p->nodes[i].name, p->cfg.name) == 0;
+}
+
 /* A node that is cut off from control can prove nothing by itself, but others may have a lease:
  * where most nodes of a failure domain are cut off the balancer goes on using them. If it
  * reaches none, its callers are told with the greeting: a session that was opened here would
@@ -103,6 +142,8 @@
         return false;
     if (px_cut_off(s->p, now))
         return true;
+    if (g->held && px_has_accounts(s->p))
+        return !is_for_account(s, g);
     return !g->held || (!g->first && !px_reaches(g));
 }
 
@@ -120,8 +161,13 @@
 {
     struct px_relay *r = ud;
     struct sr_buf b = {0};
-    struct px_msg m = {
-        .kind = PX_OPEN, .database = sr_from(r->s->database), .who = sr_from(relayed_by)};
+    char who[sizeof(relayed_by) + 24];
+    snprintf(who, sizeof(who), "%s.%llu", relayed_by,
+             (unsigned long long)r->s->p->catalog.version);
+    struct px_msg m = {.kind = PX_OPEN,
+                       .database = sr_from(r->s->database),
+                       .who = sr_from(who),
+                       .expect = sr_from(r->s->key)};
     r->s->p->cfg.codec->put(&b, &m);
     nt_send(net, b.p, b.len);
     sr_buf_free(&b);
@@ -305,9 +351,20 @@
         relay_free(r);
 }
 
+/* The other node refuses it as soon as it has the same document, but may be cut off from it. */
+static bool key_is_gone(struct px_session *s)
+{
+    const struct cg_route *r = cg_route(&s->p->catalog, sr_from(s->database));
+    return r && !px_identify(s, r);
+}
+
 void px_relay_tick(struct px_session *s, int64_t now)
 {
     struct px_relay *r = s->relay;
+    if (r && r->greeted && s->net && px_rests_elsewhere(s) && !r->asked && key_is_gone(s)) {
+        px_close(s, PX_END_REFUSED, false);
+        return;
+    }
     if (!r || !r->net || r->greeted || now - r->began <= GREET_US)
         return;
     if (px_cut_off(s->p, now))
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -23,10 +23,17 @@
 {
     if (!px_configured(s->p))
         return;
-    if (!cg_route(&s->p->catalog, sr_from(s->database))) {
+    if (s->p->catalog.version < s->least_document)
+        return; /* who relays it acts on a newer document: it comes, or another is asked */
+    const struct cg_route *r = cg_route(&s->p->catalog, sr_from(s->database));
+    if (!r) {
         px_fail_and_close(s, ER_NO_DATABASE, s->database);
         return;
     }
+    if (!px_identify(s, r)) {
+        px_fail_and_close(s, ER_NO_ACCOUNT, "the key belongs to no account");
+        return;
+    }
     if (!px_knows_nodes(s->p, ck_now()))
         return; /* it may have to be relayed */
     if (px_should_relay(s)) {
@@ -44,7 +51,10 @@
         px_fail_and_close(s, ER_BAD_INPUT, "the name of a database is expected");
         return;
     }
-    s->came_relayed = px_is_relayed(m);
+    s->came_relayed = px_is_relayed(m, &s->least_document);
+    /* One that is too long is nobody's. */
+    if (!sr_copy(s->key, sizeof(s->key), s->came_relayed ? m->expect : m->who))
+        s->key[0] = 0;
     /* Closed before a greeting, so that another holder is asked. A node that is cut off from
      * control is listed for three seconds more and would refuse whatever it is asked. */
     if (s->came_relayed && (s->p->stopping || px_cut_off(s->p, ck_now()))) {
--- a/proxy/statement.c
+++ b/proxy/statement.c
@@ -24,6 +24,10 @@
         refuse(s, err.kind, err.text);
         return false;
     }
+    if (!px_identify(s, r)) {
+        refuse(s, ER_NO_ACCOUNT, "the key belongs to no account any more");
+        return false;
+    }
     s->route = *r;
     return true;
 }
--- a/route/holders.c
+++ b/route/holders.c
@@ -63,6 +63,23 @@
     return n_out;
 }
 
+int ho_for_account(const struct ho_node *nodes, const uint16_t *holders, int n,
+                   const char *account, int nth)
+{
+    uint64_t score[HO_MAX_HOLDERS];
+    size_t len = strlen(account);
+    for (int i = 0; i < n; i++)
+        score[i] = XXH64(account, len, nodes[holders[i]].hash);
+    for (int i = 0; i < n; i++) {
+        int better = 0;
+        for (int k = 0; k < n; k++)
+            better += score[k] > score[i] || (k < i && score[k] == score[i]);
+        if (better == nth)
+            return holders[i];
+    }
+    return -1;
+}
+
 bool ho_holds(const struct ho_node *nodes, int n, const char *group, int k, const char *self)
 {
     int out[HO_MAX_HOLDERS];
--- a/route/holders.h
+++ b/route/holders.h
@@ -31,6 +31,11 @@
 /* The holders of `group`, best first, of a prepared list, as indices into nodes; at most k and
  * HO_MAX_HOLDERS. Returns how many. */
 int ho_pick(const struct ho_node *nodes, int n, const char *group, int k, int *out);
+/* Of `n` holders (indices into nodes) the one that is `nth` for an account, from 0 on:
+ * rendezvous hashing once more, so that an account's statements meet at one of them, and at the
+ * same next one if that is gone. */
+int ho_for_account(const struct ho_node *nodes, const uint16_t *holders, int n,
+                   const char *account, int nth);
 /* Whether the node called `self` is one of them. With k <= 0, or no more than k nodes, all are.
  */
 bool ho_holds(const struct ho_node *nodes, int n, const char *group, int k, const char *self);
--- a/task/loop.c
+++ b/task/loop.c
@@ -102,6 +102,7 @@
 {
     while (!l->stop)
         uv_run(&l->uv, UV_RUN_ONCE);
+    l->stop = false; /* it may be run again */
 }
 
 void nt_stop(struct nt_loop *l)
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -31,6 +31,8 @@
     relay_suite();
     holding_suite();
     opening_suite();
+    accounts_suite();
+    fit_suite();
     proxy_suite();
     takeover_suite();
     member_suite();
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -31,6 +31,8 @@
 void relay_suite(void);
 void holding_suite(void);
 void opening_suite(void);
+void accounts_suite(void);
+void fit_suite(void);
 void proxy_suite(void);
 void takeover_suite(void);
 void member_suite(void);
