limit, control, proxy: limits of client accounts, kept over all nodes by permits

Change: the control leader gives permits, one for each operation, with the answers to renewals (limit/, pure); they end 0.5 s after the last renewal that a leader which knows of them answered; a new leader begins with an empty bucket and gives less until those of earlier ones have ended. docs/design/accounts.md has the argument. Documents without accounts: no permit is asked for.

--- a/account/account.h
+++ b/account/account.h
@@ -28,8 +28,8 @@
 
 struct ac_slot {
     uint64_t hash;
-    uint32_t key;     /* where the text begins in `texts`; its NUL ends it */
-    int32_t account;  /* below 0: the slot is free */
+    uint32_t key;    /* where the text begins in `texts`; its NUL ends it */
+    int32_t account; /* below 0: the slot is free */
 };
 
 /* Zero-initialised is empty: a document that says nothing of accounts. */
--- a/control/control.c
+++ b/control/control.c
@@ -65,12 +65,14 @@
      * try: a new leader need not wait for its predecessor's shares. */
     bool waits = !first && !n->outside;
     sh_begin(&n->shares, waits ? now + CK_MS(n->s->lease_ms) * 11 / 10 : now);
+    ct_limits_begin(n, first, now);
     n->shares.forget_us = n->outside ? OUTSIDE_FORGET_US : 0;
     ct_watch_begin(n);
     ct_groups_sync(n);
     for (struct ct_conn *c = n->conns; c; c = c->next) {
         c->sent_gen = 0;
         c->shares_told = false;
+        c->knows_permits = false;
         c->nodes_known = false;
         c->view_due = false;
         ct_say_leading(c);
--- a/control/control.h
+++ b/control/control.h
@@ -7,6 +7,7 @@
 #include "endpoint/endpoint.h"
 #include "intent/intent.h"
 #include "lease/lease.h"
+#include "limit/limit.h"
 #include "misc/hist.h"
 #include "misc/log.h"
 #include "pool/shares.h"
@@ -104,6 +105,7 @@
     uint64_t sent_gen;      /* entry: generation sent last */
     int64_t sent_at;        /* when */
     bool view_due;          /* a view was held back */
+    bool knows_permits;     /* entry: it has told what permits it has */
     bool shares_told;       /* the node knows all its shares but for those that changed since */
     uint64_t nodes_hash;    /* entry: the list of nodes it has, or was sent last */
     int64_t nodes_sent;     /* when; 0: it has told which it has, if nodes_known */
@@ -202,6 +204,7 @@
     struct ls_giver giver;
     struct sh_table shares;
     uint64_t shares_seq;    /* of the last WR_SHARES sent to anybody */
+    struct lm_giver limits; /* of client accounts */
     uint64_t step_index;    /* log index of the last step proposed for an intent */
     int64_t in_force_since; /* all entry nodes act on the current view since; 0: not */
     int64_t next_probe_report, next_intent, next_platform, next_complaint;
@@ -264,6 +267,15 @@
 /* Ask all entry nodes whether the instance answers them; how many were asked. */
 int ct_check_nodes(struct ct_node *n, uint64_t nonce, const char *inst);
 
+/* limits.c: limits of client accounts */
+/* This node leads now. `first`: nobody led before. */
+void ct_limits_begin(struct ct_node *n, bool first, int64_t now);
+/* Accounts and limits are as the document in force says. */
+void ct_limits_changed(struct ct_node *n);
+/* Take what a renewal asks, and answer in message `seq`; `out` has room for all. */
+uint32_t ct_limits_asked(struct ct_node *n, uint64_t node, const struct wr_renew *r,
+                         uint64_t seq, struct wr_permit *out);
+
 /* watch.c: instances and promotions */
 void ct_groups_sync(struct ct_node *n);
 /* One group of the view has changed. */
--- a/control/documents.c
+++ b/control/documents.c
@@ -68,4 +68,5 @@
     FL_EVENT(&n->log, LG_INFO, "document_committed", "document=%llu routes=%d",
              (unsigned long long)cat.version, cat.n_routes);
     ct_groups_sync(n);
+    ct_limits_changed(n);
 }
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -115,7 +115,10 @@
 {
     struct ct_node *n = c->node;
     struct wr_share *s = sr_alloc(sizeof(*s) * (size_t)(r->n + 1));
-    uint32_t k = 0;
+    struct wr_permit *p = sr_alloc(sizeof(*p) * (size_t)(r->n_permits + 1));
+    uint32_t k = 0, permits = 0;
+    if (c->knows_permits)
+        permits = ct_limits_asked(n, c->id, r, n->shares_seq + 1, p);
     for (uint32_t i = 0; i < r->n; i++) {
         char id[VW_NAME];
         bool named = sr_copy(id, sizeof(id), r->shares[i].inst);
@@ -125,13 +128,14 @@
             .inst = r->shares[i].inst,
             .held = (uint32_t)sh_tell(&n->shares, id, c->id, n->shares_seq + 1)};
     }
-    if (k > 0) {
+    if (k > 0 || permits > 0) {
         struct wr_msg m = {.type = WR_SHARES};
-        m.shares = (struct wr_shares){k, s, ++n->shares_seq};
+        m.shares = (struct wr_shares){k, s, ++n->shares_seq, permits, p, r->seq};
         ct_send_conn(c, &m);
-        c->shares_told = true;
+        c->shares_told = c->shares_told || k > 0;
     }
     free(s);
+    free(p);
 }
 
 /* An entry node that others are told of: it has a lease, or had one until a moment ago. */
@@ -330,6 +334,8 @@
     else
         n->c.grants++;
     c->leaving = r->leaving;
+    c->knows_permits = c->knows_permits || r->all_permits;
+    m.grant.knows_permits = c->knows_permits;
     ls_acked(&n->giver, c->id, r->generation);
     note_generation(c, r->generation, now);
     send_view(c, r->generation);
--- a/entry/link.c
+++ b/entry/link.c
@@ -85,7 +85,10 @@
                                 .shares_seq = n->shares_seq,
                                 .leaving = n->stopping,
                                 .nodes = n->nodes_hash};
+    if (n->px)
+        px_permit_wants(n->px, &m.renew);
     send_msg(l, &m);
+    free(m.renew.permits);
 }
 
 static void set_leader(struct en_node *n, int i)
@@ -132,6 +135,8 @@
 
 void en_give_back(struct en_node *n)
 {
+    if (n->px)
+        px_permits_end(n->px);
     if (leader(n))
         renew(n, leader(n), ck_now(), true);
 }
@@ -151,6 +156,10 @@
     if (g->generation > n->view.generation)
         return; /* the view that belongs to it has not come: no lease for an old one */
     ls_granted(&n->lease, g->seq, CK_MS(g->duration_ms));
+    if (n->px && g->knows_permits)
+        px_permits_renewed(n->px, ls_sent_at(&n->lease, g->seq));
+    else if (n->px)
+        px_permits_tell(n->px);
     if (!n->had_lease && en_leased(n)) {
         n->had_lease = true;
         FL_EVENT(&n->log, LG_INFO, "lease_held", "generation=%llu",
@@ -233,6 +242,8 @@
 static void on_shares(struct en_node *n, const struct wr_shares *s)
 {
     n->shares_seq = s->seq;
+    if (n->px)
+        px_permits(n->px, ls_sent_at(&n->lease, s->renewal), s->permits, s->n_permits);
     for (uint32_t i = 0; i < s->n; i++) {
         char id[VW_NAME];
         if (!sr_copy(id, sizeof(id), s->shares[i].inst))
--- a/lease/lease.c
+++ b/lease/lease.c
@@ -14,11 +14,18 @@
     return h->seq;
 }
 
+int64_t ls_sent_at(const struct ls_holder *h, uint64_t seq)
+{
+    bool known = seq > 0 && seq <= h->seq && seq + LS_OUTSTANDING > h->seq;
+    return known ? h->sent[seq % LS_OUTSTANDING] : 0;
+}
+
 void ls_granted(struct ls_holder *h, uint64_t seq, int64_t duration_us)
 {
-    if (seq == 0 || seq > h->seq || seq + LS_OUTSTANDING <= h->seq)
+    int64_t sent = ls_sent_at(h, seq);
+    if (!sent)
         return;
-    int64_t until = h->sent[seq % LS_OUTSTANDING] + duration_us - drift(duration_us);
+    int64_t until = sent + duration_us - drift(duration_us);
     if (until > h->until)
         h->until = until;
 }
--- /dev/null
+++ b/limit/giver.c
@@ -0,0 +1,233 @@
+/* The leader's side of limits. */
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "limit/limit.h"
+#include "misc/str.h"
+
+enum { FIRST = 16 };
+
+/* In a window rate x window + burst operations are within the limit, however they lie: half of
+ * the burst may come at once, the other half is spread over the window as rate. An account that
+ * asks for more than its rate for long is served a tenth more so, and one that comes after a
+ * rest finds enough. */
+#define BURST_AT_ONCE 0.5
+/* Of the tolerance, its overrun goes to the flow, as that grows with the limit, and its slack to
+ * the depth, as the burst of a small account is hardly an operation; less a fifth for operations
+ * that wait at a node before they reach an instance: at most 70 % of their aim, 0.2 s at the
+ * users', a twenty-fifth of the window. */
+#define TOLERANCE_PART 0.8
+
+/* Clocks of different VMs tick alike, but not exactly. */
+static int64_t with_drift(int64_t us)
+{
+    return us * 11 / 10;
+}
+
+void lm_begin(struct lm_giver *g, const struct lm_tolerance *t, bool first, int64_t now)
+{
+    lm_free(g);
+    g->tolerance = *t;
+    g->since = now;
+    g->quiet_until = first ? now : now + with_drift(LM_LIFE_US);
+}
+
+void lm_free(struct lm_giver *g)
+{
+    for (int i = 0; i < g->n; i++)
+        free(g->accounts[i].holders);
+    free(g->accounts);
+    free(g->leases);
+    ix_free(&g->by_name);
+    memset(g, 0, sizeof(*g));
+}
+
+static struct lm_account *find(const struct lm_giver *g, const char *name)
+{
+    int i = ix_get(&g->by_name, name);
+    return i == IX_NONE ? NULL : &g->accounts[i];
+}
+
+/* ---- leases ---- */
+
+static struct lm_lease *lease_of(const struct lm_giver *g, uint64_t node)
+{
+    for (int i = 0; i < g->n_leases; i++) {
+        if (g->leases[i].node == node)
+            return &g->leases[i];
+    }
+    return NULL;
+}
+
+/* A place for the node's lease; that of one that ran out, if there is any. */
+static struct lm_lease *new_lease(struct lm_giver *g, int64_t now)
+{
+    for (int i = 0; i < g->n_leases; i++) {
+        if (now >= g->leases[i].until)
+            return &g->leases[i];
+    }
+    if (g->n_leases == g->cap_leases) {
+        g->cap_leases = g->cap_leases ? g->cap_leases * 2 : FIRST;
+        g->leases = sr_realloc(g->leases, sizeof(*g->leases) * (size_t)g->cap_leases);
+    }
+    return &g->leases[g->n_leases++];
+}
+
+void lm_renewed(struct lm_giver *g, uint64_t node, bool stays, int64_t now)
+{
+    struct lm_lease *l = lease_of(g, node);
+    if (!l)
+        l = new_lease(g, now);
+    *l = (struct lm_lease){node, stays ? now + with_drift(LM_LIFE_US) : now};
+}
+
+/* ---- the bucket ---- */
+
+/* Permits that may be unused, in the bucket and out. At least one: else there would be none. */
+static double depth(const struct lm_giver *g, const struct lm_account *a)
+{
+    return fmax(a->burst * BURST_AT_ONCE + g->tolerance.slack * TOLERANCE_PART, 1);
+}
+
+/* Permits a second. */
+static double flow(const struct lm_giver *g, const struct lm_account *a)
+{
+    const struct lm_tolerance *t = &g->tolerance;
+    double over = (a->rate * t->window_s + a->burst) * t->overrun * TOLERANCE_PART;
+    return a->rate + (a->burst * (1 - BURST_AT_ONCE) + over) / t->window_s;
+}
+
+/* Permits that are out; of nodes that did not renew nothing is left. */
+static double out_now(const struct lm_giver *g, struct lm_account *a, int64_t now)
+{
+    double sum = 0;
+    for (int i = 0; i < a->n; i++) {
+        const struct lm_lease *l = lease_of(g, a->holders[i].node);
+        if (!l || now >= l->until)
+            a->holders[i--] = a->holders[--a->n];
+        else
+            sum += a->holders[i].out;
+    }
+    return sum;
+}
+
+/* While permits of earlier leaders may be out, what comes in as long as they live is at most
+ * what they leave of the depth. */
+static double quiet_flow(const struct lm_giver *g, const struct lm_account *a)
+{
+    double left = depth(g, a) * (1 - LM_OUT_PART);
+    return fmin(flow(g, a), left * 1e6 / (double)with_drift(LM_LIFE_US));
+}
+
+static double flowed(const struct lm_giver *g, const struct lm_account *a, int64_t now)
+{
+    int64_t quiet = (now < g->quiet_until ? now : g->quiet_until) - a->at;
+    if (quiet <= 0)
+        return flow(g, a) * (double)(now - a->at) / 1e6;
+    int64_t rest = now - a->at - quiet;
+    return (quiet_flow(g, a) * (double)quiet + flow(g, a) * (double)rest) / 1e6;
+}
+
+/* The bucket has room for what is not out: a permit that nobody used yet is either here or
+ * there. */
+static void fill(const struct lm_giver *g, struct lm_account *a, int64_t now)
+{
+    double room = fmax(depth(g, a) - out_now(g, a, now), 0);
+    a->level = fmin(room, a->level + flowed(g, a, now));
+    a->at = now;
+}
+
+void lm_set(struct lm_giver *g, const char *name, double rate, double burst, int64_t now)
+{
+    struct lm_account *a = find(g, name);
+    if (!a) {
+        if (g->n == g->cap) {
+            g->cap = g->cap ? g->cap * 2 : FIRST;
+            g->accounts = sr_realloc(g->accounts, sizeof(*g->accounts) * (size_t)g->cap);
+        }
+        ix_set(&g->by_name, name, g->n);
+        a = &g->accounts[g->n++];
+        *a = (struct lm_account){.at = now};
+        sr_copy(a->name, sizeof(a->name), sr_from(name));
+    }
+    fill(g, a, now);
+    a->rate = rate;
+    a->burst = burst;
+    fill(g, a, now);
+    a->seen = true;
+}
+
+void lm_sweep(struct lm_giver *g)
+{
+    for (int i = 0; i < g->n; i++) {
+        struct lm_account *a = &g->accounts[i];
+        if (a->seen) {
+            a->seen = false;
+            continue;
+        }
+        free(a->holders);
+        ix_drop(&g->by_name, a->name);
+        *a = g->accounts[--g->n];
+        if (i < g->n)
+            ix_set(&g->by_name, a->name, i);
+        i--;
+    }
+}
+
+/* ---- permits that are out ---- */
+
+double lm_out(const struct lm_giver *g, const char *name, int64_t now)
+{
+    struct lm_account *a = find(g, name);
+    return a ? out_now(g, a, now) : 0;
+}
+
+static struct lm_holder *holder_of(struct lm_account *a, uint64_t node)
+{
+    for (int i = 0; i < a->n; i++) {
+        if (a->holders[i].node == node)
+            return &a->holders[i];
+    }
+    if (a->n == a->cap) {
+        a->cap = a->cap ? a->cap * 2 : FIRST;
+        a->holders = sr_realloc(a->holders, sizeof(*a->holders) * (size_t)a->cap);
+    }
+    a->holders[a->n] = (struct lm_holder){.node = node};
+    return &a->holders[a->n++];
+}
+
+static void give(struct lm_giver *g, struct lm_account *a, struct lm_holder *h, double need,
+                 uint64_t seq, int64_t now, struct lm_answer *out)
+{
+    if (need < 1)
+        return;
+    double room = depth(g, a) * LM_OUT_PART - out_now(g, a, now);
+    double k = fmin(floor(need), floor(fmin(a->level, fmax(room, 0))));
+    if (k >= 1) {
+        a->level -= k;
+        h->out += k;
+        h->told = seq;
+        out->given = (int)k;
+    } else if (a->level < 1) {
+        double per_s = flow(g, a);
+        out->over_us = per_s > 0 ? (int64_t)((1 - a->level) / per_s * 1e6) + 1 : CK_SEC(1);
+    }
+}
+
+bool lm_ask(struct lm_giver *g, const char *name, uint64_t node, const struct lm_report *r,
+            uint64_t has, uint64_t seq, int64_t now, struct lm_answer *out)
+{
+    struct lm_account *a = find(g, name);
+    *out = (struct lm_answer){0};
+    if (!a)
+        return false;
+    struct lm_holder *h = holder_of(a, node);
+    /* Permits that are on their way to it count until it has told of them. */
+    if (has >= h->told || r->held > h->out)
+        h->out = r->held;
+    a->level += r->returned;
+    fill(g, a, now);
+    give(g, a, h, r->want - h->out, seq, now, out);
+    return true;
+}
--- /dev/null
+++ b/limit/limit.h
@@ -0,0 +1,144 @@
+/* Limits of client accounts: operations a second and a burst, over all nodes together.
+ *
+ * Pure. The control leader gives out permits, one for each operation, to the nodes where an
+ * account's operations begin; a node keeps a few at hand, so that an operation waits for none
+ * in calm times. docs/design/accounts.md has the argument; in short:
+ *
+ * - Permits that nobody used yet are in the bucket or out. Together they are at most its depth,
+ *   and new ones come at a steady flow. Those that are out are counted until their holder
+ *   reports them used, or has not renewed them for LM_LIFE_US: then they end.
+ * - A new leader knows nothing of permits of the ones before: at most `LM_OUT_PART` of the depth.
+ *   Until those have ended it begins with an empty bucket that fills so slowly that it and
+ *   whoever led for a moment before it give no more than the rest of the depth.
+ * - So the operations that begin in any window are at most depth + flow x window, and these are
+ *   such that it is rate x window + burst and four fifths of the tolerance. */
+#ifndef FL_LIMIT_LIMIT_H
+#define FL_LIMIT_LIMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "misc/clock.h"
+#include "misc/index.h"
+
+enum {
+    LM_NAME = IX_NAME,
+    LM_MOST = 1000000, /* permits that one message may name */
+    /* Permits end so long after the renewal that was answered last. Origin: entry nodes renew
+     * every 200 ms at the platform's lease of 1.2 s, and one renewal may be lost; the shorter,
+     * the sooner a new leader gives out all it may. */
+    LM_LIFE_US = 500000,
+};
+/* Of the depth, what may be out. */
+#define LM_OUT_PART 0.5
+
+/* How exactly limits are to be kept: in any window the operations of an account are at most
+ * (rate x window + burst) x (1 + overrun) + slack. */
+struct lm_tolerance {
+    double window_s;
+    double overrun;
+    double slack; /* operations */
+};
+
+/* ---- giver: the leader ---- */
+
+/* A node with permits of an account. */
+struct lm_holder {
+    uint64_t node;
+    double out;    /* permits it may have, at most */
+    uint64_t told; /* number of the message that gave it the last ones */
+};
+
+struct lm_account {
+    char name[LM_NAME];
+    double rate, burst;
+    double level; /* permits in the bucket, at `at` */
+    int64_t at;
+    bool seen; /* by lm_set, since lm_sweep */
+    int n, cap;
+    struct lm_holder *holders;
+};
+
+struct lm_lease {
+    uint64_t node;
+    int64_t until;
+};
+
+struct lm_giver {
+    struct lm_tolerance tolerance;
+    int64_t since;       /* it leads */
+    int64_t quiet_until; /* permits of earlier leaders may be out until then */
+    int n, cap;
+    struct lm_account *accounts;
+    struct ix_index by_name; /* numbers in `accounts` */
+    int n_leases, cap_leases;
+    struct lm_lease *leases;
+};
+
+/* What a renewal says of an account. */
+struct lm_report {
+    int held;     /* permits at hand */
+    int want;     /* it would have so many */
+    int returned; /* permits that it gives back, not in `held` any more */
+};
+
+/* What it is answered. */
+struct lm_answer {
+    int given;
+    /* Nothing was given, as the account is over its limit; the next permit is there then.
+     * 0: it is not over it, ask again. */
+    int64_t over_us;
+};
+
+/* A leader begins: its bucket of each account is empty. `first`: nobody led before. */
+void lm_begin(struct lm_giver *g, const struct lm_tolerance *t, bool first, int64_t now);
+void lm_free(struct lm_giver *g);
+/* An account's limit is this from now on. */
+void lm_set(struct lm_giver *g, const char *name, double rate, double burst, int64_t now);
+/* Accounts that were not set since the last sweep have no limit any more. */
+void lm_sweep(struct lm_giver *g);
+/* The node has renewed, before its reports are taken: its permits live on. Not `stays`: it
+ * ends, and they with it. */
+void lm_renewed(struct lm_giver *g, uint64_t node, bool stays, int64_t now);
+/* Take a report of a node that has applied message `has`, and answer in message `seq`. False:
+ * the account has no limit. */
+bool lm_ask(struct lm_giver *g, const char *name, uint64_t node, const struct lm_report *r,
+            uint64_t has, uint64_t seq, int64_t now, struct lm_answer *out);
+/* Permits of the account that may be out, at most. */
+double lm_out(const struct lm_giver *g, const char *name, int64_t now);
+
+/* ---- holder: a node where operations begin ---- */
+
+enum lm_verdict {
+    LM_GO,   /* a permit was taken */
+    LM_WAIT, /* none is at hand; the leader is asked */
+    LM_OVER, /* the account is over its limit */
+};
+
+/* An account's permits at a node. Zero-initialised is empty, and the leader knows that. */
+struct lm_stock {
+    int held;       /* below 0: attempts that ran without one */
+    double pace;    /* operations a second, smoothed */
+    int64_t at;     /* of the last operation */
+    int waiting;    /* operations that asked in vain since the last answer */
+    int64_t over_until;
+    int believed;   /* what the leader takes it to hold, as far as is known here; below 0: the
+                       leader knows nothing of this node */
+};
+
+/* An operation begins. */
+enum lm_verdict lm_take(struct lm_stock *s, int64_t now);
+/* A second attempt of an admitted operation reaches an instance: it counts, and waits for
+ * nothing. */
+void lm_extra(struct lm_stock *s);
+/* The operation was not sent anywhere. */
+void lm_untake(struct lm_stock *s);
+/* What the next renewal is to say; false: nothing. Permits that are too many are given back. */
+bool lm_wants(struct lm_stock *s, int64_t now, struct lm_report *out);
+void lm_answered(struct lm_stock *s, const struct lm_answer *a, int64_t now);
+/* The permits have ended. */
+void lm_void(struct lm_stock *s);
+/* Another leader is told anew what is at hand. */
+void lm_tell_anew(struct lm_stock *s);
+
+#endif
--- a/proxy/accounts.c
+++ b/proxy/accounts.c
@@ -1,7 +1,8 @@
 /* Whom a session is for: its caller's key, and the document in force. */
 #include "proxy/priv.h"
 
-/* What instances are told of callers of a route that is open to all: no account is called so. */
+/* What instances are told of callers of a route that is open to all: no account is called so.
+ */
 static const char nobody[] = "-";
 
 bool px_identify(struct px_session *s, const struct cg_route *r)
--- a/proxy/fit.c
+++ b/proxy/fit.c
@@ -25,8 +25,8 @@
     for (int i = 0; i < n; i++) {
         bool several = s[i].same > 1;
         bool has_several = best >= 0 && s[best].same > 1;
-        bool better = best < 0 || (several != has_several ? several
-                                                          : s[i].used_at < s[best].used_at);
+        bool better =
+            best < 0 || (several != has_several ? several : s[i].used_at < s[best].used_at);
         if (better)
             best = i;
     }
--- a/proxy/fit.h
+++ b/proxy/fit.h
@@ -19,13 +19,13 @@
 
 /* What a node has at an instance, as seen for the statement of one account. */
 struct px_fit_view {
-    bool idle;       /* a connection of the account is idle */
-    int own;         /* connections of the account, those that are being opened included */
-    int coming;      /* of these, those that are being opened */
-    int waiting;     /* statements of the account that wait there, this one included */
-    bool room;       /* the share has room for one more */
-    bool replaces;   /* a connection of another account is idle, and nobody waits for it */
-    int64_t waited;  /* of this statement, us */
+    bool idle;      /* a connection of the account is idle */
+    int own;        /* connections of the account, those that are being opened included */
+    int coming;     /* of these, those that are being opened */
+    int waiting;    /* statements of the account that wait there, this one included */
+    bool room;      /* the share has room for one more */
+    bool replaces;  /* a connection of another account is idle, and nobody waits for it */
+    int64_t waited; /* of this statement, us */
 };
 
 enum px_fit px_fit(const struct px_fit_view *v);
--- /dev/null
+++ b/proxy/limits.c
@@ -0,0 +1,165 @@
+/* Limits of client accounts: operations begin with a permit (limit/). */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "proxy/priv.h"
+
+enum { LEAST_RETRY_MS = 20 };
+
+/* ---- accounts ---- */
+
+static struct px_account *account_of(struct px_proxy *p, const char *name)
+{
+    int i = ix_get(&p->account_at, name);
+    if (i == IX_NONE) {
+        i = p->n_accounts++;
+        p->accounts = sr_realloc(p->accounts, sizeof(*p->accounts) * (size_t)p->n_accounts);
+        p->accounts[i] = (struct px_account){0};
+        sr_copy(p->accounts[i].name, sizeof(p->accounts[i].name), sr_from(name));
+        ix_set(&p->account_at, name, i);
+    }
+    return &p->accounts[i];
+}
+
+static bool has_limit(const struct px_proxy *p, const char *name)
+{
+    const struct ac_account *a = ac_by_name(&p->catalog.accounts, name);
+    return a && a->limited;
+}
+
+/* ---- their permits' life ---- */
+
+static void throw_away(struct px_proxy *p)
+{
+    for (int i = 0; i < p->n_accounts; i++)
+        lm_void(&p->accounts[i].stock);
+}
+
+static void end_if_due(struct px_proxy *p, int64_t now)
+{
+    if (now >= p->permits_until)
+        throw_away(p);
+}
+
+void px_permits_renewed(struct px_proxy *p, int64_t sent)
+{
+    int64_t now = ck_now(), until = sent + LM_LIFE_US;
+    end_if_due(p, now);
+    if (until > now && until > p->permits_until)
+        p->permits_until = until;
+}
+
+void px_permits_end(struct px_proxy *p)
+{
+    throw_away(p);
+    p->permits_until = 0;
+}
+
+/* ---- operations ---- */
+
+void px_permit_begin(struct px_session *s)
+{
+    s->permit = has_limit(s->p, s->account) ? PX_P_DUE : PX_P_NONE;
+}
+
+enum lm_verdict px_permit_take(struct px_session *s)
+{
+    if (s->permit != PX_P_DUE)
+        return LM_GO;
+    end_if_due(s->p, ck_now());
+    struct px_account *a = account_of(s->p, s->account);
+    enum lm_verdict v = lm_take(&a->stock, ck_now());
+    if (v == LM_GO) {
+        s->permit = PX_P_HAS;
+        a->begun++;
+    } else if (v == LM_WAIT) {
+        s->p->news = true; /* asked for with a renewal of its own */
+    }
+    return v;
+}
+
+void px_permit_sent(struct px_session *s)
+{
+    if (s->permit == PX_P_HAS)
+        s->permit = PX_P_USED;
+}
+
+void px_permit_again(struct px_session *s)
+{
+    if (s->permit == PX_P_USED)
+        lm_extra(&account_of(s->p, s->account)->stock);
+}
+
+void px_permit_end(struct px_session *s)
+{
+    if (s->permit == PX_P_HAS)
+        lm_untake(&account_of(s->p, s->account)->stock);
+    s->permit = PX_P_NONE;
+}
+
+void px_permit_refuse(struct px_session *s)
+{
+    char detail[96];
+    struct px_account *a = account_of(s->p, s->account);
+    int64_t ms = (a->stock.over_until - ck_now()) / 1000;
+    a->refused++;
+    snprintf(detail, sizeof(detail), "the account is over its limit; retry in %lld ms",
+             (long long)(ms > LEAST_RETRY_MS ? ms : LEAST_RETRY_MS));
+    px_refuse(s, ER_LIMIT, detail);
+}
+
+/* ---- renewals ---- */
+
+void px_permit_wants(struct px_proxy *p, struct wr_renew *r)
+{
+    struct wr_permit_ask *out = sr_alloc(sizeof(*out) * (size_t)(p->n_accounts + 1));
+    end_if_due(p, ck_now());
+    r->permits = out;
+    r->n_permits = 0;
+    r->all_permits = p->permits_untold;
+    for (int i = 0; i < p->n_accounts; i++) {
+        struct px_account *a = &p->accounts[i];
+        struct lm_report m;
+        if (!has_limit(p, a->name))
+            continue;
+        if (p->permits_untold)
+            lm_tell_anew(&a->stock);
+        if (lm_wants(&a->stock, ck_now(), &m))
+            out[r->n_permits++] =
+                (struct wr_permit_ask){sr_from(a->name), (uint32_t)m.held, (uint32_t)m.want,
+                                       (uint32_t)m.returned};
+    }
+    p->permits_untold = false;
+}
+
+/* Those that wait for it go on at once. */
+static void wake(struct px_proxy *p, const char *account)
+{
+    for (struct px_session *s = p->active, *next; s; s = next) {
+        next = s->next_active;
+        bool waits = s->stage == PX_S_PARKED && s->permit == PX_P_DUE;
+        if (waits && strcmp(s->account, account) == 0)
+            px_route_work(s);
+    }
+}
+
+void px_permits(struct px_proxy *p, int64_t sent, const struct wr_permit *permits, uint32_t n)
+{
+    if (sent + LM_LIFE_US <= ck_now())
+        return; /* a VM that was frozen: the leader has forgotten them */
+    px_permits_renewed(p, sent);
+    for (uint32_t i = 0; i < n; i++) {
+        char name[AC_NAME];
+        struct lm_answer a = {(int)permits[i].given, CK_MS((int64_t)permits[i].over_ms)};
+        if (!sr_copy(name, sizeof(name), permits[i].account) || !name[0])
+            continue;
+        lm_answered(&account_of(p, name)->stock, &a, ck_now());
+        if (a.given > 0 || a.over_us > 0) /* else they ask anew in a while */
+            wake(p, name);
+    }
+}
+
+void px_permits_tell(struct px_proxy *p)
+{
+    p->permits_untold = true;
+}
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -3,6 +3,7 @@
 #ifndef FL_PROXY_PRIV_H
 #define FL_PROXY_PRIV_H
 
+#include "limit/limit.h"
 #include "misc/clock.h"
 #include "misc/log.h"
 #include "misc/rng.h"
@@ -131,11 +132,27 @@
 /* What a session's statement waits for. */
 enum px_stage {
     PX_S_REST,        /* there is none */
+    PX_S_BEGUN,       /* its first look, which may refuse it */
     PX_S_PARKED,      /* a primary, a lease, a position, or the next try */
     PX_S_WAITING,     /* a connection to `inst` */
     PX_S_AT_INSTANCE, /* its answer, on `conn` */
 };
 
+/* An operation and its account's limit. */
+enum px_permit {
+    PX_P_NONE, /* no operation, or one that needs no permit */
+    PX_P_DUE,  /* it begins when there is a permit */
+    PX_P_HAS,  /* and was not sent anywhere yet */
+    PX_P_USED,
+};
+
+/* A client account at this node. */
+struct px_account {
+    char name[AC_NAME];
+    struct lm_stock stock;
+    uint64_t begun, refused; /* operations; refused for the limit */
+};
+
 /* A caller's connection and what belongs to it. */
 struct px_session {
     struct px_session *prev, *next; /* the proxy's */
@@ -162,6 +179,8 @@
     struct ps_pos seen;      /* its last commit, in group `seen_in` */
     char seen_in[VW_NAME];
 
+    enum px_permit permit; /* of its operation */
+
     /* its transaction */
     enum px_txn txn;
     bool read_only;
@@ -241,13 +260,18 @@
     int n_groups;
     struct px_group **groups; /* sorted by name */
     int n_nodes;
-    struct ho_node *nodes;  /* entry nodes with a lease, prepared */
-    int64_t configured_at;  /* the first document came */
-    bool knew_nodes;        /* px_knows_nodes, when groups were looked at last */
-    struct px_inst *gone;   /* not in the view, with connections still */
-    bool news;              /* instances came, or groups to hold, since px_has_news */
-    int64_t leased_at;      /* when the lease was live last */
-    int64_t isolated_until; /* cut off, and no other node answers: none is asked before */
+    struct ho_node *nodes; /* entry nodes with a lease, prepared */
+    int64_t configured_at; /* the first document came */
+    bool knew_nodes;       /* px_knows_nodes, when groups were looked at last */
+    struct px_inst *gone;  /* not in the view, with connections still */
+    int n_accounts;
+    struct px_account *accounts; /* that had operations here */
+    struct ix_index account_at;  /* numbers in `accounts` */
+    int64_t permits_until;       /* they end */
+    bool permits_untold;         /* the leader does not know what there is */
+    bool news;                   /* instances came, or groups to hold, since px_has_news */
+    int64_t leased_at;           /* when the lease was live last */
+    int64_t isolated_until;      /* cut off, and no other node answers: none is asked before */
 
     /* sessions */
     struct px_session *sessions, *active;
@@ -304,6 +328,19 @@
     return p->catalog.accounts.given;
 }
 
+/* limits.c: accounts' limits */
+/* An operation of the session's account begins: whether it needs a permit. */
+void px_permit_begin(struct px_session *s);
+/* Take the operation's permit if it is due. */
+enum lm_verdict px_permit_take(struct px_session *s);
+/* The operation is sent to an instance; `again`: it may have run there before. */
+void px_permit_sent(struct px_session *s);
+void px_permit_again(struct px_session *s);
+/* The operation has ended: what was not sent needs no permit. */
+void px_permit_end(struct px_session *s);
+/* The operation is over the limit: how it is refused. */
+void px_permit_refuse(struct px_session *s);
+
 /* session.c: the caller's connection */
 bool px_listen(struct px_proxy *p, struct er_err *err);
 /* Work through what the caller sent while its last statement was at work. */
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -18,6 +18,7 @@
     p->loop = l;
     p->cfg = *cfg;
     p->rng = rn_seed(cfg->seed);
+    p->permits_untold = true;
     if (!px_listen(p, err)) {
         free(p);
         return NULL;
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -59,6 +59,18 @@
 void px_nodes(struct px_proxy *p, const struct ho_node *nodes, int n);
 /* How many connections to the instance this node may have from now on. */
 void px_share(struct px_proxy *p, struct sr_str inst, int connections);
+/* What the next renewal says of client accounts' permits, to *r; the list is the caller's to
+ * free. Each call is a renewal that goes out. */
+void px_permit_wants(struct px_proxy *p, struct wr_renew *r);
+/* The leader's answer to a renewal that was sent then; all permits that are here live on for
+ * LM_LIFE_US from there. */
+void px_permits(struct px_proxy *p, int64_t sent, const struct wr_permit *permits, uint32_t n);
+/* The same without an answer; the leader knows of all permits here. */
+void px_permits_renewed(struct px_proxy *p, int64_t sent);
+/* The lease is given back: they end. */
+void px_permits_end(struct px_proxy *p);
+/* The leader does not know of them: the next renewal tells it all. */
+void px_permits_tell(struct px_proxy *p);
 /* The lease is lost: others may be given what this node held, but for one connection an
  * instance. */
 void px_lease_lost(struct px_proxy *p);
--- a/proxy/statement.c
+++ b/proxy/statement.c
@@ -40,6 +40,12 @@
     }
     if (!take_route(s))
         return;
+    px_permit_begin(s);
+    if (px_permit_take(s) == LM_OVER) {
+        s->arrived = ck_now();
+        px_permit_refuse(s);
+        return;
+    }
     s->txn = PX_IN_TXN;
     s->read_only = s->stmt.read_only;
     s->begun = s->wrote = s->lost = false;
@@ -54,6 +60,7 @@
     }
     px_drop_txn(s);
     s->txn = PX_IDLE;
+    px_permit_end(s);
     px_answer_own(s);
 }
 
@@ -102,8 +109,11 @@
 
 static void run(struct px_session *s)
 {
-    if (in_failed(s) || (s->txn == PX_IDLE && !take_route(s)))
+    bool begins = s->txn == PX_IDLE;
+    if (in_failed(s) || (begins && !take_route(s)))
         return;
+    if (begins)
+        px_permit_begin(s);
     s->writes = s->stmt.verb == PX_V_WRITE;
     if (s->stmt.verb == PX_V_EXECUTE && !take_prepared(s))
         return;
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -36,6 +36,7 @@
         p->active->prev_active = s;
     p->active = s;
     p->c.statements++;
+    s->stage = PX_S_BEGUN;
     px_route_work(s);
 }
 
@@ -127,6 +128,15 @@
 void px_route_work(struct px_session *s)
 {
     int64_t now = ck_now();
+    enum lm_verdict permit = px_permit_take(s);
+    if (permit == LM_OVER) {
+        px_permit_refuse(s);
+        return;
+    }
+    if (permit == LM_WAIT) {
+        px_park(s, now + PX_PARK_US);
+        return;
+    }
     if (s->conn) { /* its transaction is there */
         px_conn_run(s->conn, s);
         return;
@@ -145,6 +155,8 @@
 {
     if (counts && ++s->attempts >= s->route.attempts)
         return false;
+    if (counts)
+        px_permit_again(s);
     s->p->c.retries++;
     px_park(s, ck_now() + after_us);
     if (after_us == 0)
@@ -211,6 +223,8 @@
         px_expire(s);
     else if (s->stage == PX_S_PARKED && px_cut_off(s->p, now))
         px_refuse(s, ER_NO_LEASE, "this node is cut off; another may serve it, at once");
+    else if (s->permit == PX_P_DUE && now - s->arrived > longest_wait(s))
+        px_refuse(s, ER_LIMIT, "no permit for the account has come; retry in 200 ms");
     else if (s->stage == PX_S_PARKED && now >= s->retry_at)
         px_route_work(s);
     else if (s->stage == PX_S_WAITING)
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -3,6 +3,7 @@
 #include "settings/table.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -151,15 +152,16 @@
     return true;
 }
 
-/* Seconds, perhaps with a fraction, kept as whole milliseconds. */
-static bool set_secs(const struct check *c, const struct st_option *o, void *f, const json_t *v)
+/* A number, perhaps with a fraction, kept in whole thousandths: seconds as milliseconds. */
+static bool set_milli(const struct check *c, const struct st_option *o, void *f,
+                      const json_t *v)
 {
     char expected[64];
     double x = json_number_value(v);
     snprintf(expected, sizeof(expected), "a number %ld..%ld", o->lo, o->hi);
     if (!json_is_number(v) || x < (double)o->lo || x > (double)o->hi)
         return wrong(c, o->key, v, expected);
-    *(int *)f = (int)(x * 1000);
+    *(int *)f = (int)lround(x * 1000);
     return true;
 }
 
@@ -193,8 +195,8 @@
         return set_addr(c, o->key, f, v);
     case T_ADDRS:
         return set_addrs(c, o, s, v);
-    case T_SECS:
-        return set_secs(c, o, f, v);
+    case T_MILLI:
+        return set_milli(c, o, f, v);
     }
     return false;
 }
@@ -429,7 +431,7 @@
         return json_deep_copy(s->groups);
     case T_ADDR:
         return addr_json(f);
-    case T_SECS:
+    case T_MILLI:
         return json_real(*(const int *)f / 1000.0);
     case T_ADDRS: {
         json_t *a = json_array();
@@ -472,7 +474,7 @@
     for (int i = 0; i < st_n_options; i++) {
         const struct st_option *o = &st_table[i];
         char range[48] = "";
-        if (o->type == T_INT || o->type == T_SECS)
+        if (o->type == T_INT || o->type == T_MILLI)
             snprintf(range, sizeof(range), "%ld to %ld", o->lo, o->hi);
         else if (o->type == T_TEXT)
             snprintf(range, sizeof(range), "%ld to %ld bytes", o->lo, o->hi);
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -53,6 +53,7 @@
     int hold_ms, hand_ms, attempt_ms;
     int read_wait_ms, park_ms, queue, target_ms, resend_window_s, txn_idle_ms, stop_ms;
     int holders; /* entry nodes that hold a group's connections; 0 all */
+    int limit_window_ms, limit_overrun_permille, limit_slack; /* of client accounts */
     int retry_permille, snapshot_entries, conn_reserve, probe_rate;
     /* Mechanisms switched off, so that a test can be seen failing; never otherwise. */
     bool off_tokens, off_copies, off_terms, off_once, off_best;
--- a/settings/table.h
+++ b/settings/table.h
@@ -14,7 +14,7 @@
     T_GROUPS,
     T_ADDR,
     T_ADDRS,
-    T_SECS
+    T_MILLI
 };
 
 struct st_option {
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -33,6 +33,7 @@
     opening_suite();
     accounts_suite();
     fit_suite();
+    limit_suite();
     proxy_suite();
     takeover_suite();
     member_suite();
--- a/tests/unit/test_fit.c
+++ b/tests/unit/test_fit.c
@@ -1,5 +1,5 @@
-/* Which connection a statement gets where connections belong to accounts, as a table; and a load:
- * many accounts on few connections. */
+/* Which connection a statement gets where connections belong to accounts, as a table; and a
+ * load: many accounts on few connections. */
 #include <string.h>
 
 #include "misc/clock.h"
@@ -16,16 +16,20 @@
     } rows[] = {
         {"one of its account is idle", {.idle = true, .own = 1, .waiting = 1}, PX_FIT_RUN},
         {"none is there, and there is room", {.waiting = 1, .room = true}, PX_FIT_OPEN},
-        {"one is being opened for it", {.own = 1, .coming = 1, .waiting = 1, .room = true},
+        {"one is being opened for it",
+         {.own = 1, .coming = 1, .waiting = 1, .room = true},
          PX_FIT_WAIT},
         {"another statement waits for that one",
-         {.own = 1, .coming = 1, .waiting = 2, .room = true}, PX_FIT_OPEN},
+         {.own = 1, .coming = 1, .waiting = 2, .room = true},
+         PX_FIT_OPEN},
         {"no room: another account's goes", {.waiting = 1, .replaces = true}, PX_FIT_REPLACE},
         {"no room, and none can go", {.waiting = 1}, PX_FIT_WAIT},
-        {"its own comes free in a moment", {.own = 1, .waiting = 1, .replaces = true},
+        {"its own comes free in a moment",
+         {.own = 1, .waiting = 1, .replaces = true},
          PX_FIT_WAIT},
         {"its own did not come free",
-         {.own = 1, .waiting = 1, .replaces = true, .waited = CK_MS(21)}, PX_FIT_REPLACE},
+         {.own = 1, .waiting = 1, .replaces = true, .waited = CK_MS(21)},
+         PX_FIT_REPLACE},
     };
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
         if (px_fit(&rows[i].v) != rows[i].fit)
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -1,4 +1,5 @@
 /* Messages out of msgpack: untrusted. wire/wire.h is the contract. */
+#include "limit/limit.h"
 #include "wire/wire.h"
 
 #include <stdlib.h>
@@ -191,11 +192,44 @@
     return s;
 }
 
+static struct wr_permit *get_permits(struct rd *r, uint32_t *n)
+{
+    struct rd list = get_list(r, WR_MAX_PERMITS);
+    struct wr_permit *p = room(r, list.a->size, sizeof(*p));
+    *n = list.a->size;
+    for (uint32_t i = 0; i < *n && !r->bad; i++) {
+        struct rd one = get_list(&list, 64);
+        p[i].account = get_s(&one);
+        p[i].given = get_max(&one, LM_MOST);
+        p[i].over_ms = get_max(&one, UINT32_MAX);
+        r->bad = r->bad || one.bad || list.bad;
+    }
+    return p;
+}
+
+static struct wr_permit_ask *get_permit_asks(struct rd *r, uint32_t *n)
+{
+    struct rd list = get_list(r, WR_MAX_PERMITS);
+    struct wr_permit_ask *a = room(r, list.a->size, sizeof(*a));
+    *n = list.a->size;
+    for (uint32_t i = 0; i < *n && !r->bad; i++) {
+        struct rd one = get_list(&list, 64);
+        a[i].account = get_s(&one);
+        a[i].held = get_max(&one, LM_MOST);
+        a[i].want = get_max(&one, LM_MOST);
+        a[i].returned = get_max(&one, LM_MOST);
+        r->bad = r->bad || one.bad || list.bad;
+    }
+    return a;
+}
+
 /* The shares that a node may hold now. */
 static void get_told(struct rd *r, struct wr_shares *s)
 {
     s->shares = get_shares(r, &s->n);
     s->seq = get_u(r);
+    s->permits = get_permits(r, &s->n_permits); /* mostly left out */
+    s->renewal = get_u(r);
 }
 
 static void get_view(struct rd *r, struct wr_view *v)
@@ -215,6 +249,8 @@
     m->shares_seq = get_u(r);
     m->leaving = get_b(r); /* mostly left out */
     m->nodes = get_u(r);
+    m->permits = get_permit_asks(r, &m->n_permits);
+    m->all_permits = get_b(r);
 }
 
 static void get_grant(struct rd *r, struct wr_grant *g)
@@ -223,6 +259,7 @@
     g->hlc = get_u(r);
     g->duration_ms = get_max(r, 3600 * 1000);
     g->generation = get_u(r);
+    g->knows_permits = get_u(r) != 0; /* mostly left out */
 }
 
 static void get_check(struct rd *r, struct wr_check *c)
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -132,28 +132,49 @@
     }
 }
 
+static void put_permit_asks(msgpack_packer *pk, const struct wr_permit_ask *a, uint32_t n)
+{
+    msgpack_pack_array(pk, n);
+    for (uint32_t i = 0; i < n; i++) {
+        msgpack_pack_array(pk, 4);
+        put_s(pk, a[i].account);
+        put_u(pk, a[i].held);
+        put_u(pk, a[i].want);
+        put_u(pk, a[i].returned);
+    }
+}
+
 static void put_renew(msgpack_packer *pk, const struct wr_renew *r)
 {
-    head(pk, WR_RENEW, r->nodes ? 8 : r->leaving ? 7 : 6); /* what is absent reads as zero */
+    /* What is absent reads as zero. */
+    bool all = r->all_permits, permits = r->n_permits > 0 || all;
+    bool nodes = r->nodes || permits, leaving = r->leaving || nodes;
+    head(pk, WR_RENEW, 6u + leaving + nodes + permits + all);
     put_u(pk, r->seq);
     put_u(pk, r->generation);
     put_u(pk, r->hlc);
     put_b(pk, r->stopping);
     put_shares(pk, r->shares, r->n);
     put_u(pk, r->shares_seq);
-    if (r->leaving || r->nodes)
+    if (leaving)
         put_b(pk, r->leaving);
-    if (r->nodes)
+    if (nodes)
         put_u(pk, r->nodes);
+    if (permits)
+        put_permit_asks(pk, r->permits, r->n_permits);
+    if (all)
+        put_b(pk, all);
 }
 
 static void put_grant(msgpack_packer *pk, const struct wr_grant *g)
 {
-    head(pk, WR_GRANT, 4);
+    head(pk, WR_GRANT, g->knows_permits ? 5 : 4);
     put_u(pk, g->seq);
     put_u(pk, g->hlc);
     put_u(pk, g->duration_ms);
     put_u(pk, g->generation);
+    if (g->knows_permits)
+        put_u(pk, 1);
 }
 
 static void put_check(msgpack_packer *pk, enum wr_type type, const struct wr_check *c)
@@ -235,12 +256,27 @@
     put_u(pk, generation);
 }
 
+static void put_permits(msgpack_packer *pk, const struct wr_permit *p, uint32_t n)
+{
+    msgpack_pack_array(pk, n);
+    for (uint32_t i = 0; i < n; i++) {
+        msgpack_pack_array(pk, 3);
+        put_s(pk, p[i].account);
+        put_u(pk, p[i].given);
+        put_u(pk, p[i].over_ms);
+    }
+}
+
 /* The shares that a node may hold now. */
 static void put_told(msgpack_packer *pk, const struct wr_shares *s)
 {
-    head(pk, WR_SHARES, 2);
+    head(pk, WR_SHARES, s->n_permits ? 4 : 2);
     put_shares(pk, s->shares, s->n);
     put_u(pk, s->seq);
+    if (s->n_permits) {
+        put_permits(pk, s->permits, s->n_permits);
+        put_u(pk, s->renewal);
+    }
 }
 
 void wr_encode(struct sr_buf *out, const struct wr_msg *m)
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -12,7 +12,13 @@
 #include "misc/str.h"
 #include "quorum/quorum.h"
 
-enum { WR_VERSION = 2, WR_MAX_SHARES = 4096, WR_MAX_PROBES = 4096, WR_MAX_NODES = 1024 };
+enum {
+    WR_VERSION = 2,
+    WR_MAX_SHARES = 4096,
+    WR_MAX_PROBES = 4096,
+    WR_MAX_NODES = 1024,
+    WR_MAX_PERMITS = 16384
+};
 
 enum wr_type {
     WR_HELLO = 1,  /* both ways, first */
@@ -59,6 +65,18 @@
     uint32_t held, want;
 };
 
+/* Of a client account's permits (limit/limit.h): what a node has and would have. */
+struct wr_permit_ask {
+    struct sr_str account;
+    uint32_t held, want, returned;
+};
+
+/* What it is given; nothing and over_ms: the account is over its limit for so long. */
+struct wr_permit {
+    struct sr_str account;
+    uint32_t given, over_ms;
+};
+
 struct wr_renew {
     uint64_t seq, generation, hlc;
     bool stopping;
@@ -68,12 +86,16 @@
     bool leaving; /* it stops soon, keeps its lease till then, and is to hold no group any more
                    */
     uint64_t nodes; /* hash of the list of nodes it has (route/nodelist.h); 0: not told */
+    uint32_t n_permits;
+    struct wr_permit_ask *permits;
+    bool all_permits; /* they name every account of which the node has some */
 };
 
 struct wr_grant {
     uint64_t seq, hlc;
     uint32_t duration_ms; /* counted from the sending of the renewal; 0: refused */
     uint64_t generation;
+    bool knows_permits; /* this connection brought all_permits: those that are out live on */
 };
 
 struct wr_view {
@@ -85,6 +107,9 @@
     uint32_t n;
     struct wr_share *shares; /* held: what the node may hold */
     uint64_t seq;
+    uint32_t n_permits;
+    struct wr_permit *permits;
+    uint64_t renewal; /* that they answer */
 };
 
 struct wr_check {
