limit: permits live as long as a lease, bursts are depth, scarce accounts get them as flow

Change: permits live 1.2 s; burst and tolerance are the bucket's depth, so that what is out covers that time; an account that used nearly all of it for a whole window gets three quarters of the depth as flow instead. Ruled out: a part of the rate for each node that lasts longer without a leader (not tried: two ways to count).

--- a/limit/giver.c
+++ b/limit/giver.c
@@ -8,16 +8,14 @@
 
 enum { FIRST = 16 };
 
-/* In a window rate x window + burst operations are within the limit, however they lie: half of
- * the burst may come at once, the other half is spread over the window as rate. An account that
- * asks for more than its rate for long is served a tenth more so, and one that comes after a
- * rest finds enough. */
-#define BURST_AT_ONCE 0.5
-/* Of the tolerance, its overrun goes to the flow, as that grows with the limit, and its slack to
- * the depth, as the burst of a small account is hardly an operation; less a fifth for operations
- * that wait at a node before they reach an instance: at most 70 % of their aim, 0.2 s at the
- * users', a twenty-fifth of the window. */
+/* The depth takes the whole burst and the tolerance, less a fifth for operations that wait at a
+ * node before they reach an instance: at most 70 % of their aim, 0.2 s at the users', a
+ * twenty-fifth of the window. */
 #define TOLERANCE_PART 0.8
+/* An account that has used all it may for a whole window, so that no more than this part of the
+ * depth was unused in it, gets the rest of the depth as flow: in a window that is as much, and
+ * what asks for more than its rate for long is served up to a third more. */
+#define SCARCE_PART 0.25
 
 /* Clocks of different VMs tick alike, but not exactly. */
 static int64_t with_drift(int64_t us)
@@ -84,18 +82,29 @@
 
 /* ---- the bucket ---- */
 
-/* Permits that may be unused, in the bucket and out. At least one: else there would be none. */
-static double depth(const struct lm_giver *g, const struct lm_account *a)
+static double whole_depth(const struct lm_giver *g, const struct lm_account *a)
 {
-    return fmax(a->burst * BURST_AT_ONCE + g->tolerance.slack * TOLERANCE_PART, 1);
+    const struct lm_tolerance *t = &g->tolerance;
+    double tolerated = (a->rate * t->window_s + a->burst) * t->overrun + t->slack;
+    return fmax(a->burst + tolerated * TOLERANCE_PART, 1);
+}
+
+static bool is_scarce(const struct lm_giver *g, const struct lm_account *a, int64_t now)
+{
+    return (double)(now - a->plenty_at) >= g->tolerance.window_s * 1e6;
+}
+
+/* Permits that may be unused, in the bucket and out. */
+static double depth(const struct lm_giver *g, const struct lm_account *a, int64_t now)
+{
+    return whole_depth(g, a) * (is_scarce(g, a, now) ? SCARCE_PART : 1);
 }
 
 /* Permits a second. */
-static double flow(const struct lm_giver *g, const struct lm_account *a)
+static double flow(const struct lm_giver *g, const struct lm_account *a, int64_t now)
 {
-    const struct lm_tolerance *t = &g->tolerance;
-    double over = (a->rate * t->window_s + a->burst) * t->overrun * TOLERANCE_PART;
-    return a->rate + (a->burst * (1 - BURST_AT_ONCE) + over) / t->window_s;
+    double more = whole_depth(g, a) * (1 - SCARCE_PART) / g->tolerance.window_s;
+    return a->rate + (is_scarce(g, a, now) ? more : 0);
 }
 
 /* Permits that are out; of nodes that did not renew nothing is left. */
@@ -116,26 +125,32 @@
  * what they leave of the depth. */
 static double quiet_flow(const struct lm_giver *g, const struct lm_account *a)
 {
-    double left = depth(g, a) * (1 - LM_OUT_PART);
-    return fmin(flow(g, a), left * 1e6 / (double)with_drift(LM_LIFE_US));
+    double left = whole_depth(g, a) * (1 - LM_OUT_PART);
+    return fmin(a->rate, left * 1e6 / (double)with_drift(LM_LIFE_US));
 }
 
 static double flowed(const struct lm_giver *g, const struct lm_account *a, int64_t now)
 {
     int64_t quiet = (now < g->quiet_until ? now : g->quiet_until) - a->at;
     if (quiet <= 0)
-        return flow(g, a) * (double)(now - a->at) / 1e6;
+        return flow(g, a, a->at) * (double)(now - a->at) / 1e6;
     int64_t rest = now - a->at - quiet;
-    return (quiet_flow(g, a) * (double)quiet + flow(g, a) * (double)rest) / 1e6;
+    return (quiet_flow(g, a) * (double)quiet + a->rate * (double)rest) / 1e6;
 }
 
 /* The bucket has room for what is not out: a permit that nobody used yet is either here or
  * there. */
 static void fill(const struct lm_giver *g, struct lm_account *a, int64_t now)
 {
-    double room = fmax(depth(g, a) - out_now(g, a, now), 0);
-    a->level = fmin(room, a->level + flowed(g, a, now));
+    double out = out_now(g, a, now), most = depth(g, a, a->at);
+    bool scarce = is_scarce(g, a, a->at);
+    a->level = fmin(fmax(most - out, 0), a->level + flowed(g, a, now));
     a->at = now;
+    /* Scarce, it is so until its bucket is full. */
+    double few = whole_depth(g, a) * SCARCE_PART;
+    bool plenty = scarce ? a->level + out >= few : a->level + out > few;
+    if (plenty || now < g->quiet_until)
+        a->plenty_at = now;
 }
 
 void lm_set(struct lm_giver *g, const char *name, double rate, double burst, int64_t now)
@@ -148,7 +163,7 @@
         }
         ix_set(&g->by_name, name, g->n);
         a = &g->accounts[g->n++];
-        *a = (struct lm_account){.at = now};
+        *a = (struct lm_account){.at = now, .plenty_at = now};
         sr_copy(a->name, sizeof(a->name), sr_from(name));
     }
     fill(g, a, now);
@@ -202,15 +217,18 @@
 {
     if (need < 1)
         return;
-    double room = depth(g, a) * LM_OUT_PART - out_now(g, a, now);
-    double k = fmin(floor(need), floor(fmin(a->level, fmax(room, 0))));
+    double most = depth(g, a, now), is_out = out_now(g, a, now);
+    double room = floor(most * LM_STOCK_PART - is_out);
+    if (room < 1 && is_out + 1 <= most * LM_OUT_PART)
+        room = 1;
+    double k = fmin(floor(need), fmin(floor(a->level), fmax(room, 0)));
     if (k >= 1) {
         a->level -= k;
         h->out += k;
         h->told = seq;
         out->given = (int)k;
     } else if (a->level < 1) {
-        double per_s = flow(g, a);
+        double per_s = flow(g, a, now);
         out->over_us = per_s > 0 ? (int64_t)((1 - a->level) / per_s * 1e6) + 1 : CK_SEC(1);
     }
 }
--- a/limit/limit.h
+++ b/limit/limit.h
@@ -7,8 +7,8 @@
  * - Permits that nobody used yet are in the bucket or out. Together they are at most its depth,
  *   and new ones come at a steady flow. Those that are out are counted until their holder
  *   reports them used, or has not renewed them for LM_LIFE_US: then they end.
- * - A new leader knows nothing of permits of the ones before: at most `LM_OUT_PART` of the depth.
- *   Until those have ended it begins with an empty bucket that fills so slowly that it and
+ * - A new leader knows nothing of permits of the ones before: at most `LM_OUT_PART` of the
+ * depth. Until those have ended it begins with an empty bucket that fills so slowly that it and
  *   whoever led for a moment before it give no more than the rest of the depth.
  * - So the operations that begin in any window are at most depth + flow x window, and these are
  *   such that it is rate x window + burst and four fifths of the tolerance. */
@@ -24,13 +24,15 @@
 enum {
     LM_NAME = IX_NAME,
     LM_MOST = 1000000, /* permits that one message may name */
-    /* Permits end so long after the renewal that was answered last. Origin: entry nodes renew
-     * every 200 ms at the platform's lease of 1.2 s, and one renewal may be lost; the shorter,
-     * the sooner a new leader gives out all it may. */
-    LM_LIFE_US = 500000,
+    /* Permits end so long after the renewal that was answered last. Origin: the platform's
+     * lease; a leader that is lost is replaced within 0.4 s, a control VM is back after 1.2
+     * to 1.5 s, and what begins meanwhile begins with permits that are there. */
+    LM_LIFE_US = 1200000,
 };
-/* Of the depth, what may be out. */
-#define LM_OUT_PART 0.5
+/* Of the depth, what may be out; and up to which a node is given as many as it wants, while
+ * beyond it each answer has one, for an operation that waits. */
+#define LM_OUT_PART 0.55
+#define LM_STOCK_PART 0.45
 
 /* How exactly limits are to be kept: in any window the operations of an account are at most
  * (rate x window + burst) x (1 + overrun) + slack. */
@@ -54,7 +56,8 @@
     double rate, burst;
     double level; /* permits in the bucket, at `at` */
     int64_t at;
-    bool seen; /* by lm_set, since lm_sweep */
+    int64_t plenty_at; /* when more than a part of the depth was unused last */
+    bool seen;         /* by lm_set, since lm_sweep */
     int n, cap;
     struct lm_holder *holders;
 };
@@ -117,13 +120,13 @@
 
 /* An account's permits at a node. Zero-initialised is empty, and the leader knows that. */
 struct lm_stock {
-    int held;       /* below 0: attempts that ran without one */
-    double pace;    /* operations a second, smoothed */
-    int64_t at;     /* of the last operation */
-    int waiting;    /* operations that asked in vain since the last answer */
+    int held;    /* below 0: attempts that ran without one */
+    double pace; /* operations a second, smoothed */
+    int64_t at;  /* of the last operation */
+    int waiting; /* operations that asked in vain since the last answer */
     int64_t over_until;
-    int believed;   /* what the leader takes it to hold, as far as is known here; below 0: the
-                       leader knows nothing of this node */
+    int believed; /* what the leader takes it to hold, as far as is known here; below 0: the
+                     leader knows nothing of this node */
 };
 
 /* An operation begins. */
--- a/limit/stock.c
+++ b/limit/stock.c
@@ -3,12 +3,11 @@
 
 #include "limit/limit.h"
 
-/* An account that began nothing for so long needs no permits; a small one asks for each, which
- * takes a trip to the leader. */
-enum { REST_US = 1000000 };
-/* Seconds of an account's operations that a node keeps permits for. Origin: what the
- * tolerance of a limit of 1.6 times the use, as the users set theirs, has room for. */
-#define COVER_S 0.5
+/* Seconds of an account's operations that a node keeps permits for; it asks for each operation
+ * of an account that begins less than one in two seconds, which takes a trip to the leader.
+ * Origin: nearly as long as permits live; what the depth of a limit of 1.6 times the use, as
+ * the users set theirs, has room for. */
+#define COVER_S 1.1
 #define SMOOTH_S 1.0 /* the pace follows over so long */
 
 /* The pace as it has fallen since the last operation. */
@@ -49,8 +48,7 @@
 
 static int wanted(const struct lm_stock *s, int64_t now)
 {
-    double cover = now - s->at < REST_US ? pace_now(s, now) * COVER_S : 0;
-    return (int)cover + s->waiting;
+    return (int)(pace_now(s, now) * COVER_S + 0.5) + s->waiting;
 }
 
 /* What was used is told with the next renewal: permits that the leader takes to be out keep it
--- a/proxy/limits.c
+++ b/proxy/limits.c
@@ -125,9 +125,8 @@
         if (p->permits_untold)
             lm_tell_anew(&a->stock);
         if (lm_wants(&a->stock, ck_now(), &m))
-            out[r->n_permits++] =
-                (struct wr_permit_ask){sr_from(a->name), (uint32_t)m.held, (uint32_t)m.want,
-                                       (uint32_t)m.returned};
+            out[r->n_permits++] = (struct wr_permit_ask){
+                sr_from(a->name), (uint32_t)m.held, (uint32_t)m.want, (uint32_t)m.returned};
     }
     p->permits_untold = false;
 }
