--- a/control/control.h
+++ b/control/control.h
@@ -75,7 +75,7 @@
 /* The newest call of an instance that registers itself. */
 struct ct_seq {
     char id[VW_NAME];
-    uint64_t seq;
+    struct rg_last last;
 };
 
 /* A change as it was committed, for nodes that missed some. */
@@ -130,6 +130,7 @@
     struct ct_group *group; /* it belongs to */
     char id[VW_NAME], ip[46];
     int port;
+    int64_t born;
     struct ep_conn *c;
     bool open, gone;
     int64_t next_try, answered, probed, opening;
--- a/control/registrations.c
+++ b/control/registrations.c
@@ -2,7 +2,7 @@
 #include "control/control.h"
 #include "misc/clock.h"
 
-/* The newest call that this node took of an instance; 0 none. Soft: another leader starts
+/* The newest call that this node took of an instance. Soft: another leader starts
  * without it, and what matters (drained, left) is in the view. */
 static struct ct_seq *seq_of(struct ct_node *n, const char *id)
 {
@@ -15,7 +15,7 @@
         n->n_seqs = 0;
     }
     struct ct_seq *s = &n->seqs[n->n_seqs];
-    *s = (struct ct_seq){.seq = 0};
+    *s = (struct ct_seq){0};
     sr_copy(s->id, sizeof(s->id), sr_from(id));
     ix_set(&n->seq_at, id, n->n_seqs++);
     return s;
@@ -45,11 +45,11 @@
     if (!ct_may_answer(n, err))
         return false;
     struct ct_seq *s = seq_of(n, b->inst.id);
-    enum rg_need need = rg_beat(&n->view, b, s->seq, &ch, err);
+    enum rg_need need = rg_beat(&n->view, b, &s->last, &ch, err);
     /* Only of a call that is acknowledged now: one whose change is not committed may come
      * again. */
     if (need == RG_NOTHING)
-        s->seq = b->seq;
+        s->last = (struct rg_last){b->inst.born, b->seq};
     return take(n, need, &ch, c, done, err);
 }
 
--- a/control/watch.c
+++ b/control/watch.c
@@ -229,6 +229,7 @@
     in->node = n;
     in->group = g;
     in->port = v->port;
+    in->born = v->born;
     sr_copy(in->id, sizeof(in->id), sr_from(v->id));
     sr_copy(in->ip, sizeof(in->ip), sr_from(v->ip));
     return in;
@@ -254,12 +255,17 @@
     return s && s->max_conns > 0 ? s->max_conns : in->max_conns;
 }
 
+static bool same_life(const struct ct_inst *in, const struct vw_instance *v)
+{
+    return strcmp(in->id, v->id) == 0 && in->born == v->born;
+}
+
 static void sync_instances(struct ct_node *n, struct ct_group *g, const struct vw_group *v)
 {
     struct ct_inst *next[VW_MAX_INSTANCES] = {0};
     for (int i = 0; i < v->n; i++) {
         for (int k = 0; k < g->n; k++) {
-            if (g->inst[k] && strcmp(g->inst[k]->id, v->inst[i].id) == 0) {
+            if (g->inst[k] && same_life(g->inst[k], &v->inst[i])) {
                 next[i] = g->inst[k];
                 g->inst[k] = NULL;
             }
--- a/proxy/groups.c
+++ b/proxy/groups.c
@@ -74,9 +74,10 @@
     return NULL;
 }
 
+/* At another address, or started again: what was known of it is void. */
 static bool moved(const struct vw_instance *a, const struct vw_instance *b)
 {
-    return strcmp(a->ip, b->ip) != 0 || a->port != b->port;
+    return strcmp(a->ip, b->ip) != 0 || a->port != b->port || a->born != b->born;
 }
 
 static void sync_instances(struct px_group *g, const struct vw_group *v)
--- a/registry/registry.h
+++ b/registry/registry.h
@@ -13,7 +13,13 @@
     char group[VW_NAME];
     struct vw_instance inst; /* draining: it will end by plan */
     bool primary;            /* it takes itself for the primary */
-    uint64_t seq;            /* grows with each of its calls: a late one is told by it */
+    uint64_t seq;            /* grows with each call of its life: a late one is told by it */
+};
+
+/* The newest call of an instance that a node has taken. Zero-initialised: none. */
+struct rg_last {
+    int64_t born;
+    uint64_t seq;
 };
 
 enum rg_need {
@@ -24,9 +30,9 @@
     RG_REFUSE, /* *err says why */
 };
 
-/* `last_seq`: of the newest call of this instance that this node has taken; 0 none. */
-enum rg_need rg_beat(const struct vw_view *v, const struct rg_beat *b, uint64_t last_seq,
-                     struct vw_change *ch, struct er_err *err);
+/* `last`: of this instance, as far as this node knows. */
+enum rg_need rg_beat(const struct vw_view *v, const struct rg_beat *b,
+                     const struct rg_last *last, struct vw_change *ch, struct er_err *err);
 /* The instance of that id ends. */
 enum rg_need rg_leave(const struct vw_view *v, const char *id, struct vw_change *ch);
 
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -114,11 +114,13 @@
     return b;
 }
 
+/* `last`: number of the newest call of its life that the node has taken. */
 static enum rg_need tell(struct vw_view *v, const struct rg_beat *b, uint64_t last)
 {
     struct vw_change ch;
     struct er_err err = {0};
-    enum rg_need need = rg_beat(v, b, last, &ch, &err);
+    struct rg_last taken = {last ? b->inst.born : 0, last};
+    enum rg_need need = rg_beat(v, b, &taken, &ch, &err);
     if (need == RG_CHANGE)
         CU_ASSERT_TRUE(vw_apply(v, v->generation + 1, &ch, &err));
     return need;
@@ -148,6 +150,50 @@
     vw_free(&w);
 }
 
+/* An instance starts again under its id: its counts begin anew, and calls of before are told
+ * by its start. */
+static void instances_that_start_again(void)
+{
+    struct vw_view w, back;
+    struct vw_change ch;
+    struct er_err err = {0};
+    vw_init(&w);
+    vw_init(&back);
+    struct rg_beat a = beat("a", 1, true, 50), again = beat("a", 1, false, 1);
+    struct rg_last taken = {1000, 50};
+    a.inst.born = 1000;
+    a.inst.draining = true;
+    again.inst.born = 2000;
+    CU_ASSERT_EQUAL(tell(&w, &a, 0), RG_CHANGE);
+    CU_ASSERT_EQUAL(rg_beat(&w, &again, &taken, &ch, &err), RG_CHANGE);
+    CU_ASSERT_TRUE(vw_apply(&w, w.generation + 1, &ch, &err));
+    CU_ASSERT_FALSE(w.groups[0].inst[0].draining);
+    CU_ASSERT_EQUAL(w.groups[0].inst[0].born, 2000);
+    CU_ASSERT_EQUAL(w.groups[0].n, 1);
+    a.seq = 51; /* delayed by a cut; a leader that knows its last call, and one that does not */
+    CU_ASSERT_EQUAL(rg_beat(&w, &a, &(struct rg_last){2000, 1}, &ch, &err), RG_LATE);
+    CU_ASSERT_EQUAL(rg_beat(&w, &a, &(struct rg_last){0}, &ch, &err), RG_LATE);
+    CU_ASSERT_EQUAL(tell(&w, &again, 0), RG_NOTHING);
+    /* Another takes its address: what the one before said late brings it back no more. */
+    struct rg_beat next = beat("b", 1, false, 1);
+    next.inst.born = 3000;
+    CU_ASSERT_EQUAL(tell(&w, &next, 0), RG_CHANGE);
+    CU_ASSERT_EQUAL(tell(&w, &again, 0), RG_LATE);
+    struct rg_beat unheard = beat("c", 1, false, 9);
+    unheard.inst.born = 2500;
+    CU_ASSERT_EQUAL(tell(&w, &unheard, 0), RG_LATE);
+    /* After a restart of the node, too; but a later life of the first may come. */
+    json_t *j = vw_view_json(&w);
+    CU_ASSERT_TRUE(vw_view_parse(j, &back, &err));
+    json_decref(j);
+    CU_ASSERT_EQUAL(tell(&back, &again, 0), RG_LATE);
+    again.inst.born = 4000;
+    again.inst.port = 2;
+    CU_ASSERT_EQUAL(tell(&back, &again, 0), RG_CHANGE);
+    vw_free(&w);
+    vw_free(&back);
+}
+
 /* ---- documents ---- */
 
 static struct cg_catalog two_routes(void)
@@ -206,5 +252,6 @@
     TEST(s, every_disk_votes);
     TEST(s, an_odd_number_votes);
     TEST(s, instances_calls);
+    TEST(s, instances_that_start_again);
     TEST(s, documents_are_checked_whole);
 }
--- a/view/json.c
+++ b/view/json.c
@@ -81,22 +81,27 @@
 
 static json_t *instance_json(const struct vw_instance *in)
 {
-    return json_pack("{s:s,s:s,s:i,s:s,s:b,s:i,s:i}", "id", in->id, "ip", in->ip, "port",
-                     in->port, "domain", in->domain, "draining", in->draining, "max_conns",
-                     in->max_conns, "slots", in->slots);
+    json_t *o = json_pack("{s:s,s:s,s:i,s:s,s:b,s:i,s:i}", "id", in->id, "ip", in->ip, "port",
+                          in->port, "domain", in->domain, "draining", in->draining, "max_conns",
+                          in->max_conns, "slots", in->slots);
+    if (in->born)
+        json_object_set_new(o, "born", json_integer(in->born));
+    return o;
 }
 
 static bool instance_parse(const json_t *j, struct vw_instance *in, struct er_err *err)
 {
-    int64_t port = 0, conns = 25, slots = 3;
+    int64_t port = 0, conns = 25, slots = 3, born = 0;
     memset(in, 0, sizeof(*in));
     if (!get_str(j, "id", in->id, sizeof(in->id), true, err) ||
         !get_str(j, "ip", in->ip, sizeof(in->ip), true, err) ||
         !get_str(j, "domain", in->domain, sizeof(in->domain), false, err) ||
         !get_int(j, "port", 1, 65535, &port, err) ||
         !get_int(j, "max_conns", 1, 100000, &conns, err) ||
-        !get_int(j, "slots", 1, 10000, &slots, err))
+        !get_int(j, "slots", 1, 10000, &slots, err) ||
+        !get_int(j, "born", 0, INT64_MAX, &born, err))
         return false;
+    in->born = born;
     in->port = (int)port;
     in->max_conns = (int)conns;
     in->slots = (int)slots;
@@ -104,12 +109,18 @@
     return true;
 }
 
+/* Oldest first: names, or a name with the start of the instance that left. */
 static json_t *left_json(const struct vw_view *v)
 {
     json_t *a = json_array();
     int n = v->n_left < VW_MAX_LEFT ? v->n_left : VW_MAX_LEFT;
-    for (int i = 0; i < n; i++) /* oldest first */
-        json_array_append_new(a, json_string(v->left[(v->n_left - n + i) % VW_MAX_LEFT]));
+    for (int i = 0; i < n; i++) {
+        int at = (v->n_left - n + i) % VW_MAX_LEFT;
+        json_t *name = json_string(v->left[at]);
+        if (v->left_born[at])
+            name = json_pack("[o,I]", name, (json_int_t)v->left_born[at]);
+        json_array_append_new(a, name);
+    }
     return a;
 }
 
@@ -119,9 +130,11 @@
     json_t *x;
     json_array_foreach(a, i, x)
     {
-        struct sr_str s = {json_string_value(x), json_string_length(x)};
+        const json_t *name = json_is_array(x) ? json_array_get(x, 0) : x;
+        struct sr_str s = {json_string_value(name), json_string_length(name)};
         if (i >= VW_MAX_LEFT || !s.p || !sr_copy(v->left[i], VW_NAME, s))
             return er_set(err, ER_BAD_INPUT, "left: expected at most %d names", VW_MAX_LEFT);
+        v->left_born[i] = json_integer_value(json_array_get(x, 1));
         v->n_left++;
     }
     return true;
--- a/view/view.c
+++ b/view/view.c
@@ -48,14 +48,27 @@
     return -1;
 }
 
-bool vw_has_left(const struct vw_view *v, const char *id)
+/* The place of the newest entry of that id, -1 none. */
+static int left_at(const struct vw_view *v, const char *id)
 {
     int n = v->n_left < VW_MAX_LEFT ? v->n_left : VW_MAX_LEFT;
-    for (int i = 0; i < n; i++) {
+    for (int k = 1; k <= n; k++) {
+        int i = (v->n_left - k) % VW_MAX_LEFT;
         if (strcmp(v->left[i], id) == 0)
-            return true;
+            return i;
     }
-    return false;
+    return -1;
+}
+
+bool vw_has_left(const struct vw_view *v, const char *id)
+{
+    return left_at(v, id) >= 0;
+}
+
+bool vw_is_late(const struct vw_view *v, const char *id, int64_t born)
+{
+    int i = left_at(v, id);
+    return i >= 0 && born <= v->left_born[i];
 }
 
 const struct vw_group *vw_owner(const struct vw_view *v, const char *id)
@@ -176,7 +189,7 @@
     if (!ch->group[0] || (!g && v->n >= VW_MAX_GROUPS))
         return er_set(err, ER_TOO_LARGE, "group \"%s\": %d groups are the most", ch->group,
                       VW_MAX_GROUPS);
-    if (vw_has_left(v, ch->inst.id))
+    if (vw_is_late(v, ch->inst.id, ch->inst.born))
         return er_set(err, ER_STALE_PLAN, "instance %s has left", ch->inst.id);
     if (g && !owner && g->n >= VW_MAX_INSTANCES && at_address(g, &ch->inst) < 0)
         return er_set(err, ER_CONFLICT, "group %s has %d instances, the most", g->name, g->n);
@@ -327,7 +340,9 @@
     sr_copy(id, sizeof(id), sr_from(who));
     int i = vw_instance(g, id);
     bool led = i == g->primary;
-    sr_copy(v->left[v->n_left++ % VW_MAX_LEFT], VW_NAME, sr_from(id));
+    int at = v->n_left++ % VW_MAX_LEFT;
+    sr_copy(v->left[at], VW_NAME, sr_from(id));
+    v->left_born[at] = g->inst[i].born;
     remove_instance(g, i);
     if (!led)
         return;
--- a/view/view.h
+++ b/view/view.h
@@ -36,6 +36,9 @@
     bool draining; /* gets no new work */
     int max_conns; /* connections it accepts at once */
     int slots;     /* statements it runs at once */
+    /* Unix milliseconds of its start, by its own clock; 0: not told. It may start again under
+     * its id, and then holds nothing of before. */
+    int64_t born;
 };
 
 /* What a group's primary is doing. */
@@ -101,6 +104,7 @@
     int n_left;                /* ever; `left` is a ring */
     /* ids of instances that left: a late call brings none back */
     char left[VW_MAX_LEFT][VW_NAME];
+    int64_t left_born[VW_MAX_LEFT]; /* of the one that left */
 };
 
 enum vw_change_kind {
@@ -150,6 +154,8 @@
 int vw_instance(const struct vw_group *g, const char *id);
 /* Whether an instance of that id left not long ago. */
 bool vw_has_left(const struct vw_view *v, const char *id);
+/* Whether one that was born then is such an instance, or an earlier one of its id. */
+bool vw_is_late(const struct vw_view *v, const char *id, int64_t born);
 /* The group that has an instance of that id, NULL none: ids are unique in a cluster, since
  * shares, probes and evidence go by them. */
 const struct vw_group *vw_owner(const struct vw_view *v, const char *id);
