--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -187,6 +187,21 @@
     }
 }
 
+/* Those that came first: the number is bounded, whatever documents hold. */
+static void put_accounts(struct sr_buf *out, const struct px_proxy *p)
+{
+    enum { MOST = 64 };
+    for (int i = 0; i < p->n_accounts && i < MOST; i++) {
+        const struct px_account *a = &p->accounts[i];
+        sr_buf_printf(out,
+                      "ferry_session_account_begun_total{account=\"%s\"} %llu\n"
+                      "ferry_session_account_refused_total{account=\"%s\"} %llu\n"
+                      "ferry_session_account_permits{account=\"%s\"} %d\n",
+                      a->name, (unsigned long long)a->begun, a->name,
+                      (unsigned long long)a->refused, a->name, a->stock.held);
+    }
+}
+
 static void put_instance(struct sr_buf *out, const struct px_inst *in)
 {
     const char *id = in->cfg.id;
@@ -233,6 +248,7 @@
         sr_buf_printf(out, "ferry_session_closed_total{why=\"%s\"} %llu\n", px_end_name(k),
                       (unsigned long long)p->c.ends[k]);
     put_traffic(out, p);
+    put_accounts(out, p);
     put_hist(out, "read", &p->latency_read);
     put_hist(out, "write", &p->latency_write);
     for (int g = 0; g < p->n_groups; g++) {
--- a/tests/standin/sessions.c
+++ b/tests/standin/sessions.c
@@ -340,7 +340,7 @@
 {
     struct session *s = ud;
     char text[32];
-    int n = snprintf(text, sizeof(text), "STARTUP %c u%d\r\n", s->db, s->id);
+    int n = snprintf(text, sizeof(text), "STARTUP %c secret-%d.\r\n", s->db, s->id);
     nt_send(net, text, (size_t)n);
 }
 
--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -92,6 +92,9 @@
             sr_buf_printf(out, "instance %d %d reads %u failed %llu\n", g, i,
                           w->inst[g][i].reads, (unsigned long long)w->inst[g][i].failed);
     }
+    for (int i = 0; i < w->n_accounts; i++)
+        sr_buf_printf(out, "account %s statements %llu\n", w->accounts[i].name,
+                      (unsigned long long)w->accounts[i].statements);
     sr_buf_printf(out, "orders %llu fenced %llu\nstrangers %llu\n",
                   (unsigned long long)w->orders, (unsigned long long)w->refused_orders,
                   (unsigned long long)w->strangers);
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -11,7 +11,13 @@
 struct conn;
 struct world;
 
-enum { GROUPS = 4, INSTS = 3, LOG = 200000, KEYS = 512, WORD = 64 };
+enum { ACCOUNTS = 64, GROUPS = 4, INSTS = 3, LOG = 200000, KEYS = 512, WORD = 64 };
+
+/* For whom connections were opened, and what ran on them. */
+struct account {
+    char name[WORD];
+    uint64_t statements;
+};
 
 struct entry {
     int key;
@@ -56,6 +62,8 @@
     struct rn_rng rng;
     char keys[KEYS][WORD];
     int n_keys;
+    struct account accounts[ACCOUNTS];
+    int n_accounts;
     uint64_t refused_orders, orders;
     uint64_t strangers; /* connections to instances that did not begin with STARTUP */
 };
--- a/tests/standin/world_lines.c
+++ b/tests/standin/world_lines.c
@@ -13,6 +13,7 @@
     struct inst *in;
     struct nt_conn *net;
     struct sr_buf buf;
+    struct account *account;
     bool greeted, txn, read_only, failed, was_primary;
     uint64_t term;
     int n_writes, n_sets, n_prep;
@@ -290,6 +291,19 @@
     }
 }
 
+/* Further ones than there is room for count as the last. */
+static struct account *account_of(struct world *w, const char *name)
+{
+    int i = 0;
+    while (i < w->n_accounts && strcmp(w->accounts[i].name, name) != 0)
+        i++;
+    if (i == ACCOUNTS)
+        return &w->accounts[i - 1];
+    if (i == w->n_accounts)
+        snprintf(w->accounts[w->n_accounts++].name, WORD, "%s", name);
+    return &w->accounts[i];
+}
+
 static void line(struct conn *c, const char *text)
 {
     char group[WORD], who[WORD], id[WORD] = "", own[WORD];
@@ -297,11 +311,13 @@
     snprintf(own, sizeof(own), "i-%d-%d", (int)(c->in->g - c->in->w->g), c->in->at);
     if (sscanf(text, "STARTUP %63s %63s %63s", group, who, id) >= 2) {
         c->greeted = strcmp(group, c->in->g->name) == 0 && (!id[0] || strcmp(id, own) == 0);
+        c->account = account_of(c->in->w, who);
         if (c->greeted)
             ready(c);
         else
             say(c, "ERROR MISROUTED %s", own);
     } else if (c->greeted && sscanf(text, "QUERY %63s %n", id, &used) == 1) {
+        c->account->statements += strcmp(id, "-") != 0;
         statement(c, text + used);
     } else {
         c->in->w->strangers += !c->greeted;
