--- a/bench/decisions.c
+++ b/bench/decisions.c
@@ -3,10 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "account/account.h"
 #include "admit/admit.h"
 #include "bench/bench.h"
 #include "caller/caller.h"
 #include "lease/lease.h"
+#include "limit/limit.h"
 #include "misc/clock.h"
 #include "pool/shares.h"
 #include "promote/promote.h"
@@ -252,6 +254,43 @@
     qr_destroy(q);
 }
 
+static void key_of_100000(int n)
+{
+    enum { ACCOUNTS = 1000, KEYS = 100000 };
+    static struct ac_table t;
+    char text[32];
+    for (int i = 0; i < ACCOUNTS; i++) {
+        snprintf(text, sizeof(text), "account%d", i);
+        ac_add(&t, sr_from(text), NULL);
+    }
+    for (int i = 0; i < KEYS; i++) {
+        snprintf(text, sizeof(text), "tapjsujqurtyii%06d", i);
+        ac_add_key(&t, i % ACCOUNTS, sr_from(text), NULL);
+    }
+    for (int i = 0; i < n; i++)
+        keep += ac_of_key(&t, sr_from(text)) != NULL;
+}
+
+/* What the leader does for one operation of an account that 16 nodes serve. */
+static void permit_of_16(int n)
+{
+    enum { NODES = 16 };
+    static struct lm_giver g;
+    struct lm_tolerance t = {5, 0.1, 20};
+    struct lm_report r = {.want = 1};
+    struct lm_answer a;
+    int64_t now = CK_SEC(10);
+    lm_begin(&g, &t, true, now);
+    lm_set(&g, "account", 1000, 1000, now);
+    for (int i = 0; i < n; i++) {
+        uint64_t node = (uint64_t)(i % NODES) + 1;
+        now += 1000;
+        lm_renewed(&g, node, true, now);
+        lm_ask(&g, "account", node, &r, (uint64_t)i, (uint64_t)i + 1, now, &a);
+        keep += (uint64_t)a.given;
+    }
+}
+
 static const struct {
     const char *name;
     void (*fn)(int n);
@@ -266,7 +305,9 @@
                  {"parse_request", parse_request},
                  {"write_answer", write_answer},
                  {"wire_renew", wire_renew},
-                 {"quorum_append", quorum_append}};
+                 {"quorum_append", quorum_append},
+                 {"key_of_100000", key_of_100000},
+                 {"permit_of_16", permit_of_16}};
 
 enum { N_DECISIONS = sizeof(decisions) / sizeof(decisions[0]) };
 
