limit: a permit that was taken is used

Change: none is given back. Cost: what is refused for want of a connection has used its permit; not measured by itself.

--- a/limit/giver.c
+++ b/limit/giver.c
@@ -27,7 +27,6 @@
 {
     lm_free(g);
     g->tolerance = *t;
-    g->since = now;
     g->quiet_until = first ? now : now + with_drift(LM_LIFE_US);
 }
 
--- a/limit/limit.h
+++ b/limit/limit.h
@@ -69,7 +69,6 @@
 
 struct lm_giver {
     struct lm_tolerance tolerance;
-    int64_t since;       /* it leads */
     int64_t quiet_until; /* permits of earlier leaders may be out until then */
     int n, cap;
     struct lm_account *accounts;
@@ -129,13 +128,12 @@
                      leader knows nothing of this node */
 };
 
-/* An operation begins. */
+/* An operation begins. A permit that was taken is used, also if the operation is sent nowhere
+ * in the end: given back, it would be one that the leader may have written off meanwhile. */
 enum lm_verdict lm_take(struct lm_stock *s, int64_t now);
 /* A second attempt of an admitted operation reaches an instance: it counts, and waits for
  * nothing. */
 void lm_extra(struct lm_stock *s);
-/* The operation was not sent anywhere. */
-void lm_untake(struct lm_stock *s);
 /* What the next renewal is to say; false: nothing. Permits that are too many are given back. */
 bool lm_wants(struct lm_stock *s, int64_t now, struct lm_report *out);
 void lm_answered(struct lm_stock *s, const struct lm_answer *a, int64_t now);
--- a/limit/stock.c
+++ b/limit/stock.c
@@ -41,11 +41,6 @@
     s->held--;
 }
 
-void lm_untake(struct lm_stock *s)
-{
-    s->held++;
-}
-
 static int wanted(const struct lm_stock *s, int64_t now)
 {
     return (int)(pace_now(s, now) * COVER_S + 0.5) + s->waiting;
--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -86,8 +86,6 @@
 void px_answer(struct px_session *s, const struct px_conn *c)
 {
     struct sr_buf b = {0};
-    if (s->txn == PX_IDLE)
-        px_permit_end(s);
     if (c->error != ER_NONE) {
         note_failure(s, c->error, c->detail);
         put_failure(s, &b, c->error, c->detail);
@@ -115,8 +113,6 @@
 void px_refuse(struct px_session *s, enum er_kind kind, const char *detail)
 {
     px_end_work(s);
-    if (s->txn == PX_IDLE)
-        px_permit_end(s);
     tell_failure(s, kind, detail);
     s->since = ck_now();
     px_session_go_on(s);
--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -80,7 +80,6 @@
     c->phase = PX_C_RUNNING;
     s->sent_at = c->used_at = ck_now();
     s->offers++;
-    px_permit_sent(s);
     bool ok = send_msg(c, &m);
     sr_buf_free(&text);
     return ok;
--- a/proxy/limits.c
+++ b/proxy/limits.c
@@ -78,23 +78,10 @@
     return v;
 }
 
-void px_permit_sent(struct px_session *s)
-{
-    if (s->permit == PX_P_HAS)
-        s->permit = PX_P_USED;
-}
-
 void px_permit_again(struct px_session *s)
-{
-    if (s->permit == PX_P_USED)
-        lm_extra(&account_of(s->p, s->account)->stock);
-}
-
-void px_permit_end(struct px_session *s)
 {
     if (s->permit == PX_P_HAS)
-        lm_untake(&account_of(s->p, s->account)->stock);
-    s->permit = PX_P_NONE;
+        lm_extra(&account_of(s->p, s->account)->stock);
 }
 
 void px_permit_refuse(struct px_session *s)
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -143,8 +143,7 @@
 enum px_permit {
     PX_P_NONE, /* no operation, or one that needs no permit */
     PX_P_DUE,  /* it begins when there is a permit */
-    PX_P_HAS,  /* and was not sent anywhere yet */
-    PX_P_USED,
+    PX_P_HAS,
 };
 
 /* A client account at this node. */
@@ -334,11 +333,8 @@
 void px_permit_begin(struct px_session *s);
 /* Take the operation's permit if it is due. */
 enum lm_verdict px_permit_take(struct px_session *s);
-/* The operation is sent to an instance; `again`: it may have run there before. */
-void px_permit_sent(struct px_session *s);
+/* A statement of the operation is sent once more, and may have run before: it counts again. */
 void px_permit_again(struct px_session *s);
-/* The operation has ended: what was not sent needs no permit. */
-void px_permit_end(struct px_session *s);
 /* The operation is over the limit: how it is refused. */
 void px_permit_refuse(struct px_session *s);
 
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -135,7 +135,6 @@
     px_relay_end(s);
     px_end_work(s);
     px_drop_txn(s);
-    px_permit_end(s);
     if (s->prev)
         s->prev->next = s->next;
     else
--- a/proxy/statement.c
+++ b/proxy/statement.c
@@ -60,7 +60,6 @@
     }
     px_drop_txn(s);
     s->txn = PX_IDLE;
-    px_permit_end(s);
     px_answer_own(s);
 }
 
