proxy: connections that accounts used lately are kept, and reads go where one of theirs is

A share shrinks to what is busy within a second, and idle connections above it are closed; a read did not ask where its account has a connection.

Change: a node wants as many connections as were used in the last five seconds (shares stay max-min fair, so others lose nothing that they want); an instance where a connection has to be opened first counts as dearer by an opening.

--- a/proxy/place.h
+++ b/proxy/place.h
@@ -15,7 +15,7 @@
 struct px_candidate {
     bool usable; /* there, not draining, not tried before for this read */
     bool primary;
-    bool free_conn;       /* an idle connection, or room for one more */
+    bool free_conn;       /* an idle connection that fits, or one that costs nothing more */
     int waiting;          /* statements of this node there, running or waiting */
     int64_t service_us;   /* what the statement would take there; px_pace_expect */
     double fail_rate;     /* of what was asked there lately, 0 to 1; px_outlier_rate */
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -79,6 +79,11 @@
     return best;
 }
 
+bool px_inst_ready(const struct px_inst *in, const struct px_session *s)
+{
+    return idle_conn(in, s) != NULL;
+}
+
 bool px_inst_usable(const struct px_inst *in, int64_t now)
 {
     if (in->cfg.draining || in->gone)
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -445,6 +445,8 @@
 void px_inst_maybe_free(struct px_inst *in);
 /* An idle connection for the session, or its place among those that wait for one. */
 void px_inst_take(struct px_inst *in, struct px_session *s);
+/* Whether a connection of its account is idle there. */
+bool px_inst_ready(const struct px_inst *in, const struct px_session *s);
 /* The session waits no longer. */
 void px_inst_unwait(struct px_inst *in, struct px_session *s);
 /* Serve those that wait, as far as connections are idle. */
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -5,6 +5,7 @@
 #include "proxy/priv.h"
 
 enum {
+    KEEP_US = 5000000, /* an account's connection is wanted for so long after a statement */
     STAGES_EVERY_US = 10000000, /* a line in the log */
     SLOW_TICK_US = 50000,       /* sessions that rest are looked at so often */
     /* Of the time from the order to stop until the process is killed: */
@@ -46,15 +47,28 @@
 
 /* ---- shares ---- */
 
+/* Connections that accounts used lately: given up, each would have to be opened anew for its
+ * account's next statement. */
+static int kept(const struct px_inst *in, int64_t now)
+{
+    int k = 0;
+    if (!in->group->held || !px_has_accounts(in->p))
+        return 0;
+    for (const struct px_conn *c = in->conns; c; c = c->next)
+        k += !c->closing && now - c->used_at < KEEP_US;
+    return k;
+}
+
 static void add_want(struct px_inst *in, struct wr_share *out)
 {
+    int used = kept(in, ck_now());
     int held = in->n_conns > in->share ? in->n_conns : in->share;
     /* One at hand for what comes next, and room for accounts that had to make place. Where the
      * group is another node's now, sessions that move there within a second go on meanwhile:
      * without connections of theirs 50 statements in 2 s ran into their time limit while 42 of
      * 76 nodes were restarted in turn. */
     int next = in->group->held ? 1 + in->replaced : 0;
-    int want = in->cfg.draining ? 0 : in->peak + next;
+    int want = in->cfg.draining ? 0 : (used > in->peak ? used : in->peak) + next;
     in->replaced -= (in->replaced + 3) / 4;
     *out = (struct wr_share){sr_from(in->cfg.id), (uint32_t)held, (uint32_t)want};
     in->peak -= (in->peak + 3) / 4; /* demand is forgotten slowly: a share costs time to get */
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -85,11 +85,13 @@
                                      int64_t now)
 {
     const struct px_group *g = in->group;
-    bool idle = in->n_conns > in->busy;
+    /* Room for one more is no connection where it has to be opened for the account first. */
+    bool accounts = px_has_accounts(in->p);
+    bool idle = accounts ? px_inst_ready(in, s) : in->n_conns > in->busy;
     return (struct px_candidate){
         .usable = px_inst_usable(in, now) && !(s->skip & (1u << in->at)),
         .primary = in->at == g->cfg.primary,
-        .free_conn = idle || px_inst_has_room(in, now),
+        .free_conn = idle || (!accounts && px_inst_has_room(in, now)),
         /* A transaction that rests between two statements holds a connection, but no slot. */
         .waiting = px_inst_running(in) + in->n_waiters,
         .service_us = px_pace_expect(&g->pace, s->kind, in->pace),
--- a/tests/unit/test_accounts.c
+++ b/tests/unit/test_accounts.c
@@ -432,6 +432,22 @@
     end();
 }
 
+/* Load: accounts that ask for something now and then, on a share that would shrink to what is
+ * busy. Each connection that is given up has to be opened anew for the next statement. */
+static void connections_that_accounts_used_lately_are_wanted(void)
+{
+    enum { RENEWALS = 40 };
+    begin(TWO, 4);
+    struct caller *a = call("STARTUP db key1"), *b = call("STARTUP db key2");
+    CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE x"));
+    CU_ASSERT_TRUE(asks(b, "QUERY q2 READ x", "COMPLETE x"));
+    int want = 0;
+    for (int i = 0; i < RENEWALS; i++)
+        want = wanted();
+    CU_ASSERT_EQUAL(want, 3); /* one each, and one at hand */
+    end();
+}
+
 /* Who relays a session may have a newer document: an older one answers for nothing. */
 static void a_holder_waits_for_the_document_of_who_relays(void)
 {
@@ -458,5 +474,6 @@
     TEST(s, accounts_make_room_for_one_another);
     TEST(s, documents_change_whose_a_session_is);
     TEST(s, sessions_that_move_keep_their_connections);
+    TEST(s, connections_that_accounts_used_lately_are_wanted);
     TEST(s, a_holder_waits_for_the_document_of_who_relays);
 }
