--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -5,7 +5,9 @@
 #include "proxy/priv.h"
 
 enum {
-    SLOW_TICK_US = 50000, /* sessions that rest are looked at so often */
+    KEEP_US = 5000000, /* an account's connection is wanted for so long after a statement */
+    STAGES_EVERY_US = 10000000, /* a line in the log */
+    SLOW_TICK_US = 50000,       /* sessions that rest are looked at so often */
     /* Of the time from the order to stop until the process is killed: */
     STOP_FORCE_PERCENT = 55,  /* transactions still open then are rolled back */
     STOP_LINGER_PERCENT = 75, /* whoever has not closed by then is closed with the process */
@@ -45,15 +47,28 @@
 
 /* ---- shares ---- */
 
+/* Connections that accounts used lately: given up, each would have to be opened anew for its
+ * account's next statement. */
+static int kept(const struct px_inst *in, int64_t now)
+{
+    int k = 0;
+    if (!in->group->held || !px_has_accounts(in->p))
+        return 0;
+    for (const struct px_conn *c = in->conns; c; c = c->next)
+        k += !c->closing && now - c->used_at < KEEP_US;
+    return k;
+}
+
 static void add_want(struct px_inst *in, struct wr_share *out)
 {
+    int used = kept(in, ck_now());
     int held = in->n_conns > in->share ? in->n_conns : in->share;
     /* One at hand for what comes next, and room for accounts that had to make place. Where the
      * group is another node's now, sessions that move there within a second go on meanwhile:
      * without connections of theirs 50 statements in 2 s ran into their time limit while 42 of
      * 76 nodes were restarted in turn. */
     int next = in->group->held ? 1 + in->replaced : 0;
-    int want = in->cfg.draining ? 0 : in->peak + next;
+    int want = in->cfg.draining ? 0 : (used > in->peak ? used : in->peak) + next;
     in->replaced -= (in->replaced + 3) / 4;
     *out = (struct wr_share){sr_from(in->cfg.id), (uint32_t)held, (uint32_t)want};
     in->peak -= (in->peak + 3) / 4; /* demand is forgotten slowly: a share costs time to get */
@@ -114,6 +129,17 @@
     }
 }
 
+static void tell_stages(struct px_proxy *p, int64_t now)
+{
+    struct sr_buf b = {0};
+    if (now - p->stages_told_at < STAGES_EVERY_US)
+        return;
+    p->stages_told_at = now;
+    px_stages_report(&p->stages, &b);
+    FL_EVENT(&p->log, LG_INFO, "stages", "%.*s", (int)b.len, b.p);
+    sr_buf_free(&b);
+}
+
 void px_tick(struct px_proxy *p, int64_t now)
 {
     for (struct px_session *s = p->active, *next; s; s = next) {
@@ -129,6 +155,7 @@
     p->next_slow_tick = now + SLOW_TICK_US;
     px_sessions_slow_tick(p, now);
     force_end(p, now);
+    tell_stages(p, now);
 }
 
 void px_stop(struct px_proxy *p, int64_t now)
@@ -254,6 +281,7 @@
     put_accounts(out, p);
     put_hist(out, "read", &p->latency_read);
     put_hist(out, "write", &p->latency_write);
+    px_stages_metrics(&p->stages, out);
     for (int g = 0; g < p->n_groups; g++) {
         for (int i = 0; i < p->groups[g]->cfg.n; i++)
             put_instance(out, p->groups[g]->inst[i]);
