promote: an instance that is slow to become primary is waited for longer each time

Cause, found while t_between (KNOWN-RED) was looked at: an attempt at a promotion is given up after attempt_ms (500) and begun under a higher term; an instance that takes longer to become primary (a busy disk) is given up each time just before it is, for good. Changes that the agreement is slow with do not have this (the term proposed again is the same).

Not shown: that t_between's one failure was this. Its stand-in instances write without syncing; a write can wait for a disk that is busy with syncs. It stays in KNOWN-RED.

--- a/promote/promote.c
+++ b/promote/promote.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 enum {
+    MAX_PATIENCE_US = 8000000,
     MAX_HOLD_US = 10000000,
     CALM_US = 60000000,
     RECHECK_US = 20000,
@@ -18,6 +19,7 @@
     memset(p, 0, sizeof(*p));
     p->cfg = *cfg;
     p->hold = cfg->hold_us;
+    p->patience = cfg->attempt_us;
     p->recheck = RECHECK_US;
     p->last_end = now - cfg->hold_us;
     p->chosen = -1;
@@ -137,6 +139,7 @@
     if (p->hold > MAX_HOLD_US)
         p->hold = MAX_HOLD_US;
     p->last_end = now;
+    p->patience = p->cfg.attempt_us;
     for (int i = 0; i < p->n; i++)
         p->inst[i].asked_at =
             now - p->cfg.resend_us; /* the replicas are told to follow at once */
@@ -259,6 +262,14 @@
         concluding_tick(p, now, out);
 }
 
+/* An instance that takes long to become primary would be given up each time before it is. */
+static void be_patient(struct pr_group *p)
+{
+    p->patience *= 2;
+    if (p->patience > MAX_PATIENCE_US)
+        p->patience = MAX_PATIENCE_US;
+}
+
 static void begin_attempt(struct pr_group *p, uint64_t term, int64_t now)
 {
     p->term = term;
@@ -290,9 +301,11 @@
         begin_attempt(p, g->term, now);
         return true;
     }
-    bool stuck = p->step == PR_PROMOTING && now - p->step_at > p->cfg.attempt_us;
+    bool stuck = p->step == PR_PROMOTING && now - p->step_at > p->patience;
     if (running && !stuck && !outbid(p))
         return true;
+    if (running && stuck)
+        be_patient(p);
     bool proposed = p->proposed > g->term && now - p->proposed_at < p->cfg.attempt_us;
     if (!proposed)
         propose_replace(p, g, now, out);
--- a/promote/promote.h
+++ b/promote/promote.h
@@ -24,7 +24,7 @@
     int64_t silence_us;    /* unanswered for so long: silent */
     int64_t check_us;      /* how long entry nodes have to answer a check */
     int64_t resend_us;     /* fence and promote are sent again after this */
-    int64_t attempt_us;    /* an attempt that takes longer starts again */
+    int64_t attempt_us;    /* an attempt that takes longer starts again, with twice the time */
     int64_t hold_us;       /* least time between two replacements; doubles while they repeat */
     int64_t hand_us;       /* a planned change that takes longer is given up */
     bool fenced_endpoints; /* the driver offers FENCE: no waiting for the entry nodes */
@@ -68,6 +68,7 @@
     uint64_t proposed; /* the last term this leader proposed a replacement under */
     int64_t proposed_at;
     int64_t began, step_at;
+    int64_t patience; /* with the attempt under way: an instance may be slow for long */
     int checks_out, checks_ok, checks_bad;
     uint64_t nonce;
     int chosen;
--- a/tests/unit/test_promote.c
+++ b/tests/unit/test_promote.c
@@ -310,9 +310,91 @@
     CU_ASSERT(find(PR_DO_REPLACE) >= 0);
 }
 
+/* What the agreement does with proposals: each is in force `after` it was made, if its term is
+ * above the view's. */
+struct slow_log {
+    int64_t after;
+    int n;
+    struct {
+        int64_t at;
+        struct pr_action what;
+    } out[64];
+};
+
+static void propose(struct slow_log *l, const struct pr_action *a, int64_t now)
+{
+    bool kept = a->kind == PR_DO_REPLACE || a->kind == PR_DO_PRIMARY;
+    if (!kept || l->n == 64)
+        return;
+    l->out[l->n].at = now + l->after;
+    l->out[l->n++].what = *a;
+}
+
+static void commit(struct slow_log *l, int64_t now)
+{
+    for (int i = 0; i < l->n; i++) {
+        const struct pr_action *a = &l->out[i].what;
+        if (l->out[i].at != now)
+            continue;
+        if (a->kind == PR_DO_REPLACE && a->term > g.term) {
+            g.term = a->term;
+            g.phase = VW_REPLACING;
+        } else if (a->kind == PR_DO_PRIMARY && a->term == g.term) {
+            g.primary = a->inst;
+            g.phase = VW_SERVING;
+        }
+    }
+}
+
+/* A group that awaits its primary, changes that are in force `sync` after they are proposed, an
+ * instance that takes `work` to become primary: how long until one serves; -1: not in 20 s. */
+static int64_t time_to_serve(int64_t sync, int64_t work)
+{
+    static struct slow_log l;
+    int64_t step = CK_MS(10), promoted_at = 0;
+    uint64_t promoted = 0;
+    int inst = 0;
+    l = (struct slow_log){.after = sync > step ? sync : step};
+    fresh(&cfg);
+    g.phase = VW_REPLACING;
+    for (int64_t now = CK_SEC(11); now < CK_SEC(31); now += step) {
+        commit(&l, now);
+        if (g.phase == VW_SERVING)
+            return now - CK_SEC(11);
+        if (promoted && now >= promoted_at)
+            pr_promoted(&p, g.inst[inst].id, promoted, (struct ps_pos){promoted, 0});
+        tick(true, now);
+        for (int i = 0; i < acts.n; i++) {
+            const struct pr_action *a = &acts.a[i];
+            propose(&l, a, now);
+            if (a->kind == PR_DO_FENCE)
+                pr_fenced(&p, g.inst[a->inst].id, a->term, (struct ps_pos){1, 5});
+            if (a->kind == PR_DO_PROMOTE && a->term != promoted) {
+                promoted = a->term;
+                inst = a->inst;
+                promoted_at = now + work;
+            }
+        }
+    }
+    return -1;
+}
+
+/* A disk that takes longer to sync than an attempt may take, or an instance that does: attempts
+ * that are each given up too soon never end. */
+static void slow_disks_delay_a_replacement(void)
+{
+    static const int64_t slow[] = {CK_MS(20), CK_MS(400), CK_MS(600), CK_MS(1300), CK_MS(2000)};
+    for (size_t i = 0; i < sizeof(slow) / sizeof(slow[0]); i++) {
+        int64_t by_sync = time_to_serve(slow[i], 0), by_work = time_to_serve(0, slow[i]);
+        CU_ASSERT(by_sync >= 0 && by_sync <= slow[i] * 8 + CK_SEC(1));
+        CU_ASSERT(by_work >= 0 && by_work <= slow[i] * 8 + CK_SEC(1));
+    }
+}
+
 void promote_suite(void)
 {
     CU_pSuite s = CU_add_suite("promote", NULL, NULL);
+    TEST(s, slow_disks_delay_a_replacement);
     TEST(s, one_vantage_is_not_enough);
     TEST(s, one_that_sees_it_up_vetoes);
     TEST(s, fence_goes_over_a_new_connection_at_once);
