route: no part of a large account on a weak node, a holder in each failure domain

- Where no holder has room for a part of an account, the one that was filled least so far took it.
With all empty that was the first by hashing, weak or not: an account of a fifth of all work went to a node that carries an eighty-first.
Now the one that is least over its room with it.
- Strong nodes were picked before failure domains were looked at: with strong nodes in one domain only, its loss took all holders of every group.
Each domain has one holder first, the strongest that hashing prefers there; where strong nodes suffice they are joined by one of each domain that lacks them.
Where every domain has a strong node the same nodes are picked as before.
- A VM that tells a link of a few kbit/s counted as one that tells nothing, and so as one like all others.
- The option's help text was in three pieces.

--- a/proxy/holders.c
+++ b/proxy/holders.c
@@ -69,14 +69,15 @@
     return n_strong >= LEAST_HOLDERS && asked > 0 && (double)carry >= asked;
 }
 
-/* So many that each has a few connections, and none that is small beside the others if these
- * suffice. */
+/* So many that each has a few connections; if the strong nodes suffice, only these, and one in
+ * each failure domain that has none of them. */
 static int holders_for_accounts(const struct px_proxy *p, int conns)
 {
     int64_t carry;
     int k = conns > 0 ? bounded(conns / CONNS_A_HOLDER_ACCOUNTS) : LEAST_HOLDERS;
     int n_strong = ho_strong(p->nodes, p->n_nodes, &carry);
-    return n_strong < k && strong_suffice(p, n_strong, carry) ? n_strong : k;
+    int least = n_strong + ho_domains_without_strong(p->nodes, p->n_nodes);
+    return least < k && strong_suffice(p, n_strong, carry) ? least : k;
 }
 
 /* 0: all of them; else so many that each has a few connections. */
--- a/route/capacity.c
+++ b/route/capacity.c
@@ -25,5 +25,7 @@
     int64_t link = by_link(link_kbps), core = by_core(core_permille);
     int64_t weaker = link_kbps <= 0 || (core_permille > 0 && core < link) ? core : link;
     int64_t n = weaker * FOR_OTHERS_PERCENT / 100;
-    return n > CP_MOST ? CP_MOST : (int)n;
+    if (link_kbps <= 0 && core_permille <= 0)
+        return 0;
+    return n > CP_MOST ? CP_MOST : n < 1 ? 1 : (int)n;
 }
--- a/route/holders.c
+++ b/route/holders.c
@@ -26,6 +26,19 @@
     return k;
 }
 
+int ho_domains_without_strong(const struct ho_node *nodes, int n)
+{
+    bool there[HO_DOMAINS] = {0}, strong[HO_DOMAINS] = {0};
+    int k = 0;
+    for (int i = 0; i < n; i++) {
+        there[nodes[i].place] = true;
+        strong[nodes[i].place] |= nodes[i].strong;
+    }
+    for (int d = 0; d < HO_DOMAINS; d++)
+        k += there[d] && !strong[d];
+    return k;
+}
+
 void ho_prepare(struct ho_node *nodes, int n)
 {
     const char *names[HO_DOMAINS];
@@ -53,12 +66,15 @@
     return false;
 }
 
-/* Whether node i goes before node b: strong ones first, then of the failure domain with fewest
- * picked, then the one with the higher score. */
+/* Whether node i goes before node b: one of a failure domain that has none yet first, then
+ * strong ones, then of the failure domain with fewest picked, then the one with the higher
+ * score. */
 static bool goes_before(const struct ho_node *nodes, const uint64_t *score, const int *picked,
                         int i, int b)
 {
     int here = picked[nodes[i].place], there = picked[nodes[b].place];
+    if ((here == 0) != (there == 0))
+        return here == 0;
     if (nodes[i].strong != nodes[b].strong)
         return nodes[i].strong;
     return here != there ? here < there : score[i] > score[b];
--- a/route/holders.h
+++ b/route/holders.h
@@ -7,7 +7,7 @@
  *
  * Pattern: nodes of very different size. A holder's link carries each relayed statement four
  * times, so a small VM that holds a group is full while a large one beside it idles: strong
- * nodes are picked first.
+ * nodes are picked first, as soon as each failure domain has one holder.
  *
  * Pure. A stale list costs a hop or a refusal, never a promise. */
 #ifndef FL_ROUTE_HOLDERS_H
@@ -37,9 +37,11 @@
 /* The holders of `group`, best first, of a prepared list, as indices into nodes; at most k and
  * HO_MAX_HOLDERS. Returns how many. */
 int ho_pick(const struct ho_node *nodes, int n, const char *group, int k, int *out);
-/* How many of the nodes are strong, and what these carry together, statements a second; 0 if
- * that is not told. */
+/* How many of the nodes are strong, and what these carry together, statements a second; if none
+ * tells what it carries, all are strong and that is 0. */
 int ho_strong(const struct ho_node *nodes, int n, int64_t *carry);
+/* Failure domains in which no node is strong. */
+int ho_domains_without_strong(const struct ho_node *nodes, int n);
 /* Order `n` holders (indices into nodes) for an account of a group: rendezvous hashing once
  * more, so that an account's statements meet at the first of them, and at the same next one if
  * that is gone. `order` gets numbers in `holders`. */
--- a/route/spread.c
+++ b/route/spread.c
@@ -81,20 +81,24 @@
     return false;
 }
 
-/* The first in its order that has room for the part; if none has, the one that is filled
- * least. */
+/* The first in its order that has room for the part; if none has, the one that is least over
+ * its room with it. */
 static int choose(const struct load *l, const int *order, int n, const struct sp_place *p,
                   double size)
 {
     int least = -1;
+    double least_over = 0;
     for (int k = 0; k < n; k++) {
         int h = order[k];
         if (has(p, h))
             continue;
-        if (l->had[h] + size <= l->cap[h])
+        double over = (l->had[h] + size) / l->cap[h];
+        if (over <= 1)
             return h;
-        if (least < 0 || l->had[h] / l->cap[h] < l->had[least] / l->cap[least])
+        if (least < 0 || over < least_over) {
             least = h;
+            least_over = over;
+        }
     }
     return least;
 }
--- a/settings/table.c
+++ b/settings/table.c
@@ -16,8 +16,7 @@
     {"node.domain", T_TEXT, AT(domain), 1, 31, "", NULL,
      "failure domain of this VM; \"region/name\" where there are several regions"},
     {"node.link_mbps", T_MILLI, AT(link_kbps), 0, 1000000, "Mbit/s", "0",
-     "what the VM's link carries each way; with node.cores it decides how much this node "
-     "serves "
+     "what the VM's link carries each way; it and node.cores decide how much this node serves "
      "for others; 0: not told"},
     {"node.cores", T_MILLI, AT(core_permille), 0, 1024, "cores", "0",
      "processor time that the VM has; 0: not told"},
--- a/tests/unit/test_spread.c
+++ b/tests/unit/test_spread.c
@@ -179,6 +179,40 @@
     CU_ASSERT_EQUAL(carry, 0);
 }
 
+/* One account asks for more than any holder has room for: its parts go to strong ones. */
+static void an_account_that_fits_nowhere_fills_no_weak_node(void)
+{
+    static struct load l;
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        make_nodes(&l, seed, 83, 2, 89);
+        make_accounts(&l, seed, 3);
+        place(&l, "g", HOLDERS);
+        for (int k = 0; k < l.places[0].n; k++)
+            CU_ASSERT_TRUE(l.nodes[l.holders[l.places[0].at[k]]].strong);
+    }
+}
+
+/* Strong nodes of one failure domain only: its loss must not take all holders of a group. */
+static void every_failure_domain_has_a_holder(void)
+{
+    static struct load l;
+    int64_t carry;
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        int in[3] = {0};
+        make_nodes(&l, seed, 83, 0, 89);
+        for (int i = 0; i < 30; i += 3)
+            l.nodes[i].carries *= 12;
+        ho_prepare(l.nodes, l.n);
+        CU_ASSERT_EQUAL(ho_strong(l.nodes, l.n, &carry), 10);
+        CU_ASSERT_EQUAL(ho_domains_without_strong(l.nodes, l.n), 2);
+        make_accounts(&l, seed, 1);
+        place(&l, "g", 8);
+        for (int i = 0; i < l.n_holders; i++)
+            in[l.holders[i] % 3]++;
+        CU_ASSERT(in[0] == 6 && in[1] == 1 && in[2] == 1);
+    }
+}
+
 static void a_vm_carries_what_its_weaker_part_does(void)
 {
     int weak = cp_statements(2000, 120), strong = cp_statements(100000, 320);
@@ -186,6 +220,7 @@
     CU_ASSERT_EQUAL(strong, cp_statements(0, 320)); /* its processor does */
     CU_ASSERT(strong > weak * 10);
     CU_ASSERT_EQUAL(cp_statements(0, 0), 0);
+    CU_ASSERT_EQUAL(cp_statements(5, 0), 1); /* told, however little */
     CU_ASSERT_EQUAL(cp_statements(INT64_C(1) << 40, 0), CP_MOST);
 }
 
@@ -197,5 +232,7 @@
     TEST(s, every_node_finds_the_same_places);
     TEST(s, a_lost_holder_moves_little_else);
     TEST(s, strong_nodes_hold_first);
+    TEST(s, an_account_that_fits_nowhere_fills_no_weak_node);
+    TEST(s, every_failure_domain_has_a_holder);
     TEST(s, a_vm_carries_what_its_weaker_part_does);
 }
