ferryctl worth: causes by name, and where statements' time goes by stage

Keys that nobody has stood in no log, though docs/OPERATIONS.md says so.

Change: a table of rules (ferryctl/cause) by event, kind and words of the detail; "stages" lines summed up by stage and node (ferryctl/waits); the time line's columns are groups of causes, with one for limits. A session that an error ends writes `session_refused`, within the bound of failure lines. A node that served nothing in ten seconds writes no stages line. `after_ms` of a refused relayed statement was the time since the clock's start. Metrics tell each stage's sum.

--- a/ferryctl/worth.c
+++ b/ferryctl/worth.c
@@ -7,7 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "ferryctl/cause.h"
 #include "ferryctl/ctl.h"
+#include "ferryctl/waits.h"
 #include "misc/str.h"
 
 enum {
@@ -17,40 +19,12 @@
     MAX_NODES = 4096,
 };
 
-/* What a request that failed waited for, or met. */
-enum cause {
-    ROUTE,      /* a primary, a lease or a position */
-    CONNECTION, /* to an instance */
-    INSTANCE,   /* it said no, failed, or its answer was lost */
-    CUT_OFF,    /* its node was cut off from control */
-    CUT,        /* its caller's connection was closed with the question open */
-    OTHER,
-    CAUSES
-};
-
-static const char *const cause_names[CAUSES] = {
-    [ROUTE] = "waited for a route", [CONNECTION] = "waited for a connection",
-    [INSTANCE] = "at the instance", [CUT_OFF] = "its node was cut off",
-    [CUT] = "connection closed",    [OTHER] = "other",
-};
-
-static const char *const cause_colours[CAUSES] = {"#6a1b9a", "#ef6c00", "#c62828",
-                                                  "#1565c0", "#424242", "#9e9e9e"};
-
-/* Which failures belong to a cause, by the error's kind (misc/err.h). */
-static const struct {
-    const char *kind;
-    enum cause cause;
-} kinds[] = {{"deadline", ROUTE},   {"overload", CONNECTION}, {"busy", INSTANCE},
-             {"failed", INSTANCE},  {"timeout", INSTANCE},    {"lost", INSTANCE},
-             {"aborted", INSTANCE}, {"no_lease", CUT_OFF}};
-
 /* What happens once a node when it starts, or when it comes to know more. */
 enum phase { RUNS, LEASED, CONFIGURED, PHASES };
 static const char *const phase_names[PHASES] = {"runs", "has a lease", "has the document"};
 
 struct window {
-    int by_cause[CAUSES];
+    int by_kind[CA_KINDS];
     int by_phase[PHASES]; /* nodes that came to it */
     int leaders;          /* elected */
     int holdings;         /* groups that a node began or ceased to hold */
@@ -60,10 +34,11 @@
 struct totals {
     long long first_ms; /* of all lines; 0: none */
     int n_windows;      /* up to the last that holds anything */
-    int by_cause[CAUSES];
+    int by_cause[CA_CAUSES];
     int n_nodes;
     char nodes[MAX_NODES][48];
     struct window w[MAX_WINDOWS];
+    struct wt_waits waits;
 };
 
 static const char *text(const json_t *o, const char *key)
@@ -72,15 +47,6 @@
     return s ? s : "";
 }
 
-static enum cause cause_of(const char *kind)
-{
-    for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
-        if (strcmp(kinds[i].kind, kind) == 0)
-            return kinds[i].cause;
-    }
-    return OTHER;
-}
-
 static void note_node(struct totals *t, const char *name)
 {
     for (int i = 0; i < t->n_nodes; i++) {
@@ -101,19 +67,20 @@
     return &t->w[i];
 }
 
-static void note_failure(struct totals *t, struct window *w, enum cause c)
+static void note_failure(struct totals *t, struct window *w, enum ca_cause c)
 {
     t->by_cause[c]++;
-    w->by_cause[c]++;
+    w->by_kind[ca_kind(c)]++;
 }
 
 static void note_event(struct totals *t, struct window *w, const json_t *o)
 {
     const char *event = text(o, "event");
-    if (strcmp(event, "request_failed") == 0)
-        note_failure(t, w, cause_of(text(o, "kind")));
-    else if (strcmp(event, "session_cut") == 0)
-        note_failure(t, w, CUT);
+    enum ca_cause cause = ca_of(o);
+    if (cause != CA_CAUSES)
+        note_failure(t, w, cause);
+    else if (strcmp(event, "stages") == 0)
+        wt_note(&t->waits, o);
     else if (strcmp(event, "lease_held") == 0)
         w->by_phase[LEASED]++;
     else if (strcmp(event, "document_in_force") == 0)
@@ -185,21 +152,21 @@
 static int failures(const struct window *w)
 {
     int sum = 0;
-    for (int c = 0; c < CAUSES; c++)
-        sum += w->by_cause[c];
+    for (int k = 0; k < CA_KINDS; k++)
+        sum += w->by_kind[k];
     return sum;
 }
 
 static void show_causes(const struct totals *t)
 {
     int sum = 0;
-    for (int c = 0; c < CAUSES; c++)
+    for (int c = 0; c < CA_CAUSES; c++)
         sum += t->by_cause[c];
     printf("%d nodes, %.1f s, %d failures in the logs\n", t->n_nodes,
            t->n_windows * WINDOW_MS / 1000.0, sum);
-    for (int c = 0; c < CAUSES; c++) {
+    for (int c = 0; c < CA_CAUSES; c++) {
         if (t->by_cause[c])
-            printf("  %-24s %8d  %5.1f %%\n", cause_names[c], t->by_cause[c],
+            printf("  %-32s %8d  %5.1f %%\n", ca_name(c), t->by_cause[c],
                    100.0 * t->by_cause[c] / sum);
     }
 }
@@ -215,17 +182,17 @@
 /* A line a window in which anything happened; nodes by the phase that they came to in it. */
 static void show_windows(const struct totals *t)
 {
-    printf("%9s %7s %7s %9s %8s %8s %6s %6s %9s %8s %8s %8s\n", "second", "route", "conn.",
-           "instance", "cut off", "closed", "other", "runs", "leased", "document", "holdings",
-           "leaders");
+    printf("%9s", "second");
+    for (int k = 0; k < CA_KINDS; k++)
+        printf(" %8s", ca_head(k));
+    printf(" %6s %9s %8s %8s %8s\n", "runs", "leased", "document", "holdings", "leaders");
     for (int i = 0; i < t->n_windows; i++) {
         const struct window *w = &t->w[i];
         if (!eventful(w))
             continue;
         printf("%9.1f", i * WINDOW_MS / 1000.0);
-        printf(" %7d %7d %9d %8d %8d %6d", w->by_cause[ROUTE], w->by_cause[CONNECTION],
-               w->by_cause[INSTANCE], w->by_cause[CUT_OFF], w->by_cause[CUT],
-               w->by_cause[OTHER]);
+        for (int k = 0; k < CA_KINDS; k++)
+            printf(" %8d", w->by_kind[k]);
         printf(" %6d %9d %8d %8d %8d\n", w->by_phase[RUNS], w->by_phase[LEASED],
                w->by_phase[CONFIGURED], w->holdings, w->leaders);
     }
@@ -282,15 +249,15 @@
     for (int i = 0; i < t->n_windows; i++) {
         const struct window *w = &t->w[i];
         double y = HEIGHT;
-        for (int c = 0; c < CAUSES; c++) {
-            double h = (double)w->by_cause[c] * HEIGHT / most;
+        for (int k = 0; k < CA_KINDS; k++) {
+            double h = (double)w->by_kind[k] * HEIGHT / most;
             y -= h;
             if (h > 0)
                 fprintf(f,
                         "<rect x='%d' y='%.1f' width='%d' height='%.1f' fill='%s'>"
                         "<title>%.1f s: %s, %d</title></rect>\n",
-                        i * BAR, y, BAR, h, cause_colours[c], i * WINDOW_MS / 1000.0,
-                        cause_names[c], w->by_cause[c]);
+                        i * BAR, y, BAR, h, ca_colour(k), i * WINDOW_MS / 1000.0, ca_head(k),
+                        w->by_kind[k]);
         }
         if (w->leaders || w->changes || w->by_phase[LEASED])
             fprintf(f,
@@ -313,6 +280,7 @@
         return EX_REFUSED;
     }
     show_causes(&t);
+    wt_show(&t.waits);
     show_returns(&t);
     show_windows(&t);
     if (c->svg && !write_svg(&t, c->svg)) {
--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -46,8 +46,8 @@
              (int)s->id.len, s->id.p, (unsigned long long)s->state.session, s->database,
              s->route.group, (unsigned long long)(g ? g->cfg.term : 0),
              (unsigned long long)p->catalog.version, px_leased(p), er_name(kind),
-             (long long)((ck_now() - s->arrived) / 1000), s->offers, behind_now(g, ck_now()),
-             g ? g->cfg.n : 0, detail);
+             s->arrived ? (long long)((ck_now() - s->arrived) / 1000) : 0, s->offers,
+             behind_now(g, ck_now()), g ? g->cfg.n : 0, detail);
 }
 
 static void note_success(struct px_session *s)
@@ -178,6 +178,11 @@
 void px_fail_and_close(struct px_session *s, enum er_kind kind, const char *detail)
 {
     struct sr_buf b = {0};
+    if (may_log(s->p))
+        FL_EVENT(&s->p->log, LG_INFO, "session_refused",
+                 "session=%llu database=%s document=%llu kind=%s detail=%s",
+                 (unsigned long long)s->state.session, s->database,
+                 (unsigned long long)s->p->catalog.version, er_name(kind), detail);
     put_failure(s, &b, kind, detail);
     send_all(s, &b);
     if (s->net)
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -135,8 +135,8 @@
     if (now - p->stages_told_at < STAGES_EVERY_US)
         return;
     p->stages_told_at = now;
-    px_stages_report(&p->stages, &b);
-    FL_EVENT(&p->log, LG_INFO, "stages", "%.*s", (int)b.len, b.p);
+    if (px_stages_report(&p->stages, &b))
+        FL_EVENT(&p->log, LG_INFO, "stages", "%.*s", (int)b.len, b.p);
     sr_buf_free(&b);
 }
 
--- a/proxy/stages.c
+++ b/proxy/stages.c
@@ -2,11 +2,6 @@
 
 static const char *const names[PX_T_PARTS] = {"permit", "wait", "setup", "instance", "relay"};
 
-const char *px_part_name(enum px_part part)
-{
-    return names[part];
-}
-
 void px_stage(struct px_stages *t, enum px_part part, int64_t us)
 {
     hi_add(&t->part[part], us);
@@ -14,15 +9,18 @@
     t->sum_us[part] += us;
 }
 
-void px_stages_report(struct px_stages *t, struct sr_buf *out)
+bool px_stages_report(struct px_stages *t, struct sr_buf *out)
 {
+    uint64_t any = 0;
     for (int i = 0; i < PX_T_PARTS; i++) {
         double mean_ms = t->n[i] ? (double)t->sum_us[i] / (double)t->n[i] / 1e3 : 0;
         sr_buf_printf(out, "%s%s=%llu/%.1f", i ? " " : "", names[i],
                       (unsigned long long)t->n[i], mean_ms);
+        any += t->n[i];
         t->n[i] = 0;
         t->sum_us[i] = 0;
     }
+    return any > 0;
 }
 
 void px_stages_metrics(const struct px_stages *t, struct sr_buf *out)
@@ -33,7 +31,10 @@
             sr_buf_printf(out, "ferry_session_stage_us{stage=\"%s\",quantile=\"%g\"} %lld\n",
                           names[i], quantiles[q],
                           (long long)hi_quantile(&t->part[i], quantiles[q]));
-        sr_buf_printf(out, "ferry_session_stage_us_count{stage=\"%s\"} %llu\n", names[i],
-                      (unsigned long long)t->part[i].count);
+        sr_buf_printf(out,
+                      "ferry_session_stage_us_count{stage=\"%s\"} %llu\n"
+                      "ferry_session_stage_us_sum{stage=\"%s\"} %llu\n",
+                      names[i], (unsigned long long)t->part[i].count, names[i],
+                      (unsigned long long)t->part[i].sum);
     }
 }
--- a/proxy/stages.h
+++ b/proxy/stages.h
@@ -5,6 +5,7 @@
 #ifndef FL_PROXY_STAGES_H
 #define FL_PROXY_STAGES_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "misc/hist.h"
@@ -27,9 +28,9 @@
 };
 
 void px_stage(struct px_stages *t, enum px_part part, int64_t us);
-const char *px_part_name(enum px_part part);
-/* "permit=12/0.4 wait=...": statements and their mean in ms, by stage; starts anew. */
-void px_stages_report(struct px_stages *t, struct sr_buf *out);
+/* "permit=12/0.4 wait=...": statements and their mean in ms, by stage; starts anew. False:
+ * there was none since the last report. */
+bool px_stages_report(struct px_stages *t, struct sr_buf *out);
 void px_stages_metrics(const struct px_stages *t, struct sr_buf *out);
 
 #endif
--- a/tests/process/t_accounts.sh
+++ b/tests/process/t_accounts.sh
@@ -66,6 +66,11 @@
 se_load_end
 t_check "the instance is where it was" [ "$(se_count ok)" -gt 300 ]
 
+t_say "a key that nobody has is told of in the log"
+t_check "with its cause" grep -q '"event":"session_refused".*"kind":"no_account"' "$SE_DIR/e0.log"
+bash -c "$CL_BUILD/ferryctl worth $SE_DIR/e?.log" > "$SE_DIR/worth.txt"
+t_check "and counted" grep -q '^  key unknown ' "$SE_DIR/worth.txt"
+
 t_say "no key stands in a log or metric"
 for i in 0 1 2; do curl -s "http://127.0.0.1:$((SE_BASE + 60 + i))/metrics" > "$SE_DIR/m$i.log"; done
 t_check "none of them" bash -c "! grep -l -e 'secret-[0-9]' -e nobodys-key $SE_DIR/*.log"
--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -1,6 +1,9 @@
 /* How fast instances are, told apart from the work they are given. */
+#include <string.h>
+
 #include "misc/rng.h"
 #include "proxy/pace.h"
+#include "proxy/stages.h"
 #include "tests/unit/unit.h"
 
 /* The primary gets short statements, the replicas long ones: neither is slower for it. */
@@ -64,6 +67,29 @@
     CU_ASSERT_EQUAL(px_pace_expect(&p, 5, 2), 2 * px_pace_expect(&p, 5, 1));
 }
 
+/* Load: ten seconds of waiting statements, then none: what an operator reads of each. */
+static void stages_are_told_for_the_time_since_the_last_report(void)
+{
+    static struct px_stages t;
+    struct sr_buf b = {0};
+    CU_ASSERT_FALSE(px_stages_report(&t, &b));
+    px_stage(&t, PX_T_WAIT, 1000);
+    px_stage(&t, PX_T_WAIT, 4000);
+    px_stage(&t, PX_T_INSTANCE, 8200);
+    b.len = 0;
+    CU_ASSERT_TRUE(px_stages_report(&t, &b));
+    sr_buf_add(&b, "", 1);
+    CU_ASSERT_STRING_EQUAL(b.p,
+                           "permit=0/0.0 wait=2/2.5 setup=0/0.0 instance=1/8.2 relay=0/0.0");
+    CU_ASSERT_FALSE(px_stages_report(&t, &b));
+    b.len = 0;
+    px_stages_metrics(&t, &b);
+    sr_buf_add(&b, "", 1);
+    CU_ASSERT_PTR_NOT_NULL(strstr(b.p, "ferry_session_stage_us_count{stage=\"wait\"} 2\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(b.p, "ferry_session_stage_us_sum{stage=\"wait\"} 5000\n"));
+    sr_buf_free(&b);
+}
+
 void pace_suite(void)
 {
     CU_pSuite s = CU_add_suite("pace", NULL, NULL);
@@ -71,4 +97,5 @@
     TEST(s, slowness_shows_in_all_kinds);
     TEST(s, one_answer_that_hung_is_forgotten);
     TEST(s, nothing_seen_is_a_guess);
+    TEST(s, stages_are_told_for_the_time_since_the_last_report);
 }
