wire: what a message claims to hold is checked before it is unpacked

Cause (docs/OPEN.md, hostile input): msgpack-c makes room for a list of the claimed length first; five bytes ask for 137 GB, which a machine with memory to give may grant.

Change: a scan without memory of its own (wire/claims) refuses lists, texts and numbers that go beyond the message, and lists more than 32 deep. Ruled out: a bound on the length alone (a list of a million nil in a small message would pass). wire_claims_are_checked_first has the cases; its last check failed before (the error came from msgpack's allocation).

--- a/tests/unit/test_text.c
+++ b/tests/unit/test_text.c
@@ -9,6 +9,7 @@
 #include "settings/settings.h"
 #include "tests/unit/unit.h"
 #include "view/view.h"
+#include "wire/claims.h"
 #include "wire/wire.h"
 
 enum { FUZZ_ROUNDS = 20000 };
@@ -163,6 +164,48 @@
     wr_decoder_free(&d);
 }
 
+/* Lists and texts that claim more than the message holds, and lists without end. */
+static void wire_claims_are_checked_first(void)
+{
+    static const struct {
+        const char *what;
+        struct sr_str bytes;
+        bool holds;
+    } rows[] = {
+        {"a list of 2^32 - 1", SR_LIT("\xdd\xff\xff\xff\xff"), false},
+        {"one within a list", SR_LIT("\x92\x07\xdd\xff\xff\xff\xff"), false},
+        {"a map of 2^31", SR_LIT("\xdf\x80\x00\x00\x00\x01\x01"), false},
+        {"a list of more than is left", SR_LIT("\x93\x01\x02"), false},
+        {"a text of 2^32 - 1",
+         SR_LIT("\xdb\xff\xff\xff\xff"
+                "a"),
+         false},
+        {"a number cut short", SR_LIT("\xcf\x01"), false},
+        {"nothing", SR_LIT(""), false},
+        {"a list that is whole", SR_LIT("\xdd\x00\x00\x00\x02\x01\xa1x"), true},
+        {"an empty list in a map", SR_LIT("\x81\x01\x90"), true},
+        {"numbers of all sizes",
+         SR_LIT("\x93\xd1\x01\x02\xcb"
+                "12345678"
+                "\xd8"
+                "1234567890123456x"),
+         true},
+    };
+    char deep[CM_MAX_DEPTH + 2];
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+        CU_ASSERT_EQUAL(cm_holds(rows[i].bytes.p, rows[i].bytes.len), rows[i].holds);
+    memset(deep, '\x91', sizeof(deep));
+    deep[sizeof(deep) - 1] = 1;
+    CU_ASSERT_FALSE(cm_holds(deep, sizeof(deep)));
+    CU_ASSERT_TRUE(cm_holds(deep + 1, sizeof(deep) - 1));
+    struct wr_decoder d = {0};
+    struct wr_msg m;
+    struct er_err err = {0};
+    CU_ASSERT_FALSE(wr_decode(&d, rows[1].bytes.p, rows[1].bytes.len, &m, &err));
+    CU_ASSERT_PTR_NOT_NULL(strstr(err.text, "claims more"));
+    wr_decoder_free(&d);
+}
+
 static void wire_fuzz(void)
 {
     struct wr_msg m[MAX_SAMPLES], back;
@@ -188,6 +231,7 @@
     TEST(s, wire_round_trip);
     TEST(s, long_views_are_packed);
     TEST(s, wire_other_versions);
+    TEST(s, wire_claims_are_checked_first);
     TEST(s, wire_fuzz);
 }
 
--- /dev/null
+++ b/wire/claims.c
@@ -0,0 +1,99 @@
+#include "wire/claims.h"
+
+#include <stdint.h>
+
+struct scan {
+    const unsigned char *p;
+    size_t left;
+};
+
+static bool skip(struct scan *s, uint64_t n)
+{
+    if (n > s->left)
+        return false;
+    s->p += n;
+    s->left -= (size_t)n;
+    return true;
+}
+
+/* A big-endian number of that many bytes. */
+static bool number(struct scan *s, int bytes, uint64_t *out)
+{
+    const unsigned char *p = s->p;
+    *out = 0;
+    if (!skip(s, (uint64_t)bytes))
+        return false;
+    for (int i = 0; i < bytes; i++)
+        *out = *out << 8 | p[i];
+    return true;
+}
+
+/* A text of 1, 2 or 4 bytes of length, and `more` bytes of its type. */
+static bool sized(struct scan *s, int bytes, int more)
+{
+    uint64_t n;
+    return number(s, bytes, &n) && skip(s, n + (uint64_t)more);
+}
+
+/* Of a value that is no list: its bytes after the first one. */
+static bool plain(struct scan *s, unsigned char type)
+{
+    static const unsigned char fixed[] = {
+        [0xca - 0xc0] = 4, [0xcb - 0xc0] = 8, [0xcc - 0xc0] = 1, [0xcd - 0xc0] = 2,
+        [0xce - 0xc0] = 4, [0xcf - 0xc0] = 8, [0xd0 - 0xc0] = 1, [0xd1 - 0xc0] = 2,
+        [0xd2 - 0xc0] = 4, [0xd3 - 0xc0] = 8, [0xd4 - 0xc0] = 2, [0xd5 - 0xc0] = 3,
+        [0xd6 - 0xc0] = 5, [0xd7 - 0xc0] = 9, [0xd8 - 0xc0] = 17};
+    if (type < 0x80 || type >= 0xe0)
+        return true;
+    if (type >= 0xa0 && type <= 0xbf)
+        return skip(s, type & 0x1f);
+    if (type >= 0xc4 && type <= 0xc6)
+        return sized(s, 1 << (type - 0xc4), 0);
+    if (type >= 0xc7 && type <= 0xc9)
+        return sized(s, 1 << (type - 0xc7), 1);
+    if (type >= 0xd9 && type <= 0xdb)
+        return sized(s, 1 << (type - 0xd9), 0);
+    return skip(s, fixed[type - 0xc0]);
+}
+
+/* Whether it begins a list or a map, and of how many values. */
+static bool list(struct scan *s, unsigned char type, bool *is, uint64_t *n)
+{
+    bool map = (type >= 0x80 && type <= 0x8f) || type == 0xde || type == 0xdf;
+    bool ok = true;
+    *is = map || (type >= 0x90 && type <= 0x9f) || type == 0xdc || type == 0xdd;
+    *n = type & 0x0f;
+    if (type >= 0xdc && type <= 0xdf)
+        ok = number(s, type % 2 ? 4 : 2, n);
+    if (map)
+        *n *= 2;
+    return ok;
+}
+
+bool cm_holds(const char *data, size_t len)
+{
+    struct scan s = {(const unsigned char *)data, len};
+    uint64_t due[CM_MAX_DEPTH + 1] = {1}; /* values still to come, by depth */
+    int depth = 0;
+    while (due[0] > 0 || depth > 0) {
+        bool is_list;
+        uint64_t n;
+        if (due[depth] == 0) {
+            depth--;
+            continue;
+        }
+        due[depth]--;
+        if (s.left == 0)
+            return false;
+        unsigned char type = *s.p;
+        skip(&s, 1);
+        if (!list(&s, type, &is_list, &n) || (!is_list && !plain(&s, type)))
+            return false;
+        if (!is_list)
+            continue;
+        if (n > s.left || depth == CM_MAX_DEPTH)
+            return false;
+        due[++depth] = n;
+    }
+    return true;
+}
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -1,6 +1,7 @@
 /* Messages out of msgpack: untrusted. wire/wire.h is the contract. */
 #include "limit/limit.h"
 #include "route/capacity.h"
+#include "wire/claims.h"
 #include "wire/wire.h"
 
 #include <stdlib.h>
@@ -325,7 +326,8 @@
     size_t off = 0;
     if (r->bad || s.len == 0)
         return;
-    if (msgpack_unpack(s.p, s.len, &off, r->zone, &o) != MSGPACK_UNPACK_SUCCESS) {
+    if (!cm_holds(s.p, s.len) ||
+        msgpack_unpack(s.p, s.len, &off, r->zone, &o) != MSGPACK_UNPACK_SUCCESS) {
         r->bad = true;
         return;
     }
@@ -398,6 +400,9 @@
     msgpack_object o;
     size_t off = 0;
     memset(m, 0, sizeof(*m));
+    if (!cm_holds(data, len))
+        return er_set(err, ER_BAD_INPUT, "message of %zu bytes: it claims more than it holds",
+                      len);
     msgpack_unpack_return rc = msgpack_unpack(data, len, &off, &d->zone, &o);
     if (rc != MSGPACK_UNPACK_SUCCESS || o.type != MSGPACK_OBJECT_ARRAY || o.via.array.size < 1)
         return er_set(err, ER_BAD_INPUT, "message of %zu bytes: expected a msgpack array", len);
