--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -146,15 +146,11 @@
 }
 
 static const char *const end_names[PX_ENDS] = {
-    [PX_END_BY_CALLER] = "caller",
-    [PX_END_REFUSED] = "refused",
-    [PX_END_ELSEWHERE] = "elsewhere",
-    [PX_END_NOT_TAKEN] = "not_taken",
-    [PX_END_HOLDER_ENDS] = "holder_ends",
-    [PX_END_HOLDER_LOST] = "holder_lost",
-    [PX_END_NO_HOLDER] = "no_holder",
-    [PX_END_NOT_READ] = "not_read",
-    [PX_END_LEFT] = "left",
+    [PX_END_BY_CALLER] = "caller",        [PX_END_REFUSED] = "refused",
+    [PX_END_ELSEWHERE] = "elsewhere",     [PX_END_NOT_TAKEN] = "not_taken",
+    [PX_END_HOLDER_ENDS] = "holder_ends", [PX_END_HOLDER_LOST] = "holder_lost",
+    [PX_END_SILENT] = "silent",           [PX_END_NO_HOLDER] = "no_holder",
+    [PX_END_NOT_READ] = "not_read",       [PX_END_LEFT] = "left",
 };
 
 const char *px_end_name(enum px_end why)
--- /dev/null
+++ b/proxy/neighbor.h
@@ -0,0 +1,57 @@
+/* What this node believes of another entry node, by what passes between them.
+ *
+ * Pattern: a node that relays sessions sends its callers' questions to one that is frozen or
+ * behind a cut. The kernel there takes bytes for seconds, and the list of nodes names it until
+ * its lease is over, so that each caller learned of it by its own deadline.
+ *
+ * A question without an answer alone says little: the instance may be slow. So a node that
+ * is silent is asked for a greeting, which needs nothing but its process (a trial). Without one
+ * it is silent: nobody is sent there, and trials go on in growing pauses until one is answered.
+ *
+ * Pure: the time comes in; who carries trials out tells what came of them. */
+#ifndef FL_PROXY_NEIGHBOR_H
+#define FL_PROXY_NEIGHBOR_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum nb_state {
+    NB_GOOD,    /* or nothing is known */
+    NB_DOUBTED, /* a trial is due, or out */
+    NB_SILENT,  /* it did not answer a trial, and none since */
+};
+
+/* In the order in which they are asked. */
+enum nb_rank { NB_FIRST, NB_SECOND, NB_LAST, NB_NEVER };
+
+struct nb_neighbor {
+    enum nb_state state;
+    int64_t heard_at;    /* last sign of life */
+    int64_t refuses_til; /* it said no to a session: others are asked first until then */
+    bool trying;         /* a trial is out since tried_at */
+    int64_t tried_at, next_trial;
+    int64_t pause_us;  /* between two trials while it is silent */
+    int64_t silent_at; /* it is silent since then */
+    int64_t back_at;   /* it was silent until then; 0: never */
+};
+
+/* It said something on a relayed session. */
+void nb_heard(struct nb_neighbor *n, int64_t now);
+/* Something that was sent to it then has no answer yet. */
+void nb_waits(struct nb_neighbor *n, int64_t since, int64_t now);
+/* A greeting did not come, or a connection was reset or refused. */
+void nb_doubt(struct nb_neighbor *n, int64_t now);
+/* It is there, and opens no session for so long. */
+void nb_refused(struct nb_neighbor *n, int64_t for_us, int64_t now);
+
+/* Whether a trial is to be begun; call nb_tried when it is. */
+bool nb_trial_due(const struct nb_neighbor *n, int64_t now);
+void nb_tried(struct nb_neighbor *n, int64_t now);
+/* Whether the trial that is out has been waited for long enough. */
+bool nb_trial_late(const struct nb_neighbor *n, int64_t now);
+/* What came of it; a no is an answer. */
+void nb_trial_over(struct nb_neighbor *n, bool answered, int64_t now);
+
+enum nb_rank nb_rank(const struct nb_neighbor *n, int64_t now);
+
+#endif
--- /dev/null
+++ b/proxy/neighbors.c
@@ -0,0 +1,164 @@
+/* The other entry nodes that this one relays to, and its trials of those that are silent: a
+ * connection that asks for a greeting, as a relayed session does. What is believed is decided
+ * at neighbor.c. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "proxy/priv.h"
+
+static const char *const state_names[] = {"good", "doubted", "silent"};
+
+static bool listed(const struct px_proxy *p, const char *name)
+{
+    for (int i = 0; i < p->n_nodes; i++) {
+        if (strcmp(p->nodes[i].name, name) == 0)
+            return true;
+    }
+    return false;
+}
+
+static struct px_neighbor *find(const struct px_proxy *p, const char *name)
+{
+    struct px_neighbor *nb = p->neighbors;
+    while (nb && strcmp(nb->name, name) != 0)
+        nb = nb->next;
+    return nb;
+}
+
+enum nb_rank px_neighbor_rank(const struct px_proxy *p, const struct ho_node *node, int64_t now)
+{
+    const struct px_neighbor *nb = find(p, node->name);
+    return nb ? nb_rank(&nb->b, now) : NB_FIRST;
+}
+
+static bool passes_on(const struct px_neighbor *nb, int64_t now)
+{
+    return nb->passed_at && now - nb->passed_at < PX_PASSES_US &&
+           nb_rank(&nb->b, now) == NB_FIRST;
+}
+
+bool px_neighbor_passes_on(const struct px_proxy *p, const struct ho_node *node, int64_t now)
+{
+    const struct px_neighbor *nb = find(p, node->name);
+    return nb && passes_on(nb, now);
+}
+
+bool px_any_passes_on(const struct px_proxy *p, int64_t now)
+{
+    for (const struct px_neighbor *nb = p->neighbors; nb; nb = nb->next) {
+        if (passes_on(nb, now))
+            return true;
+    }
+    return false;
+}
+
+struct px_neighbor *px_neighbor_take(struct px_proxy *p, const struct ho_node *node)
+{
+    struct px_neighbor *nb = find(p, node->name);
+    if (!nb) {
+        nb = sr_alloc(sizeof(*nb));
+        nb->p = p;
+        nb->next = p->neighbors;
+        p->neighbors = nb;
+        sr_copy(nb->name, sizeof(nb->name), sr_from(node->name));
+    }
+    sr_copy(nb->ip, sizeof(nb->ip), sr_from(node->ip));
+    sr_copy(nb->domain, sizeof(nb->domain), sr_from(node->domain));
+    nb->port = node->port;
+    nb->n_relays++;
+    return nb;
+}
+
+void px_neighbor_drop(struct px_neighbor *nb)
+{
+    nb->n_relays--;
+}
+
+/* ---- trials ---- */
+
+static void trial_over(struct px_neighbor *nb, bool answered)
+{
+    enum nb_state before = nb->b.state;
+    nb_trial_over(&nb->b, answered, ck_now());
+    if (nb->b.state == before || (before == NB_DOUBTED && answered))
+        return; /* a doubt that was none */
+    FL_EVENT(&nb->p->log, LG_INFO, "neighbor_changed", "name=%s state=%s was=%s relayed=%d",
+             nb->name, state_names[nb->b.state], state_names[before], nb->n_relays);
+}
+
+static void on_open(struct nt_conn *net, void *ud)
+{
+    struct px_neighbor *nb = ud;
+    px_relay_hello(nb->p, net, nb->database, nb->key, PX_HELLO_TRIAL);
+}
+
+/* Whatever it says, its process runs. */
+static void on_message(struct nt_conn *net, void *ud, const char *data, size_t len)
+{
+    struct px_neighbor *nb = ud;
+    (void)data;
+    (void)len;
+    nb->trial = NULL;
+    trial_over(nb, true);
+    nt_forget(net);
+}
+
+/* Closed before a greeting: it is there if it was reached. */
+static void on_close(struct nt_conn *net, void *ud, bool opened, bool refused)
+{
+    struct px_neighbor *nb = ud;
+    (void)net;
+    (void)refused;
+    nb->trial = NULL;
+    trial_over(nb, opened && !nb_trial_late(&nb->b, ck_now()));
+}
+
+static const struct nt_ops trial_ops = {on_open, on_message, on_close};
+
+static void try_it(struct px_neighbor *nb, int64_t now)
+{
+    struct px_proxy *p = nb->p;
+    nb_tried(&nb->b, now);
+    p->c.trials++;
+    nb->trial = nt_connect_stream(p->loop, nb->ip, nb->port, &trial_ops, nb);
+    px_meter(p, nb->trial, PX_TO_NODE, nb->domain);
+}
+
+static void give_up_trial(struct px_neighbor *nb)
+{
+    nt_forget(nb->trial);
+    nb->trial = NULL;
+    trial_over(nb, false);
+}
+
+static void free_gone(struct px_proxy *p)
+{
+    for (struct px_neighbor **at = &p->neighbors; *at;) {
+        struct px_neighbor *nb = *at;
+        if (nb->n_relays > 0 || nb->trial || listed(p, nb->name)) {
+            at = &nb->next;
+            continue;
+        }
+        *at = nb->next;
+        free(nb);
+    }
+}
+
+void px_neighbors_tick(struct px_proxy *p, int64_t now)
+{
+    for (struct px_neighbor *nb = p->neighbors; nb; nb = nb->next) {
+        if (nb->trial && nb_trial_late(&nb->b, now))
+            give_up_trial(nb);
+        else if (nb_trial_due(&nb->b, now) && (nb->n_relays > 0 || listed(p, nb->name)))
+            try_it(nb, now);
+    }
+    free_gone(p);
+}
+
+int px_neighbors_silent(const struct px_proxy *p)
+{
+    int k = 0;
+    for (const struct px_neighbor *nb = p->neighbors; nb; nb = nb->next)
+        k += nb->b.state == NB_SILENT;
+    return k;
+}
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -9,11 +9,13 @@
 #include "misc/rng.h"
 #include "pool/shares.h"
 #include "proxy/fit.h"
+#include "proxy/neighbor.h"
 #include "proxy/outlier.h"
 #include "proxy/pace.h"
 #include "proxy/place.h"
 #include "proxy/relief.h"
 #include "proxy/proxy.h"
+#include "proxy/question.h"
 #include "proxy/stages.h"
 #include "proxy/state.h"
 #include "proxy/window.h"
@@ -170,6 +172,7 @@
     bool paused;            /* more than a message of input: not read on */
     bool opened;            /* greeted by us */
     bool came_relayed;      /* another node relays it to us */
+    bool to_pass_on;        /* and reaches no holder itself: we may relay it once more */
     struct px_relay *relay; /* another node serves it; NULL: we do */
     int64_t opened_at;
     int64_t left_at; /* it was ended here, and who relays it is told; 0: not so */
@@ -227,6 +230,7 @@
     PX_END_NOT_TAKEN,   /* relayed to us: another holder is to be asked */
     PX_END_HOLDER_ENDS, /* the node that served it ends it */
     PX_END_HOLDER_LOST, /* the connection to the node that served it is gone */
+    PX_END_SILENT,      /* the node that served it is silent: another is the place for it */
     PX_END_NO_HOLDER,   /* no node opened it */
     PX_END_NOT_READ,    /* the node that serves it takes no more */
     PX_END_LEFT,        /* told to leave, it did not in time */
@@ -237,6 +241,20 @@
 enum px_peer { PX_TO_INSTANCE, PX_TO_NODE, PX_PEERS };
 enum { PX_DISTANCES = 3 }; /* rt_distance: the same failure domain, another, another region */
 
+/* Another entry node that sessions are or were relayed to. */
+struct px_neighbor {
+    struct px_neighbor *next; /* the proxy's */
+    struct px_proxy *p;
+    char name[32], ip[46], domain[32];
+    int port;
+    int n_relays; /* that name it */
+    struct nb_neighbor b;
+    int64_t passed_at; /* it passed a session on to a holder that we did not reach */
+    struct nt_conn *trial;
+    char database[CG_NAME]; /* of the last session that went there: what a trial asks for */
+    char key[AC_KEY];
+};
+
 /* For /metrics. */
 struct px_counters {
     uint64_t sessions, statements;
@@ -250,6 +268,10 @@
     uint64_t replaced;           /* of these, closed for another account's */
     uint64_t unknown_keys;       /* operations and sessions refused for their key */
     uint64_t relayed;            /* sessions that another node serves */
+    uint64_t by_others;          /* of these, by way of a node that is no holder */
+    uint64_t passed_on;          /* sessions that came relayed and went on to a holder */
+    uint64_t trials;             /* of nodes that were doubted or silent */
+    uint64_t silent_told;        /* questions whose node was silent, answered here */
     uint64_t ends[PX_ENDS], cut; /* sessions that were closed here; with a question open */
     uint64_t log_lines_left_out;
 };
@@ -269,7 +291,8 @@
     struct ho_node *nodes; /* entry nodes with a lease, prepared */
     int64_t configured_at; /* the first document came */
     bool knew_nodes;       /* px_knows_nodes, when groups were looked at last */
-    struct px_inst *gone;  /* not in the view, with connections still */
+    struct px_neighbor *neighbors;
+    struct px_inst *gone; /* not in the view, with connections still */
     int n_accounts;
     struct px_account *accounts; /* that had operations here */
     struct ix_index account_at;  /* numbers in `accounts` */
@@ -277,6 +300,7 @@
     bool permits_untold;         /* the leader does not know what there is */
     bool news;                   /* instances came, or groups to hold, since px_has_news */
     int64_t leased_at;           /* when the lease was live last */
+    int64_t sought_at;           /* a session looked for a node that passes it on */
     int64_t isolated_until;      /* cut off, and no other node answers: none is asked before */
 
     /* sessions */
@@ -320,6 +344,11 @@
  * question is open does not learn whether it ran. */
 void px_close(struct px_session *s, enum px_end why, bool at_once);
 const char *px_end_name(enum px_end why);
+/* The same for a session at rest that another node may relay to us: that node is told, and what
+ * still comes is not run. */
+void px_end_resting(struct px_session *s, enum px_end why);
+/* When in a span it is this session's turn: they don't all come back at once. */
+int64_t px_turn(const struct px_session *s, int64_t span_us);
 /* A failure that ends the session. */
 void px_fail_and_close(struct px_session *s, enum er_kind kind, const char *detail);
 
@@ -374,13 +403,53 @@
 void px_relay_end(struct px_session *s);
 void px_relay_tick(struct px_session *s, int64_t now);
 /* Whether another node opens this session for a caller of its own; *document: the version that
- * it acts on. */
-bool px_is_relayed(const struct px_msg *open, uint64_t *document);
+ * it acts on; *pass_on: it reaches no holder of the group. */
+bool px_is_relayed(const struct px_msg *open, uint64_t *document, bool *pass_on);
+/* Why a session is opened at another node. */
+enum px_hello {
+    PX_HELLO_TRIAL,  /* to see whether it greets, whatever it acts on */
+    PX_HELLO_SERVE,  /* to be served there */
+    PX_HELLO_PASS_ON /* to be passed on: it is no holder */
+};
+void px_relay_hello(struct px_proxy *p, struct nt_conn *net, const char *database,
+                    const char *key, enum px_hello why);
 /* Whether a question of the relayed session's went to the other node and has no answer yet. */
 bool px_asked_elsewhere(const struct px_session *s);
 /* Whether a relayed session has neither a statement nor a transaction at the other node. */
 bool px_rests_elsewhere(const struct px_session *s);
 
+/* targets.c: where sessions are relayed to */
+enum { PX_MAX_TRIES = 16 }; /* nodes that are asked for one session */
+
+struct px_tries {
+    int n;
+    struct px_neighbor *nb[PX_MAX_TRIES];
+};
+struct px_target {
+    int node;       /* in p->nodes; -1: nobody is left */
+    bool passes_on; /* it holds nothing itself */
+};
+/* The group of the session's database: a relayed session takes no route here. */
+struct px_group *px_wanted_group(const struct px_session *s);
+/* `seeks`: the session is at a look for a node that passes it on. */
+struct px_target px_next_target(const struct px_session *s, const struct px_tries *t,
+                                bool seeks, int64_t now);
+
+/* neighbors.c: what is believed of the other nodes, and trials of them */
+enum { PX_PASSES_US = 5000000 }; /* who passed a session on lately probably does it again */
+
+enum nb_rank px_neighbor_rank(const struct px_proxy *p, const struct ho_node *node,
+                              int64_t now);
+/* Whether it passed a session on lately. */
+bool px_neighbor_passes_on(const struct px_proxy *p, const struct ho_node *node, int64_t now);
+/* A relay names the node; px_neighbor_drop when it does not any more. */
+struct px_neighbor *px_neighbor_take(struct px_proxy *p, const struct ho_node *node);
+void px_neighbor_drop(struct px_neighbor *nb);
+void px_neighbors_tick(struct px_proxy *p, int64_t now);
+int px_neighbors_silent(const struct px_proxy *p);
+/* Whether any node passed a session on lately. */
+bool px_any_passes_on(const struct px_proxy *p, int64_t now);
+
 /* holders.c: which nodes hold connections to which groups */
 /* The view, the document or the nodes changed. */
 void px_holders_changed(struct px_proxy *p);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -153,6 +153,7 @@
     if (now < p->next_slow_tick)
         return;
     p->next_slow_tick = now + SLOW_TICK_US;
+    px_neighbors_tick(p, now);
     px_sessions_slow_tick(p, now);
     force_end(p, now);
     tell_stages(p, now);
@@ -263,6 +264,11 @@
                 {"replaced_connections_total", p->c.replaced},
                 {"unknown_keys_total", p->c.unknown_keys},
                 {"relayed_total", p->c.relayed},
+                {"relayed_by_others_total", p->c.by_others},
+                {"passed_on_total", p->c.passed_on},
+                {"neighbors_silent", (uint64_t)px_neighbors_silent(p)},
+                {"neighbor_trials_total", p->c.trials},
+                {"silent_told_total", p->c.silent_told},
                 {"cut_total", p->c.cut},
                 {"log_lines_left_out_total", p->c.log_lines_left_out},
                 {"open", (uint64_t)p->n_sessions},
--- /dev/null
+++ b/proxy/question.c
@@ -0,0 +1,71 @@
+#include "proxy/question.h"
+
+#include <string.h>
+
+/* A write for itself is kept; one in a transaction is with its COMMIT. */
+static void write_said(struct px_question *q, enum px_txn txn)
+{
+    q->wrote = true;
+    q->keeps = q->keeps || txn == PX_IDLE;
+}
+
+static void statement_said(struct px_question *q, const struct px_stmt *st, enum px_txn txn)
+{
+    q->ends = false;
+    switch (st->verb) {
+    case PX_V_COMMIT:
+        q->ends = true;
+        q->keeps = q->keeps || q->wrote;
+        break;
+    case PX_V_ROLLBACK:
+        q->ends = true;
+        break;
+    case PX_V_READ:
+    case PX_V_BEGIN:
+    case PX_V_SET:
+    case PX_V_PREPARE:
+    case PX_V_FORGET:
+        break;
+    default: /* what EXECUTE does the other node knows */
+        write_said(q, txn);
+        break;
+    }
+}
+
+static void line_said(struct px_question *q, const struct px_codec *codec, enum px_txn txn)
+{
+    struct px_msg m;
+    struct px_stmt st = {.verb = PX_V_BAD};
+    size_t n = q->len > 0 && q->head[q->len - 1] == '\r' ? q->len - 1 : q->len;
+    codec->parse((struct sr_str){q->head, n}, &m);
+    q->piped = q->piped || q->open > 0;
+    q->open++;
+    if (m.kind == PX_STATEMENT)
+        codec->parse_text(m.text, &st);
+    statement_said(q, &st, txn);
+}
+
+void px_question_said(struct px_question *q, const struct px_codec *codec, enum px_txn txn,
+                      const char *data, size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        if (data[i] == '\n') {
+            line_said(q, codec, txn);
+            q->len = 0;
+        } else if (q->len < sizeof(q->head)) {
+            q->head[q->len++] = data[i];
+        }
+    }
+}
+
+void px_question_answered(struct px_question *q, enum px_txn txn)
+{
+    q->open = 0;
+    q->keeps = q->ends = false;
+    q->wrote = q->wrote && txn != PX_IDLE;
+}
+
+bool px_question_harmless(const struct px_question *q)
+{
+    return !q->piped && !q->keeps;
+}
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -21,32 +21,46 @@
      * so long: its callers are told at once. */
     ISOLATED_US = 1000000,
     MAX_QUEUED = 256 * 1024, /* bytes on their way to a side that does not read */
+    REFUSED_US = 300000,     /* who said no to a session is asked last for so long */
+    NO_WAY_US = 1000000,     /* the same of one that was to pass it on and reached nobody */
+    MOVE_OVER_US = 300000,   /* sessions at rest at a silent node end, spread over so long */
 };
 
-/* Who opens a relayed session, before the version of its document: it is not relayed once more.
- * The caller's key follows as the last field. */
+/* Who opens a relayed session, before the version of its document. It is not relayed once more,
+ * but where `pass_on` follows. The caller's key follows as the last field. */
 static const char relayed_by[] = "~ferry";
+static const char pass_on_mark = '+';
 
 struct px_relay {
     struct px_session *s;
     struct nt_conn *net; /* to the other node; NULL: none */
-    int tries;
-    bool greeted;     /* by the other node */
-    bool spoke;       /* the caller got something: another greeting would be one too many */
-    bool rests;       /* there, after the last answer */
-    bool asked;       /* a whole message went there since */
-    int64_t asked_at; /* the first of them */
-    enum px_txn txn;  /* after the last answer */
-    struct sr_buf in; /* a line from the other node that is not whole yet */
-    int64_t began;    /* this try */
+    struct px_tries tries;
+    struct px_neighbor *nb; /* the last of these */
+    bool by_other;          /* it is no holder, and passes the session on */
+    bool late;              /* it did not greet in time */
+    bool greeted;           /* by the other node */
+    bool spoke;             /* the caller got something: another greeting would be too many */
+    bool left;              /* the caller is being sent away */
+    bool rests;             /* there, after the last answer */
+    bool asked;             /* a whole message went there since */
+    int64_t asked_at;       /* the first of them */
+    struct px_question q;   /* what was asked */
+    enum px_txn txn;        /* after the last answer */
+    struct sr_buf in;       /* a line from the other node that is not whole yet */
+    int64_t began;          /* this try */
 };
 
-bool px_is_relayed(const struct px_msg *open, uint64_t *document)
+bool px_is_relayed(const struct px_msg *open, uint64_t *document, bool *pass_on)
 {
     size_t n = sizeof(relayed_by) - 1;
     *document = 0;
+    *pass_on = false;
     if (open->who.len < n || memcmp(open->who.p, relayed_by, n) != 0)
         return false;
+    if (open->who.len > n && open->who.p[n] == pass_on_mark) {
+        *pass_on = true;
+        n++;
+    }
     if (open->who.len > n && open->who.p[n] != '.')
         return false;
     for (size_t i = n + 1; i < open->who.len; i++) {
@@ -70,68 +84,15 @@
 
 /* ---- where ---- */
 
-/* A holder of the group but for ourselves, from a place of the session's own on, so that
- * sessions spread over them. `near`: only of this node's failure domain. -1: none. */
-static int pick_holder(const struct px_session *s, const struct px_group *g, int try, bool near)
-{
-    const struct px_proxy *p = s->p;
-    uint64_t n = (uint64_t)g->n_holders;
-    for (uint64_t k = 0; k < n; k++) {
-        int i = g->holders[(s->state.session + (uint64_t)try + k) % n];
-        bool other = strcmp(p->nodes[i].name, p->cfg.name) != 0;
-        if (other && (!near || strcmp(p->nodes[i].domain, p->cfg.domain) == 0))
-            return i;
-    }
-    return -1;
-}
-
-/* Where connections belong to accounts, an account's sessions meet where its connections are,
- * near or not: of 78 accounts on three connections each node would open one for nearly each
- * statement otherwise. -1: none is left. */
-static int pick_for_account(const struct px_session *s, struct px_group *g, int try)
-{
-    const struct px_proxy *p = s->p;
-    int order[HO_MAX_HOLDERS], n = px_holders_for(s, g, order);
-    for (int k = 0, others = 0; k < n; k++) {
-        bool other = strcmp(p->nodes[order[k]].name, p->cfg.name) != 0;
-        if (other && others++ == try)
-            return order[k];
-    }
-    return -1;
-}
-
-/* A near one costs a shorter trip and no bytes between failure domains; the second try goes
- * anywhere. */
-static int pick_target(const struct px_session *s, struct px_group *g, int try)
-{
-    if (px_has_accounts(s->p))
-        return pick_for_account(s, g, try);
-    int i = try == 0 ? pick_holder(s, g, try, true) : -1;
-    return i >= 0 ? i : pick_holder(s, g, try, false);
-}
-
-/* The group of the session's database: a relayed session takes no route here. */
-static struct px_group *wanted_group(const struct px_session *s)
-{
-    const struct cg_route *r = cg_route(&s->p->catalog, sr_from(s->database));
-    return r ? px_group(s->p, r->group) : NULL;
-}
-
-static int next_target(const struct px_session *s, int try)
-{
-    struct px_group *g = wanted_group(s);
-    return g && g->n_holders > 0 ? pick_target(s, g, try) : -1;
-}
-
 /* A node that is cut off from control can prove nothing by itself, but others may have a lease:
  * where most nodes of a failure domain are cut off the balancer goes on using them. If it
  * reaches none, its callers are told with the greeting: a session that was opened here would
  * bring each of its tries here again, and has to be closed when the lease is back. */
 bool px_should_relay(const struct px_session *s)
 {
-    struct px_group *g = wanted_group(s);
+    struct px_group *g = px_wanted_group(s);
     int64_t now = ck_now();
-    if (!g || s->p->n_nodes < 2 || s->came_relayed)
+    if (!g || s->p->n_nodes < 2 || (s->came_relayed && (!s->to_pass_on || g->held)))
         return false;
     if (px_cut_off(s->p, now))
         return true;
@@ -144,37 +105,80 @@
 
 static void connect_next(struct px_relay *r);
 
+static void drop_tries(struct px_relay *r)
+{
+    for (int k = 0; k < r->tries.n; k++)
+        px_neighbor_drop(r->tries.nb[k]);
+    r->tries.n = 0;
+}
+
 static void relay_free(struct px_relay *r)
 {
+    drop_tries(r);
     sr_buf_free(&r->in);
     free(r);
 }
 
-static void on_open(struct nt_conn *net, void *ud)
+void px_relay_hello(struct px_proxy *p, struct nt_conn *net, const char *database,
+                    const char *key, enum px_hello why)
 {
-    struct px_relay *r = ud;
     struct sr_buf b = {0};
     char who[sizeof(relayed_by) + 24];
-    snprintf(who, sizeof(who), "%s.%llu", relayed_by,
-             (unsigned long long)r->s->p->catalog.version);
+    int n = snprintf(who, sizeof(who), "%s", relayed_by);
+    if (why == PX_HELLO_PASS_ON)
+        who[n++] = pass_on_mark;
+    if (why != PX_HELLO_TRIAL)
+        n += snprintf(who + n, sizeof(who) - (size_t)n, ".%llu",
+                      (unsigned long long)p->catalog.version);
     struct px_msg m = {.kind = PX_OPEN,
-                       .database = sr_from(r->s->database),
-                       .who = sr_from(who),
-                       .expect = sr_from(r->s->key)};
-    r->s->p->cfg.codec->put(&b, &m);
+                       .database = sr_from(database),
+                       .who = {who, (size_t)n},
+                       .expect = sr_from(key)};
+    p->cfg.codec->put(&b, &m);
     nt_send(net, b.p, b.len);
     sr_buf_free(&b);
 }
 
+static void on_open(struct nt_conn *net, void *ud)
+{
+    struct px_relay *r = ud;
+    px_relay_hello(r->s->p, net, r->s->database, r->s->key,
+                   r->by_other ? PX_HELLO_PASS_ON : PX_HELLO_SERVE);
+}
+
 static void send_there(struct px_relay *r, const char *data, size_t len)
 {
     r->rests = false;
     if (!r->asked)
         r->asked_at = ck_now();
-    r->asked = r->asked || memchr(data, '\n', len) != NULL;
+    px_question_said(&r->q, r->s->p->cfg.codec, r->txn, data, len);
+    r->asked = r->q.open > 0;
     nt_send(r->net, data, len);
 }
 
+/* What is open there has no answer, and will have none that the caller gets: say what is true
+ * of it, and send the caller away. `sent`: it went out. */
+static void tell_unanswered(struct px_relay *r, bool sent, enum px_end why)
+{
+    struct px_session *s = r->s;
+    bool harmless = !sent || px_question_harmless(&r->q);
+    bool in_txn = r->txn != PX_IDLE;
+    s->arrived = r->asked_at;
+    s->txn = in_txn && !r->q.ends ? PX_TXN_FAILED : PX_IDLE;
+    s->p->c.silent_told++;
+    px_refuse_relayed(s,
+                      !harmless ? ER_LOST
+                      : in_txn  ? ER_ABORTED
+                                : ER_OVERLOAD,
+                      harmless
+                          ? "the node that serves the session is silent; nothing is kept, "
+                            "retry at once"
+                          : "the node that serves the session is silent since it was asked");
+    r->asked = false;
+    r->left = true;
+    px_end_resting(s, why);
+}
+
 /* What the caller said before it was greeted. */
 static void send_early(struct px_relay *r)
 {
@@ -198,7 +202,8 @@
                           "the node that serves the session stops; retry at once");
         r->asked = false;
     }
-    px_close(s, PX_END_HOLDER_ENDS, false);
+    r->left = true;
+    px_end_resting(s, PX_END_HOLDER_ENDS);
 }
 
 /* Pass the first `n` bytes of what came on; they are whole lines. */
@@ -222,14 +227,20 @@
     if (r->asked)
         px_stage(&r->s->p->stages, PX_T_RELAY, ck_now() - r->asked_at);
     r->asked = false;
+    px_question_answered(&r->q, m.txn);
     return true;
 }
 
 /* The other node greeted: what the caller said meanwhile goes there. */
 static void greeted(struct px_relay *r)
 {
+    struct px_proxy *p = r->s->p;
     r->greeted = true;
-    r->s->p->c.relayed++;
+    p->c.relayed++;
+    p->c.by_others += r->by_other;
+    p->c.passed_on += r->s->came_relayed;
+    if (r->by_other)
+        r->nb->passed_at = ck_now();
     send_early(r);
 }
 
@@ -237,6 +248,7 @@
 {
     struct px_relay *r = ud;
     struct sr_str last;
+    nb_heard(&r->nb->b, ck_now());
     sr_buf_add(&r->in, data, len);
     size_t n = px_whole_lines(&r->in, &last);
     if (n == 0) {
@@ -260,19 +272,45 @@
         ended_there(r);
 }
 
+/* It opened no session: what that says of it. */
+static void note_no_greeting(struct px_relay *r, bool opened)
+{
+    int64_t now = ck_now();
+    if (r->by_other)
+        nb_refused(&r->nb->b, NO_WAY_US, now);
+    else if (opened && !r->late)
+        nb_refused(&r->nb->b, REFUSED_US, now);
+    if (!opened || (r->late && !r->by_other))
+        nb_doubt(&r->nb->b, now);
+}
+
+/* The connection is gone, and the session there with it. */
+static void lost(struct px_relay *r)
+{
+    nb_doubt(&r->nb->b, ck_now());
+    if (r->left || !r->s->net || r->s->left_at)
+        return;
+    if (r->asked) {
+        tell_unanswered(r, true, PX_END_HOLDER_LOST);
+        return;
+    }
+    r->left = true;
+    px_end_resting(r->s, PX_END_HOLDER_LOST);
+}
+
 static void on_close(struct nt_conn *net, void *ud, bool opened, bool refused)
 {
     struct px_relay *r = ud;
     (void)net;
-    (void)opened;
     (void)refused;
     r->net = NULL;
     if (!r->s) {
         relay_free(r);
     } else if (!r->spoke) {
+        note_no_greeting(r, opened);
         connect_next(r);
-    } else if (r->s->net) {
-        px_close(r->s, PX_END_HOLDER_LOST, false); /* it is gone with its node */
+    } else {
+        lost(r);
     }
 }
 
@@ -281,34 +319,46 @@
 /* Nobody opens the session. */
 static void give_up(struct px_relay *r)
 {
-    if (!r->s->net)
+    struct px_session *s = r->s;
+    if (!s->net)
         return;
-    if (px_cut_off(r->s->p, ck_now()))
-        px_fail_cut_off(r->s);
+    bool alone = px_cut_off(s->p, ck_now()) || px_neighbors_silent(s->p) > 0;
+    if (alone && !s->came_relayed)
+        px_fail_cut_off(s);
     else
-        px_close(r->s, PX_END_NO_HOLDER, false);
+        px_close(s, PX_END_NO_HOLDER, s->came_relayed);
 }
 
-static bool may_try(const struct px_relay *r)
+static bool may_try(const struct px_relay *r, int64_t now)
 {
-    const struct px_group *g = wanted_group(r->s);
-    int64_t now = ck_now();
-    bool isolated = px_cut_off(r->s->p, now) && now < r->s->p->isolated_until;
-    return g && !isolated && r->tries < g->n_holders && now - r->s->since < TRY_FOR_US;
+    const struct px_proxy *p = r->s->p;
+    bool isolated = px_cut_off(p, now) && now < p->isolated_until;
+    return !isolated && now - r->s->since < TRY_FOR_US;
 }
 
 static void connect_next(struct px_relay *r)
 {
-    struct px_proxy *p = r->s->p;
-    int i = may_try(r) ? next_target(r->s, r->tries++) : -1;
-    if (i < 0) {
+    struct px_session *s = r->s;
+    struct px_proxy *p = s->p;
+    int64_t now = ck_now();
+    struct px_target to = {-1, false};
+    if (s->net && may_try(r, now))
+        to = px_next_target(s, &r->tries, r->by_other, now);
+    if (to.node < 0) {
         give_up(r);
         return;
     }
+    const struct ho_node *node = &p->nodes[to.node];
+    r->nb = px_neighbor_take(p, node);
+    r->tries.nb[r->tries.n++] = r->nb;
+    r->by_other = to.passes_on;
+    r->late = false;
+    sr_copy(r->nb->database, sizeof(r->nb->database), sr_from(s->database));
+    sr_copy(r->nb->key, sizeof(r->nb->key), sr_from(s->key));
     r->in.len = 0;
-    r->began = ck_now();
-    r->net = nt_connect_stream(p->loop, p->nodes[i].ip, p->nodes[i].port, &ops, r);
-    px_meter(p, r->net, PX_TO_NODE, p->nodes[i].domain);
+    r->began = now;
+    r->net = nt_connect_stream(p->loop, node->ip, node->port, &ops, r);
+    px_meter(p, r->net, PX_TO_NODE, node->domain);
 }
 
 /* ---- the session's side ---- */
@@ -321,6 +371,16 @@
     connect_next(r);
 }
 
+/* It would go to a silent node: nothing of it ran. */
+static void unsent(struct px_relay *r, const char *data, size_t len)
+{
+    r->rests = false;
+    r->asked_at = ck_now();
+    px_question_said(&r->q, r->s->p->cfg.codec, r->txn, data, len);
+    if (r->q.open > 0)
+        tell_unanswered(r, false, PX_END_SILENT);
+}
+
 void px_relay_bytes(struct px_session *s, const char *data, size_t len)
 {
     struct px_relay *r = s->relay;
@@ -328,6 +388,12 @@
         sr_buf_add(&s->in, data, len);
         return;
     }
+    if (r->left)
+        return;
+    if (r->greeted && r->nb->b.state == NB_SILENT && !r->asked) {
+        unsent(r, data, len);
+        return;
+    }
     if (!r->net || !r->greeted || nt_queued(r->net) > MAX_QUEUED) {
         px_close(s, PX_END_NOT_READ, true);
         return;
@@ -355,6 +421,45 @@
     return r && !px_identify(s, r);
 }
 
+/* What may be kept can't be told before its time is over: an answer may come still. */
+static int64_t longest_wait(const struct px_session *s)
+{
+    const struct cg_route *route = cg_route(&s->p->catalog, sr_from(s->database));
+    return route ? route->limit_us : 0;
+}
+
+/* The session is at a node that is silent. */
+static void leave_silent(struct px_relay *r, int64_t now)
+{
+    struct px_session *s = r->s;
+    if (r->asked) {
+        if (px_question_harmless(&r->q) || now - r->asked_at > longest_wait(s))
+            tell_unanswered(r, true, PX_END_SILENT);
+    } else if (r->rests && now - r->nb->b.silent_at > px_turn(s, MOVE_OVER_US)) {
+        r->left = true;
+        px_end_resting(s, PX_END_SILENT);
+    }
+}
+
+static void watch(struct px_relay *r, int64_t now)
+{
+    if (r->left || !r->s->net)
+        return;
+    if (r->asked)
+        nb_waits(&r->nb->b, r->asked_at, now);
+    if (r->nb->b.state == NB_SILENT)
+        leave_silent(r, now);
+}
+
+static void greeting_late(struct px_relay *r, int64_t now)
+{
+    struct px_proxy *p = r->s->p;
+    if (px_cut_off(p, now) && !px_any_passes_on(p, now))
+        p->isolated_until = now + ISOLATED_US;
+    r->late = true;
+    nt_close(r->net, true);
+}
+
 void px_relay_tick(struct px_session *s, int64_t now)
 {
     struct px_relay *r = s->relay;
@@ -362,9 +467,14 @@
         px_close(s, PX_END_REFUSED, false);
         return;
     }
-    if (!r || !r->net || r->greeted || now - r->began <= GREET_US)
+    if (!r || !r->net)
         return;
-    if (px_cut_off(s->p, now))
-        s->p->isolated_until = now + ISOLATED_US;
-    nt_close(r->net, true);
+    if (r->greeted) {
+        watch(r, now);
+        return;
+    }
+    if (!r->by_other)
+        nb_waits(&r->nb->b, r->began, now);
+    if (now - r->began > GREET_US || r->nb->b.state == NB_SILENT)
+        greeting_late(r, now);
 }
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -51,7 +51,7 @@
         px_fail_and_close(s, ER_BAD_INPUT, "the name of a database is expected");
         return;
     }
-    s->came_relayed = px_is_relayed(m, &s->least_document);
+    s->came_relayed = px_is_relayed(m, &s->least_document, &s->to_pass_on);
     /* One that is too long is nobody's. */
     if (!sr_copy(s->key, sizeof(s->key), s->came_relayed ? m->expect : m->who))
         s->key[0] = 0;
@@ -206,24 +206,25 @@
 
 static bool rests(const struct px_session *s)
 {
+    if (s->left_at)
+        return false;
     if (s->relay)
         return px_rests_elsewhere(s);
-    return !s->left_at && s->opened && s->stage == PX_S_REST && s->txn == PX_IDLE &&
-           s->in.len == 0;
+    return s->opened && s->stage == PX_S_REST && s->txn == PX_IDLE && s->in.len == 0;
 }
 
-/* End a session that has nothing at work. A caller's own question that crosses the close on its
- * way was read by nobody; one that another node read and passed on would be lost, so that node
- * is told first, and what still comes is not run. */
-static void end_resting(struct px_session *s, int64_t now)
+/* A caller's own question that crosses the close on its way was read by nobody; one that
+ * another node read and passed on would be lost, so that node is told first, and what still
+ * comes is not run. */
+void px_end_resting(struct px_session *s, enum px_end why)
 {
     struct sr_buf b = {0};
     struct px_msg m = {.kind = PX_END};
     if (!s->came_relayed) {
-        px_close(s, PX_END_ELSEWHERE, false);
+        px_close(s, why, false);
         return;
     }
-    s->left_at = now;
+    s->left_at = ck_now();
     s->p->cfg.codec->put(&b, &m);
     nt_send(s->net, b.p, b.len);
     sr_buf_free(&b);
@@ -235,8 +236,7 @@
         px_close(s, PX_END_LEFT, true);
 }
 
-/* When in a span this session's turn is: they don't all come back at once. */
-static int64_t turn(const struct px_session *s, int64_t span_us)
+int64_t px_turn(const struct px_session *s, int64_t span_us)
 {
     return (int64_t)(s->state.session * 0x9E3779B97F4A7C15ull % (uint64_t)(span_us + 1));
 }
@@ -248,8 +248,8 @@
     /* Once: where all nodes are cut off it would only come back to be closed again. */
     if (s->relay || !px_cut_off(p, now) || !rests(s) || s->opened_at > p->leased_at)
         return;
-    if (now - p->leased_at - PX_CUT_OFF_US > turn(s, CUT_OFF_CLOSE_OVER_US))
-        end_resting(s, now);
+    if (now - p->leased_at - PX_CUT_OFF_US > px_turn(s, CUT_OFF_CLOSE_OVER_US))
+        px_end_resting(s, PX_END_ELSEWHERE);
 }
 
 /* Another node holds the group now: the session's next life is there. */
@@ -260,8 +260,8 @@
         return;
     if (s->p->stopping && !s->came_relayed)
         return; /* the balancer would send its caller here again: stop_tick */
-    if (now - g->let_go_at > turn(s, CUT_OFF_CLOSE_OVER_US))
-        end_resting(s, now);
+    if (now - g->let_go_at > px_turn(s, CUT_OFF_CLOSE_OVER_US))
+        px_end_resting(s, PX_END_ELSEWHERE);
 }
 
 static void stop_tick(struct px_session *s, int64_t now)
@@ -270,14 +270,15 @@
     if (!p->stopping || s->left_at)
         return;
     bool late = now - p->stop_began > p->cfg.grace_us * STOP_LEAVE_PERCENT / 100;
-    if (late && s->came_relayed && s->stage == PX_S_REST && s->in.len == 0)
-        end_resting(s, now);
+    if (late && s->came_relayed && s->stage == PX_S_REST && s->in.len == 0 &&
+        !px_asked_elsewhere(s))
+        px_end_resting(s, PX_END_ELSEWHERE);
     if (!rests(s))
         return;
     int64_t from = p->cfg.grace_us * STOP_CLOSE_FROM_PERCENT / 100;
-    int64_t mine = turn(s, p->cfg.grace_us * STOP_CLOSE_OVER_PERCENT / 100);
+    int64_t mine = px_turn(s, p->cfg.grace_us * STOP_CLOSE_OVER_PERCENT / 100);
     if (now - p->stop_began > from + mine)
-        end_resting(s, now);
+        px_end_resting(s, PX_END_ELSEWHERE);
 }
 
 /* Its place is elsewhere: here, or this node, ends. */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -30,6 +30,8 @@
     net_suite();
     pace_suite();
     relay_suite();
+    neighbor_suite();
+    silence_suite();
     holding_suite();
     opening_suite();
     accounts_suite();
--- /dev/null
+++ b/tests/unit/test_neighbor.c
@@ -0,0 +1,206 @@
+/* What a node believes of the nodes that it relays to, and what it may say of a question that
+ * one of them does not answer. */
+#include <string.h>
+
+#include "misc/clock.h"
+#include "platform/platform.h"
+#include "proxy/neighbor.h"
+#include "proxy/question.h"
+#include "tests/unit/unit.h"
+
+/* ---- neighbours ---- */
+
+static int64_t at(int ms)
+{
+    return CK_SEC(10) + CK_MS(ms);
+}
+
+/* Bring it to silence by a question that is asked at `ms`; returns when it was believed. */
+static int fall_silent(struct nb_neighbor *n, int ms)
+{
+    for (int t = ms; t < ms + 2000; t += 50) {
+        nb_waits(n, at(ms), at(t));
+        if (nb_trial_late(n, at(t)))
+            nb_trial_over(n, false, at(t));
+        if (nb_trial_due(n, at(t)))
+            nb_tried(n, at(t));
+        if (n->state == NB_SILENT)
+            return t;
+    }
+    return -1;
+}
+
+/* Load: a holder freezes with questions open. Its callers, who give their operation two
+ * seconds, learn of it with time for another try, and nobody is sent there. */
+static void a_frozen_holder_is_known_within_half_a_second(void)
+{
+    struct nb_neighbor n = {0};
+    nb_heard(&n, at(0));
+    CU_ASSERT_EQUAL(nb_rank(&n, at(0)), NB_FIRST);
+    int known = fall_silent(&n, 100);
+    CU_ASSERT(known > 0 && known - 100 <= 600);
+    CU_ASSERT_EQUAL(nb_rank(&n, at(known)), NB_NEVER);
+}
+
+/* Load: an instance is slow, so that questions wait while their holder is well: it greets, or
+ * answers others, and is believed. */
+static void a_slow_answer_is_no_silence(void)
+{
+    struct nb_neighbor n = {0};
+    for (int t = 0; t < 3000; t += 50) {
+        nb_waits(&n, at(0), at(t));
+        if (nb_trial_due(&n, at(t))) {
+            nb_tried(&n, at(t));
+            nb_trial_over(&n, true, at(t + 5));
+        }
+        CU_ASSERT(nb_rank(&n, at(t)) < NB_NEVER);
+    }
+    struct nb_neighbor busy = {0};
+    for (int t = 0; t < 3000; t += 50) {
+        nb_heard(&busy, at(t));
+        nb_waits(&busy, at(0), at(t + 40));
+        CU_ASSERT_EQUAL(busy.state, NB_GOOD);
+    }
+}
+
+/* Load: it thaws, and is asked again as soon as a trial is answered, not for a late answer
+ * that was on its way. */
+static void a_trial_clears_it(void)
+{
+    struct nb_neighbor n = {0};
+    int t = fall_silent(&n, 0);
+    nb_heard(&n, at(t + 10));
+    CU_ASSERT_EQUAL(nb_rank(&n, at(t + 10)), NB_NEVER);
+    while (!nb_trial_due(&n, at(t)))
+        t += 10;
+    nb_tried(&n, at(t));
+    CU_ASSERT_FALSE(nb_trial_due(&n, at(t + 1)));
+    nb_trial_over(&n, true, at(t + 5));
+    CU_ASSERT_EQUAL(nb_rank(&n, at(t + 5)), NB_FIRST);
+}
+
+static int trials_within(struct nb_neighbor *n, int from, int ms)
+{
+    int trials = 0;
+    for (int t = from; t < from + ms; t += 50) {
+        if (nb_trial_late(n, at(t)))
+            nb_trial_over(n, false, at(t));
+        if (nb_trial_due(n, at(t))) {
+            nb_tried(n, at(t));
+            trials++;
+        }
+    }
+    return trials;
+}
+
+/* Load: most nodes are cut off for long, or a path comes and goes: trials are bounded. */
+static void trials_are_few(void)
+{
+    struct nb_neighbor n = {0};
+    int t = fall_silent(&n, 0), k = trials_within(&n, t, 20000);
+    CU_ASSERT(k >= 8 && k <= 14); /* every two seconds in the end */
+    while (!nb_trial_due(&n, at(t)))
+        t += 10;
+    nb_tried(&n, at(t));
+    nb_trial_over(&n, true, at(t + 1));
+    int64_t before = n.pause_us;
+    CU_ASSERT(fall_silent(&n, t + 100) > 0);
+    CU_ASSERT(n.pause_us >= before);
+}
+
+/* Load: a holder that is cut off from control says no to sessions: another is asked first, for
+ * a moment; it is not silent. */
+static void who_refuses_is_asked_last(void)
+{
+    struct nb_neighbor n = {0};
+    nb_refused(&n, CK_MS(300), at(0));
+    CU_ASSERT_EQUAL(nb_rank(&n, at(10)), NB_LAST);
+    CU_ASSERT_FALSE(nb_trial_due(&n, at(10)));
+    CU_ASSERT_EQUAL(nb_rank(&n, at(301)), NB_FIRST);
+}
+
+/* ---- questions ---- */
+
+/* What is said from a session that the last answer left at `txn`, and what may be told of it if
+ * no answer comes. '|' parts what was answered from what is open. */
+static const struct row {
+    const char *what;
+    enum px_txn txn;
+    const char *before, *open;
+    bool harmless;
+} rows[] = {
+    {"a read", PX_IDLE, "", "QUERY a READ x\r\n", true},
+    {"a write for itself", PX_IDLE, "", "QUERY a WRITE x y\r\n", false},
+    {"what it does is not known here", PX_IDLE, "", "QUERY a EXECUTE s x\r\n", false},
+    {"no statement", PX_IDLE, "", "HELLO\r\n", false},
+    {"a value is gone with its session", PX_IDLE, "", "QUERY a SET n v\r\n", true},
+    {"BEGIN", PX_IDLE, "", "QUERY a BEGIN\r\n", true},
+    {"a write whose COMMIT nobody asked for", PX_IN_TXN, "", "QUERY a WRITE x y\r\n", true},
+    {"COMMIT of a transaction that wrote", PX_IN_TXN, "QUERY a WRITE x y\r\n",
+     "QUERY b COMMIT\r\n", false},
+    {"COMMIT of one that may have", PX_IN_TXN, "QUERY a EXECUTE s x\r\n", "QUERY b COMMIT\r\n",
+     false},
+    {"COMMIT of one that read", PX_IN_TXN, "QUERY a READ x\r\n", "QUERY b COMMIT\r\n", true},
+    {"ROLLBACK", PX_IN_TXN, "QUERY a WRITE x y\r\n", "QUERY b ROLLBACK\r\n", true},
+    {"two at once: which was answered can't be told", PX_IDLE, "",
+     "QUERY a READ x\r\nQUERY b READ y\r\n", false},
+    {"a write that is not whole ran nowhere", PX_IDLE, "", "QUERY a WRITE x", true},
+};
+
+/* Promise attacked: a promise that nothing is kept is true. In pieces of one byte, too. */
+static void what_may_be_kept_is_not_called_harmless(void)
+{
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        const struct row *r = &rows[i];
+        struct px_question q = {0}, piece = {0};
+        px_question_said(&q, &pf_lines, r->txn, r->before, strlen(r->before));
+        px_question_answered(&q, r->txn);
+        px_question_said(&q, &pf_lines, r->txn, r->open, strlen(r->open));
+        px_question_said(&piece, &pf_lines, r->txn, r->before, strlen(r->before));
+        px_question_answered(&piece, r->txn);
+        for (const char *p = r->open; *p; p++)
+            px_question_said(&piece, &pf_lines, r->txn, p, 1);
+        if (px_question_harmless(&q) != r->harmless ||
+            px_question_harmless(&piece) != r->harmless)
+            CU_FAIL(r->what);
+    }
+}
+
+/* A transaction that wrote is over: the next one begins anew. */
+static void an_ended_transaction_is_forgotten(void)
+{
+    struct px_question q = {0};
+    const char *write = "QUERY a WRITE x y\r\n", *commit = "QUERY b COMMIT\r\n";
+    px_question_said(&q, &pf_lines, PX_IN_TXN, write, strlen(write));
+    px_question_answered(&q, PX_IN_TXN);
+    px_question_said(&q, &pf_lines, PX_IN_TXN, commit, strlen(commit));
+    CU_ASSERT(q.ends && !px_question_harmless(&q));
+    px_question_answered(&q, PX_IDLE);
+    px_question_said(&q, &pf_lines, PX_IN_TXN, commit, strlen(commit));
+    CU_ASSERT(px_question_harmless(&q));
+}
+
+/* A line longer than what is looked at counts by its beginning. */
+static void long_lines_count_by_their_beginning(void)
+{
+    struct px_question q = {0};
+    char line[600];
+    memset(line, 'x', sizeof(line));
+    sr_move(line, "QUERY a WRITE ", 14);
+    line[sizeof(line) - 1] = '\n';
+    px_question_said(&q, &pf_lines, PX_IDLE, line, sizeof(line));
+    CU_ASSERT(q.open == 1 && !px_question_harmless(&q));
+}
+
+void neighbor_suite(void)
+{
+    CU_pSuite s = CU_add_suite("neighbor", NULL, NULL);
+    TEST(s, a_frozen_holder_is_known_within_half_a_second);
+    TEST(s, a_slow_answer_is_no_silence);
+    TEST(s, a_trial_clears_it);
+    TEST(s, trials_are_few);
+    TEST(s, who_refuses_is_asked_last);
+    TEST(s, what_may_be_kept_is_not_called_harmless);
+    TEST(s, an_ended_transaction_is_forgotten);
+    TEST(s, long_lines_count_by_their_beginning);
+}
--- /dev/null
+++ b/tests/unit/test_silence.c
@@ -0,0 +1,276 @@
+/* The way of relayed sessions round nodes that are silent or can't be reached: what a caller is
+ * told, how soon, and who is asked to pass its session on. Real sockets on loopback. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "misc/clock.h"
+#include "proxy/proxy.h"
+#include "task/net.h"
+#include "tests/unit/one_node.h"
+#include "tests/unit/unit.h"
+
+enum { NODES = 5, HOLDERS = 3 };
+
+static const char document_text[] =
+    "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"db\",\"pathPrefix\":\"/\",\"kind\":"
+    "\"primary\",\"timeoutMs\":1000,\"latencySloMs\":200,\"priority\":1,\"service\":\"g\","
+    "\"maxAttempts\":2}],\"services\":[{\"name\":\"g\",\"healthPath\":\"/\",\"maxConns\":1,"
+    "\"syncReplicas\":0}],\"limits\":{\"txIdleMs\":3000}}";
+
+static struct {
+    struct nt_loop *loop;
+    struct px_proxy *p;
+    struct nt_timer tick, late, freeze;
+    bool greets,
+        frozen;     /* the other node: it opens sessions; it takes bytes and says nothing */
+    bool in_txn;    /* its answers leave a transaction open */
+    int opened;     /* sessions there, trials too */
+    char hello[80]; /* the first line that it got */
+    const char *open_with, *first, *second; /* the caller's words; NULL: none */
+    int said;
+    struct sr_buf got; /* by the caller */
+    int64_t greeted_at, asked_at, told_at;
+    bool closed;
+} w;
+
+static void stop(void *ud)
+{
+    (void)ud;
+    nt_stop(w.loop);
+}
+
+static void tick(void *ud)
+{
+    (void)ud;
+    px_tick(w.p, ck_now());
+    nt_timer_set(w.loop, &w.tick, CK_MS(5), tick, NULL);
+}
+
+/* ---- the other node ---- */
+
+static void there_open(struct nt_conn *c, void *ud)
+{
+    (void)c;
+    (void)ud;
+}
+
+static void there_message(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    (void)ud;
+    bool opens = len > 7 && memcmp(data, "STARTUP", 7) == 0;
+    if (opens && !w.hello[0])
+        snprintf(w.hello, sizeof(w.hello), "%.*s", (int)len, data);
+    w.opened += opens;
+    if (w.frozen)
+        return;
+    if (opens && !w.greets)
+        nt_close(c, true);
+    else if (opens)
+        nt_send(c, "READY I -\r\n", 11);
+    else
+        nt_send(c, w.in_txn ? "COMPLETE x\r\nREADY T -\r\n" : "COMPLETE x\r\nREADY I -\r\n",
+                23);
+}
+
+static void there_close(struct nt_conn *c, void *ud, bool opened, bool refused)
+{
+    (void)c;
+    (void)ud;
+    (void)opened;
+    (void)refused;
+}
+
+static const struct nt_ops there_ops = {there_open, there_message, there_close};
+
+static void *there_accept(struct nt_conn *c, void *ud)
+{
+    (void)c;
+    (void)ud;
+    return &w;
+}
+
+/* ---- the caller ---- */
+
+static void say(struct nt_conn *c, const char *line)
+{
+    w.said++;
+    w.asked_at = ck_now();
+    nt_send(c, line, strlen(line));
+}
+
+static void caller_open(struct nt_conn *c, void *ud)
+{
+    (void)ud;
+    nt_send(c, w.open_with, strlen(w.open_with));
+}
+
+static void caller_message(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    (void)ud;
+    sr_buf_add(&w.got, data, len);
+    w.told_at = ck_now();
+    const char *next = w.said == 0 ? w.first : w.said == 1 ? w.second : NULL;
+    bool last = w.said == 0 ? !w.second : w.said == 1;
+    if (w.said == 0)
+        w.greeted_at = w.told_at;
+    if (next && !w.closed) {
+        w.frozen = last && w.greets; /* the last question finds it frozen */
+        say(c, next);
+    } else if (!next && w.said == 0) {
+        nt_stop(w.loop); /* a greeting is all that is wanted */
+    }
+}
+
+static void caller_close(struct nt_conn *c, void *ud, bool opened, bool refused)
+{
+    (void)c;
+    (void)ud;
+    (void)opened;
+    (void)refused;
+    w.closed = true;
+    nt_stop(w.loop);
+}
+
+static const struct nt_ops caller_ops = {caller_open, caller_message, caller_close};
+
+/* ---- the proxy between them ---- */
+
+/* Holders are at one port, the others at another; ours is the first that holds nothing. */
+static const char *fill_nodes(struct ho_node nodes[NODES], int holders_port, int others_port)
+{
+    int holders[HO_MAX_HOLDERS];
+    const char *ours = NULL;
+    for (int i = 0; i < NODES; i++) {
+        nodes[i] = (struct ho_node){.domain = "z", .ip = "127.0.0.1"};
+        snprintf(nodes[i].name, sizeof(nodes[i].name), "n%d", i);
+    }
+    ho_prepare(nodes, NODES);
+    int k = ho_pick(nodes, NODES, "g", HOLDERS, holders);
+    for (int i = 0; i < NODES; i++) {
+        bool holds = false;
+        for (int h = 0; h < k; h++)
+            holds = holds || holders[h] == i;
+        nodes[i].port = holds ? holders_port : others_port;
+        if (!holds && !ours)
+            ours = nodes[i].name;
+    }
+    return ours;
+}
+
+static void make_proxy(const char *name, int port)
+{
+    static struct vw_group group;
+    struct vw_view view = {.generation = 1, .n = 1, .groups = &group};
+    w.p = on_create(w.loop, name, port, 8, NULL);
+    group = (struct vw_group){.name = "g", .term = 1, .n = 1};
+    group.inst[0] = (struct vw_instance){.id = "i", .ip = "127.0.0.1", .domain = "z"};
+    group.inst[0].port = on_free_port(); /* nobody is there */
+    view.doc = (struct vw_document){1, strdup(document_text), strlen(document_text)};
+    px_view(w.p, &view);
+    free(view.doc.text);
+}
+
+/* The caller opens a session at a node that holds nothing. The other node stands for its
+ * holders, or for those that hold nothing while nobody is at the holders' addresses. */
+static void call(bool holders_there)
+{
+    struct er_err err = {0};
+    struct ho_node nodes[NODES];
+    int there = on_free_port(), nobody = on_free_port(), here = on_free_port();
+    w.loop = nt_loop_create(64, &err);
+    struct nt_listen l = {.ip = "127.0.0.1",
+                          .port = there,
+                          .stream = true,
+                          .ops = &there_ops,
+                          .accept = there_accept};
+    CU_ASSERT_PTR_NOT_NULL(nt_listen(w.loop, &l, &err));
+    make_proxy(fill_nodes(nodes, holders_there ? there : nobody, there), here);
+    px_nodes(w.p, nodes, NODES);
+    tick(NULL);
+    nt_connect_stream(w.loop, "127.0.0.1", here, &caller_ops, &w);
+    nt_timer_set(w.loop, &w.late, CK_SEC(3), stop, NULL);
+    nt_run(w.loop);
+    nt_timer_cancel(&w.late);
+    nt_timer_cancel(&w.tick);
+}
+
+static void reset(const char *open_with, const char *first, const char *second)
+{
+    sr_buf_free(&w.got);
+    memset(&w, 0, sizeof(w));
+    w.greets = true;
+    w.open_with = open_with;
+    w.first = first;
+    w.second = second;
+}
+
+static bool told(const char *what)
+{
+    return w.got.p && memmem(w.got.p, w.got.len, what, strlen(what));
+}
+
+static const char caller_opens[] = "STARTUP db me\r\n";
+
+/* Promise attacked: what is told of a question at a silent node is true, and comes in time. */
+static const struct row {
+    const char *what, *first, *second;
+    bool in_txn;
+    const char *told;
+    int within_ms, not_before_ms;
+} rows[] = {
+    {"a read is told at once", "QUERY a READ x\r\n", NULL, false, "ERROR BUSY ", 800, 0},
+    {"a write is not called harmless, and told after its route's second",
+     "QUERY a WRITE x y\r\n", NULL, false, "ERROR INDOUBT ", 1500, 1000},
+    {"a statement of a transaction is rolled back", "QUERY a BEGIN\r\n",
+     "QUERY b WRITE x y\r\n", true, "ERROR ABORTED ", 800, 0},
+    {"COMMIT after a write may have run", "QUERY a WRITE x y\r\n", "QUERY b COMMIT\r\n", true,
+     "ERROR INDOUBT ", 1500, 1000},
+};
+
+/* Load: the node that holds a group freezes; its kernel takes bytes still. */
+static void a_silent_holder_keeps_no_caller(void)
+{
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        const struct row *r = &rows[i];
+        reset(caller_opens, r->first, r->second);
+        w.in_txn = r->in_txn;
+        call(true);
+        int64_t took = w.told_at - w.asked_at;
+        if (!told(r->told) || !w.closed || took > CK_MS(r->within_ms) ||
+            took < CK_MS(r->not_before_ms))
+            CU_FAIL(r->what);
+    }
+    sr_buf_free(&w.got);
+}
+
+/* Load: nodes are cut off from all holders, and from none of their neighbours. */
+static void who_reaches_no_holder_is_passed_on(void)
+{
+    reset(caller_opens, NULL, NULL);
+    call(false);
+    CU_ASSERT(told("READY I "));
+    CU_ASSERT(strncmp(w.hello, "STARTUP db ~ferry+.1 ", 21) == 0);
+    sr_buf_free(&w.got);
+}
+
+/* The other side of it: a node that holds nothing passes the session on to a holder, once. */
+static void a_session_is_passed_on_once(void)
+{
+    reset("STARTUP db ~ferry+.1 me\r\n", NULL, NULL);
+    call(true);
+    CU_ASSERT(told("READY I "));
+    CU_ASSERT(strncmp(w.hello, "STARTUP db ~ferry.1 ", 20) == 0);
+    reset("STARTUP db ~ferry+.1 me\r\n", NULL, NULL);
+    call(false);
+    CU_ASSERT(!told("READY") && w.closed && !w.hello[0]);
+    sr_buf_free(&w.got);
+}
+
+void silence_suite(void)
+{
+    CU_pSuite s = CU_add_suite("silence", NULL, NULL);
+    TEST(s, a_silent_holder_keeps_no_caller);
+    TEST(s, who_reaches_no_holder_is_passed_on);
+    TEST(s, a_session_is_passed_on_once);
+}
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -30,6 +30,8 @@
 void net_suite(void);
 void pace_suite(void);
 void relay_suite(void);
+void neighbor_suite(void);
+void silence_suite(void);
 void holding_suite(void);
 void opening_suite(void);
 void accounts_suite(void);
