control: what links, calls and probes are spent on, by kind

An operator who saw control's VMs full could not tell which messages or calls it was. Each control node counts messages and bytes by kind and way, outside calls by what they ask and how they were answered, plain HTTP connections against the requests on them, and probes; metrics have them since the start and a line "traffic" every ten seconds what was new. No decision changes.

--- a/control/control.c
+++ b/control/control.c
@@ -165,6 +165,7 @@
     ct_members_tick(n, now);
     ct_orders_tick(n, now);
     ct_ops_tick(n, now);
+    ct_tell_traffic(n, now);
     ct_compact_tick(n);
     if (n->stopping && (qr_role(n->q) != QR_LEADER || now > n->stop_by)) {
         end(n, false);
--- a/control/control.h
+++ b/control/control.h
@@ -3,6 +3,7 @@
 #ifndef FL_CONTROL_CONTROL_H
 #define FL_CONTROL_CONTROL_H
 
+#include "control/tally.h"
 #include "catalog/catalog.h"
 #include "endpoint/endpoint.h"
 #include "intent/intent.h"
@@ -216,11 +217,14 @@
     struct hi_hist force;
     struct ct_waiting waiting[CT_MAX_WAITING];
     bool was_leader;
-    bool failed;                    /* the disk failed */
-    uint64_t applied_bytes;         /* of changes, since the last snapshot */
-    uint64_t snapshot_bytes;        /* of the last snapshot made here */
-    bool document_due;              /* ct_document_changed is to be called */
-    bool disk_full;                 /* writes wait for room */
+    bool failed;             /* the disk failed */
+    uint64_t applied_bytes;  /* of changes, since the last snapshot */
+    uint64_t snapshot_bytes; /* of the last snapshot made here */
+    bool document_due;       /* ct_document_changed is to be called */
+    bool disk_full;          /* writes wait for room */
+    struct ty_tally tally;
+    int64_t tally_told_at;
+    struct nt_counters net_told;    /* at the last report */
     struct nt_traffic peer_traffic; /* on connections to other control nodes made here */
     bool stopping;
     int64_t stop_by;
@@ -352,6 +356,8 @@
 bool ct_founders(struct ct_node *n, bool found, struct qr_members *m, struct er_err *err);
 
 /* ops.c */
+/* Log what links and calls were used for, now and then. */
+void ct_tell_traffic(struct ct_node *n, int64_t now);
 bool ct_ops_listen(struct ct_node *n, struct er_err *err);
 /* A change was applied, or refused with `err`: answer who waits for it. */
 void ct_ops_applied(struct ct_node *n, const struct vw_change *ch, const struct er_err *err);
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -67,6 +67,7 @@
     n->c.views++;
     n->c.snapshots += whole;
     n->c.view_bytes += f->bytes.len;
+    ty_out(&n->tally, WR_VIEW, f->bytes.len);
     vp_spent(&n->pace, (int64_t)f->bytes.len);
     c->sent_gen = n->view.generation;
     c->sent_at = ck_now();
@@ -239,6 +240,7 @@
     const struct ct_frame *f = nodes_frame(n, to->nodes_hash);
     n->c.node_lists++;
     n->c.node_list_bytes += f->bytes.len;
+    ty_out(&n->tally, WR_NODES, f->bytes.len);
     to->nodes_hash = f->to;
     to->nodes_sent = now;
     if (to->net)
--- a/control/ops.c
+++ b/control/ops.c
@@ -4,7 +4,7 @@
 #include "control/control.h"
 #include "misc/clock.h"
 
-enum { WAIT_US = 5000000 };
+enum { WAIT_US = 5000000, TELL_TRAFFIC_US = 10000000 };
 
 static void reply(struct nt_conn *c, int status, json_t *o)
 {
@@ -114,6 +114,10 @@
         {"peer_bytes_out_total", n->peer_traffic.bytes_out},
         {"net_bytes_in_total", nt_stats(n->loop)->bytes_in},
         {"net_bytes_out_total", nt_stats(n->loop)->bytes_out},
+        {"http_connections_total", nt_stats(n->loop)->http_accepted},
+        {"http_requests_total", nt_stats(n->loop)->http_requests},
+        {"http_ended_by_us_total", nt_stats(n->loop)->http_ended_by_us},
+        {"http_closed_total", nt_stats(n->loop)->http_closed},
         {"net_bad_frames_total", nt_stats(n->loop)->bad_frames},
         {"net_oversized_total", nt_stats(n->loop)->oversized},
     };
@@ -122,11 +126,35 @@
                       (unsigned long long)rows[i].v);
 }
 
+void ct_tell_traffic(struct ct_node *n, int64_t now)
+{
+    bool due = n->tally_told_at && now - n->tally_told_at >= TELL_TRAFFIC_US;
+    if (due || !n->tally_told_at)
+        n->tally_told_at = now;
+    if (!due)
+        return;
+    const struct nt_counters *st = nt_stats(n->loop), *was = &n->net_told;
+    struct sr_buf b = {0};
+    ty_report(&n->tally, &b);
+    FL_EVENT(
+        &n->log, LG_INFO, "traffic",
+        "leads=%d entry_nodes=%d connections=%llu requests=%llu ended_by_us=%llu "
+        "closed=%llu open=%llu %.*s",
+        n->leading, n->n_conns, (unsigned long long)(st->http_accepted - was->http_accepted),
+        (unsigned long long)(st->http_requests - was->http_requests),
+        (unsigned long long)(st->http_ended_by_us - was->http_ended_by_us),
+        (unsigned long long)(st->http_closed - was->http_closed),
+        (unsigned long long)(st->http_accepted - st->http_closed), (int)b.len, b.p ? b.p : "");
+    n->net_told = *st;
+    sr_buf_free(&b);
+}
+
 static void metrics(struct ct_node *n, struct nt_conn *c)
 {
     struct sr_buf b = {0};
     put_counters(&b, n);
     put_shares(&b, &n->shares);
+    ty_metrics(&n->tally, &b);
     nt_http_reply(c, 200, "text/plain; version=0.0.4", b.p, b.len);
     sr_buf_free(&b);
 }
--- a/control/peers.c
+++ b/control/peers.c
@@ -10,10 +10,11 @@
     MAX_QUEUED_TO_PEER = 4 << 20
 };
 
-static void send_on(struct nt_conn *net, const struct wr_msg *m)
+static void send_on(struct ct_node *n, struct nt_conn *net, const struct wr_msg *m)
 {
     struct sr_buf b = {0};
     wr_encode(&b, m);
+    ty_out(&n->tally, m->type, b.len);
     nt_send(net, b.p, b.len);
     sr_buf_free(&b);
 }
@@ -21,7 +22,7 @@
 void ct_send_conn(struct ct_conn *c, const struct wr_msg *m)
 {
     if (c->net)
-        send_on(c->net, m);
+        send_on(c->node, c->net, m);
 }
 
 /* ---- our connections to other control nodes ---- */
@@ -40,7 +41,7 @@
 {
     struct ct_peer *p = peer_of(n, id);
     if (p && p->net && p->open && nt_queued(p->net) < MAX_QUEUED_TO_PEER)
-        send_on(p->net, m);
+        send_on(n, p->net, m);
 }
 
 static struct ct_peer *peer_add(struct ct_node *n, const struct qr_member *m)
@@ -97,7 +98,7 @@
                                 .role = WR_ROLE_CONTROL,
                                 .id = n->id,
                                 .expect = expect};
-    send_on(net, &m);
+    send_on(n, net, &m);
 }
 
 static void peer_open(struct nt_conn *net, void *ud)
@@ -287,7 +288,10 @@
         FL_WARN(&c->node->log, "from %s: %s; closing", c->name[0] ? c->name : "a peer",
                 err.text);
         nt_close(net, true);
-    } else if (m.type == WR_HELLO) {
+        return;
+    }
+    ty_in(&c->node->tally, m.type, len);
+    if (m.type == WR_HELLO) {
         on_hello(c, &m.hello);
     } else if (!c->greeted) {
         c->node->c.bad_messages++;
--- /dev/null
+++ b/control/tally.c
@@ -0,0 +1,104 @@
+#include "control/tally.h"
+
+static const char *const types[WR_TYPES] = {
+    [WR_HELLO] = "hello",           [WR_QUORUM] = "quorum",     [WR_RENEW] = "renew",
+    [WR_GRANT] = "grant",           [WR_NOT_LEADER] = "leader", [WR_VIEW] = "view",
+    [WR_ACK] = "ack",               [WR_SHARES] = "shares",     [WR_CHECK] = "check",
+    [WR_CHECKED] = "checked",       [WR_PROBES] = "probes",     [WR_SUSPECT] = "suspect",
+    [WR_NODES] = "nodes",           [WR_CONTROLS] = "controls",
+};
+static const char *const calls[TY_CALLS] = {"beat", "leave", "configure", "fetch"};
+static const char *const answers[TY_ANSWERS] = {"done", "elsewhere", "refused", "unable"};
+static const char *const probes[TY_PROBES] = {"opened", "asked", "answered", "closed"};
+
+static void add(struct ty_sum *s, size_t bytes)
+{
+    s->n++;
+    s->bytes += bytes;
+}
+
+void ty_in(struct ty_tally *t, enum wr_type type, size_t bytes)
+{
+    add(&t->all.in[type], bytes);
+}
+
+void ty_out(struct ty_tally *t, enum wr_type type, size_t bytes)
+{
+    add(&t->all.out[type], bytes);
+}
+
+void ty_called(struct ty_tally *t, enum ty_call call, enum ty_answer answer)
+{
+    t->all.calls[call][answer]++;
+}
+
+void ty_probed(struct ty_tally *t, enum ty_probe what)
+{
+    t->all.probes[what]++;
+}
+
+static void report_messages(const char *way, const struct ty_sum *all,
+                            const struct ty_sum *told, struct sr_buf *out)
+{
+    for (int i = 0; i < WR_TYPES; i++) {
+        uint64_t n = all[i].n - told[i].n, bytes = all[i].bytes - told[i].bytes;
+        if (n)
+            sr_buf_printf(out, "%s%s.%s=%llu/%llu", out->len ? " " : "", way, types[i],
+                          (unsigned long long)n, (unsigned long long)bytes);
+    }
+}
+
+static void report_calls(const struct ty_counts *all, const struct ty_counts *told,
+                         struct sr_buf *out)
+{
+    for (int c = 0; c < TY_CALLS; c++) {
+        uint64_t n[TY_ANSWERS], sum = 0;
+        for (int a = 0; a < TY_ANSWERS; a++)
+            sum += n[a] = all->calls[c][a] - told->calls[c][a];
+        if (sum)
+            sr_buf_printf(out, "%scall.%s=%llu/%llu/%llu/%llu", out->len ? " " : "", calls[c],
+                          (unsigned long long)n[TY_DONE], (unsigned long long)n[TY_ELSEWHERE],
+                          (unsigned long long)n[TY_REFUSED], (unsigned long long)n[TY_UNABLE]);
+    }
+}
+
+void ty_report(struct ty_tally *t, struct sr_buf *out)
+{
+    report_messages("in", t->all.in, t->told.in, out);
+    report_messages("out", t->all.out, t->told.out, out);
+    report_calls(&t->all, &t->told, out);
+    for (int i = 0; i < TY_PROBES; i++) {
+        uint64_t n = t->all.probes[i] - t->told.probes[i];
+        if (n)
+            sr_buf_printf(out, "%sprobe.%s=%llu", out->len ? " " : "", probes[i],
+                          (unsigned long long)n);
+    }
+    t->told = t->all;
+}
+
+static void put_messages(const char *way, const struct ty_sum *all, struct sr_buf *out)
+{
+    for (int i = 0; i < WR_TYPES; i++) {
+        if (!types[i])
+            continue;
+        sr_buf_printf(out,
+                      "ferry_control_messages_total{way=\"%s\",kind=\"%s\"} %llu\n"
+                      "ferry_control_message_bytes_total{way=\"%s\",kind=\"%s\"} %llu\n",
+                      way, types[i], (unsigned long long)all[i].n, way, types[i],
+                      (unsigned long long)all[i].bytes);
+    }
+}
+
+void ty_metrics(const struct ty_tally *t, struct sr_buf *out)
+{
+    put_messages("in", t->all.in, out);
+    put_messages("out", t->all.out, out);
+    for (int c = 0; c < TY_CALLS; c++) {
+        for (int a = 0; a < TY_ANSWERS; a++)
+            sr_buf_printf(out, "ferry_control_calls_total{call=\"%s\",answer=\"%s\"} %llu\n",
+                          calls[c], answers[a], (unsigned long long)t->all.calls[c][a]);
+    }
+    for (int i = 0; i < TY_PROBES; i++)
+        sr_buf_printf(out, "ferry_control_probes_total{what=\"%s\"} %llu\n", probes[i],
+                      (unsigned long long)t->all.probes[i]);
+}
--- a/task/http.c
+++ b/task/http.c
@@ -76,7 +76,10 @@
     np_pop_out(c);
     if (rc < 0)
         return -1;
-    return lws_http_transaction_completed(c->wsi) ? -1 : 0;
+    if (!lws_http_transaction_completed(c->wsi))
+        return 0;
+    c->loop->st.http_ended_by_us++;
+    return -1;
 }
 
 int np_http_start(struct nt_listener *ln, struct lws *wsi, const char *uri, size_t len)
@@ -87,8 +90,10 @@
         c->ln = ln;
         c->wsi = wsi;
         c->opened = true;
+        ln->loop->st.http_accepted++;
         lws_set_opaque_user_data(wsi, c);
     }
+    ln->loop->st.http_requests++;
     c->replied = false;
     c->body.len = 0;
     if (!sr_copy(c->path, sizeof(c->path), (struct sr_str){uri, len}))
--- a/task/net.h
+++ b/task/net.h
@@ -56,6 +56,9 @@
 struct nt_counters {
     uint64_t accepted, closed, oversized, queue_overrun, bad_frames, bytes_in, bytes_out;
     uint64_t messages_in, messages_out;
+    /* plain HTTP to our listeners: connections, the requests on them, connections that ended
+     * with our answer, and all that ended */
+    uint64_t http_accepted, http_requests, http_ended_by_us, http_closed;
 };
 
 /* Bytes of some connections, as their user groups them; without the transport's own. */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -18,6 +18,7 @@
     lease_suite();
     view_suite();
     push_suite();
+    tally_suite();
     intent_suite();
     promote_suite();
     store_suite();
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -38,6 +38,8 @@
     WR_CONTROLS,   /* control or observer to whoever connects: where the control nodes are */
 };
 
+enum { WR_TYPES = WR_CONTROLS + 1 }; /* one above the last */
+
 enum wr_role {
     WR_ROLE_ENTRY = 1,
     WR_ROLE_CONTROL,
