--- a/control/agree.c
+++ b/control/agree.c
@@ -148,7 +148,7 @@
                 n->force_gen = index;
                 n->force_since = ck_now();
             }
-            ct_push_view(n);
+            ct_view_changed(n, ch.kind);
             ct_groups_soon(n);
         }
     } else {
--- a/control/control.h
+++ b/control/control.h
@@ -71,7 +71,7 @@
     void (*done)(struct ct_node *n, struct nt_conn *c, const struct er_err *err);
 };
 
-enum { CT_MAX_ORDERS = 64, CT_MAX_SEQS = 512 };
+enum { CT_MAX_ORDERS = 64, CT_MAX_SEQS = 4096 };
 
 /* The newest call of an instance that registers itself. */
 struct ct_seq {
@@ -198,6 +198,7 @@
     struct ct_group **groups;
     struct ix_index group_at, inst_at; /* number in `groups` by group, by instance */
     unsigned ticks;
+    struct vp_news news; /* instances that came or go, not told to entry nodes yet */
     struct vp_pace pace; /* of views to entry nodes; a new leader begins anew */
     struct ct_frame changes_frame, whole_frame; /* of the view, as sent last */
     struct ct_frame nodes_changes, nodes_whole; /* of the list of nodes */
@@ -270,6 +271,8 @@
 /* This node leads now: entry nodes need not look for it. */
 void ct_say_leading(struct ct_conn *c);
 void ct_push_view(struct ct_node *n);
+/* A change was applied: entry nodes are told now, or with others of its kind. */
+void ct_view_changed(struct ct_node *n, enum vw_change_kind kind);
 /* Ask all entry nodes whether the instance answers them; how many were asked. */
 int ct_check_nodes(struct ct_node *n, uint64_t nonce, const char *inst);
 
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -52,13 +52,19 @@
     return f;
 }
 
+/* Whether the node is to learn the newest changes with the next batch. */
+static bool batch_waits(const struct ct_conn *c)
+{
+    return c->node->news.waits && c->sent_gen;
+}
+
 /* Send what the node is missing, once per connection. A node that must wait gets it in a later
  * tick, or with one of its next renewals. */
 static void send_view(struct ct_conn *c, uint64_t has)
 {
     struct ct_node *n = c->node;
     uint64_t from = c->sent_gen > has ? c->sent_gen : has;
-    if (from >= n->view.generation || !vp_take(&n->pace, &c->view_due))
+    if (from >= n->view.generation || batch_waits(c) || !vp_take(&n->pace, &c->view_due))
         return;
     bool whole = ct_needs_whole_view(n, from);
     if (whole && views_queued(n) > MAX_VIEWS_QUEUED)
@@ -94,6 +100,18 @@
     }
 }
 
+/* Instances that come and go: many at once, and callers are served meanwhile. */
+static bool can_wait(enum vw_change_kind kind)
+{
+    return kind == VW_CH_JOIN || kind == VW_CH_LEAVE || kind == VW_CH_DRAIN;
+}
+
+void ct_view_changed(struct ct_node *n, enum vw_change_kind kind)
+{
+    if (vp_changed(&n->news, can_wait(kind), n->n_conns, ck_now()))
+        ct_push_view(n);
+}
+
 static void take_shares(struct ct_conn *c, const struct wr_renew *r, int64_t now)
 {
     struct ct_node *n = c->node;
@@ -270,6 +288,8 @@
 
 void ct_nodes_tick(struct ct_node *n, int64_t now)
 {
+    if (n->leading && vp_news_due(&n->news, n->n_conns, now))
+        ct_push_view(n);
     if (n->leading)
         push_tick(n, now);
     bool tells = n->leading && (n->s->holders || n->s->registers);
@@ -328,7 +348,6 @@
         return;
     }
     struct wr_msg m = granted(n, r);
-    m.grant.generation = n->view.generation;
     int64_t us = r->stopping ? 0 : ls_grant(&n->giver, c->id, qr_vouched_until(n->q), now);
     m.grant.duration_ms = (uint32_t)(us / 1000);
     if (r->stopping)
@@ -341,6 +360,7 @@
     ls_acked(&n->giver, c->id, r->generation);
     note_generation(c, r->generation, now);
     send_view(c, r->generation);
+    m.grant.generation = batch_waits(c) ? c->sent_gen : n->view.generation;
     take_shares(c, r, now);
     send_shares(c, r);
     note_nodes(c, r->nodes, now);
--- a/control/registrations.c
+++ b/control/registrations.c
@@ -42,10 +42,13 @@
                  struct er_err *err)
 {
     struct vw_change ch;
-    if (!ct_may_answer(n, err))
-        return false;
+    struct er_err refused = {0};
     struct ct_seq *s = seq_of(n, b->inst.id);
-    enum rg_need need = rg_beat(&n->view, b, &s->last, &ch, err);
+    enum rg_need need = rg_beat(&n->view, b, &s->last, &ch, &refused);
+    if (!rg_may_end(need) && !ct_may_answer(n, err))
+        return false;
+    if (need == RG_REFUSE)
+        *err = refused;
     /* Only of a call that is acknowledged now: one whose change is not committed may come
      * again. */
     if (need == RG_NOTHING)
--- a/control/tally.c
+++ b/control/tally.c
@@ -1,11 +1,11 @@
 #include "control/tally.h"
 
 static const char *const types[WR_TYPES] = {
-    [WR_HELLO] = "hello",           [WR_QUORUM] = "quorum",     [WR_RENEW] = "renew",
-    [WR_GRANT] = "grant",           [WR_NOT_LEADER] = "leader", [WR_VIEW] = "view",
-    [WR_ACK] = "ack",               [WR_SHARES] = "shares",     [WR_CHECK] = "check",
-    [WR_CHECKED] = "checked",       [WR_PROBES] = "probes",     [WR_SUSPECT] = "suspect",
-    [WR_NODES] = "nodes",           [WR_CONTROLS] = "controls",
+    [WR_HELLO] = "hello",     [WR_QUORUM] = "quorum",     [WR_RENEW] = "renew",
+    [WR_GRANT] = "grant",     [WR_NOT_LEADER] = "leader", [WR_VIEW] = "view",
+    [WR_ACK] = "ack",         [WR_SHARES] = "shares",     [WR_CHECK] = "check",
+    [WR_CHECKED] = "checked", [WR_PROBES] = "probes",     [WR_SUSPECT] = "suspect",
+    [WR_NODES] = "nodes",     [WR_CONTROLS] = "controls",
 };
 static const char *const calls[TY_CALLS] = {"beat", "leave", "configure", "fetch"};
 static const char *const answers[TY_ANSWERS] = {"done", "elsewhere", "refused", "unable"};
--- a/control/tally.h
+++ b/control/tally.h
@@ -1,7 +1,7 @@
 /* What a control node's links and processor are spent on, by kind.
  *
- * An operator who sees control's VMs busy learns from it which messages, which outside calls and
- * which connections it is. Pure. */
+ * An operator who sees control's VMs busy learns from it which messages, which outside calls
+ * and which connections it is. Pure. */
 #ifndef FL_CONTROL_TALLY_H
 #define FL_CONTROL_TALLY_H
 
--- a/registry/registry.c
+++ b/registry/registry.c
@@ -74,6 +74,11 @@
     return vw_check(v, ch, err) ? RG_CHANGE : RG_REFUSE;
 }
 
+bool rg_may_end(enum rg_need need)
+{
+    return need == RG_NOTHING;
+}
+
 enum rg_need rg_leave(const struct vw_view *v, const char *id, struct vw_change *ch)
 {
     const struct vw_group *g = vw_owner(v, id);
--- a/registry/registry.h
+++ b/registry/registry.h
@@ -33,6 +33,9 @@
 /* `last`: of this instance, as far as this node knows. */
 enum rg_need rg_beat(const struct vw_view *v, const struct rg_beat *b,
                      const struct rg_last *last, struct vw_change *ch, struct er_err *err);
+/* Whether a call that needs this is acknowledged by a node that does not lead: all it tells is
+ * in that node's view, so it is committed. */
+bool rg_may_end(enum rg_need need);
 /* The instance of that id ends. */
 enum rg_need rg_leave(const struct vw_view *v, const char *id, struct vw_change *ch);
 
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -126,6 +126,32 @@
     return need;
 }
 
+/* Load: the regular calls of all instances, at nodes that do not lead. Those that tell nothing
+ * new end there; whatever has to be agreed does not. A node whose view is older sends on what
+ * that view lacks. */
+static void calls_that_end_at_a_follower(void)
+{
+    struct vw_view leader, follower;
+    vw_init(&leader);
+    vw_init(&follower);
+    struct rg_beat a = beat("a", 1, true, 1), b = beat("b", 2, false, 1);
+    CU_ASSERT_FALSE(rg_may_end(tell(&leader, &a, 0)));
+    CU_ASSERT_FALSE(rg_may_end(tell(&leader, &b, 0)));
+    tell(&follower, &a, 0); /* b has not come there yet */
+    CU_ASSERT_FALSE(rg_may_end(tell(&follower, &b, 0)));
+    a.seq = b.seq = 2;
+    CU_ASSERT_TRUE(rg_may_end(tell(&leader, &a, 1)));
+    CU_ASSERT_TRUE(rg_may_end(tell(&follower, &a, 1)));
+    a.inst.draining = true;
+    a.seq = 3;
+    CU_ASSERT_FALSE(rg_may_end(tell(&leader, &a, 2)));
+    struct rg_beat again = beat("b", 2, false, 1);
+    again.inst.born = 9;
+    CU_ASSERT_FALSE(rg_may_end(tell(&leader, &again, 0)));
+    struct vw_change ch;
+    CU_ASSERT_FALSE(rg_may_end(rg_leave(&leader, "b", &ch)));
+}
+
 static void instances_calls(void)
 {
     struct vw_view w;
@@ -252,6 +278,7 @@
     TEST(s, every_disk_votes);
     TEST(s, an_odd_number_votes);
     TEST(s, instances_calls);
+    TEST(s, calls_that_end_at_a_follower);
     TEST(s, instances_that_start_again);
     TEST(s, documents_are_checked_whole);
 }
--- a/tests/unit/test_push.c
+++ b/tests/unit/test_push.c
@@ -105,10 +105,67 @@
     CU_ASSERT_EQUAL(left, 0);
 }
 
+/* Views that `instances` coming evenly within `within_us` cost, and the longest that one of
+ * them waited to go out. */
+static int news_of(int instances, int nodes, int64_t within_us, int64_t *longest)
+{
+    struct vp_news w = {0};
+    int pushes = 0, came = 0;
+    int64_t oldest = 0;
+    *longest = 0;
+    for (int64_t t = 0; t < within_us + CK_SEC(1); t += TICK_US) {
+        if (vp_news_due(&w, nodes, t)) {
+            *longest = t - oldest > *longest ? t - oldest : *longest;
+            pushes++;
+        }
+        while (came < instances && within_us * came / instances <= t) {
+            bool waited = w.waits;
+            if (vp_changed(&w, true, nodes, t))
+                pushes++;
+            else if (!waited)
+                oldest = t;
+            came++;
+        }
+    }
+    CU_ASSERT_FALSE(w.waits);
+    return pushes * nodes;
+}
+
+/* Load: instances that all come within a call's interval, to deployments of each size. The
+ * leader's views follow the time that passes, not instances times nodes, and none waits for
+ * longer than a quarter of a lease. */
+static void instances_that_come_together(void)
+{
+    enum { BEAT_US = 1200000, A_SECOND = 1100, LEASE_US = 1200000 };
+    static const int nodes[] = {30, 100, 300, 1000};
+    static const int instances[] = {90, 300, 900, 3000};
+    for (int i = 0; i < 4; i++) {
+        int64_t longest;
+        int views = news_of(instances[i], nodes[i], BEAT_US, &longest);
+        int most = A_SECOND * 2 > nodes[i] * 6 ? A_SECOND * 2 : nodes[i] * 6;
+        CU_ASSERT(views <= most);
+        CU_ASSERT(longest <= LEASE_US / 4 + TICK_US);
+    }
+}
+
+/* One that comes alone is told at once, and what can't wait takes along what did. */
+static void only_what_can_wait_waits(void)
+{
+    struct vp_news w = {0};
+    CU_ASSERT_TRUE(vp_changed(&w, true, NODES, CK_SEC(1)));
+    CU_ASSERT_FALSE(vp_changed(&w, true, NODES, CK_SEC(1) + 1));
+    CU_ASSERT_TRUE(vp_changed(&w, false, NODES, CK_SEC(1) + 2));
+    CU_ASSERT_FALSE(w.waits);
+    CU_ASSERT_FALSE(vp_news_due(&w, NODES, CK_SEC(9)));
+    CU_ASSERT_TRUE(vp_changed(&w, true, NODES, CK_SEC(10)));
+}
+
 void push_suite(void)
 {
     CU_pSuite s = CU_add_suite("push", NULL, NULL);
     TEST(s, heartbeats_pass_large_views);
     TEST(s, small_views_are_not_held);
     TEST(s, what_is_held_goes_out_by_itself);
+    TEST(s, instances_that_come_together);
+    TEST(s, only_what_can_wait_waits);
 }
--- a/tests/unit/test_tally.c
+++ b/tests/unit/test_tally.c
@@ -18,8 +18,7 @@
     ty_called(&t, TY_BEAT, TY_ELSEWHERE);
     ty_probed(&t, TY_ASKED);
     ty_report(&t, &b);
-    CU_ASSERT_STRING_EQUAL(b.p,
-                           "in.renew=2/150 out.view=1/7 call.beat=0/1/0/0 probe.asked=1");
+    CU_ASSERT_STRING_EQUAL(b.p, "in.renew=2/150 out.view=1/7 call.beat=0/1/0/0 probe.asked=1");
     b.len = 0;
     ty_called(&t, TY_BEAT, TY_DONE);
     ty_report(&t, &b);
--- a/view/push.c
+++ b/view/push.c
@@ -10,6 +10,10 @@
     BURST = 384 * 1024,
     SLOWER_EVERY_US = 200000, /* until a lower rate shows in what is heard */
     SECOND_US = 1000000,
+    /* Batches of news: a thousand views a second, of which each is five messages at the
+     * leader; and well within the time for which a node's lease outlives its renewal. */
+    NEWS_A_NODE_US = 1000,
+    NEWS_MOST_US = 300000,
 };
 
 static int64_t within(int64_t v, int64_t least, int64_t most)
@@ -57,3 +61,27 @@
 {
     p->credit -= bytes;
 }
+
+static void news_sent(struct vp_news *w, int nodes, int64_t now)
+{
+    w->waits = false;
+    w->next = now + within((int64_t)nodes * NEWS_A_NODE_US, 0, NEWS_MOST_US);
+}
+
+bool vp_changed(struct vp_news *w, bool can_wait, int nodes, int64_t now)
+{
+    if (can_wait && now < w->next) {
+        w->waits = true;
+        return false;
+    }
+    news_sent(w, nodes, now);
+    return true;
+}
+
+bool vp_news_due(struct vp_news *w, int nodes, int64_t now)
+{
+    if (!w->waits || now < w->next)
+        return false;
+    news_sent(w, nodes, now);
+    return true;
+}
--- a/view/push.h
+++ b/view/push.h
@@ -31,4 +31,19 @@
 /* One of so many bytes went out. */
 void vp_spent(struct vp_pace *p, int64_t bytes);
 
+/* News that can wait a moment for more of its kind.
+ *
+ * Pattern: hundreds of instances come at once, each a change that goes to every node, which
+ * acknowledges it and asks for connections. Zero-initialised: the first goes out at once. */
+struct vp_news {
+    int64_t next; /* the earliest time of the next batch */
+    bool waits;   /* changes that did not go out yet */
+};
+
+/* The view changed, as `nodes` nodes have to learn. Whether it goes out now; what waited goes
+ * with it. If not, vp_news_due will say when. */
+bool vp_changed(struct vp_news *w, bool can_wait, int nodes, int64_t now);
+/* Regularly: whether what waits goes out now. */
+bool vp_news_due(struct vp_news *w, int nodes, int64_t now);
+
 #endif
