--- a/control/ops.c
+++ b/control/ops.c
@@ -135,16 +135,20 @@
         return;
     const struct nt_counters *st = nt_stats(n->loop), *was = &n->net_told;
     struct sr_buf b = {0};
+    uint64_t syncs;
+    int64_t longest;
+    dk_stats(n->disk, &syncs, &longest);
     ty_report(&n->tally, &b);
     FL_EVENT(
         &n->log, LG_INFO, "traffic",
         "leads=%d entry_nodes=%d connections=%llu requests=%llu ended_by_us=%llu "
-        "closed=%llu open=%llu %.*s",
+        "closed=%llu open=%llu syncs=%llu longest_sync_ms=%lld %.*s",
         n->leading, n->n_conns, (unsigned long long)(st->http_accepted - was->http_accepted),
         (unsigned long long)(st->http_requests - was->http_requests),
         (unsigned long long)(st->http_ended_by_us - was->http_ended_by_us),
         (unsigned long long)(st->http_closed - was->http_closed),
-        (unsigned long long)(st->http_accepted - st->http_closed), (int)b.len, b.p ? b.p : "");
+        (unsigned long long)(st->http_accepted - st->http_closed), (unsigned long long)syncs,
+        (long long)(longest / 1000), (int)b.len, b.p ? b.p : "");
     n->net_told = *st;
     sr_buf_free(&b);
 }
