--- a/control/control.c
+++ b/control/control.c
@@ -58,6 +58,7 @@
     n->step_index = 0;
     n->force_gen = 0;
     n->in_force_since = 0;
+    n->news = (struct vp_news){0};
     n->pace = (struct vp_pace){0};
     vp_tick(&n->pace, 0, 0, now);
     ls_giver_begin(&n->giver, CK_MS(n->s->lease_ms), now, first);
@@ -165,6 +166,7 @@
     ct_members_tick(n, now);
     ct_orders_tick(n, now);
     ct_ops_tick(n, now);
+    ct_tell_traffic(n, now);
     ct_compact_tick(n);
     if (n->stopping && (qr_role(n->q) != QR_LEADER || now > n->stop_by)) {
         end(n, false);
--- a/control/control.h
+++ b/control/control.h
@@ -3,6 +3,7 @@
 #ifndef FL_CONTROL_CONTROL_H
 #define FL_CONTROL_CONTROL_H
 
+#include "control/tally.h"
 #include "catalog/catalog.h"
 #include "endpoint/endpoint.h"
 #include "intent/intent.h"
@@ -70,7 +71,7 @@
     void (*done)(struct ct_node *n, struct nt_conn *c, const struct er_err *err);
 };
 
-enum { CT_MAX_ORDERS = 64, CT_MAX_SEQS = 512 };
+enum { CT_MAX_ORDERS = 64, CT_MAX_SEQS = 4096 };
 
 /* The newest call of an instance that registers itself. */
 struct ct_seq {
@@ -197,6 +198,7 @@
     struct ct_group **groups;
     struct ix_index group_at, inst_at; /* number in `groups` by group, by instance */
     unsigned ticks;
+    struct vp_news news; /* instances that came or go, not told to entry nodes yet */
     struct vp_pace pace; /* of views to entry nodes; a new leader begins anew */
     struct ct_frame changes_frame, whole_frame; /* of the view, as sent last */
     struct ct_frame nodes_changes, nodes_whole; /* of the list of nodes */
@@ -216,11 +218,14 @@
     struct hi_hist force;
     struct ct_waiting waiting[CT_MAX_WAITING];
     bool was_leader;
-    bool failed;                    /* the disk failed */
-    uint64_t applied_bytes;         /* of changes, since the last snapshot */
-    uint64_t snapshot_bytes;        /* of the last snapshot made here */
-    bool document_due;              /* ct_document_changed is to be called */
-    bool disk_full;                 /* writes wait for room */
+    bool failed;             /* the disk failed */
+    uint64_t applied_bytes;  /* of changes, since the last snapshot */
+    uint64_t snapshot_bytes; /* of the last snapshot made here */
+    bool document_due;       /* ct_document_changed is to be called */
+    bool disk_full;          /* writes wait for room */
+    struct ty_tally tally;
+    int64_t tally_told_at;
+    struct nt_counters net_told;    /* at the last report */
     struct nt_traffic peer_traffic; /* on connections to other control nodes made here */
     bool stopping;
     int64_t stop_by;
@@ -266,6 +271,8 @@
 /* This node leads now: entry nodes need not look for it. */
 void ct_say_leading(struct ct_conn *c);
 void ct_push_view(struct ct_node *n);
+/* A change was applied: entry nodes are told now, or with others of its kind. */
+void ct_view_changed(struct ct_node *n, enum vw_change_kind kind);
 /* Ask all entry nodes whether the instance answers them; how many were asked. */
 int ct_check_nodes(struct ct_node *n, uint64_t nonce, const char *inst);
 
@@ -352,6 +359,8 @@
 bool ct_founders(struct ct_node *n, bool found, struct qr_members *m, struct er_err *err);
 
 /* ops.c */
+/* Log what links and calls were used for, now and then. */
+void ct_tell_traffic(struct ct_node *n, int64_t now);
 bool ct_ops_listen(struct ct_node *n, struct er_err *err);
 /* A change was applied, or refused with `err`: answer who waits for it. */
 void ct_ops_applied(struct ct_node *n, const struct vw_change *ch, const struct er_err *err);
