limit: a new leader gives the rate from its first moment; a holder's place is looked up after others' ended

Cause: while permits of earlier leaders may be out (1.32 s), a new leader's bucket filled by at most 0.45 of the depth in all that time, half the rate of a large account. Change: the bucket fills at the rate; what is bounded by that part of the depth is the leader's own permits that are unused, and those reported used make room. Found by the exploration on the way: lm_ask kept a pointer to a holder while ended holders were dropped, which moves others, so permits were given that nobody counted. Ruled out: shares (not waited for where instances count), the document, the list of nodes: all there 0.1 s after the leader. Open: several leaders in a row within 1.32 s leave more than the depth, before and after (docs/OPEN.md).

--- a/limit/giver.c
+++ b/limit/giver.c
@@ -27,6 +27,7 @@
 {
     lm_free(g);
     g->tolerance = *t;
+    g->since = now;
     g->quiet_until = first ? now : now + with_drift(LM_LIFE_US);
 }
 
@@ -120,30 +121,38 @@
     return sum;
 }
 
-/* While permits of earlier leaders may be out, what comes in as long as they live is at most
- * what they leave of the depth. */
-static double quiet_flow(const struct lm_giver *g, const struct lm_account *a)
+/* Unused permits of this leader's own, in the bucket and out, while those of earlier leaders
+ * may be out. It grows so that in all the time that those live it is what they leave of the
+ * depth, however many leaders share that time. */
+static double quiet_most(const struct lm_giver *g, const struct lm_account *a, int64_t now)
 {
     double left = whole_depth(g, a) * (1 - LM_OUT_PART);
-    return fmin(a->rate, left * 1e6 / (double)with_drift(LM_LIFE_US));
+    return left * (double)(now - g->since) / (double)with_drift(LM_LIFE_US);
 }
 
-static double flowed(const struct lm_giver *g, const struct lm_account *a, int64_t now)
+static double own_out(const struct lm_account *a)
 {
-    int64_t quiet = (now < g->quiet_until ? now : g->quiet_until) - a->at;
-    if (quiet <= 0)
-        return flow(g, a, a->at) * (double)(now - a->at) / 1e6;
-    int64_t rest = now - a->at - quiet;
-    return (quiet_flow(g, a) * (double)quiet + a->rate * (double)rest) / 1e6;
+    double sum = 0;
+    for (int i = 0; i < a->n; i++)
+        sum += a->holders[i].own;
+    return sum;
 }
 
 /* The bucket has room for what is not out: a permit that nobody used yet is either here or
  * there. */
+static double room(const struct lm_giver *g, struct lm_account *a, double out, int64_t now)
+{
+    double all = depth(g, a, a->at) - out;
+    double quiet = now < g->quiet_until ? quiet_most(g, a, now) - own_out(a) : all;
+    return fmax(fmin(all, quiet), 0);
+}
+
 static void fill(const struct lm_giver *g, struct lm_account *a, int64_t now)
 {
-    double out = out_now(g, a, now), most = depth(g, a, a->at);
+    double out = out_now(g, a, now);
+    double flowed = flow(g, a, a->at) * (double)(now - a->at) / 1e6;
     bool scarce = is_scarce(g, a, a->at);
-    a->level = fmin(fmax(most - out, 0), a->level + flowed(g, a, now));
+    a->level = fmin(room(g, a, out, now), a->level + flowed);
     a->at = now;
     /* Scarce, it is so until its bucket is full. */
     double few = whole_depth(g, a) * SCARCE_PART;
@@ -217,13 +226,14 @@
     if (need < 1)
         return;
     double most = depth(g, a, now), is_out = out_now(g, a, now);
-    double room = floor(most * LM_STOCK_PART - is_out);
-    if (room < 1 && is_out + 1 <= most * LM_OUT_PART)
-        room = 1;
-    double k = fmin(floor(need), fmin(floor(a->level), fmax(room, 0)));
+    double more = floor(most * LM_STOCK_PART - is_out);
+    if (more < 1 && is_out + 1 <= most * LM_OUT_PART)
+        more = 1;
+    double k = fmin(floor(need), fmin(floor(a->level), fmax(more, 0)));
     if (k >= 1) {
         a->level -= k;
         h->out += k;
+        h->own += now < g->quiet_until ? k : 0;
         h->told = seq;
         out->given = (int)k;
     } else if (a->level < 1) {
@@ -239,10 +249,13 @@
     *out = (struct lm_answer){0};
     if (!a)
         return false;
+    out_now(g, a, now); /* what has ended goes first: others' places change with it */
     struct lm_holder *h = holder_of(a, node);
     /* Permits that are on their way to it count until it has told of them. */
     if (has >= h->told || r->held > h->out)
         h->out = r->held;
+    if (has >= h->told)
+        h->own = fmin(h->own, r->held);
     a->level += r->returned;
     fill(g, a, now);
     give(g, a, h, r->want - h->out, seq, now, out);
--- a/limit/limit.h
+++ b/limit/limit.h
@@ -8,8 +8,9 @@
  *   and new ones come at a steady flow. Those that are out are counted until their holder
  *   reports them used, or has not renewed them for LM_LIFE_US: then they end.
  * - A new leader knows nothing of permits of the ones before: at most `LM_OUT_PART` of the
- * depth. Until those have ended it begins with an empty bucket that fills so slowly that it and
- *   whoever led for a moment before it give no more than the rest of the depth.
+ *   depth. Until those have ended its bucket, empty at first, fills at the account's rate, but
+ *   what of its own permits is unused grows so slowly that all of it and of whoever led for a
+ *   moment before it is no more than the rest of the depth. Those reported used make room.
  * - So the operations that begin in any window are at most depth + flow x window, and these are
  *   such that it is rate x window + burst and four fifths of the tolerance. */
 #ifndef FL_LIMIT_LIMIT_H
@@ -48,6 +49,7 @@
 struct lm_holder {
     uint64_t node;
     double out;    /* permits it may have, at most */
+    double own;    /* of them, those that this leader gave while earlier ones' might be out */
     uint64_t told; /* number of the message that gave it the last ones */
 };
 
@@ -69,6 +71,7 @@
 
 struct lm_giver {
     struct lm_tolerance tolerance;
+    int64_t since;       /* it leads */
     int64_t quiet_until; /* permits of earlier leaders may be out until then */
     int n, cap;
     struct lm_account *accounts;
