quorum: voters that all start together elect at once

Cause: after a loss of all power a leader came an election timeout after the start of the third of five voters, as each that starts again keeps quiet for that long. Change: a voter tells in its answer to a pre-vote whether it is fresh; when all voters are, none can have vouched for a leader that is left, and one of them asks for votes at once. The argument is in docs/design/agreement.md.

--- a/quorum/core.h
+++ b/quorum/core.h
@@ -14,6 +14,7 @@
     int64_t last_sent, last_heard;
     bool probing; /* the match point is being looked for: one message at a time */
     bool granted;
+    bool fresh; /* it has met no leader since it started, and may not ask for votes before us */
 };
 
 struct inflight {
@@ -53,7 +54,9 @@
     int64_t round_sent[ROUNDS];
     struct peer peers[QR_MAX_MEMBERS];
     int n_peers;
-    bool transfer; /* this election was asked for by the old leader */
+    bool transfer;   /* this election was asked for by the old leader */
+    bool met_leader; /* since the start: one was heard, or this node led */
+    bool cold;       /* this election: all voters are fresh, no leader is left */
 };
 
 /* Small and everywhere: inline, since the parts are translation units of their own. */
@@ -99,6 +102,7 @@
 /* elect.c */
 void qc_reset_timer(struct qr *q, int64_t now);
 void qc_reset_timer_short(struct qr *q, int64_t now, int64_t least);
+void qc_reset_timer_cold(struct qr *q, int64_t now);
 void qc_send(struct qr *q, struct qr_msg *m);
 void qc_become_follower(struct qr *q, uint64_t term, uint64_t leader, int64_t now);
 void qc_ask_votes(struct qr *q, enum qr_msg_type type);
--- a/quorum/elect.c
+++ b/quorum/elect.c
@@ -22,6 +22,17 @@
     q->deadline = now + least + (int64_t)rn_below(&q->rng, (uint64_t)q->cfg.election_us / 3);
 }
 
+/* A voter that has met no leader since it started asks the others whether they have not either:
+ * often, as an election then need not wait. */
+void qc_reset_timer_cold(struct qr *q, int64_t now)
+{
+    enum { PARTS = 8 };
+    int64_t least = q->cfg.election_us / PARTS;
+    int64_t at = now + least + (int64_t)rn_below(&q->rng, (uint64_t)least + 1);
+    if (!q->met_leader && now < q->quiet_until && at < q->deadline)
+        q->deadline = at;
+}
+
 void qc_send(struct qr *q, struct qr_msg *m)
 {
     m->from = q->cfg.self;
@@ -57,7 +68,8 @@
                            .to = q->peers[i].id,
                            .index = qc_last_index(q),
                            .log_term = qc_last_term(q),
-                           .transfer = q->transfer};
+                           .transfer = q->transfer,
+                           .fresh = type == QR_VOTE && q->cold};
         qc_send(q, &m);
     }
 }
@@ -92,8 +104,10 @@
     }
     q->role = QR_PRECANDIDATE;
     q->leader = 0;
+    q->cold = false;
     qc_reset_peers(q, now);
     qc_reset_timer_short(q, now, q->cfg.election_us / 3);
+    qc_reset_timer_cold(q, now);
     if (qc_votes(q) >= qc_quorum_size(q)) {
         qc_become_candidate(q, now);
         return;
@@ -121,11 +135,65 @@
     return q->leader && now - q->heard_leader < q->cfg.election_us;
 }
 
+/* ---- a start of all voters ---- */
+
+/* No leader was met since the start, and none can come of an election that is under way here.
+ */
+static bool is_fresh(const struct qr *q)
+{
+    return !q->met_leader && q->role != QR_CANDIDATE;
+}
+
+/* Whether each voter of the configuration before the newest votes in the newest: a leader that
+ * was just removed might lead on for a moment, and is not asked. */
+static bool voters_stay(const struct qr *q)
+{
+    const struct qr_members *before = NULL, *newest = NULL;
+    for (uint32_t i = 0; i < q->n; i++) {
+        if (q->log[i].type != QR_MEMBERS)
+            continue;
+        before = newest ? newest : &q->snap_members;
+        newest = (const void *)q->log[i].data;
+    }
+    for (uint32_t i = 0; before && i < before->n; i++) {
+        if (before->m[i].voter && !qr_is_voter(q, before->m[i].id))
+            return false;
+    }
+    return true;
+}
+
+/* Of voters that start together one asks for votes: the one with the longest log, of equal ones
+ * the lowest in number. */
+static bool comes_before(const struct qr *q, const struct qr_msg *m)
+{
+    uint64_t term = qc_last_term(q), index = qc_last_index(q);
+    if (term != m->log_term)
+        return term > m->log_term;
+    return index != m->index ? index > m->index : q->cfg.self < m->from;
+}
+
+/* Whether no process that led before is left: docs/design/agreement.md has the argument. */
+static bool all_fresh(const struct qr *q)
+{
+    if (!is_fresh(q) || !voters_stay(q))
+        return false;
+    int fresh = qr_is_voter(q, q->cfg.self), voters = fresh;
+    for (int i = 0; i < q->n_peers; i++) {
+        bool voter = qr_is_voter(q, q->peers[i].id);
+        voters += voter;
+        fresh += voter && q->peers[i].fresh;
+    }
+    return fresh >= (q->cfg.fault.some_fresh ? qc_quorum_size(q) : voters);
+}
+
 void qc_on_prevote(struct qr *q, const struct qr_msg *m, int64_t now)
 {
     struct qr_msg r = {.type = QR_PREVOTE_R, .to = m->from};
     r.ok = m->term > q->term && log_up_to_date(q, m) && !leader_is_fresh(q, now);
     r.round = m->term;
+    r.fresh = is_fresh(q);
+    r.index = qc_last_index(q);
+    r.log_term = qc_last_term(q);
     qc_send(q, &r);
 }
 
@@ -136,16 +204,19 @@
         return;
     }
     struct peer *p = qc_peer(q, m->from);
-    if (q->role != QR_PRECANDIDATE || !p || !m->ok || m->round != q->term + 1)
+    if (q->role != QR_PRECANDIDATE || !p || m->round != q->term + 1)
         return;
-    p->granted = true;
-    if (qc_votes(q) >= qc_quorum_size(q))
+    p->granted = p->granted || m->ok;
+    p->fresh = m->fresh && m->term == q->term && comes_before(q, m);
+    q->cold = all_fresh(q);
+    if (q->cold || qc_votes(q) >= qc_quorum_size(q))
         qc_become_candidate(q, now);
 }
 
 void qc_on_vote(struct qr *q, const struct qr_msg *m, int64_t now)
 {
-    if (!m->transfer && leader_is_fresh(q, now))
+    bool cold = m->fresh && is_fresh(q);
+    if (!m->transfer && !cold && leader_is_fresh(q, now))
         return;
     if (m->term > q->term)
         qc_become_follower(q, m->term, 0, now);
--- a/quorum/follow.c
+++ b/quorum/follow.c
@@ -48,6 +48,7 @@
     if (m->term > q->term || q->role != QR_FOLLOWER || q->leader != m->from)
         qc_become_follower(q, m->term, m->from, now);
     q->heard_leader = now;
+    q->met_leader = true;
     qc_reset_timer(q, now);
 }
 
--- a/quorum/lead.c
+++ b/quorum/lead.c
@@ -91,6 +91,7 @@
     q->role = QR_LEADER;
     q->leader = q->cfg.self;
     q->leader_since = now;
+    q->met_leader = true;
     qc_reset_peers(q, now);
     memset(q->round_sent, 0, sizeof(q->round_sent));
     qc_append_own(q, QR_NOOP, NULL, 0, now);
--- a/quorum/quorum.c
+++ b/quorum/quorum.c
@@ -44,6 +44,7 @@
     case QR_TIMEOUT_NOW:
         if (m->term == q->term && q->role == QR_FOLLOWER && qr_is_voter(q, q->cfg.self)) {
             q->transfer = true;
+            q->cold = false;
             qc_become_candidate(q, now);
         }
         break;
@@ -254,6 +255,7 @@
     bool quiet = r->term && !cfg->fault.no_quiet;
     q->quiet_until = quiet ? now + cfg->election_us : now;
     qc_reset_timer_short(q, now, cfg->election_us);
+    qc_reset_timer_cold(q, now);
     return q;
 }
 
--- a/quorum/quorum.h
+++ b/quorum/quorum.h
@@ -69,6 +69,9 @@
     uint64_t round; /* which heartbeat round; echoed */
     bool ok;        /* granted, or matched */
     bool transfer;  /* a vote asked for by a handover */
+    /* Of a pre-vote's answer: its sender has met no leader since it started. Of a vote that is
+     * asked for: all voters said so. */
+    bool fresh;
     uint32_t n;
     const struct qr_entry *entries;
     const struct qr_members *members; /* QR_SNAP */
@@ -113,7 +116,8 @@
     void *ud;
     /* For the exploration only: switch a safeguard off and see it found. */
     struct {
-        bool commit_old_terms, no_vote_check, ack_before_sync, forget_vote, no_quiet;
+        bool commit_old_terms, no_vote_check, ack_before_sync, forget_vote, no_quiet,
+            some_fresh;
     } fault;
 };
 
--- a/tests/unit/cluster_sim.c
+++ b/tests/unit/cluster_sim.c
@@ -273,6 +273,7 @@
     cfg.fault.ack_before_sync = s->o->ack_before_sync;
     cfg.fault.forget_vote = s->o->forget_vote || s->o->forget_vote_no_quiet;
     cfg.fault.no_quiet = s->o->no_quiet || s->o->forget_vote_no_quiet;
+    cfg.fault.some_fresh = s->o->some_fresh;
     struct qr_restore r = {.term = n->d.term,
                            .vote = n->d.vote,
                            .snap_index = n->d.snap_index,
@@ -420,6 +421,22 @@
         boot(s, i); /* most crashes are quick restarts */
 }
 
+/* Power comes back to all, or to all but a few; the others may be cut off from those. */
+static void herd(struct sim *s)
+{
+    bool cut = rn_below(&s->rng, 2) == 0;
+    for (int i = 0; i < CS_NODES; i++) {
+        bool stays = rn_below(&s->rng, 8) == 0;
+        s->n[i].island = cut && stays;
+        if (stays)
+            continue;
+        if (s->n[i].up)
+            crash(s, i);
+        if (rn_below(&s->rng, 8) > 0)
+            boot(s, i);
+    }
+}
+
 static void tick_all(struct sim *s)
 {
     s->now += CK_MS(1 + (int64_t)rn_below(&s->rng, 12));
@@ -453,6 +470,9 @@
 
 static void one_step(struct sim *s)
 {
+    enum { HERD_EVERY = 300 };
+    if (s->o->herd && rn_below(&s->rng, HERD_EVERY) == 0)
+        herd(s);
     uint64_t d = rn_below(&s->rng, 1000);
     if (d < 150) {
         tick_all(s);
--- a/tests/unit/cluster_sim.h
+++ b/tests/unit/cluster_sim.h
@@ -16,7 +16,9 @@
     bool commit_old_terms, no_vote_check, ack_before_sync, forget_vote;
     bool no_quiet;
     bool forget_vote_no_quiet; /* both: each hides what the other's absence does */
-    bool trace;                /* print the schedule */
+    bool herd;                 /* now and then most or all nodes start anew together */
+    bool some_fresh;
+    bool trace; /* print the schedule */
 };
 
 struct cs_result {
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -273,10 +273,81 @@
     CU_ASSERT_TRUE(votes_at(251));
 }
 
+/* A voter that starts again is asked for its vote by one to whom all say that they have met no
+ * leader; `heard`: it has met one in between. */
+static bool votes_cold(bool heard)
+{
+    struct qr_config cfg = {
+        .self = 1, .election_us = CK_MS(250), .heartbeat_us = CK_MS(50), .sink = &sink};
+    struct qr_restore r = {
+        .term = 3,
+        .members = {
+            3, {{1, true, "", "", 0, ""}, {2, true, "", "", 0, ""}, {3, true, "", "", 0, ""}}}};
+    n_sent = 0;
+    last_seq = 0;
+    struct qr *q = qr_create(&cfg, &r, 0);
+    struct qr_msg beat = {.type = QR_APPEND, .from = 3, .to = 1, .term = 3};
+    if (heard)
+        qr_receive(q, &beat, CK_MS(5));
+    struct qr_msg ask = {.type = QR_VOTE, .from = 2, .to = 1, .term = 4, .fresh = true};
+    qr_receive(q, &ask, CK_MS(10));
+    qr_persisted(q, last_seq, CK_MS(10));
+    bool vote = n_sent > 0 && sent[n_sent - 1].type == QR_VOTE_R && sent[n_sent - 1].ok;
+    qr_destroy(q);
+    return vote;
+}
+
+/* Whether a voter that starts asks for votes at once, when so many of the two others, the last
+ * with the bits of `last`, have told that they are fresh. */
+static bool asks_cold(int answers, struct qr_msg last)
+{
+    struct qr_config cfg = {
+        .self = 1, .election_us = CK_MS(250), .heartbeat_us = CK_MS(50), .sink = &sink};
+    struct qr_restore r = {
+        .term = 3,
+        .members = {
+            3, {{1, true, "", "", 0, ""}, {2, true, "", "", 0, ""}, {3, true, "", "", 0, ""}}}};
+    n_sent = 0;
+    last_seq = 0;
+    struct qr *q = qr_create(&cfg, &r, 0);
+    qr_tick(q, CK_MS(65)); /* a quarter of an election's time: it asks */
+    CU_ASSERT_TRUE(n_sent == 2 && sent[0].type == QR_PREVOTE);
+    for (int i = 0; i < answers; i++) {
+        struct qr_msg m = {.type = QR_PREVOTE_R, .to = 1, .term = 3, .round = 4, .fresh = true};
+        if (i == answers - 1)
+            m = last;
+        m.from = (uint64_t)i + 2;
+        qr_receive(q, &m, CK_MS(66));
+    }
+    bool asks = qr_role(q) == QR_CANDIDATE;
+    qr_destroy(q);
+    return asks;
+}
+
+/* After a loss of all power nobody waits for a leader's silence: none is left. */
+static void voters_that_all_start_elect_at_once(void)
+{
+    struct qr_msg says = {.type = QR_PREVOTE_R, .to = 1, .term = 3, .round = 4, .fresh = true};
+    CU_ASSERT_TRUE(asks_cold(2, says));
+    CU_ASSERT_FALSE(asks_cold(1, says)); /* the third may lead */
+    struct qr_msg met = says, newer = says, longer = says;
+    met.fresh = false;
+    CU_ASSERT_FALSE(asks_cold(2, met));
+    newer.term = 2; /* it may have come to lead a term that was not asked about */
+    CU_ASSERT_FALSE(asks_cold(2, newer));
+    longer.index = 7;
+    longer.log_term = 3;
+    CU_ASSERT_FALSE(asks_cold(2, longer)); /* that one asks for votes */
+    CU_ASSERT_TRUE(votes_cold(false));
+    CU_ASSERT_FALSE(votes_cold(true));
+}
+
 static void schedules_hold(void)
 {
-    for (uint64_t seed = 1; seed <= 60; seed++) {
-        struct cs_options o = {.seed = seed, .voters = 3, .steps = 1000, .members = true};
+    for (uint64_t seed = 1; seed <= 120; seed++) {
+        bool herd = seed > 60;
+        struct cs_options o = {
+            .seed = seed, .voters = 3, .steps = 1000, .members = true, .herd = herd};
         struct cs_result r = cs_explore(&o);
         CU_ASSERT_TRUE(r.ok);
     }
@@ -293,5 +364,6 @@
     TEST(s, behind_learner_does_not_become_a_voter);
     TEST(s, old_terms_are_not_counted);
     TEST(s, restarted_voter_keeps_what_it_vouched_for);
+    TEST(s, voters_that_all_start_elect_at_once);
     TEST(s, schedules_hold);
 }
