--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -440,6 +440,10 @@
     return next == last + 1;
 }
 
+/* How long the disk task is waited for before it counts as stuck. What is checked is what it
+ * has done; how long a sync of the machine's disk takes is not ours. */
+enum { PATIENCE_MS = 60000 };
+
 /* What the disk task is given while there is no room: an entry, a snapshot that covers it (or
  * another entry), an entry. */
 static void write_three(struct dk_disk *d, bool snapshot)
@@ -474,7 +478,7 @@
         failing.f = f;
         struct dk_disk *d = dk_start(s, ignore_wake, NULL);
         write_three(d, f->snapshot);
-        for (int k = 0; k < 4000 && dk_done(d) < 3; k++) {
+        for (int k = 0; k < PATIENCE_MS && dk_done(d) < 3; k++) {
             if (f->call == F_SHORT && dk_full(d, &err))
                 failing.f = NULL; /* there is room again */
             usleep(1000);
@@ -506,7 +510,7 @@
     failing.f = &full;
     struct dk_disk *d = dk_start(s, ignore_wake, NULL);
     write_three(d, false);
-    for (int k = 0; k < 4000 && !dk_full(d, &err); k++)
+    for (int k = 0; k < PATIENCE_MS && !dk_full(d, &err); k++)
         usleep(1000);
     CU_ASSERT_TRUE(dk_full(d, &err));
     CU_ASSERT_EQUAL(err.kind, ER_DISK_FULL);
