task: a listener keeps so many HTTP connections, the one that rested longest makes room

Instances keep their connection to a control node now: with thousands of them the kept ones would fill its descriptors (4,300), and no entry node could connect. A listener keeps 1,024; one more takes the place of the longest idle one, never of one with a question open.

--- a/control/ops.c
+++ b/control/ops.c
@@ -117,6 +117,7 @@
         {"http_connections_total", nt_stats(n->loop)->http_accepted},
         {"http_requests_total", nt_stats(n->loop)->http_requests},
         {"http_ended_by_us_total", nt_stats(n->loop)->http_ended_by_us},
+        {"http_displaced_total", nt_stats(n->loop)->http_displaced},
         {"http_closed_total", nt_stats(n->loop)->http_closed},
         {"net_bad_frames_total", nt_stats(n->loop)->bad_frames},
         {"net_oversized_total", nt_stats(n->loop)->oversized},
--- a/task/http.c
+++ b/task/http.c
@@ -5,6 +5,69 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* ---- which connections are kept ---- */
+
+static void unlink_http(struct nt_conn *c)
+{
+    struct nt_listener *ln = c->ln;
+    *(c->older ? &c->older->newer : &ln->oldest) = c->newer;
+    *(c->newer ? &c->newer->older : &ln->newest) = c->older;
+    c->older = c->newer = NULL;
+}
+
+static void link_newest(struct nt_conn *c)
+{
+    struct nt_listener *ln = c->ln;
+    c->older = ln->newest;
+    *(ln->newest ? &ln->newest->newer : &ln->oldest) = c;
+    ln->newest = c;
+}
+
+static void touch(struct nt_conn *c, bool idle)
+{
+    c->idle = idle;
+    unlink_http(c);
+    link_newest(c);
+}
+
+/* Callers that keep their connection come again soon; the one that has rested longest is the
+ * least likely to. False: none rests. */
+static bool make_room(struct nt_listener *ln)
+{
+    struct nt_conn *c = ln->oldest;
+    while (c && (!c->idle || c->closing))
+        c = c->newer;
+    if (!c)
+        return false;
+    c->closing = true;
+    ln->loop->st.http_displaced++;
+    lws_set_timeout(c->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    return true;
+}
+
+static struct nt_conn *accept_http(struct nt_listener *ln, struct lws *wsi)
+{
+    int most = ln->what.max_http ? ln->what.max_http : NT_MAX_HTTP;
+    if (ln->n_http >= most && !make_room(ln))
+        return NULL;
+    struct nt_conn *c = np_conn_new(ln->loop, K_HTTP_SERVER, NULL, NULL);
+    c->ln = ln;
+    c->wsi = wsi;
+    c->opened = true;
+    ln->n_http++;
+    link_newest(c);
+    ln->loop->st.http_accepted++;
+    lws_set_opaque_user_data(wsi, c);
+    return c;
+}
+
+void np_http_gone(struct nt_conn *c)
+{
+    c->loop->st.http_closed++;
+    c->ln->n_http--;
+    unlink_http(c);
+}
+
 /* ---- plain HTTP, server side ---- */
 
 void np_dispatch_http(struct nt_conn *c)
@@ -76,6 +139,7 @@
     np_pop_out(c);
     if (rc < 0)
         return -1;
+    touch(c, true);
     if (!lws_http_transaction_completed(c->wsi))
         return 0;
     c->loop->st.http_ended_by_us++;
@@ -85,14 +149,11 @@
 int np_http_start(struct nt_listener *ln, struct lws *wsi, const char *uri, size_t len)
 {
     struct nt_conn *c = lws_get_opaque_user_data(wsi);
-    if (!c) {
-        c = np_conn_new(ln->loop, K_HTTP_SERVER, NULL, NULL);
-        c->ln = ln;
-        c->wsi = wsi;
-        c->opened = true;
-        ln->loop->st.http_accepted++;
-        lws_set_opaque_user_data(wsi, c);
-    }
+    if (!c)
+        c = accept_http(ln, wsi);
+    if (!c)
+        return -1;
+    touch(c, false);
     ln->loop->st.http_requests++;
     c->replied = false;
     c->body.len = 0;
--- a/task/net.c
+++ b/task/net.c
@@ -74,7 +74,8 @@
         return;
     c->dead = true;
     c->loop->st.closed++;
-    c->loop->st.http_closed += c->kind == K_HTTP_SERVER;
+    if (c->kind == K_HTTP_SERVER)
+        np_http_gone(c);
     if (c->kind == K_HTTP_CLIENT) {
         if (c->done)
             c->done(c->ud, c->status, c->body.p ? c->body.p : "", c->body.len);
--- a/task/net.h
+++ b/task/net.h
@@ -16,7 +16,7 @@
 struct nt_conn;
 struct nt_listener;
 
-enum { NT_MAX_MESSAGE = 1 << 20, NT_MAX_QUEUED = 8 << 20 };
+enum { NT_MAX_MESSAGE = 1 << 20, NT_MAX_QUEUED = 8 << 20, NT_MAX_HTTP = 1024 };
 
 /* What happens on a connection. `ud` is the connection's user pointer. */
 struct nt_ops {
@@ -48,6 +48,9 @@
     /* A peer connected: gives the user pointer of its connection, NULL refuses it. */
     void *(*accept)(struct nt_conn *c, void *ud);
     void (*http)(const struct nt_http *req); /* NULL: 404 */
+    /* Plain HTTP connections at once, 0: NT_MAX_HTTP. One beyond takes the place of the one
+     * that has rested longest, and is closed if none rests. */
+    int max_http;
     void *ud;
     bool stream; /* bytes over TCP: message() gets what has come, not NUL-ended */
 };
@@ -59,6 +62,7 @@
     /* plain HTTP to our listeners: connections, the requests on them, connections that ended
      * with our answer, and all that ended */
     uint64_t http_accepted, http_requests, http_ended_by_us, http_closed;
+    uint64_t http_displaced; /* ended for a newer one */
 };
 
 /* Bytes of some connections, as their user groups them; without the transport's own. */
--- a/task/net_priv.h
+++ b/task/net_priv.h
@@ -40,6 +40,9 @@
     void (*done)(void *, int, const char *, size_t);
     int status;
     bool replied;
+    bool idle; /* answered, and kept for the next request */
+    struct nt_conn *older,
+        *newer;    /* of its listener's, by when they last were asked or answered */
     int n_headers; /* of a request of ours */
     char header_name[NP_MAX_HEADERS][32], header_value[NP_MAX_HEADERS][64];
 };
@@ -50,6 +53,8 @@
     struct lws_vhost *vh;
     char ip[64];
     bool refuses; /* whoever comes now */
+    int n_http;   /* plain HTTP connections */
+    struct nt_conn *oldest, *newest;
     struct nt_listener *next;
 };
 
@@ -74,6 +79,8 @@
 void np_watch_peer(struct nt_conn *c);
 void np_start_connect(struct nt_conn *c, const char *ip, int port, const char *method,
                       const char *path);
+/* The connection is gone from its listener's list. */
+void np_http_gone(struct nt_conn *c);
 int np_http_writable(struct nt_conn *c);
 int np_http_start(struct nt_listener *ln, struct lws *wsi, const char *uri, size_t len);
 int np_http_body(struct nt_conn *c, const void *in, size_t len);
