entry: a renewal names all instances that a node holds

A renewal named at most 448 instances; those beyond never had a share. Since strong nodes hold all groups that bound is met at 150 groups.

--- a/entry/link.c
+++ b/entry/link.c
@@ -61,8 +61,9 @@
 
 static void renew(struct en_node *n, struct en_link *l, int64_t now, bool stopping)
 {
-    struct wr_share shares[VW_MAX_INSTANCES * 64];
-    uint32_t k = 0, cap = sizeof(shares) / sizeof(shares[0]);
+    /* A node that is strong may hold all groups: one left out here would have no share. */
+    uint32_t k = 0, cap = WR_MAX_SHARES;
+    struct wr_share *shares = sr_alloc(sizeof(*shares) * cap);
     for (int g = 0; g < n->n_groups; g++) {
         for (int i = 0; i < n->groups[g]->cfg.n && k < cap; i++) {
             struct en_inst *in = n->groups[g]->inst[i];
@@ -90,6 +91,7 @@
         px_permit_wants(n->px, &m.renew);
     send_msg(l, &m);
     free(m.renew.permits);
+    free(shares);
 }
 
 static void set_leader(struct en_node *n, int i)
