proxy: one silent holder puts the others to the test; who knows no way is no silent node

Change: when a node is found silent, the others that sessions are relayed to are tried at once, before they are asked anything. A node that did not pass a session on is left out for a second, without trials. A node that gives up and is not cut off says what is true, instead of closing without a word.

--- a/proxy/neighbors.c
+++ b/proxy/neighbors.c
@@ -76,10 +76,21 @@
 
 /* ---- trials ---- */
 
+/* It may be this node that is cut off: the others are tried before they are asked. */
+static void doubt_others(struct px_proxy *p)
+{
+    for (struct px_neighbor *nb = p->neighbors; nb; nb = nb->next) {
+        if (nb->n_relays > 0)
+            nb_doubt(&nb->b, ck_now());
+    }
+}
+
 static void trial_over(struct px_neighbor *nb, bool answered)
 {
     enum nb_state before = nb->b.state;
     nb_trial_over(&nb->b, answered, ck_now());
+    if (before == NB_DOUBTED && !answered)
+        doubt_others(nb->p);
     if (nb->b.state == before || (before == NB_DOUBTED && answered))
         return; /* a doubt that was none */
     FL_EVENT(&nb->p->log, LG_INFO, "neighbor_changed", "name=%s state=%s was=%s relayed=%d",
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -272,16 +272,17 @@
         ended_there(r);
 }
 
-/* It opened no session: what that says of it. */
+/* It opened no session: what that says of it. Of one that is no holder, that it knows no way.
+ */
 static void note_no_greeting(struct px_relay *r, bool opened)
 {
     int64_t now = ck_now();
     if (r->by_other)
         nb_refused(&r->nb->b, NO_WAY_US, now);
-    else if (opened && !r->late)
-        nb_refused(&r->nb->b, REFUSED_US, now);
-    if (!opened || (r->late && !r->by_other))
+    else if (!opened || r->late)
         nb_doubt(&r->nb->b, now);
+    else
+        nb_refused(&r->nb->b, REFUSED_US, now);
 }
 
 /* The connection is gone, and the session there with it. */
@@ -322,11 +323,13 @@
     struct px_session *s = r->s;
     if (!s->net)
         return;
-    bool alone = px_cut_off(s->p, ck_now()) || px_neighbors_silent(s->p) > 0;
-    if (alone && !s->came_relayed)
+    if (s->came_relayed)
+        px_close(s, PX_END_NO_HOLDER, true);
+    else if (px_cut_off(s->p, ck_now()))
         px_fail_cut_off(s);
     else
-        px_close(s, PX_END_NO_HOLDER, s->came_relayed);
+        px_fail_and_close(s, ER_NO_LEASE,
+                          "no node that serves it answers; another may, at once");
 }
 
 static bool may_try(const struct px_relay *r, int64_t now)
