tests: a frozen holder under load, real processes

t_relays asks that those that relay to a holder that is frozen for two seconds find it silent, believe it again when it is back, and that no promise breaks; and that nobody was taken for silent under load before.

--- a/tests/process/t_relays.sh
+++ b/tests/process/t_relays.sh
@@ -69,6 +69,27 @@
 se_node entry "${H[0]}"
 t_check "it comes back" t_until se_ready "${H[0]}"
 
+t_say "a holder freezes: who relays to it knows, and knows when it is back"
+silent() { # how many beliefs of silence there are at those that relay
+    local i n=0
+    for i in "${R[@]}"; do n=$((n + $(curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + i))/metrics" | awk '$1 == "ferry_session_neighbors_silent" {print $2}'))); done
+    echo $n
+}
+some_silent() { [ "$(silent)" -gt 0 ]; }
+none_silent() { [ "$(silent)" = 0 ]; }
+told() { cat "$SE_DIR"/e*.log | grep -c '"event":"neighbor_changed"'; }
+R=() PR=()
+for i in 0 1 2 3 4 5; do case " ${H[*]} " in *" $i "*) ;; *) R+=("$i") PR+=($((SE_BASE + 40 + i))) ;; esac done
+t_check "no node takes another for silent under load" [ "$(told)" = 0 ]
+se_load 6 25 "${PR[@]}"
+sleep 1; se_kill "e${H[2]}" STOP
+t_check "it is found silent" t_until some_silent
+sleep 2; se_kill "e${H[2]}" CONT
+t_check "it is believed again" t_until none_silent
+se_load_end
+t_check "work went on" [ "$(se_count ok)" -gt 500 ]
+t_check "it is ready again" t_until se_ready "${H[2]}"
+
 t_say "a holder is killed"
 se_load 6 23 "${P[@]}"
 sleep 1; se_kill "e${H[1]}"
