proxy: a trial begins at once, and silence is believed after a third of a second

A doubt waited for the next slow tick before its trial began, a late trial for another, and both waits were longer than a caller in a hurry gives its whole operation.

Change: trials are begun and given up in each tick; 150 ms without a sign while something is asked, 200 ms for the trial's answer. Nodes that are gone are forgotten when the list of nodes changes.

--- a/proxy/holders.c
+++ b/proxy/holders.c
@@ -205,5 +205,6 @@
     p->nodes = sr_realloc(p->nodes, sizeof(*nodes) * (size_t)(n + 1));
     sr_move(p->nodes, nodes, sizeof(*nodes) * (size_t)n);
     p->n_nodes = n;
+    px_neighbors_changed(p);
     px_holders_changed(p);
 }
--- a/proxy/neighbor.c
+++ b/proxy/neighbor.c
@@ -3,9 +3,9 @@
 enum {
     /* Silence while something is asked before a trial: what a caller in a hurry waits for its
      * whole operation. */
-    DOUBT_US = 200000,
+    DOUBT_US = 150000,
     /* For the trial's answer: both together leave a caller with a second's time another try. */
-    TRIAL_US = 300000,
+    TRIAL_US = 200000,
     FIRST_PAUSE_US = 250000,
     LONGEST_PAUSE_US = 2000000,
     FLAP_US = 5000000, /* silent again within: the pause goes on growing */
--- a/proxy/neighbors.c
+++ b/proxy/neighbors.c
@@ -142,7 +142,17 @@
     trial_over(nb, false);
 }
 
-static void free_gone(struct px_proxy *p)
+void px_neighbors_tick(struct px_proxy *p, int64_t now)
+{
+    for (struct px_neighbor *nb = p->neighbors; nb; nb = nb->next) {
+        if (nb->trial && nb_trial_late(&nb->b, now))
+            give_up_trial(nb);
+        else if (nb_trial_due(&nb->b, now) && (nb->n_relays > 0 || listed(p, nb->name)))
+            try_it(nb, now);
+    }
+}
+
+void px_neighbors_changed(struct px_proxy *p)
 {
     for (struct px_neighbor **at = &p->neighbors; *at;) {
         struct px_neighbor *nb = *at;
@@ -155,17 +165,6 @@
     }
 }
 
-void px_neighbors_tick(struct px_proxy *p, int64_t now)
-{
-    for (struct px_neighbor *nb = p->neighbors; nb; nb = nb->next) {
-        if (nb->trial && nb_trial_late(&nb->b, now))
-            give_up_trial(nb);
-        else if (nb_trial_due(&nb->b, now) && (nb->n_relays > 0 || listed(p, nb->name)))
-            try_it(nb, now);
-    }
-    free_gone(p);
-}
-
 int px_neighbors_silent(const struct px_proxy *p)
 {
     int k = 0;
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -445,7 +445,10 @@
 /* A relay names the node; px_neighbor_drop when it does not any more. */
 struct px_neighbor *px_neighbor_take(struct px_proxy *p, const struct ho_node *node);
 void px_neighbor_drop(struct px_neighbor *nb);
+/* Every tick. */
 void px_neighbors_tick(struct px_proxy *p, int64_t now);
+/* The list of nodes changed: those that are gone are forgotten. */
+void px_neighbors_changed(struct px_proxy *p);
 int px_neighbors_silent(const struct px_proxy *p);
 /* Whether any node passed a session on lately. */
 bool px_any_passes_on(const struct px_proxy *p, int64_t now);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -150,10 +150,10 @@
         p->leased_at = now;
     px_holders_tick(p, now);
     px_groups_tick(p, now);
+    px_neighbors_tick(p, now);
     if (now < p->next_slow_tick)
         return;
     p->next_slow_tick = now + SLOW_TICK_US;
-    px_neighbors_tick(p, now);
     px_sessions_slow_tick(p, now);
     force_end(p, now);
     tell_stages(p, now);
