--- a/proxy/neighbors.c
+++ b/proxy/neighbors.c
@@ -76,10 +76,21 @@
 
 /* ---- trials ---- */
 
+/* It may be this node that is cut off: the others are tried before they are asked. */
+static void doubt_others(struct px_proxy *p)
+{
+    for (struct px_neighbor *nb = p->neighbors; nb; nb = nb->next) {
+        if (nb->n_relays > 0)
+            nb_doubt(&nb->b, ck_now());
+    }
+}
+
 static void trial_over(struct px_neighbor *nb, bool answered)
 {
     enum nb_state before = nb->b.state;
     nb_trial_over(&nb->b, answered, ck_now());
+    if (before == NB_DOUBTED && !answered)
+        doubt_others(nb->p);
     if (nb->b.state == before || (before == NB_DOUBTED && answered))
         return; /* a doubt that was none */
     FL_EVENT(&nb->p->log, LG_INFO, "neighbor_changed", "name=%s state=%s was=%s relayed=%d",
@@ -131,7 +142,17 @@
     trial_over(nb, false);
 }
 
-static void free_gone(struct px_proxy *p)
+void px_neighbors_tick(struct px_proxy *p, int64_t now)
+{
+    for (struct px_neighbor *nb = p->neighbors; nb; nb = nb->next) {
+        if (nb->trial && nb_trial_late(&nb->b, now))
+            give_up_trial(nb);
+        else if (nb_trial_due(&nb->b, now) && (nb->n_relays > 0 || listed(p, nb->name)))
+            try_it(nb, now);
+    }
+}
+
+void px_neighbors_changed(struct px_proxy *p)
 {
     for (struct px_neighbor **at = &p->neighbors; *at;) {
         struct px_neighbor *nb = *at;
@@ -144,17 +165,6 @@
     }
 }
 
-void px_neighbors_tick(struct px_proxy *p, int64_t now)
-{
-    for (struct px_neighbor *nb = p->neighbors; nb; nb = nb->next) {
-        if (nb->trial && nb_trial_late(&nb->b, now))
-            give_up_trial(nb);
-        else if (nb_trial_due(&nb->b, now) && (nb->n_relays > 0 || listed(p, nb->name)))
-            try_it(nb, now);
-    }
-    free_gone(p);
-}
-
 int px_neighbors_silent(const struct px_proxy *p)
 {
     int k = 0;
