ferryctl nodes, accounts: what a running system's nodes and accounts do, fullest and most used first

Cause: to see that one of 83 nodes was the holder of several large accounts took a reading of raw metrics of all nodes; what a relayed statement costs in bytes could not be told, as bytes had no counts beside them, and metrics told the 64 accounts that came first, whoever asks for most.

--- a/control/control.h
+++ b/control/control.h
@@ -102,6 +102,7 @@
     char name[48], domain[48], ip[46];
     int port;
     int carries;            /* entry: statements a second, as it says; 0: not told */
+    int http;               /* entry: port of its own pages; 0: not told */
     uint64_t told_controls; /* hash of the list of control nodes it was told */
     uint64_t sent_gen;      /* entry: generation sent last */
     int64_t sent_at;        /* when */
--- a/control/ops.c
+++ b/control/ops.c
@@ -47,9 +47,10 @@
     for (struct ct_conn *c = n->conns; c; c = c->next) {
         if (!c->greeted || c->role != WR_ROLE_ENTRY)
             continue;
-        json_array_append_new(a, json_pack("{s:s,s:s,s:i,s:s,s:b}", "name", c->name, "ip",
-                                           c->ip, "port", c->port, "domain", c->domain, "lease",
-                                           ls_node_live(&n->giver, c->id, now)));
+        json_array_append_new(
+            a, json_pack("{s:s,s:s,s:i,s:i,s:s,s:b,s:i}", "name", c->name, "ip", c->ip, "port",
+                         c->port, "http", c->http, "domain", c->domain, "lease",
+                         ls_node_live(&n->giver, c->id, now), "carries", c->carries));
     }
     return a;
 }
--- a/control/peers.c
+++ b/control/peers.c
@@ -226,6 +226,7 @@
     c->id = h->id;
     c->port = (int)h->port;
     c->carries = (int)h->carries;
+    c->http = (int)h->http;
     if (c->role == WR_ROLE_CONTROL && !peer_of(n, c->id)) {
         struct qr_member m = {.id = c->id, .port = c->port};
         sr_copy(m.name, sizeof(m.name), sr_from(c->name));
--- a/entry/ops.c
+++ b/entry/ops.c
@@ -118,12 +118,59 @@
                           (long long)n->groups[g]->rt.inst[i].lag_us);
         }
     }
+    sr_buf_printf(&b, "ferry_node_link_kbps %d\nferry_node_core_permille %d\n", n->s->link_kbps,
+                  n->s->core_permille);
     if (n->px)
         px_metrics(n->px, &b);
     nt_http_reply(req->conn, 200, "text/plain; version=0.0.4", b.p, b.len);
     sr_buf_free(&b);
 }
 
+/* For how many groups an account's sessions meet at which node. */
+static json_t *places_by_node(struct en_node *n, const char *account)
+{
+    json_t *o = json_object();
+    for (int g = 0; g < n->view.n; g++) {
+        const char *nodes[HO_MAX_HOLDERS];
+        int k = px_account_nodes(n->px, n->view.groups[g].name, account, nodes);
+        for (int i = 0; i < k; i++) {
+            json_int_t had = json_integer_value(json_object_get(o, nodes[i]));
+            json_object_set_new(o, nodes[i], json_integer(had + 1));
+        }
+    }
+    return o;
+}
+
+static json_t *places_by_group(struct en_node *n, const char *account)
+{
+    json_t *o = json_object();
+    for (int g = 0; g < n->view.n; g++) {
+        const char *nodes[HO_MAX_HOLDERS], *group = n->view.groups[g].name;
+        int k = px_account_nodes(n->px, group, account, nodes);
+        json_t *a = json_array();
+        for (int i = 0; i < k; i++)
+            json_array_append_new(a, json_string(nodes[i]));
+        json_object_set_new(o, group, a);
+    }
+    return o;
+}
+
+/* Where client accounts are placed: of those that this node serves most, how many groups at
+ * which node; of one that is named, group by group. */
+static json_t *places(struct en_node *n, const char *account)
+{
+    const char *names[PX_ACCOUNTS_TOLD];
+    if (!n->px)
+        return json_object();
+    if (account[0])
+        return places_by_group(n, account);
+    json_t *o = json_object();
+    int k = px_accounts_by_use(n->px, names);
+    for (int i = 0; i < k; i++)
+        json_object_set_new(o, names[i], places_by_node(n, names[i]));
+    return o;
+}
+
 static json_t *status(struct en_node *n)
 {
     const char *why = en_not_ready(n);
@@ -157,6 +204,10 @@
         metrics(req, n);
     } else if (strcmp(req->path, "/v1/status") == 0) {
         reply_json(req, 200, status(n));
+    } else if (strcmp(req->path, "/v1/places") == 0) {
+        reply_json(req, 200, places(n, ""));
+    } else if (strncmp(req->path, "/v1/places/", 11) == 0) {
+        reply_json(req, 200, places(n, req->path + 11));
     } else if (strcmp(req->path, "/v1/timeline") == 0) {
         reply_json(req, 200, tl_json(n->tl, n->s->name));
     } else {
--- a/ferryctl/cause.c
+++ b/ferryctl/cause.c
@@ -65,6 +65,7 @@
     {"request_failed", "kind", "no_account", NULL, CA_KEY},
     {"request_failed", "kind", NULL, NULL, CA_OTHER},
     {"session_refused", "kind", "no_account", NULL, CA_KEY},
+    {"session_refused", "kind", "no_lease", NULL, CA_CUT_OFF},
     {"session_refused", "kind", NULL, NULL, CA_OTHER},
     {"session_cut", "why", "holder_lost", NULL, CA_HOLDER_LOST},
     {"session_cut", "why", "holder_ends", NULL, CA_HOLDER_ENDED},
--- a/ferryctl/ctl.h
+++ b/ferryctl/ctl.h
@@ -41,9 +41,9 @@
 /* show.c: tables for people. */
 void show_status(const json_t *s);
 void show_members(const json_t *m);
-void show_nodes(const json_t *n);
 void show_plan(const json_t *p);
 void show_intent(const json_t *i);
+void print_json(const json_t *j);
 int show_error(int status, const json_t *answer);
 
 /* timeline.c */
@@ -52,6 +52,10 @@
 /* worth.c: args are log files. */
 int ctl_worth(const struct ctl *c);
 
+/* nodes.c, accounts.c: a running system's entry nodes and client accounts. */
+int ctl_nodes(const struct ctl *c);
+int ctl_accounts(const struct ctl *c);
+
 /* explain.c: args are the request's id and the log files. */
 int ctl_explain(const struct ctl *c);
 
--- /dev/null
+++ b/ferryctl/fleet.c
@@ -0,0 +1,200 @@
+#include "ferryctl/fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "misc/clock.h"
+#include "misc/str.h"
+#include "task/net.h"
+
+enum {
+    AT_ONCE = 64,          /* requests */
+    GIVE_UP_US = 4000000,  /* nodes that have not answered by then are passed over */
+    BETWEEN_US = 1000000,  /* samples */
+};
+
+/* ---- asking ---- */
+
+struct asking {
+    struct ft_fleet *f;
+    struct nt_loop *loop;
+    int sample;
+    int next, open; /* the node to ask next; requests that are out */
+};
+
+struct question {
+    struct asking *a;
+    struct ft_node *node;
+};
+
+static void ask_more(struct asking *a);
+
+static void done(void *ud, int status, const char *body, size_t len)
+{
+    struct question *q = ud;
+    struct asking *a = q->a;
+    if (status == 200) {
+        q->node->metrics[a->sample] = strndup(body, len);
+        q->node->at[a->sample] = ck_now();
+    }
+    free(q);
+    a->open--;
+    ask_more(a);
+    if (a->open == 0)
+        nt_stop(a->loop);
+}
+
+static void ask_more(struct asking *a)
+{
+    while (a->open < AT_ONCE && a->next < a->f->n) {
+        struct ft_node *x = &a->f->nodes[a->next++];
+        if (x->node.port == 0)
+            continue;
+        struct question *q = sr_alloc(sizeof(*q));
+        *q = (struct question){a, x};
+        a->open++;
+        nt_http_get(a->loop, x->node.ip, x->node.port, "GET", "/metrics", NULL, done, q);
+    }
+}
+
+static void give_up(void *ud)
+{
+    nt_stop(ud);
+}
+
+/* What is out when time is up is answered to nobody: the loop does not run any more. */
+static void take_sample(struct ft_fleet *f, int sample)
+{
+    struct asking *a = sr_alloc(sizeof(*a));
+    struct nt_timer late = {0};
+    struct er_err err = {0};
+    *a = (struct asking){f, nt_loop_create(2 * AT_ONCE, &err), sample, 0, 0};
+    if (!a->loop) {
+        fprintf(stderr, "ferryctl: %s\n", err.text);
+        return;
+    }
+    nt_timer_set(a->loop, &late, GIVE_UP_US, give_up, a->loop);
+    ask_more(a);
+    if (a->open > 0)
+        nt_run(a->loop);
+    nt_timer_cancel(&late);
+}
+
+/* ---- the nodes ---- */
+
+static void read_node(const json_t *x, struct ft_node *to)
+{
+    struct ho_node *n = &to->node;
+    sr_copy(n->name, sizeof(n->name), sr_from(json_string_value(json_object_get(x, "name"))));
+    sr_copy(n->domain, sizeof(n->domain),
+            sr_from(json_string_value(json_object_get(x, "domain"))));
+    sr_copy(n->ip, sizeof(n->ip), sr_from(json_string_value(json_object_get(x, "ip"))));
+    n->port = (int)json_integer_value(json_object_get(x, "http"));
+    n->carries = (int)json_integer_value(json_object_get(x, "carries"));
+    to->lease = json_is_true(json_object_get(x, "lease"));
+}
+
+static int read_list(const struct ctl *c, struct ft_fleet *f)
+{
+    json_t *list = NULL, *x;
+    size_t i;
+    int status = ctl_ask(c, true, "GET", "/v1/nodes", NULL, &list, NULL, NULL);
+    if (status != 200)
+        return show_error(status, list);
+    f->nodes = sr_alloc(sizeof(*f->nodes) * (json_array_size(list) + 1));
+    json_array_foreach(list, i, x)
+    {
+        read_node(x, &f->nodes[f->n++]);
+    }
+    json_decref(list);
+    return EX_GOOD;
+}
+
+int ft_read(const struct ctl *c, struct ft_fleet *f)
+{
+    *f = (struct ft_fleet){0};
+    int rc = read_list(c, f);
+    if (rc != EX_GOOD)
+        return rc;
+    for (int i = 0; i < FT_SAMPLES; i++) {
+        if (i > 0)
+            usleep(BETWEEN_US);
+        take_sample(f, i);
+    }
+    return EX_GOOD;
+}
+
+void ft_free(struct ft_fleet *f)
+{
+    for (int i = 0; i < f->n; i++) {
+        for (int k = 0; k < FT_SAMPLES; k++)
+            free(f->nodes[i].metrics[k]);
+    }
+    free(f->nodes);
+    *f = (struct ft_fleet){0};
+}
+
+/* ---- numbers ---- */
+
+/* The next line of that name from *at on: its labels "" if it has none, and its value. */
+static bool next_line(const char **at, const char *name, char *labels, size_t cap,
+                      double *value)
+{
+    size_t len = strlen(name);
+    while (*at && **at) {
+        const char *line = *at, *end = strchrnul(line, '\n');
+        *at = *end ? end + 1 : end;
+        if (strncmp(line, name, len) != 0 || (line[len] != ' ' && line[len] != '{'))
+            continue;
+        const char *close = line[len] == '{' ? memchr(line, '}', (size_t)(end - line)) : NULL;
+        const char *first = line + len + 1;
+        struct sr_str in = {first, close ? (size_t)(close - first) : 0};
+        if ((line[len] == '{' && !close) || !sr_copy(labels, cap, in))
+            continue;
+        *value = strtod(close ? close + 1 : first, NULL);
+        return true;
+    }
+    return false;
+}
+
+static double sum(const char *text, const char *name, const char *label)
+{
+    char labels[256];
+    double v, total = 0;
+    while (next_line(&text, name, labels, sizeof(labels), &v))
+        total += strstr(labels, label) ? v : 0;
+    return total;
+}
+
+double ft_value(const struct ft_node *n, const char *name, const char *label)
+{
+    return sum(n->metrics[FT_SAMPLES - 1], name, label);
+}
+
+double ft_rate(const struct ft_node *n, const char *name, const char *label)
+{
+    int64_t us = n->at[1] - n->at[0];
+    if (!n->metrics[0] || !n->metrics[1] || us <= 0)
+        return 0;
+    double grown = sum(n->metrics[1], name, label) - sum(n->metrics[0], name, label);
+    return grown > 0 ? grown * 1e6 / (double)us : 0; /* a node that started anew counts from 0 */
+}
+
+void ft_each(const struct ft_node *n, const char *name, const char *key,
+             void (*take)(void *, const struct ft_node *, const char *, double), void *ud)
+{
+    const char *at = n->metrics[FT_SAMPLES - 1];
+    char labels[256], open[64];
+    double v;
+    snprintf(open, sizeof(open), "%s=\"", key);
+    while (next_line(&at, name, labels, sizeof(labels), &v)) {
+        char *from = strstr(labels, open);
+        if (!from)
+            continue;
+        from += strlen(open);
+        from[strcspn(from, "\"")] = 0;
+        take(ud, n, from, v);
+    }
+}
--- a/ferryctl/main.c
+++ b/ferryctl/main.c
@@ -30,7 +30,13 @@
 
 static const char doc[] =
     "Commands:\n"
-    "  status | members | nodes | metrics | timeline     reading changes nothing\n"
+    "  status | members | metrics | timeline     reading changes nothing\n"
+    "  nodes                       entry nodes, the fullest first: what they hold, their "
+    "links' "
+    "bytes\n"
+    "  accounts [NAME]             client accounts by use: limits, rates, where they are "
+    "placed; "
+    "of one, group by group\n"
     "  drain GROUP INSTANCE        plan to take an instance out\n"
     "  undrain GROUP INSTANCE      plan to give it work again\n"
     "  rule GROUP MAX_AGE_MS       plan another accepted age\n"
@@ -121,12 +127,6 @@
     return 0;
 }
 
-static void print_json(const json_t *j)
-{
-    json_dumpf(j, stdout, JSON_INDENT(2));
-    putchar('\n');
-}
-
 static int usage(const char *what)
 {
     fprintf(stderr, "ferryctl: %s; see ferryctl --help\n", what);
@@ -295,7 +295,9 @@
     if (strcmp(cmd, "members") == 0)
         return read_page(c, "/v1/members", show_members);
     if (strcmp(cmd, "nodes") == 0)
-        return read_page(c, "/v1/nodes", show_nodes);
+        return ctl_nodes(c);
+    if (strcmp(cmd, "accounts") == 0 && c->n_args <= 2)
+        return ctl_accounts(c);
     if (strcmp(cmd, "metrics") == 0)
         return metrics(c);
     if (strcmp(cmd, "timeline") == 0)
--- a/ferryctl/show.c
+++ b/ferryctl/show.c
@@ -72,16 +72,10 @@
     }
 }
 
-void show_nodes(const json_t *n)
+void print_json(const json_t *j)
 {
-    size_t i;
-    json_t *x;
-    json_array_foreach(n, i, x)
-    {
-        printf("%-16s %-18s %s:%lld  %s\n", text(x, "name"), text(x, "domain"), text(x, "ip"),
-               number(x, "port"),
-               json_is_true(json_object_get(x, "lease")) ? "lease held" : "no lease");
-    }
+    json_dumpf(j, stdout, JSON_INDENT(2));
+    putchar('\n');
 }
 
 void show_plan(const json_t *p)
--- a/proxy/holders.c
+++ b/proxy/holders.c
@@ -138,11 +138,10 @@
     free(a);
 }
 
-/* The place of the session's account in the group, NULL: the document doesn't list it. */
-static const struct sp_place *place_of(const struct px_session *s, struct px_group *g)
+const struct sp_place *px_place_of(struct px_group *g, const char *account)
 {
     const struct ac_table *t = &g->p->catalog.accounts;
-    const struct ac_account *a = ac_by_name(t, s->account);
+    const struct ac_account *a = ac_by_name(t, account);
     if (!a || g->n_holders == 0)
         return NULL;
     if (!g->places)
@@ -162,7 +161,7 @@
 int px_holders_for(const struct px_session *s, struct px_group *g, int *out)
 {
     const struct px_proxy *p = s->p;
-    const struct sp_place *place = place_of(s, g);
+    const struct sp_place *place = px_place_of(g, s->account);
     ho_order(p->nodes, g->holders, g->n_holders, g->cfg.name, s->account, out);
     for (int k = 0; place && k < place->n; k++) {
         int at = place->at[(s->state.session + (uint64_t)k) % place->n], i = k;
@@ -178,7 +177,7 @@
 bool px_serves_account(const struct px_session *s, struct px_group *g)
 {
     const struct px_proxy *p = s->p;
-    const struct sp_place *place = place_of(s, g);
+    const struct sp_place *place = px_place_of(g, s->account);
     int order[HO_MAX_HOLDERS], n = px_holders_for(s, g, order);
     int meet = place ? place->n : 1;
     for (int k = 0; k < meet && k < n; k++) {
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -250,6 +250,7 @@
     uint64_t replaced;           /* of these, closed for another account's */
     uint64_t unknown_keys;       /* operations and sessions refused for their key */
     uint64_t relayed;            /* sessions that another node serves */
+    uint64_t passed, served;     /* statements passed to other nodes; served for others */
     uint64_t ends[PX_ENDS], cut; /* sessions that were closed here; with a question open */
     uint64_t log_lines_left_out;
 };
@@ -295,6 +296,7 @@
 
     struct px_counters c;
     struct nt_traffic traffic[PX_PEERS][PX_DISTANCES];
+    struct nt_traffic served_traffic; /* with nodes whose sessions are served here */
     struct hi_hist latency_read, latency_write;
     struct px_stages stages;
     int64_t stages_told_at; /* in the log */
@@ -394,6 +396,8 @@
 int px_holders_for(const struct px_session *s, struct px_group *g, int *out);
 /* Whether this node is one of those at which the account's sessions meet. */
 bool px_serves_account(const struct px_session *s, struct px_group *g);
+/* The account's first holders in the group; NULL: the document doesn't list it. */
+const struct sp_place *px_place_of(struct px_group *g, const char *account);
 /* Whether this node has an open connection to the group's primary, as far as there is one. */
 bool px_reaches(const struct px_group *g);
 
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+#include <stdlib.h>
+
 #include "proxy/priv.h"
 
 enum {
@@ -217,19 +219,122 @@
     }
 }
 
-/* Those that came first: the number is bounded, whatever documents hold. */
+/* Statements beside put_traffic's bytes: together they tell what one costs on the link. */
+static void put_passed(struct sr_buf *out, const struct px_proxy *p)
+{
+    const struct {
+        const char *peer;
+        uint64_t n;
+    } rows[] = {{"instance", p->stages.part[PX_T_SETUP].count},
+                {"node", p->c.passed},
+                {"asker", p->c.served}};
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+        sr_buf_printf(out, "ferry_session_peer_statements_total{peer=\"%s\"} %llu\n",
+                      rows[i].peer, (unsigned long long)rows[i].n);
+    sr_buf_printf(out,
+                  "ferry_session_bytes_out_total{peer=\"asker\",within=\"any\"} %llu\n"
+                  "ferry_session_bytes_in_total{peer=\"asker\",within=\"any\"} %llu\n",
+                  (unsigned long long)p->served_traffic.bytes_out,
+                  (unsigned long long)p->served_traffic.bytes_in);
+}
+
+static int more_used_first(const void *a, const void *b)
+{
+    const struct px_account *x = *(const struct px_account *const *)a;
+    const struct px_account *y = *(const struct px_account *const *)b;
+    uint64_t here = x->begun + x->refused, there = y->begun + y->refused;
+    return here != there ? (here < there ? 1 : -1) : strcmp(x->name, y->name);
+}
+
+/* All accounts, by use; the caller frees it. */
+static const struct px_account **by_use(const struct px_proxy *p)
+{
+    const struct px_account **a =
+        sr_alloc(sizeof(struct px_account *) * (size_t)(p->n_accounts + 1));
+    for (int i = 0; i < p->n_accounts; i++)
+        a[i] = &p->accounts[i];
+    qsort(a, (size_t)p->n_accounts, sizeof(*a), more_used_first);
+    return a;
+}
+
+int px_accounts_by_use(const struct px_proxy *p, const char *names[PX_ACCOUNTS_TOLD])
+{
+    const struct px_account **a = by_use(p);
+    int n = p->n_accounts < PX_ACCOUNTS_TOLD ? p->n_accounts : PX_ACCOUNTS_TOLD;
+    for (int i = 0; i < n; i++)
+        names[i] = a[i]->name;
+    free(a);
+    return n;
+}
+
+static void put_account(struct sr_buf *out, const char *name, uint64_t begun, uint64_t refused,
+                        int permits)
+{
+    sr_buf_printf(out,
+                  "ferry_session_account_begun_total{account=\"%s\"} %llu\n"
+                  "ferry_session_account_refused_total{account=\"%s\"} %llu\n"
+                  "ferry_session_account_permits{account=\"%s\"} %d\n",
+                  name, (unsigned long long)begun, name, (unsigned long long)refused, name,
+                  permits);
+}
+
+static void put_limit(struct sr_buf *out, const struct ac_account *limit)
+{
+    if (!limit || !limit->limited)
+        return;
+    sr_buf_printf(out,
+                  "ferry_session_account_rate{account=\"%s\"} %g\n"
+                  "ferry_session_account_burst{account=\"%s\"} %g\n",
+                  limit->name, limit->rate, limit->name, limit->burst);
+}
+
+/* Those that are used most, the rest together as "-": the number is bounded, whatever documents
+ * hold. */
 static void put_accounts(struct sr_buf *out, const struct px_proxy *p)
 {
-    enum { MOST = 64 };
-    for (int i = 0; i < p->n_accounts && i < MOST; i++) {
-        const struct px_account *a = &p->accounts[i];
-        sr_buf_printf(out,
-                      "ferry_session_account_begun_total{account=\"%s\"} %llu\n"
-                      "ferry_session_account_refused_total{account=\"%s\"} %llu\n"
-                      "ferry_session_account_permits{account=\"%s\"} %d\n",
-                      a->name, (unsigned long long)a->begun, a->name,
-                      (unsigned long long)a->refused, a->name, a->stock.held);
+    const struct px_account **a = by_use(p);
+    struct px_account rest = {0};
+    for (int i = 0; i < p->n_accounts; i++) {
+        if (i < PX_ACCOUNTS_TOLD) {
+            put_account(out, a[i]->name, a[i]->begun, a[i]->refused, a[i]->stock.held);
+            put_limit(out, ac_by_name(&p->catalog.accounts, a[i]->name));
+        } else {
+            rest.begun += a[i]->begun;
+            rest.refused += a[i]->refused;
+            rest.stock.held += a[i]->stock.held;
+        }
     }
+    if (p->n_accounts > PX_ACCOUNTS_TOLD)
+        put_account(out, "-", rest.begun, rest.refused, rest.stock.held);
+    free(a);
+}
+
+int px_account_nodes(struct px_proxy *p, const char *group, const char *account,
+                     const char *nodes[HO_MAX_HOLDERS])
+{
+    struct px_group *g = px_group(p, group);
+    const struct sp_place *place = g ? px_place_of(g, account) : NULL;
+    int n = place ? place->n : 0;
+    for (int k = 0; k < n; k++)
+        nodes[k] = p->nodes[g->holders[place->at[k]]].name;
+    return n;
+}
+
+/* Statements that wait for a route, a permit or a connection now. */
+static int waiting_now(const struct px_proxy *p)
+{
+    int k = 0;
+    for (const struct px_session *s = p->active; s; s = s->next_active)
+        k += s->stage == PX_S_PARKED || s->stage == PX_S_WAITING;
+    return k;
+}
+
+static int groups_held(const struct px_proxy *p)
+{
+    int k = 0;
+    for (int i = 0; i < p->n_groups; i++)
+        k += p->groups[i]->held;
+    return k;
 }
 
 static void put_instance(struct sr_buf *out, const struct px_inst *in)
@@ -266,6 +371,8 @@
                 {"cut_total", p->c.cut},
                 {"log_lines_left_out_total", p->c.log_lines_left_out},
                 {"open", (uint64_t)p->n_sessions},
+                {"waiting", (uint64_t)waiting_now(p)},
+                {"groups_held", (uint64_t)groups_held(p)},
                 {"nodes", (uint64_t)p->n_nodes},
                 {"document", p->catalog.version}};
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
@@ -278,6 +385,7 @@
         sr_buf_printf(out, "ferry_session_closed_total{why=\"%s\"} %llu\n", px_end_name(k),
                       (unsigned long long)p->c.ends[k]);
     put_traffic(out, p);
+    put_passed(out, p);
     put_accounts(out, p);
     put_hist(out, "read", &p->latency_read);
     put_hist(out, "write", &p->latency_write);
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -219,8 +219,10 @@
         return m.kind != PX_END;
     r->txn = m.txn;
     r->rests = m.txn == PX_IDLE;
-    if (r->asked)
+    if (r->asked && r->greeted) {
         px_stage(&r->s->p->stages, PX_T_RELAY, ck_now() - r->asked_at);
+        r->s->p->c.passed++;
+    }
     r->asked = false;
     return true;
 }
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -52,6 +52,8 @@
         return;
     }
     s->came_relayed = px_is_relayed(m, &s->least_document);
+    if (s->came_relayed)
+        nt_meter(s->net, &s->p->served_traffic);
     /* One that is too long is nobody's. */
     if (!sr_copy(s->key, sizeof(s->key), s->came_relayed ? m->expect : m->who))
         s->key[0] = 0;
--- a/tests/process/sessions.sh
+++ b/tests/process/sessions.sh
@@ -13,7 +13,7 @@
 JSON
     else
         cat << JSON
-{"cluster":"t","node":{"name":"e$i","domain":"z$((i % 3))"},"roles":["entry"],
+{"cluster":"t","node":{"name":"e$i","domain":"z$((i % 3))"${SE_NODE_JSON:-}},"roles":["entry"],
  "entry":{"address":"127.0.0.1:$((SE_BASE + 60 + i))","sessions":"127.0.0.1:$((SE_BASE + 40 + i))","grace_s":4},
  "control":{"registers":true,"seeds":[$seeds],"port":$SE_BASE,"lease_ms":1200,"election_ms":300,"heartbeat_ms":75},
  "log":{"json":true}}
--- a/tests/unit/test_text.c
+++ b/tests/unit/test_text.c
@@ -55,9 +55,10 @@
     e[0] = (struct qr_entry){5, 2, QR_DATA, 3, "abc"};
     e[1] = (struct qr_entry){6, 2, QR_MEMBERS, sizeof(members), (char *)&members};
     int n = 0;
-    m[n++] = (struct wr_msg){.type = WR_HELLO,
-                             .hello = {1, SR_LIT("cl"), SR_LIT("e0"), SR_LIT("d"),
-                                       SR_LIT("127.0.0.1"), 7000, WR_ROLE_ENTRY, 42, 0, 89}};
+    m[n++] =
+        (struct wr_msg){.type = WR_HELLO,
+                        .hello = {1, SR_LIT("cl"), SR_LIT("e0"), SR_LIT("d"),
+                                  SR_LIT("127.0.0.1"), 7000, WR_ROLE_ENTRY, 42, 0, 89, 9100}};
     m[n++] = (struct wr_msg){.type = WR_QUORUM,
                              .quorum = {.type = QR_APPEND,
                                         .from = 1,
--- a/wire/decode.c
+++ b/wire/decode.c
@@ -116,6 +116,7 @@
     h->id = get_u(r);
     h->expect = get_u(r);
     h->carries = get_max(r, CP_MOST);
+    h->http = get_max(r, 65535);
 }
 
 static const struct qr_members *get_members(struct rd *r)
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -50,7 +50,7 @@
 
 static void put_hello(msgpack_packer *pk, const struct wr_hello *h)
 {
-    head(pk, WR_HELLO, 9u + (h->carries > 0));
+    head(pk, WR_HELLO, h->http ? 11 : 9u + (h->carries > 0));
     put_u(pk, h->version);
     put_s(pk, h->cluster);
     put_s(pk, h->name);
@@ -60,8 +60,10 @@
     put_u(pk, h->role);
     put_u(pk, h->id);
     put_u(pk, h->expect);
-    if (h->carries)
+    if (h->carries || h->http)
         put_u(pk, h->carries);
+    if (h->http)
+        put_u(pk, h->http);
 }
 
 static void put_members(msgpack_packer *pk, const struct qr_members *m)
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -59,6 +59,7 @@
     uint64_t id;      /* control: the identity on disk; else drawn at start */
     uint64_t expect;  /* control: the identity expected of the other side, 0 any */
     uint32_t carries; /* entry: statements a second (route/capacity.h); 0: not told */
+    uint32_t http;    /* entry: port of its own pages; 0: not told */
 };
 
 struct wr_share {
