ferryctl worth: databases that no document has; sessions that a cut-off node refuses

Change: a cause of its own. The recorded log has a line of each; t_worth counts one more as cut off.

--- a/ferryctl/accounts.c
+++ b/ferryctl/accounts.c
@@ -10,11 +10,11 @@
 struct row {
     char name[IX_NAME];
     bool limited;
-    double rate, burst;           /* its limit */
-    double begun, refused;        /* operations so far */
-    double begun_s, refused_s;    /* a second, now */
-    double permits;               /* at hand, on all nodes */
-    int nodes;                    /* at which its operations begin */
+    double rate, burst;        /* its limit */
+    double begun, refused;     /* operations so far */
+    double begun_s, refused_s; /* a second, now */
+    double permits;            /* at hand, on all nodes */
+    int nodes;                 /* at which its operations begin */
 };
 
 struct table {
@@ -127,7 +127,9 @@
     const char *node;
     json_t *groups;
     json_object_foreach((json_t *)by_node, node, groups)
+    {
         printf(" %s (%lld)", node, (long long)json_integer_value(groups));
+    }
     printf("\n");
 }
 
--- a/ferryctl/cause.c
+++ b/ferryctl/cause.c
@@ -21,6 +21,7 @@
     [CA_HOLDER_ENDED] = {"holder ended", CA_K_CLOSED},
     [CA_CLOSED] = {"connection closed", CA_K_CLOSED},
     [CA_KEY] = {"key unknown", CA_K_OTHER},
+    [CA_DATABASE] = {"database unknown", CA_K_OTHER},
     [CA_OTHER] = {"other", CA_K_OTHER},
 };
 
@@ -63,8 +64,10 @@
     {"request_failed", "kind", "failed", NULL, CA_FAILED},
     {"request_failed", "kind", "stopping", NULL, CA_HOLDER_ENDED},
     {"request_failed", "kind", "no_account", NULL, CA_KEY},
+    {"request_failed", "kind", "no_database", NULL, CA_DATABASE},
     {"request_failed", "kind", NULL, NULL, CA_OTHER},
     {"session_refused", "kind", "no_account", NULL, CA_KEY},
+    {"session_refused", "kind", "no_database", NULL, CA_DATABASE},
     {"session_refused", "kind", "no_lease", NULL, CA_CUT_OFF},
     {"session_refused", "kind", NULL, NULL, CA_OTHER},
     {"session_cut", "why", "holder_lost", NULL, CA_HOLDER_LOST},
--- a/ferryctl/cause.h
+++ b/ferryctl/cause.h
@@ -22,8 +22,9 @@
     CA_FAILED,     /* it ran and failed */
     CA_HOLDER_LOST,
     CA_HOLDER_ENDED,
-    CA_CLOSED, /* its caller's connection, for another reason */
-    CA_KEY,    /* nobody's */
+    CA_CLOSED,   /* its caller's connection, for another reason */
+    CA_KEY,      /* nobody's */
+    CA_DATABASE, /* in no document that is in force there */
     CA_OTHER,
     CA_CAUSES
 };
--- a/ferryctl/fleet.c
+++ b/ferryctl/fleet.c
@@ -10,9 +10,9 @@
 #include "task/net.h"
 
 enum {
-    AT_ONCE = 64,          /* requests */
-    GIVE_UP_US = 4000000,  /* nodes that have not answered by then are passed over */
-    BETWEEN_US = 1000000,  /* samples */
+    AT_ONCE = 64,         /* requests */
+    GIVE_UP_US = 4000000, /* nodes that have not answered by then are passed over */
+    BETWEEN_US = 1000000, /* samples */
 };
 
 /* ---- asking ---- */
@@ -179,7 +179,8 @@
     if (!n->metrics[0] || !n->metrics[1] || us <= 0)
         return 0;
     double grown = sum(n->metrics[1], name, label) - sum(n->metrics[0], name, label);
-    return grown > 0 ? grown * 1e6 / (double)us : 0; /* a node that started anew counts from 0 */
+    return grown > 0 ? grown * 1e6 / (double)us
+                     : 0; /* a node that started anew counts from 0 */
 }
 
 void ft_each(const struct ft_node *n, const char *name, const char *key,
--- a/ferryctl/nodes.c
+++ b/ferryctl/nodes.c
@@ -53,8 +53,8 @@
     r.conns = ft_value(n, "ferry_session_instance_connections", "") +
               ft_value(n, "ferry_instance_connections", "");
     r.sessions = ft_value(n, "ferry_session_open", "");
-    r.waiting = ft_value(n, "ferry_session_waiting", "") +
-                ft_value(n, "ferry_instance_queued", "");
+    r.waiting =
+        ft_value(n, "ferry_session_waiting", "") + ft_value(n, "ferry_instance_queued", "");
     return r;
 }
 
@@ -98,8 +98,9 @@
 
 static void show_head(void)
 {
-    printf("link: kB a second, and the busier way's part of what the VM is told to have; by peer: "
-           "both ways\n");
+    printf(
+        "link: kB a second, and the busier way's part of what the VM is told to have; by peer: "
+        "both ways\n");
     printf("%-16s %-16s %-8s %8s %-6s", "node", "domain", "lease", "carries", "");
     printf(" %6s %6s %8s %8s %8s %7s", "groups", "conns", "sessions", "passed/s", "served/s",
            "waiting");
@@ -131,7 +132,8 @@
     printf(" |");
     for (int i = 0; i < PEERS; i++)
         printf(" %8.1f", r->peer[i] / 1e3);
-    printf(" | %.0f, %.0f\n", each(r->peer[NODES], r->passed), each(r->peer[ASKERS], r->served));
+    printf(" | %.0f, %.0f\n", each(r->peer[NODES], r->passed),
+           each(r->peer[ASKERS], r->served));
 }
 
 static json_t *row_json(const struct row *r)
--- a/tests/process/t_worth.sh
+++ b/tests/process/t_worth.sh
@@ -33,7 +33,7 @@
 done << 'CAUSES'
 2 over the account's limit
 1 no permit came
-1 cut off from control
+2 cut off from control
 1 waited for a route
 1 no connection free
 1 deadline before it was sent
@@ -46,6 +46,7 @@
 2 holder ended
 1 connection closed
 1 key unknown
+1 database unknown
 1 other
 CAUSES
 
