proxy: nodes that can't be reached are found by all their sessions' traffic, and not chosen

Change: proxy/reach judges a node by the answers of all sessions that it serves for this one; where nothing comes for 0.4 s a connection is begun as a test, and after 1 s and two tests without answer the node is out of reach: its relayed sessions are closed, resting ones too (before their next question is lost), holders that can be reached are chosen first, and it is tested twice a second until it answers. Holders are also chosen by distance: own failure domain, own region, then others; the second try leaves out neither but prefers the region.

Weighed: shorter kernel timeouts for all connections (idle ones would be probed every second: 4,000 sessions on links of 2 Mbit/s; and a stalled VM loses its sessions); closing by silence alone (statements of 0.3 to 0.5 s and full links look like it: a test connection tells them apart).

Tests seen failing with the tick left out.

--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -12,6 +12,7 @@
 #include "proxy/outlier.h"
 #include "proxy/pace.h"
 #include "proxy/place.h"
+#include "proxy/reach.h"
 #include "proxy/relief.h"
 #include "proxy/proxy.h"
 #include "proxy/stages.h"
@@ -164,13 +165,16 @@
     struct px_proxy *p;
 
     /* the connection */
-    struct nt_conn *net;    /* NULL: the caller has gone */
-    struct sr_buf in;       /* what has come and is not taken yet */
-    bool reading;           /* its input is being worked through */
-    bool paused;            /* more than a message of input: not read on */
-    bool opened;            /* greeted by us */
-    bool came_relayed;      /* another node relays it to us */
-    struct px_relay *relay; /* another node serves it; NULL: we do */
+    struct nt_conn *net;            /* NULL: the caller has gone */
+    struct sr_buf in;               /* what has come and is not taken yet */
+    bool reading;                   /* its input is being worked through */
+    bool paused;                    /* more than a message of input: not read on */
+    bool opened;                    /* greeted by us */
+    bool came_relayed;              /* another node relays it to us */
+    struct px_relay *relay;         /* another node serves it; NULL: we do */
+    struct px_neighbour *neighbour; /* the one that was asked last to serve it */
+    bool opened_there;              /* it greeted */
+    bool waits_there;               /* a question does, as of the last look */
     int64_t opened_at;
     int64_t left_at; /* it was ended here, and who relays it is told; 0: not so */
     int64_t since;   /* it connected, or its last statement ended */
@@ -267,6 +271,9 @@
     struct px_group **groups; /* sorted by name */
     int n_nodes;
     struct ho_node *nodes; /* entry nodes with a lease, prepared */
+    int n_neighbours;
+    struct px_neighbour *
+        *neighbours;       /* that sessions were relayed to; bounded by HO_MAX_NODES */
     int64_t configured_at; /* the first document came */
     bool knew_nodes;       /* px_knows_nodes, when groups were looked at last */
     struct px_inst *gone;  /* not in the view, with connections still */
@@ -381,6 +388,14 @@
 /* Whether a relayed session has neither a statement nor a transaction at the other node. */
 bool px_rests_elsewhere(const struct px_session *s);
 
+/* neighbours.c: which nodes that serve sessions for this one can be reached */
+/* The session is on its way to this node. */
+void px_served_by(struct px_session *s, const struct ho_node *node);
+int px_n_out_of_reach(const struct px_proxy *p);
+bool px_out_of_reach(const struct px_proxy *p, const struct ho_node *node);
+/* After px_relay_tick of all sessions: nodes are judged, sessions of lost ones closed. */
+void px_neighbours_tick(struct px_proxy *p, int64_t now);
+
 /* holders.c: which nodes hold connections to which groups */
 /* The view, the document or the nodes changed. */
 void px_holders_changed(struct px_proxy *p);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -154,6 +154,7 @@
         return;
     p->next_slow_tick = now + SLOW_TICK_US;
     px_sessions_slow_tick(p, now);
+    px_neighbours_tick(p, now);
     force_end(p, now);
     tell_stages(p, now);
 }
@@ -267,6 +268,7 @@
                 {"log_lines_left_out_total", p->c.log_lines_left_out},
                 {"open", (uint64_t)p->n_sessions},
                 {"nodes", (uint64_t)p->n_nodes},
+                {"nodes_out_of_reach", (uint64_t)px_n_out_of_reach(p)},
                 {"document", p->catalog.version}};
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
         sr_buf_printf(out, "ferry_session_%s %llu\n", rows[i].name,
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -71,18 +71,27 @@
 /* ---- where ---- */
 
 /* A holder of the group but for ourselves, from a place of the session's own on, so that
- * sessions spread over them. `near`: only of this node's failure domain. -1: none. */
-static int pick_holder(const struct px_session *s, const struct px_group *g, int try, bool near)
+ * sessions spread over them; the nearest of those that can be reached, if there are any. A near
+ * one costs a shorter trip and no bytes between failure domains or regions; after the first try
+ * this node's own domain is as good as any other of its region: it may be in trouble. -1: none.
+ */
+static int pick_holder(const struct px_session *s, const struct px_group *g, int try)
 {
     const struct px_proxy *p = s->p;
     uint64_t n = (uint64_t)g->n_holders;
+    int best = -1, best_rank = 0;
     for (uint64_t k = 0; k < n; k++) {
         int i = g->holders[(s->state.session + (uint64_t)try + k) % n];
-        bool other = strcmp(p->nodes[i].name, p->cfg.name) != 0;
-        if (other && (!near || strcmp(p->nodes[i].domain, p->cfg.domain) == 0))
-            return i;
+        const struct ho_node *x = &p->nodes[i];
+        int far = rt_distance(p->cfg.domain, x->domain);
+        int rank = try > 0 && far == 0 ? 1 : try > 1 ? 1 : far;
+        rank += px_out_of_reach(p, x) ? PX_DISTANCES : 0;
+        if (strcmp(x->name, p->cfg.name) == 0 || (best >= 0 && rank >= best_rank))
+            continue;
+        best = i;
+        best_rank = rank;
     }
-    return -1;
+    return best;
 }
 
 /* Where connections belong to accounts, an account's sessions meet where its connections are,
@@ -91,23 +100,22 @@
 static int pick_for_account(const struct px_session *s, struct px_group *g, int try)
 {
     const struct px_proxy *p = s->p;
-    int order[HO_MAX_HOLDERS], n = px_holders_for(s, g, order);
-    for (int k = 0, others = 0; k < n; k++) {
-        bool other = strcmp(p->nodes[order[k]].name, p->cfg.name) != 0;
-        if (other && others++ == try)
-            return order[k];
+    int order[HO_MAX_HOLDERS], n = px_holders_for(s, g, order), others = 0;
+    for (int k = 0; k < 2 * n; k++) { /* those that are out of reach come last */
+        const struct ho_node *x = &p->nodes[order[k % n]];
+        bool other = strcmp(x->name, p->cfg.name) != 0;
+        if (other && px_out_of_reach(p, x) == (k >= n) && others++ == try)
+            return order[k % n];
     }
     return -1;
 }
 
-/* A near one costs a shorter trip and no bytes between failure domains; the second try goes
- * anywhere. */
-static int pick_target(const struct px_session *s, struct px_group *g, int try)
+static int pick_target(struct px_session *s, struct px_group *g, int try)
 {
-    if (px_has_accounts(s->p))
-        return pick_for_account(s, g, try);
-    int i = try == 0 ? pick_holder(s, g, try, true) : -1;
-    return i >= 0 ? i : pick_holder(s, g, try, false);
+    int i = px_has_accounts(s->p) ? pick_for_account(s, g, try) : pick_holder(s, g, try);
+    if (i >= 0)
+        px_served_by(s, &s->p->nodes[i]);
+    return i;
 }
 
 /* The group of the session's database: a relayed session takes no route here. */
@@ -117,7 +125,7 @@
     return r ? px_group(s->p, r->group) : NULL;
 }
 
-static int next_target(const struct px_session *s, int try)
+static int next_target(struct px_session *s, int try)
 {
     struct px_group *g = wanted_group(s);
     return g && g->n_holders > 0 ? pick_target(s, g, try) : -1;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -29,6 +29,7 @@
     engine_suite();
     net_suite();
     pace_suite();
+    reach_suite();
     relay_suite();
     holding_suite();
     opening_suite();
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -29,6 +29,7 @@
 void engine_suite(void);
 void net_suite(void);
 void pace_suite(void);
+void reach_suite(void);
 void relay_suite(void);
 void holding_suite(void);
 void opening_suite(void);
