--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -10,7 +10,7 @@
 #include "tests/unit/one_node.h"
 #include "tests/unit/unit.h"
 
-enum { NODES = 5 }; /* more than hold the group, so that one has to relay */
+enum { NODES = 5, HOLDERS = 3 }; /* so that one has to relay */
 
 static const char document_of[] =
     "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"db\",\"pathPrefix\":\"/\",\"kind\":"
@@ -190,7 +190,20 @@
     return p;
 }
 
-static void play(const struct fault *f)
+/* Holder number `near` is in another failure domain of our region, all others in another
+ * region.
+ */
+static void spread_over_regions(struct ho_node nodes[NODES], int near)
+{
+    int holders[HO_MAX_HOLDERS];
+    ho_pick(nodes, NODES, "g", HOLDERS, holders);
+    for (int h = 0; h < HOLDERS; h++)
+        snprintf(nodes[holders[h]].domain, sizeof(nodes[0].domain), "%s",
+                 h == near ? "y" : "far/x");
+}
+
+/* `near`: -1, all nodes are in our failure domain. */
+static void play_over_regions(const struct fault *f, int near)
 {
     struct er_err err = {0};
     struct ho_node nodes[NODES];
@@ -203,6 +216,8 @@
                           .accept = there_accept};
     CU_ASSERT_PTR_NOT_NULL(nt_listen(w.loop, &l, &err));
     const char *name = fill_nodes(nodes, there);
+    if (near >= 0)
+        spread_over_regions(nodes, near);
     int here = on_free_port();
     w.p = make_proxy(name, here);
     px_nodes(w.p, nodes, NODES);
@@ -215,12 +230,15 @@
     nt_timer_cancel(&w.tick);
 }
 
-/* How often the node says that it closed a caller's connection for this reason. */
-static int closed_for(const char *why)
+static void play(const struct fault *f)
+{
+    play_over_regions(f, -1);
+}
+
+/* What the node's metrics say of `name`; -1: nothing. */
+static int metric(const char *name)
 {
-    char name[80];
     struct sr_buf text = {0};
-    snprintf(name, sizeof(name), "ferry_session_closed_total{why=\"%s\"} ", why);
     px_metrics(w.p, &text);
     sr_buf_add(&text, "", 1);
     const char *at = strstr(text.p, name);
@@ -229,6 +247,14 @@
     return n;
 }
 
+/* How often the node says that it closed a caller's connection for this reason. */
+static int closed_for(const char *why)
+{
+    char name[80];
+    snprintf(name, sizeof(name), "ferry_session_closed_total{why=\"%s\"} ", why);
+    return metric(name);
+}
+
 /* Promise attacked: a planned stop of the node that serves a session loses no question that
  * another node has read: it is answered, or refused as not run, before the connection ends. */
 static void ends_of_relayed_sessions_lose_no_question(void)
@@ -247,6 +273,22 @@
     }
 }
 
+/* Load: callers of a failure domain without a holder, where the link between regions is narrow
+ * and far: they are served within their region, whichever holder is there. */
+static void a_relay_stays_in_its_region(void)
+{
+    static const struct fault served = {"", "COMPLETE x\r\nREADY I -\r\n",
+                                        "READY I -\r\nCOMPLETE x\r\nREADY I -\r\n", false,
+                                        false};
+    for (int near = 0; near < HOLDERS; near++) {
+        play_over_regions(&served, near);
+        CU_ASSERT(w.got.len >= strlen(served.told));
+        CU_ASSERT(metric("bytes_out_total{peer=\"node\",within=\"region\"} ") > 0);
+        CU_ASSERT_EQUAL(metric("bytes_out_total{peer=\"node\",within=\"any\"} "), 0);
+        sr_buf_free(&w.got);
+    }
+}
+
 /* ---- a node that can't serve what is relayed to it ---- */
 
 static void relaying_open(struct nt_conn *c, void *ud)
@@ -374,6 +416,7 @@
 {
     CU_pSuite s = CU_add_suite("relay", NULL, NULL);
     TEST(s, ends_of_relayed_sessions_lose_no_question);
+    TEST(s, a_relay_stays_in_its_region);
     TEST(s, a_node_that_is_cut_off_opens_no_relayed_session);
     TEST(s, a_cut_off_node_relays_its_callers);
 }
