proxy: nodes that are frozen are out of reach, too

Change: the test ends a session that was never opened, which any process answers by closing the connection; only that, or a refusal, counts as an answer. The time that tests have is counted from the first one, so that a node that stood still itself does not judge others by its own pause.

Both cases seen failing: the connection alone (frozen stand-in), the tick left out.

--- a/proxy/neighbours.c
+++ b/proxy/neighbours.c
@@ -65,7 +65,7 @@
 {
     if (nb->reach.lost)
         FL_EVENT(&nb->p->log, LG_INFO, "node_reached", "peer=%s", nb->node.name);
-    px_reach_heard(&nb->reach, ck_now());
+    px_reach_heard(&nb->reach);
 }
 
 static void end_test(struct px_neighbour *nb)
@@ -76,13 +76,15 @@
         nt_close(test, true);
 }
 
+/* The end of a session that was never opened: the other node closes at once. */
 static void test_open(struct nt_conn *net, void *ud)
 {
     struct px_neighbour *nb = ud;
-    if (net != nb->test)
-        return;
-    heard(nb);
-    end_test(nb);
+    struct sr_buf b = {0};
+    struct px_msg m = {.kind = PX_END};
+    nb->p->cfg.codec->put(&b, &m);
+    nt_send(net, b.p, b.len);
+    sr_buf_free(&b);
 }
 
 static void test_message(struct nt_conn *net, void *ud, const char *data, size_t len)
@@ -93,15 +95,14 @@
     (void)len;
 }
 
-/* Refused is an answer, too: the VM is there. */
+/* Closed by the other node, or refused, which is an answer, too. */
 static void test_close(struct nt_conn *net, void *ud, bool opened, bool refused)
 {
     struct px_neighbour *nb = ud;
-    (void)opened;
     if (net != nb->test)
         return;
     nb->test = NULL;
-    if (refused)
+    if (opened || refused)
         heard(nb);
 }
 
--- a/proxy/reach.c
+++ b/proxy/reach.c
@@ -5,16 +5,15 @@
     TEST_AFTER_US = 400000,
     TEST_EVERY_US = 200000, /* one packet that is lost is no partition */
     LEAST_TESTS = 2,
-    /* The kernel's second packet for a connection follows after a second. A caller that is told
-     * by then has time left for another try. */
-    LOST_AFTER_US = 1000000,
+    /* So long the tests may take. A caller that is told then has time left for another try;
+     * counted from the first test, as this node itself may have stood still meanwhile. */
+    ANSWER_US = 600000,
     /* A node that is out of reach is tested so often, that its callers come back to it. */
     RETEST_US = 500000,
 };
 
-void px_reach_heard(struct px_reach *r, int64_t now)
+void px_reach_heard(struct px_reach *r)
 {
-    r->heard_at = now;
     r->unheard_since = 0;
     r->tests = 0;
     r->lost = false;
@@ -22,7 +21,8 @@
 
 static enum px_reach_step test(struct px_reach *r, int64_t now)
 {
-    r->tests++;
+    if (r->tests++ == 0)
+        r->first_test_at = now;
     r->tested_at = now;
     return PX_REACH_TEST;
 }
@@ -38,7 +38,7 @@
     }
     if (!r->unheard_since)
         r->unheard_since = now;
-    if (r->tests >= LEAST_TESTS && now - r->unheard_since >= LOST_AFTER_US) {
+    if (r->tests >= LEAST_TESTS && now - r->first_test_at >= ANSWER_US) {
         r->lost = true;
         return PX_REACH_LOST;
     }
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -23,14 +23,14 @@
 };
 
 /* Load: questions are open from `asked_ms` on; the node is heard at `heard_ms`, if not 0, and
- * takes test connections from the `takes`th on, 0: none. */
+ * answers tests from the `takes`th on, 0: none. */
 static const struct situation {
     const char *what;
     int asked_ms, heard_ms, takes;
     bool lost;
 } situations[] = {
     {"a partition", 100, 0, 0, true},
-    {"statements that take seconds at a node that is there", 100, 0, 1, false},
+    {"statements that take seconds at a node that answers tests", 100, 0, 1, false},
     {"the first packet of a test is lost", 100, 0, 2, false},
     {"nothing is asked of it", 1000000, 0, 0, false},
     {"it answers late, but before all tests are lost", 100, 900, 1, false},
@@ -42,12 +42,12 @@
     int tests = 0;
     for (int64_t t = STEP_US; t < CK_SEC(3); t += STEP_US) {
         if (f->heard_ms && t == CK_MS(f->heard_ms))
-            px_reach_heard(r, t);
+            px_reach_heard(r);
         enum px_reach_step step = px_reach_tick(r, t >= CK_MS(f->asked_ms), t);
         if (step == PX_REACH_LOST)
             return t;
         if (step == PX_REACH_TEST && f->takes && ++tests >= f->takes)
-            px_reach_heard(r, t);
+            px_reach_heard(r);
     }
     return 0;
 }
@@ -64,6 +64,18 @@
     }
 }
 
+/* Load: this node is frozen for seconds with questions open; when it wakes, answers need a
+ * moment to come. */
+static void a_node_that_stood_still_itself_waits_for_answers(void)
+{
+    struct px_reach r = {0};
+    int64_t t = CK_SEC(1), until;
+    px_reach_tick(&r, 1, t);
+    t += CK_SEC(6);
+    for (until = t + CK_MS(500); t < until; t += STEP_US)
+        CU_ASSERT_NOT_EQUAL(px_reach_tick(&r, 1, t), PX_REACH_LOST);
+}
+
 /* The partition ends: its callers come back within a second. */
 static void a_lost_node_is_tested_until_it_answers(void)
 {
@@ -73,7 +85,7 @@
     for (; t < until; t += STEP_US)
         tests += px_reach_tick(&r, 0, t) == PX_REACH_TEST;
     CU_ASSERT(tests >= 10 && tests <= 20);
-    px_reach_heard(&r, t);
+    px_reach_heard(&r);
     CU_ASSERT_FALSE(r.lost);
     CU_ASSERT_EQUAL(px_reach_tick(&r, 1, t + STEP_US), PX_REACH_WAIT);
 }
@@ -93,7 +105,7 @@
         int open = 0;
         for (int i = 0; i < SESSIONS; i++) {
             if (answer_at[i] && answer_at[i] <= t && answer_at[i] < cut_at) {
-                px_reach_heard(&r, t);
+                px_reach_heard(&r);
                 answer_at[i] = 0;
                 asks_at[i] = t + (int64_t)rn_below(&rng, CK_SEC(4));
             } else if (!answer_at[i] && asks_at[i] <= t) {
@@ -106,7 +118,7 @@
         if (step == PX_REACH_LOST)
             return t;
         if (step == PX_REACH_TEST && t < cut_at && rn_below(&rng, 20) > 0)
-            px_reach_heard(&r, t);
+            px_reach_heard(&r);
     }
     return 0;
 }
@@ -133,6 +145,7 @@
     struct px_proxy *p;
     int there, session;   /* the other node: a listener, the relayed session */
     int fillers[FILLERS]; /* they fill its queue of new connections */
+    bool frozen;          /* its kernel takes connections, nobody answers on them */
     bool asked, closed;
     int64_t asked_at, closed_at;
     struct nt_timer tick, late;
@@ -174,7 +187,8 @@
     int *port = ud;
     if (w.session < 0 && (w.session = accept(w.there, NULL, NULL)) >= 0) {
         CU_ASSERT_EQUAL(write(w.session, "READY I -\r\n", 11), 11);
-        take_no_more(*port);
+        if (!w.frozen)
+            take_no_more(*port);
     }
     px_tick(w.p, ck_now());
     nt_timer_set(w.loop, &w.tick, CK_MS(5), tick, ud);
@@ -247,12 +261,11 @@
     px_nodes(w.p, nodes, NODES);
 }
 
-/* Promise attacked: a caller learns of a node that is lost while another try can be served. */
-static void questions_to_a_lost_node_end_soon(void)
+static void ask_lost_node(bool frozen)
 {
     struct er_err err = {0};
     int here = on_free_port(), there = on_free_port();
-    w = (struct world){.loop = nt_loop_create(64, &err), .session = -1};
+    w = (struct world){.loop = nt_loop_create(64, &err), .session = -1, .frozen = frozen};
     listen_there(there);
     make_node(here, there);
     tick(&there);
@@ -268,16 +281,25 @@
     CU_ASSERT_PTR_NOT_NULL(strstr(text.p, "nodes_out_of_reach 1\n"));
     CU_ASSERT_PTR_NOT_NULL(strstr(text.p, "closed_total{why=\"holder_lost\"} 1\n"));
     sr_buf_free(&text);
-    for (int i = 0; i < FILLERS; i++)
+    for (int i = 0; i < FILLERS && !frozen; i++)
         close(w.fillers[i]);
     close(w.session);
     close(w.there);
 }
 
+/* Promise attacked: a caller learns of a node that is lost, behind a partition or frozen, while
+ * another try can be served. */
+static void questions_to_a_lost_node_end_soon(void)
+{
+    ask_lost_node(false);
+    ask_lost_node(true);
+}
+
 void reach_suite(void)
 {
     CU_pSuite s = CU_add_suite("reach", NULL, NULL);
     TEST(s, only_a_partition_loses_a_node);
+    TEST(s, a_node_that_stood_still_itself_waits_for_answers);
     TEST(s, a_lost_node_is_tested_until_it_answers);
     TEST(s, load_is_no_partition_and_a_partition_is_found);
     TEST(s, questions_to_a_lost_node_end_soon);
