--- a/proxy/targets.c
+++ b/proxy/targets.c
@@ -21,25 +21,26 @@
 
 /* ---- holders ---- */
 
-static bool near(const struct px_proxy *p, int i)
+/* How far it is: own failure domain, own region, another. After the first try the own domain
+ * is as good as any other of its region: it may be in trouble. */
+static int distance(const struct px_proxy *p, int i, bool near_first)
 {
-    return strcmp(p->nodes[i].domain, p->cfg.domain) == 0;
+    int far = rt_distance(p->cfg.domain, p->nodes[i].domain);
+    return far == 0 && !near_first ? 1 : far;
 }
 
-/* From a place of the session's own on, so that sessions spread over them; before any other is
- * tried, those of this node's failure domain come first: a shorter trip, and no bytes between
- * failure domains. */
+/* The near ones first: a shorter trip, and no bytes between failure domains or regions. Among
+ * those alike from a place of the session's own on, so that sessions spread over them. */
 static int by_place(const struct px_session *s, const struct px_group *g, bool near_first,
                     int *out)
 {
     const struct px_proxy *p = s->p;
     uint64_t n = (uint64_t)g->n_holders;
     int k = 0;
-    for (int pass = 0; pass < 2; pass++) {
+    for (int far = 0; far < PX_DISTANCES; far++) {
         for (uint64_t h = 0; h < n; h++) {
             int i = g->holders[(s->state.session + h) % n];
-            bool first = near_first && near(p, i);
-            if (first == (pass == 0))
+            if (distance(p, i, near_first) == far)
                 out[k++] = i;
         }
     }
