--- a/task/net.c
+++ b/task/net.c
@@ -279,7 +279,7 @@
         uint32_t be;
         memcpy(&be, c->in.p + off, FRAME_HEADER);
         size_t len = ntohl(be);
-        if (len == 0 || len > NT_MAX_MESSAGE) {
+        if (len == 0 || len > NT_MAX_FRAME) {
             c->loop->st.bad_frames++;
             return -1;
         }
--- a/task/net.h
+++ b/task/net.h
@@ -16,7 +16,14 @@
 struct nt_conn;
 struct nt_listener;
 
-enum { NT_MAX_MESSAGE = 1 << 20, NT_MAX_QUEUED = 8 << 20, NT_MAX_HTTP = 1024 };
+enum {
+    NT_MAX_MESSAGE = 1 << 20, /* bytes of a caller's message, and of a body */
+    /* Bytes of a frame between our processes: a snapshot of the whole view, its document
+     * escaped as text, is one. */
+    NT_MAX_FRAME = 8 << 20,
+    NT_MAX_QUEUED = 16 << 20, /* bytes that wait for a peer that does not read */
+    NT_MAX_HTTP = 1024,
+};
 
 /* What happens on a connection. `ud` is the connection's user pointer. */
 struct nt_ops {
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -1,5 +1,6 @@
 /* The socket layer on loopback: what the promotions' evidence rests on. */
 #include <arpa/inet.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -8,6 +9,7 @@
 #include "task/net.h"
 #include "task/redial.h"
 #include "tests/unit/unit.h"
+#include "view/view.h"
 
 struct seen {
     struct nt_loop *loop;
@@ -134,6 +136,60 @@
     }
 }
 
+/* ---- frames ---- */
+
+struct big {
+    struct seen s;
+    size_t sent, got;
+};
+
+static void big_open(struct nt_conn *c, void *ud)
+{
+    struct big *b = ud;
+    char *data = sr_alloc(b->sent);
+    memset(data, 'x', b->sent);
+    nt_send(c, data, b->sent);
+    free(data);
+}
+
+static void big_message(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    struct big *b = ud;
+    b->got = len;
+    nt_close(c, true);
+}
+
+static void big_close(struct nt_conn *c, void *ud, bool opened, bool refused)
+{
+    on_close(c, &((struct big *)ud)->s, opened, refused);
+}
+
+/* A snapshot with a document of the largest size is one frame; what is larger ends the
+ * connection before it is taken in. */
+static void frames_hold_a_whole_view(void)
+{
+    static const struct nt_ops server = {nothing, big_message, ended};
+    static const struct nt_ops client = {big_open, big_message, big_close};
+    static const size_t sizes[] = {VW_DOCUMENT_MAX * 2 + (1 << 20), NT_MAX_FRAME + 1};
+    for (int i = 0; i < 2; i++) {
+        int fd, port = make_port(&fd, false);
+        close(fd);
+        struct er_err err = {0};
+        struct big b = {.s = {.loop = nt_loop_create(64, &err)}, .sent = sizes[i]};
+        struct nt_listen l = {.ip = "127.0.0.1",
+                              .port = port,
+                              .raw = true,
+                              .ops = &server,
+                              .accept = accept_echo,
+                              .ud = &b};
+        CU_ASSERT_PTR_NOT_NULL_FATAL(nt_listen(b.s.loop, &l, &err));
+        nt_connect(b.s.loop, "127.0.0.1", port, true, &client, &b);
+        nt_run(b.s.loop);
+        CU_ASSERT_TRUE(b.s.closed);
+        CU_ASSERT_EQUAL(b.got, i == 0 ? sizes[i] : 0);
+    }
+}
+
 struct refusing {
     struct seen client;
     struct nt_listener *ln;
@@ -284,6 +340,7 @@
     CU_pSuite s = CU_add_suite("net", NULL, NULL);
     TEST(s, refused_is_told_from_silent);
     TEST(s, frames_and_websocket_echo);
+    TEST(s, frames_hold_a_whole_view);
     TEST(s, refusing_listener_opens_nobody);
     TEST(s, the_longest_idle_makes_room);
     TEST(s, unanswered_connects_are_made_anew);
--- a/view/view.h
+++ b/view/view.h
@@ -25,7 +25,7 @@
     VW_NAME = 48,
     VW_MAX_LEFT = 16,             /* instances that left, of all groups, remembered */
     VW_CHANGE_MAX = 8192,         /* bytes of a change as text, but for a document */
-    VW_DOCUMENT_MAX = 256 * 1024, /* bytes of a document */
+    VW_DOCUMENT_MAX = 1 << 20, /* bytes of a document: some 3,000 routes */
 };
 
 struct vw_instance {
