quorum: of voters that all start the one that is to lead asks when the last comes; peers are dialled back

Change: a fresh voter's pre-vote says so, and the one that would ask for votes asks anew; a control node that a peer connects to dials it at once. A voter is fresh only with its term and vote on disk: one that forgot a term could come to lead it.

--- a/control/peers.c
+++ b/control/peers.c
@@ -207,6 +207,17 @@
     nt_close(c->net, true);
 }
 
+/* A connect to it that began before it was there is not answered: it is made anew. */
+static void dial_back(struct ct_node *n, uint64_t id)
+{
+    struct ct_peer *p = peer_of(n, id);
+    if (!p || p->open)
+        return;
+    rd_heard(&p->line, ck_now());
+    if (p->net)
+        nt_close(p->net, true);
+}
+
 static void on_hello(struct ct_conn *c, const struct wr_hello *h)
 {
     struct ct_node *n = c->node;
@@ -233,6 +244,8 @@
         /* a node without members yet must be able to answer */
         peer_add(n, &m)->began = ck_now();
     }
+    if (c->role == WR_ROLE_CONTROL)
+        dial_back(n, c->id);
     ct_tell_controls(c);
 }
 
--- a/quorum/core.h
+++ b/quorum/core.h
@@ -54,9 +54,10 @@
     int64_t round_sent[ROUNDS];
     struct peer peers[QR_MAX_MEMBERS];
     int n_peers;
-    bool transfer;   /* this election was asked for by the old leader */
-    bool met_leader; /* since the start: one was heard, or this node led */
-    bool cold;       /* this election: all voters are fresh, no leader is left */
+    bool transfer;    /* this election was asked for by the old leader */
+    bool met_leader;  /* since the start: one was heard, or this node led */
+    int64_t asked_at; /* the last round of pre-votes was */
+    bool cold;        /* this election: all voters are fresh, no leader is left */
 };
 
 /* Small and everywhere: inline, since the parts are translation units of their own. */
--- a/quorum/elect.c
+++ b/quorum/elect.c
@@ -59,6 +59,13 @@
         q->cfg.sink->role(q->cfg.ud);
 }
 
+/* No leader was met since the start, and none can come of an election that is under way here,
+ * nor of one that this node would forget. */
+static bool is_fresh(const struct qr *q)
+{
+    return !q->met_leader && q->role != QR_CANDIDATE && q->persisted >= q->hard_seq;
+}
+
 void qc_ask_votes(struct qr *q, enum qr_msg_type type)
 {
     for (int i = 0; i < q->n_peers; i++) {
@@ -69,7 +76,7 @@
                            .index = qc_last_index(q),
                            .log_term = qc_last_term(q),
                            .transfer = q->transfer,
-                           .fresh = type == QR_VOTE && q->cold};
+                           .fresh = type == QR_VOTE ? q->cold : is_fresh(q)};
         qc_send(q, &m);
     }
 }
@@ -105,6 +112,7 @@
     q->role = QR_PRECANDIDATE;
     q->leader = 0;
     q->cold = false;
+    q->asked_at = now;
     qc_reset_peers(q, now);
     qc_reset_timer_short(q, now, q->cfg.election_us / 3);
     qc_reset_timer_cold(q, now);
@@ -137,13 +145,6 @@
 
 /* ---- a start of all voters ---- */
 
-/* No leader was met since the start, and none can come of an election that is under way here.
- */
-static bool is_fresh(const struct qr *q)
-{
-    return !q->met_leader && q->role != QR_CANDIDATE;
-}
-
 /* Whether each voter of the configuration before the newest votes in the newest: a leader that
  * was just removed might lead on for a moment, and is not asked. */
 static bool voters_stay(const struct qr *q)
@@ -186,6 +187,18 @@
     return fresh >= (q->cfg.fault.some_fresh ? qc_quorum_size(q) : voters);
 }
 
+/* One that has just started asks: if all have now, this node is the one to ask for votes. */
+static void ask_after(struct qr *q, const struct qr_msg *m, int64_t now)
+{
+    enum { PARTS = 16 }; /* of an election's time, between two rounds of questions */
+    bool asks = m->fresh && is_fresh(q) && comes_before(q, m);
+    int64_t at = q->asked_at + q->cfg.election_us / PARTS;
+    if (at < now)
+        at = now;
+    if (asks && at < q->deadline)
+        q->deadline = at;
+}
+
 void qc_on_prevote(struct qr *q, const struct qr_msg *m, int64_t now)
 {
     struct qr_msg r = {.type = QR_PREVOTE_R, .to = m->from};
@@ -195,6 +208,7 @@
     r.index = qc_last_index(q);
     r.log_term = qc_last_term(q);
     qc_send(q, &r);
+    ask_after(q, m, now);
 }
 
 void qc_on_prevote_reply(struct qr *q, const struct qr_msg *m, int64_t now)
--- a/quorum/quorum.h
+++ b/quorum/quorum.h
@@ -69,8 +69,8 @@
     uint64_t round; /* which heartbeat round; echoed */
     bool ok;        /* granted, or matched */
     bool transfer;  /* a vote asked for by a handover */
-    /* Of a pre-vote's answer: its sender has met no leader since it started. Of a vote that is
-     * asked for: all voters said so. */
+    /* Of a pre-vote and its answer: the sender has met no leader since it started. Of a vote
+     * that is asked for: all voters said so. */
     bool fresh;
     uint32_t n;
     const struct qr_entry *entries;
--- a/task/redial.c
+++ b/task/redial.c
@@ -8,6 +8,7 @@
 void rd_dialed(struct rd_line *l, int64_t now)
 {
     l->dialed = now;
+    l->heard = false;
 }
 
 bool rd_hangs(const struct rd_line *l, int64_t now)
@@ -31,5 +32,11 @@
 
 void rd_closed(struct rd_line *l, int64_t now)
 {
-    l->next_try = now + RD_RETRY_US;
+    l->next_try = l->heard ? now : now + RD_RETRY_US;
+}
+
+void rd_heard(struct rd_line *l, int64_t now)
+{
+    l->heard = true;
+    l->next_try = now;
 }
--- a/task/redial.h
+++ b/task/redial.h
@@ -23,6 +23,7 @@
 struct rd_line {
     int64_t next_try, dialed; /* in the runtime's clock */
     int unanswered;           /* connects since one was answered */
+    bool heard;               /* the peer has shown itself since the last connect */
 };
 
 /* Whether a connect, if there is none, is due. */
@@ -31,6 +32,8 @@
 void rd_dialed(struct rd_line *l, int64_t now);
 /* Whether the connect that is under way is to be given up. */
 bool rd_hangs(const struct rd_line *l, int64_t now);
+/* The peer has connected to us: it is there, and what was sent before it came is lost. */
+void rd_heard(struct rd_line *l, int64_t now);
 /* It was given up. */
 void rd_gave_up(struct rd_line *l);
 /* It is open. */
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -175,6 +175,19 @@
 
 /* ---- connects that nobody answers ---- */
 
+/* A connect to a VM that had no power is not answered; the VM comes back and connects to us. */
+static void a_peer_that_is_heard_is_dialled_at_once(void)
+{
+    struct rd_line l = {0};
+    rd_dialed(&l, 0);
+    rd_heard(&l, 120000);
+    rd_closed(&l, 120000); /* what was under way is given up */
+    CU_ASSERT(rd_due(&l, 120000));
+    rd_dialed(&l, 120000);
+    rd_closed(&l, 121000);
+    CU_ASSERT_FALSE(rd_due(&l, 122000)); /* not over and over */
+}
+
 /* A VM that comes back is met soon, not when the kernel sends the lost packet again; one that
  * never answers is asked less and less often. */
 static void unanswered_connects_are_made_anew(void)
@@ -203,6 +216,7 @@
 void net_suite(void)
 {
     CU_pSuite s = CU_add_suite("net", NULL, NULL);
+    TEST(s, a_peer_that_is_heard_is_dialled_at_once);
     TEST(s, refused_is_told_from_silent);
     TEST(s, frames_and_websocket_echo);
     TEST(s, refusing_listener_opens_nobody);
