control: a new leader's list of nodes waits until none comes for 50 ms

Change: while nodes that are new to a new leader come, its list waits, for an election timeout at the most.

--- a/control/control.c
+++ b/control/control.c
@@ -54,7 +54,7 @@
 {
     bool first = n->view.generation == 0;
     n->leading = true;
-    n->leading_since = now;
+    n->leading_since = n->joined_at = now;
     n->step_index = 0;
     n->force_gen = 0;
     n->in_force_since = 0;
--- a/control/control.h
+++ b/control/control.h
@@ -203,6 +203,7 @@
     /* leading */
     bool leading; /* a quorum vouched and this term's first entry is applied */
     int64_t leading_since;
+    int64_t joined_at; /* a node got its first lease of this leader */
     struct ls_giver giver;
     struct sh_table shares;
     uint64_t shares_seq;    /* of the last WR_SHARES sent to anybody */
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -15,6 +15,10 @@
      * or behind a slow link and comes back, and each change of the list moves groups and with
      * them sessions. Origin: above the time in which a dark peer's connection ends (2.5 s). */
     NODES_KEPT_US = 3000000,
+    /* Nodes that start together come to a new leader one after the other, and each change of
+     * the list moves groups: none has come for so long. Two trips and a lease between domains.
+     */
+    JOIN_PAUSE_US = 50000,
 };
 
 /* Whole views on their way to nodes: hundreds that start together would each have one queued.
@@ -151,6 +155,9 @@
 {
     if (now - n->leading_since >= CK_MS(n->s->lease_ms))
         return true;
+    bool starts = now - n->leading_since < CK_MS(n->s->election_ms);
+    if (starts && now - n->joined_at < JOIN_PAUSE_US)
+        return false;
     for (const struct ct_conn *c = n->conns; c; c = c->next) {
         bool waited_for = c->greeted && c->role == WR_ROLE_ENTRY && !c->leaving;
         if (waited_for && !is_listed(c, now))
@@ -327,6 +334,8 @@
     }
     struct wr_msg m = granted(n, r);
     m.grant.generation = n->view.generation;
+    if (!ls_node_live(&n->giver, c->id, now))
+        n->joined_at = now;
     int64_t us = r->stopping ? 0 : ls_grant(&n->giver, c->id, qr_vouched_until(n->q), now);
     m.grant.duration_ms = (uint32_t)(us / 1000);
     if (r->stopping)
