proxy: where an instance is full accounts take turns on what is open, and one instance is tried for all

Cause: after a loss of all power instances keep dark connections; a node that was refused held its share for room, so accounts opened in vain every 60 ms where they could have taken an idle connection of another, at each instance (24 here) by itself. Change: proxy/full, a pure module: after a refusal a node stays with what is open there, and tries one instance every 60 ms for all.

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -213,10 +213,19 @@
         px_outlier_note(&c->inst->outlier, !failed, ck_now());
 }
 
+static int open_conns(const struct px_inst *in)
+{
+    int k = 0;
+    for (const struct px_conn *c = in->conns; c; c = c->next)
+        k += c->phase != PX_C_OPENING && !c->closing;
+    return k;
+}
+
 static void opened(struct px_conn *c)
 {
     struct px_inst *in = c->inst;
     c->phase = PX_C_IDLE;
+    px_full_accepted(&in->full, &in->p->fulls, open_conns(in), ck_now());
     in->full_since = 0;
     in->wants_first = false;
     in->p->c.opened++;
@@ -315,7 +324,12 @@
     else if (!in->full_since)
         in->full_since = now;
     bool soon = full && now - in->full_since < DARK_US;
+    int open = open_conns(in);
     in->next_open = now + (soon ? TOO_MANY_SOON_US : full ? TOO_MANY_US : RETRY_US);
+    if (soon && open > 0 && px_has_accounts(in->p)) { /* they take turns on those */
+        px_full_refused(&in->full, &in->p->fulls, open, now);
+        in->next_open = now;
+    }
     FL_INFO(&in->p->log, "instance %s refuses a connection: %s %.*s", in->cfg.id,
             er_name(m->error), (int)m->detail.len, m->detail.p);
     px_conn_close(c);
@@ -448,6 +462,7 @@
     c->inst = in;
     c->phase = PX_C_OPENING;
     c->sent_at = ck_now();
+    px_full_opening(&in->full, &in->p->fulls, in->n_conns, c->sent_at);
     c->next = in->conns;
     in->conns = c;
     in->n_conns++;
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -36,7 +36,9 @@
 
 bool px_inst_has_room(const struct px_inst *in, int64_t now)
 {
-    return in->n_conns < in->share && now >= in->next_open && !in->cfg.draining && !in->gone;
+    bool may = now >= in->next_open && !in->cfg.draining && !in->gone;
+    return may && in->n_conns < in->share &&
+           px_full_may_open(&in->full, &in->p->fulls, in->n_conns, now);
 }
 
 void px_inst_want_first(struct px_inst *in, int64_t now)
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -9,6 +9,7 @@
 #include "misc/rng.h"
 #include "pool/shares.h"
 #include "proxy/fit.h"
+#include "proxy/full.h"
 #include "proxy/outlier.h"
 #include "proxy/pace.h"
 #include "proxy/place.h"
@@ -87,7 +88,8 @@
     bool wants_first;   /* a connection is to be opened before anybody waits for it */
     int64_t lacked_at;  /* a statement found that there is no share, and asked for one */
     int64_t full_since; /* it has refused connections as too many since; 0: it has not */
-    int replaced;       /* connections closed for those of other accounts, lately */
+    struct px_full full;
+    int replaced;               /* connections closed for those of other accounts, lately */
     char last_account[AC_NAME]; /* the last connection was opened for */
 
     /* sessions that wait for one, in the order in which they are served */
@@ -266,6 +268,7 @@
     int n_groups;
     struct px_group **groups; /* sorted by name */
     int n_nodes;
+    struct px_fulls fulls; /* instances that take fewer connections than this node's shares */
     struct ho_node *nodes; /* entry nodes with a lease, prepared */
     int64_t configured_at; /* the first document came */
     bool knew_nodes;       /* px_knows_nodes, when groups were looked at last */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -34,6 +34,7 @@
     opening_suite();
     accounts_suite();
     fit_suite();
+    full_suite();
     limit_suite();
     proxy_suite();
     takeover_suite();
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -34,6 +34,7 @@
 void opening_suite(void);
 void accounts_suite(void);
 void fit_suite(void);
+void full_suite(void);
 void limit_suite(void);
 void proxy_suite(void);
 void takeover_suite(void);
