--- a/quorum/quorum.h
+++ b/quorum/quorum.h
@@ -22,7 +22,7 @@
     QR_MAX_BATCH = 64,  /* entries a message carries */
     QR_MAX_BATCH_BYTES = 256 * 1024,
     QR_MAX_ENTRY = 3 << 19, /* a whole configuration document of 1 MiB, escaped as text */
-    QR_MAX_INFLIGHT = 1024,    /* writes the disk has not confirmed */
+    QR_MAX_INFLIGHT = 1024, /* writes the disk has not confirmed */
 };
 
 enum qr_entry_type { QR_NOOP, QR_DATA, QR_MEMBERS };
@@ -69,8 +69,8 @@
     uint64_t round; /* which heartbeat round; echoed */
     bool ok;        /* granted, or matched */
     bool transfer;  /* a vote asked for by a handover */
-    /* Of a pre-vote's answer: its sender has met no leader since it started. Of a vote that is
-     * asked for: all voters said so. */
+    /* Of a pre-vote and its answer: the sender has met no leader since it started. Of a vote
+     * that is asked for: all voters said so. */
     bool fresh;
     uint32_t n;
     const struct qr_entry *entries;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -37,6 +37,7 @@
     opening_suite();
     accounts_suite();
     fit_suite();
+    full_suite();
     limit_suite();
     proxy_suite();
     takeover_suite();
--- a/view/view.h
+++ b/view/view.h
@@ -23,8 +23,8 @@
     VW_MAX_INTENTS = 256,
     VW_MAX_STEPS = 16,
     VW_NAME = 48,
-    VW_MAX_LEFT = 16,             /* instances that left, of all groups, remembered */
-    VW_CHANGE_MAX = 8192,         /* bytes of a change as text, but for a document */
+    VW_MAX_LEFT = 16,          /* instances that left, of all groups, remembered */
+    VW_CHANGE_MAX = 8192,      /* bytes of a change as text, but for a document */
     VW_DOCUMENT_MAX = 1 << 20, /* bytes of a document: some 3,000 routes */
 };
 
