tests: t_operators waits until the group is there

Cause of its two failures without another ("two pass statements to the third"): the document was in force and the list of nodes known before an instance had registered; a session that is opened then finds no group (traced with a line in px_should_relay), is served where it came, and stays there. The test's own sessions came in that moment.

--- a/tests/process/t_operators.sh
+++ b/tests/process/t_operators.sh
@@ -27,8 +27,9 @@
     for i in 0 1 2; do curl -s "http://127.0.0.1:$((SE_BASE + 60 + i))/metrics"; done | awk -v k="$1" '$1 == k {n += $2} END {print n + 0}'
 }
 
-knows_all() { [ "$(metric ferry_session_nodes)" = 9 ]; }
-t_check "each knows the three" t_until knows_all
+# A session that comes before its group is there is served where it came.
+knows_all() { [ "$(metric ferry_session_nodes)" = 9 ] && [ "$(metric ferry_session_groups_held)" = 3 ]; }
+t_check "each knows the three, and the group" t_until knows_all
 
 # Through every node one session of the middle account, which is placed at one: two are passed on.
 ask_through_all() {
