--- a/limit/giver.c
+++ b/limit/giver.c
@@ -147,7 +147,8 @@
     return fmax(fmin(all, quiet), 0);
 }
 
-static void fill(const struct lm_giver *g, struct lm_account *a, int64_t now)
+/* Returns how many are out. */
+static double fill(const struct lm_giver *g, struct lm_account *a, int64_t now)
 {
     double out = out_now(g, a, now);
     double flowed = flow(g, a, a->at) * (double)(now - a->at) / 1e6;
@@ -159,6 +160,7 @@
     bool plenty = scarce ? a->level + out >= few : a->level + out > few;
     if (plenty || now < g->quiet_until)
         a->plenty_at = now;
+    return out;
 }
 
 void lm_set(struct lm_giver *g, const char *name, double rate, double burst, int64_t now)
@@ -220,12 +222,12 @@
     return &a->holders[a->n++];
 }
 
-static void give(struct lm_giver *g, struct lm_account *a, struct lm_holder *h, double need,
-                 uint64_t seq, int64_t now, struct lm_answer *out)
+static void give(struct lm_giver *g, struct lm_account *a, struct lm_holder *h, double is_out,
+                 double need, uint64_t seq, int64_t now, struct lm_answer *out)
 {
     if (need < 1)
         return;
-    double most = depth(g, a, now), is_out = out_now(g, a, now);
+    double most = depth(g, a, now);
     double more = floor(most * LM_STOCK_PART - is_out);
     if (more < 1 && is_out + 1 <= most * LM_OUT_PART)
         more = 1;
@@ -257,7 +259,7 @@
     if (has >= h->told)
         h->own = fmin(h->own, r->held);
     a->level += r->returned;
-    fill(g, a, now);
-    give(g, a, h, r->want - h->out, seq, now, out);
+    double is_out = fill(g, a, now);
+    give(g, a, h, is_out, r->want - h->out, seq, now, out);
     return true;
 }
--- a/wire/encode.c
+++ b/wire/encode.c
@@ -93,7 +93,7 @@
 
 static void put_quorum(msgpack_packer *pk, const struct qr_msg *m)
 {
-    head(pk, WR_QUORUM, 14);
+    head(pk, WR_QUORUM, m->fresh ? 14 : 13); /* absent: it is not */
     put_u(pk, m->type);
     put_u(pk, m->from);
     put_u(pk, m->to);
@@ -109,7 +109,8 @@
         put_entry(pk, &m->entries[i]);
     put_members(pk, m->members);
     put_s(pk, (struct sr_str){m->data ? m->data : "", m->len});
-    put_b(pk, m->fresh);
+    if (m->fresh)
+        put_b(pk, true);
 }
 
 static void put_view(msgpack_packer *pk, const struct wr_view *v)
