limit: while permits are scarce they go first to what is served first

Change: a node knows how much of each class (priority 0, 1, others) an account asks for; while far fewer permits come than were asked for, a class leaves those that the classes before it will ask for within a renewal's pause. What goes first waits through a short pause, what goes later is refused at once, with 0.3 s to come back. No permit more is given or used; where an account's operations are of one class, or it is within its limit, all is as before.

--- a/limit/limit.h
+++ b/limit/limit.h
@@ -120,20 +120,38 @@
     LM_OVER, /* the account is over its limit */
 };
 
-/* An account's permits at a node. Zero-initialised is empty, and the leader knows that. */
+/* Of operations, by what is served first: priority 0, 1, and all others. */
+enum { LM_CLASSES = 3 };
+
+/* How much of a class is asked for, whether or not it gets a permit. */
+struct lm_asked {
+    double pace; /* operations a second, smoothed */
+    int64_t at;  /* of the last one */
+};
+
+/* An account's permits at a node. Zero-initialised is empty, and the leader knows that.
+ *
+ * Pattern: an account asks for several times its limit. Permits that go to whoever comes first
+ * go to reads that can wait while orders of the same account are refused. While permits are
+ * scarce a class leaves those permits that the classes before it will ask for in a moment. */
 struct lm_stock {
     int held;    /* below 0: attempts that ran without one */
     double pace; /* operations a second, smoothed */
     int64_t at;  /* of the last operation */
     int waiting; /* operations that asked in vain since the last answer */
     int64_t over_until;
+    int lacked;           /* permits asked for with the last renewal that told of the account */
+    int64_t scarce_until; /* far fewer came than were asked for, lately */
+    struct lm_asked asked[LM_CLASSES];
     int believed; /* what the leader takes it to hold, as far as is known here; below 0: the
                      leader knows nothing of this node */
 };
 
 /* An operation begins. A permit that was taken is used, also if the operation is sent nowhere
  * in the end: given back, it would be one that the leader may have written off meanwhile. */
-enum lm_verdict lm_take(struct lm_stock *s, int64_t now);
+enum lm_verdict lm_take(struct lm_stock *s, int priority, int64_t now);
+/* When an operation that is over the limit should come again: so long from now. */
+int64_t lm_retry_us(const struct lm_stock *s, int64_t now);
 /* A second attempt of an admitted operation reaches an instance: it counts, and waits for
  * nothing. */
 void lm_extra(struct lm_stock *s);
--- a/limit/stock.c
+++ b/limit/stock.c
@@ -9,6 +9,18 @@
  * the users set theirs, has room for. */
 #define COVER_S 1.1
 #define SMOOTH_S 1.0 /* the pace follows over so long */
+/* Permits are kept for classes that go first for so long ahead: a renewal's pause. */
+#define AHEAD_S 0.2
+#define IDLE_PART                                                                              \
+    0.1 /* of an operation in that time: a class that is asked for less is idle                \
+         */
+
+enum {
+    SCARCE_US = 1000000, /* an account counts as over its limit so long after it was */
+    /* What is refused while permits are kept for others comes back after a renewal or two. */
+    SCARCE_RETRY_US = 300000,
+    SHORT_PAUSE_US = 100000, /* until the next permit; what goes first waits for it */
+};
 
 /* The pace as it has fallen since the last operation. */
 static double pace_now(const struct lm_stock *s, int64_t now)
@@ -23,17 +35,75 @@
     s->at = now;
 }
 
-enum lm_verdict lm_take(struct lm_stock *s, int64_t now)
+/* ---- classes ---- */
+
+static double asked_now(const struct lm_asked *a, int64_t now)
+{
+    return a->pace * exp(-(double)(now - a->at) / 1e6 / SMOOTH_S);
+}
+
+static void note_asked(struct lm_asked *a, int64_t now)
+{
+    a->pace = asked_now(a, now) + 1 / SMOOTH_S;
+    a->at = now;
+}
+
+static int class_of(int priority)
+{
+    return priority < 0 ? 0 : priority >= LM_CLASSES ? LM_CLASSES - 1 : priority;
+}
+
+/* Permits that the classes before this one ask for until the next renewal's have come. */
+static double kept_for_others(const struct lm_stock *s, int class, int64_t now)
+{
+    double sum = 0;
+    for (int i = 0; i < class && now < s->scarce_until; i++)
+        sum += asked_now(&s->asked[i], now) * AHEAD_S;
+    return sum;
+}
+
+/* Whether permits are kept for this class: none before it is asked for, one after it is. */
+static bool goes_first(const struct lm_stock *s, int class, int64_t now)
 {
-    if (s->held > 0) {
+    bool later = false;
+    for (int i = 0; i < LM_CLASSES; i++) {
+        bool asked = asked_now(&s->asked[i], now) * AHEAD_S > IDLE_PART;
+        if (asked && i < class)
+            return false;
+        later = later || (asked && i > class);
+    }
+    return later;
+}
+
+/* It has none: whether it waits for the next permits, or is refused. What is served first waits
+ * through a short pause, as the next ones are kept for it. */
+static enum lm_verdict without(struct lm_stock *s, int class, int64_t now)
+{
+    bool pause = now < s->over_until;
+    if (pause && (s->over_until - now > SHORT_PAUSE_US || !goes_first(s, class, now)))
+        return LM_OVER;
+    if (!pause)
+        s->waiting++;
+    return LM_WAIT;
+}
+
+enum lm_verdict lm_take(struct lm_stock *s, int priority, int64_t now)
+{
+    int class = class_of(priority);
+    double kept = kept_for_others(s, class, now);
+    note_asked(&s->asked[class], now);
+    if (s->held > kept) {
         s->held--;
         note(s, now);
         return LM_GO;
     }
-    if (now < s->over_until)
-        return LM_OVER;
-    s->waiting++;
-    return LM_WAIT;
+    return s->held > 0 ? LM_OVER : without(s, class, now);
+}
+
+int64_t lm_retry_us(const struct lm_stock *s, int64_t now)
+{
+    int64_t us = s->over_until - now;
+    return now < s->scarce_until && us < SCARCE_RETRY_US ? SCARCE_RETRY_US : us;
 }
 
 void lm_extra(struct lm_stock *s)
@@ -63,6 +133,7 @@
         out->held = s->held = want;
     }
     s->believed = out->held;
+    s->lacked = out->want > out->held ? out->want - out->held : 0;
     return true;
 }
 
@@ -72,6 +143,9 @@
     s->believed += a->given;
     s->waiting = 0;
     s->over_until = a->over_us ? now + a->over_us : 0;
+    if (a->over_us || a->given * 2 < s->lacked)
+        s->scarce_until = now + SCARCE_US;
+    s->lacked = 0;
 }
 
 void lm_void(struct lm_stock *s)
--- a/proxy/limits.c
+++ b/proxy/limits.c
@@ -68,7 +68,7 @@
         return LM_GO;
     end_if_due(s->p, ck_now());
     struct px_account *a = account_of(s->p, s->account);
-    enum lm_verdict v = lm_take(&a->stock, ck_now());
+    enum lm_verdict v = lm_take(&a->stock, s->route.priority, ck_now());
     if (v == LM_GO) {
         s->permit = PX_P_HAS;
         px_part_done(s, PX_T_PERMIT);
@@ -89,7 +89,7 @@
 {
     char detail[96];
     struct px_account *a = account_of(s->p, s->account);
-    int64_t ms = (a->stock.over_until - ck_now()) / 1000;
+    int64_t ms = lm_retry_us(&a->stock, ck_now()) / 1000;
     a->refused++;
     snprintf(detail, sizeof(detail), "the account is over its limit; retry in %lld ms",
              (long long)(ms > LEAST_RETRY_MS ? ms : LEAST_RETRY_MS));
--- a/tests/unit/test_limit.c
+++ b/tests/unit/test_limit.c
@@ -246,7 +246,7 @@
     for (int i = (int)rn_below(&w.rng, (uint64_t)most + 1); i > 0 && w.n_ops < MAX_OPS; i--) {
         if (w.now >= n->until && w.without != VOIDING)
             return;
-        enum lm_verdict v = lm_take(&n->stock, w.now);
+        enum lm_verdict v = lm_take(&n->stock, 0, w.now);
         w.refused += v == LM_OVER;
         w.waited += v == LM_WAIT;
         if (v != LM_GO)
@@ -436,7 +436,7 @@
             bool counts = t >= CK_SEC(WARM); /* its bucket is empty at first */
             bool op = (double)rn_below(&rng, 1000000) < per_s / nodes * TICK_US;
             bool renews = (t / TICK_US + k) % 200 == 0;
-            enum lm_verdict v = op ? lm_take(&stock[k], now) : LM_GO;
+            enum lm_verdict v = op ? lm_take(&stock[k], 0, now) : LM_GO;
             struct lm_report r;
             struct lm_answer a;
             if (renews || v == LM_WAIT) {
@@ -447,7 +447,7 @@
                 }
             }
             if (v == LM_WAIT)
-                v = lm_take(&stock[k], now);
+                v = lm_take(&stock[k], 0, now);
             asked += counts && op;
             refused += counts && op && v == LM_OVER;
             again += counts && op && v == LM_WAIT;
@@ -530,7 +530,7 @@
         asked += ms * ASKED / 1000 > (ms - 1) * ASKED / 1000;
         struct lm_report r;
         struct lm_answer a;
-        while (served < asked && lm_take(&stock, now) == LM_GO)
+        while (served < asked && lm_take(&stock, 0, now) == LM_GO)
             served++;
         lm_renewed(&g, NODE, true, now);
         if (!lm_wants(&stock, now, &r))
@@ -543,6 +543,53 @@
     lm_free(&g);
 }
 
+/* Load: an account asks for three times its limit, a seventh of that is served first. What is
+ * served first gets its permits, the rest what is left, and none lies unused. */
+static void what_goes_first_gets_the_permits(void)
+{
+    enum {
+        RATE = 100,
+        ASKED = 300,
+        FIRST_OF = 7,
+        RENEW_MS = 200,
+        LOOK_MS = 20,
+        TICKS = 5000,
+        NODE = 1
+    };
+    struct lm_giver g = {0};
+    struct lm_stock stock = {0};
+    int64_t now = CK_SEC(50);
+    int waits = 0, asked[2] = {0}, begun[2] = {0};
+    lm_begin(&g, &tolerance, true, now);
+    lm_set(&g, "a", RATE, RATE / 10, now);
+    for (int ms = 1; ms <= TICKS; ms++) {
+        struct lm_report r;
+        struct lm_answer a;
+        now += CK_MS(1);
+        int k = ms * ASKED / 1000, priority = k % FIRST_OF ? 1 : 0;
+        if (k > (ms - 1) * ASKED / 1000) {
+            enum lm_verdict v = lm_take(&stock, priority, now);
+            asked[priority]++;
+            begun[priority] += v == LM_GO;
+            waits += priority == 0 && v == LM_WAIT;
+        }
+        while (ms % LOOK_MS == 0 && waits > 0 && lm_take(&stock, 0, now) == LM_GO) {
+            begun[0]++;
+            waits--;
+        }
+        if (ms % RENEW_MS)
+            continue;
+        lm_renewed(&g, NODE, true, now);
+        if (!lm_wants(&stock, now, &r))
+            continue;
+        lm_ask(&g, "a", NODE, &r, UINT64_MAX, 1, now, &a);
+        lm_answered(&stock, &a, now);
+    }
+    CU_ASSERT(begun[0] >= asked[0] * 9 / 10);
+    CU_ASSERT(begun[0] + begun[1] >= RATE * TICKS / 1000 * 9 / 10);
+    lm_free(&g);
+}
+
 void limit_suite(void)
 {
     CU_pSuite s = CU_add_suite("limit", NULL, NULL);
@@ -552,4 +599,5 @@
     TEST(s, limits_at_their_edges);
     TEST(s, permits_count_when_a_holder_ends);
     TEST(s, a_new_leader_gives_the_rate);
+    TEST(s, what_goes_first_gets_the_permits);
 }
