limit: a class that was refused a dozen times takes a permit all the same

Change: after twelve refusals in a row a class takes a permit that is kept for others. The test has three classes now and asks for a twentieth of the permits for the last one.

--- a/limit/limit.h
+++ b/limit/limit.h
@@ -127,6 +127,7 @@
 struct lm_asked {
     double pace; /* operations a second, smoothed */
     int64_t at;  /* of the last one */
+    int passed;  /* that were refused since the last permit */
 };
 
 /* An account's permits at a node. Zero-initialised is empty, and the leader knows that.
--- a/limit/stock.c
+++ b/limit/stock.c
@@ -19,6 +19,7 @@
     SCARCE_US = 1000000, /* an account counts as over its limit so long after it was */
     /* What is refused while permits are kept for others comes back after a renewal or two. */
     SCARCE_RETRY_US = 300000,
+    MOST_PASSED = 12, /* refusals of a class until it takes a permit that is kept for others */
     SHORT_PAUSE_US = 100000, /* until the next permit; what goes first waits for it */
 };
 
@@ -57,6 +58,8 @@
 static double kept_for_others(const struct lm_stock *s, int class, int64_t now)
 {
     double sum = 0;
+    if (s->asked[class].passed >= MOST_PASSED)
+        return 0; /* no class starves */
     for (int i = 0; i < class && now < s->scarce_until; i++)
         sum += asked_now(&s->asked[i], now) * AHEAD_S;
     return sum;
@@ -94,10 +97,13 @@
     note_asked(&s->asked[class], now);
     if (s->held > kept) {
         s->held--;
+        s->asked[class].passed = 0;
         note(s, now);
         return LM_GO;
     }
-    return s->held > 0 ? LM_OVER : without(s, class, now);
+    enum lm_verdict v = s->held > 0 ? LM_OVER : without(s, class, now);
+    s->asked[class].passed += v == LM_OVER;
+    return v;
 }
 
 int64_t lm_retry_us(const struct lm_stock *s, int64_t now)
--- a/tests/unit/test_limit.c
+++ b/tests/unit/test_limit.c
@@ -544,7 +544,8 @@
 }
 
 /* Load: an account asks for three times its limit, a seventh of that is served first. What is
- * served first gets its permits, the rest what is left, and none lies unused. */
+ * served first gets its permits, the rest what is left, and none lies unused; the last class
+ * does not starve. */
 static void what_goes_first_gets_the_permits(void)
 {
     enum {
@@ -559,14 +560,15 @@
     struct lm_giver g = {0};
     struct lm_stock stock = {0};
     int64_t now = CK_SEC(50);
-    int waits = 0, asked[2] = {0}, begun[2] = {0};
+    int waits = 0, asked[LM_CLASSES] = {0}, begun[LM_CLASSES] = {0};
     lm_begin(&g, &tolerance, true, now);
     lm_set(&g, "a", RATE, RATE / 10, now);
     for (int ms = 1; ms <= TICKS; ms++) {
         struct lm_report r;
         struct lm_answer a;
         now += CK_MS(1);
-        int k = ms * ASKED / 1000, priority = k % FIRST_OF ? 1 : 0;
+        int k = ms * ASKED / 1000, seventh = k % FIRST_OF;
+        int priority = seventh == 0 ? 0 : seventh < 4 ? 1 : 2;
         if (k > (ms - 1) * ASKED / 1000) {
             enum lm_verdict v = lm_take(&stock, priority, now);
             asked[priority]++;
@@ -586,7 +588,8 @@
         lm_answered(&stock, &a, now);
     }
     CU_ASSERT(begun[0] >= asked[0] * 9 / 10);
-    CU_ASSERT(begun[0] + begun[1] >= RATE * TICKS / 1000 * 9 / 10);
+    CU_ASSERT(begun[0] + begun[1] + begun[2] >= RATE * TICKS / 1000 * 9 / 10);
+    CU_ASSERT(begun[2] >= RATE * TICKS / 1000 / 20);
     lm_free(&g);
 }
 
