--- a/proxy/full.c
+++ b/proxy/full.c
@@ -3,8 +3,8 @@
 enum {
     /* One instance is tried so often: what comes free should not lie idle. */
     TRY_EVERY_US = 60000,
-    /* A refusal is forgotten after this: dark connections are dropped within 3 s (users'
-     * pages), and a server that is full for long is tried now and then. */
+    /* A refusal is forgotten after this: dark connections are dropped within 3 s, and an
+     * instance that is full for long is tried now and then. */
     FORGET_US = 3500000,
 };
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -39,6 +39,7 @@
     fit_suite();
     full_suite();
     limit_suite();
+    permits_suite();
     proxy_suite();
     takeover_suite();
     member_suite();
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -39,6 +39,7 @@
 void fit_suite(void);
 void full_suite(void);
 void limit_suite(void);
+void permits_suite(void);
 void proxy_suite(void);
 void takeover_suite(void);
 void member_suite(void);
