--- a/tests/unit/test_permits.c
+++ b/tests/unit/test_permits.c
@@ -1,5 +1,5 @@
-/* Limits of accounts under load, by cases: a new leader, a holder that ends, an account that asks
- * for several times its limit. */
+/* Limits of accounts under load, by cases: a new leader, a holder that ends, an account that
+ * asks for several times its limit. */
 #include "limit/limit.h"
 #include "tests/unit/unit.h"
 
