--- a/control/ops.c
+++ b/control/ops.c
@@ -122,6 +122,8 @@
         {"http_closed_total", nt_stats(n->loop)->http_closed},
         {"net_bad_frames_total", nt_stats(n->loop)->bad_frames},
         {"net_oversized_total", nt_stats(n->loop)->oversized},
+        {"net_stalls_total", nt_stats(n->loop)->stalls},
+        {"net_longest_stall_us", (uint64_t)nt_stats(n->loop)->longest_stall_us},
     };
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
         sr_buf_printf(b, "ferry_control_%s %llu\n", rows[i].name,
--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -158,10 +158,22 @@
     return end_names[why];
 }
 
+void px_note_dropped(struct px_session *s, size_t bytes)
+{
+    struct px_proxy *p = s->p;
+    p->c.dropped++;
+    if (may_log(p))
+        FL_EVENT(&p->log, LG_INFO, "session_dropped",
+                 "session=%llu database=%s relayed=%d why=%s bytes=%zu",
+                 (unsigned long long)s->state.session, s->database, s->relay != NULL,
+                 end_names[s->end], bytes);
+}
+
 void px_close(struct px_session *s, enum px_end why, bool at_once)
 {
     struct px_proxy *p = s->p;
     bool cut = why != PX_END_BY_CALLER && (s->stage != PX_S_REST || px_asked_elsewhere(s));
+    s->end = why;
     p->c.ends[why]++;
     p->c.cut += cut;
     if (cut && may_log(p))
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -162,6 +162,21 @@
     uint64_t begun, refused; /* operations; refused for the limit */
 };
 
+/* Why this node closed a caller's connection. */
+enum px_end {
+    PX_END_BY_CALLER,   /* it said so */
+    PX_END_REFUSED,     /* by an error that ends the session */
+    PX_END_ELSEWHERE,   /* it rested, and another node is the place for it now */
+    PX_END_NOT_TAKEN,   /* relayed to us: another holder is to be asked */
+    PX_END_HOLDER_ENDS, /* the node that served it ends it */
+    PX_END_HOLDER_LOST, /* the connection to the node that served it is gone */
+    PX_END_SILENT,      /* the node that served it is silent: another is the place for it */
+    PX_END_NO_HOLDER,   /* no node opened it */
+    PX_END_NOT_READ,    /* the node that serves it takes no more */
+    PX_END_LEFT,        /* told to leave, it did not in time */
+    PX_ENDS
+};
+
 /* A caller's connection and what belongs to it. */
 struct px_session {
     struct px_session *prev, *next; /* the proxy's */
@@ -169,6 +184,7 @@
 
     /* the connection */
     struct nt_conn *net;    /* NULL: the caller has gone */
+    enum px_end end;        /* why it was closed here */
     struct sr_buf in;       /* what has come and is not taken yet */
     bool reading;           /* its input is being worked through */
     bool paused;            /* more than a message of input: not read on */
@@ -224,21 +240,6 @@
     unsigned skip;      /* bits of instances that could not serve it */
 };
 
-/* Why this node closed a caller's connection. */
-enum px_end {
-    PX_END_BY_CALLER,   /* it said so */
-    PX_END_REFUSED,     /* by an error that ends the session */
-    PX_END_ELSEWHERE,   /* it rested, and another node is the place for it now */
-    PX_END_NOT_TAKEN,   /* relayed to us: another holder is to be asked */
-    PX_END_HOLDER_ENDS, /* the node that served it ends it */
-    PX_END_HOLDER_LOST, /* the connection to the node that served it is gone */
-    PX_END_SILENT,      /* the node that served it is silent: another is the place for it */
-    PX_END_NO_HOLDER,   /* no node opened it */
-    PX_END_NOT_READ,    /* the node that serves it takes no more */
-    PX_END_LEFT,        /* told to leave, it did not in time */
-    PX_ENDS
-};
-
 /* Whom bytes are exchanged with, beside callers. */
 enum px_peer { PX_TO_INSTANCE, PX_TO_NODE, PX_PEERS };
 enum { PX_DISTANCES = 3 }; /* rt_distance: the same failure domain, another, another region */
@@ -276,6 +277,7 @@
     uint64_t silent_told;        /* questions whose node was silent, answered here */
     uint64_t passed, served;     /* statements passed to other nodes; served for others */
     uint64_t ends[PX_ENDS], cut; /* sessions that were closed here; with a question open */
+    uint64_t dropped; /* of these, with bytes that came after the close and were not looked at */
     uint64_t log_lines_left_out;
 };
 
@@ -349,6 +351,8 @@
  * question is open does not learn whether it ran. */
 void px_close(struct px_session *s, enum px_end why, bool at_once);
 const char *px_end_name(enum px_end why);
+/* So many bytes came after px_close and were not looked at. */
+void px_note_dropped(struct px_session *s, size_t bytes);
 /* The same for a session at rest that another node may relay to us: that node is told, and what
  * still comes is not run. */
 void px_end_resting(struct px_session *s, enum px_end why);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -375,6 +375,7 @@
                 {"neighbor_trials_total", p->c.trials},
                 {"silent_told_total", p->c.silent_told},
                 {"cut_total", p->c.cut},
+                {"dropped_total", p->c.dropped},
                 {"log_lines_left_out_total", p->c.log_lines_left_out},
                 {"open", (uint64_t)p->n_sessions},
                 {"waiting", (uint64_t)waiting_now(p)},
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -130,9 +130,10 @@
 {
     struct px_session *s = ud;
     struct px_proxy *p = s->p;
-    (void)net;
     (void)opened;
     (void)refused;
+    if (s->end != PX_END_BY_CALLER && nt_dropped(net) > 0)
+        px_note_dropped(s, nt_dropped(net));
     s->net = NULL;
     px_relay_end(s);
     px_end_work(s);
--- a/task/loop.c
+++ b/task/loop.c
@@ -10,19 +10,37 @@
 #include "misc/log.h"
 
 #define HEADER_POOL 256
+/* A timer this late is told of: half of what elections and leases allow for a message. */
+#define STALL_US 100000
 #define MAX_FD_TABLE 131072
 
 static const struct lg_log nlog = {"net"};
 
 struct timer_sul {
     lws_sorted_usec_list_t sul;
+    struct nt_loop *l;
     struct nt_timer *t;
 };
 
+/* The loop served nobody since the timer was due: a long step, or the process did not run. All
+ * timers of that time are late, and the first of them tells. */
+static void note_stall(struct nt_loop *l, int64_t due)
+{
+    int64_t now = ck_now(), late = now - due;
+    if (late < STALL_US || due < l->stalled_until)
+        return;
+    l->stalled_until = now;
+    l->st.stalls++;
+    if (late > l->st.longest_stall_us)
+        l->st.longest_stall_us = late;
+    FL_EVENT(&nlog, LG_INFO, "loop_stalled", "ms=%lld", (long long)(late / 1000));
+}
+
 static void timer_fired(lws_sorted_usec_list_t *sul)
 {
     struct timer_sul *s = lws_container_of(sul, struct timer_sul, sul);
     struct nt_timer *t = s->t;
+    note_stall(s->l, t->due);
     t->due = 0;
     t->fn(t->ud);
 }
@@ -33,6 +51,7 @@
     struct timer_sul *s = t->sul;
     if (!s) {
         s = sr_alloc(sizeof(*s));
+        s->l = l;
         s->t = t;
         t->sul = s;
     }
--- a/task/net.c
+++ b/task/net.c
@@ -154,6 +154,11 @@
     return c->queued;
 }
 
+size_t nt_dropped(const struct nt_conn *c)
+{
+    return c->dropped;
+}
+
 void nt_meter(struct nt_conn *c, struct nt_traffic *t)
 {
     c->traffic = t;
@@ -267,7 +272,9 @@
 static void deliver(struct nt_conn *c, const char *data, size_t len)
 {
     c->loop->st.messages_in++;
-    if (c->ops && !c->closing)
+    if (c->closing)
+        c->dropped += len;
+    else if (c->ops)
         c->ops->message(c, c->ud, data, len);
 }
 
--- a/task/net.h
+++ b/task/net.h
@@ -70,6 +70,8 @@
      * with our answer, and all that ended */
     uint64_t http_accepted, http_requests, http_ended_by_us, http_closed;
     uint64_t http_displaced; /* ended for a newer one */
+    uint64_t stalls;         /* times the loop served nobody for 100 ms or more */
+    int64_t longest_stall_us;
 };
 
 /* Bytes of some connections, as their user groups them; without the transport's own. */
@@ -139,6 +141,8 @@
 /* From now on this connection's callbacks go nowhere; it closes by itself. */
 void nt_forget(struct nt_conn *c);
 size_t nt_queued(const struct nt_conn *c);
+/* Bytes that came after nt_close and were delivered to nobody. */
+size_t nt_dropped(const struct nt_conn *c);
 /* From now on the connection's bytes are added to `t`, too, which must outlive it. Not for
  * plain HTTP. */
 void nt_meter(struct nt_conn *c, struct nt_traffic *t);
--- a/task/net_priv.h
+++ b/task/net_priv.h
@@ -30,6 +30,7 @@
     bool opened, refused, closing, hard, dead;
     struct out *head, **tail;
     size_t queued;
+    size_t dropped; /* bytes that came while it was being closed */
     struct nt_traffic *traffic; /* NULL: not metered */
     struct sr_buf in;
     int64_t began;        /* of connecting */
@@ -66,6 +67,7 @@
     void (*wake)(void *);
     void *wake_ud;
     struct nt_counters st;
+    int64_t stalled_until; /* the end of the last stall that was told */
     struct nt_listener *listeners;
 };
 
