proxy, net: a session that ends answers what its caller has sent already

Cause: whether a session rests was judged by what had been read. After a long step of the loop (a document of 2,866 routes took a small VM 0.26 s) timers run before sockets are read, so the tick that closes sessions of a node that is cut off closed one whose question waited in the socket; the connection that was being closed then read the question and dropped it. Class: a decision from state that is older than what has arrived.

Change: nt_close_resting asks the socket, at the moment of the close, whether something has come that was not read, and sends the end in the same step, so what is read later was sent too late. If something came, the session stays open: it is served, or where its node ended it, it is told that nothing ran and the connection closes behind that answer. A close that did not happen is tried again by the tick. What a session is told when its node ends it, or is silent, comes from one function; a session in a transaction is left as failed, not as open, by an answer of ABORTED.

--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -169,10 +169,11 @@
                  end_names[s->end], bytes);
 }
 
-void px_close(struct px_session *s, enum px_end why, bool at_once)
+static void note_end(struct px_session *s, enum px_end why)
 {
     struct px_proxy *p = s->p;
     bool cut = why != PX_END_BY_CALLER && (s->stage != PX_S_REST || px_asked_elsewhere(s));
+    s->ended = true;
     s->end = why;
     p->c.ends[why]++;
     p->c.cut += cut;
@@ -180,9 +181,24 @@
         FL_EVENT(&p->log, LG_INFO, "session_cut", "session=%llu database=%s relayed=%d why=%s",
                  (unsigned long long)s->state.session, s->database, s->relay != NULL,
                  end_names[why]);
+}
+
+void px_close(struct px_session *s, enum px_end why, bool at_once)
+{
+    note_end(s, why);
     nt_close(s->net, at_once);
 }
 
+bool px_close_resting(struct px_session *s, enum px_end why)
+{
+    if (s->ended)
+        return true;
+    if (!nt_close_resting(s->net))
+        return false;
+    note_end(s, why);
+    return true;
+}
+
 void px_fail_and_close(struct px_session *s, enum er_kind kind, const char *detail)
 {
     struct sr_buf b = {0};
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -183,8 +183,9 @@
     struct px_proxy *p;
 
     /* the connection */
-    struct nt_conn *net;    /* NULL: the caller has gone */
-    enum px_end end;        /* why it was closed here */
+    struct nt_conn *net; /* NULL: the caller has gone */
+    bool ended;          /* it was closed here, for this reason */
+    enum px_end end;
     struct sr_buf in;       /* what has come and is not taken yet */
     bool reading;           /* its input is being worked through */
     bool paused;            /* more than a message of input: not read on */
@@ -354,8 +355,11 @@
 const char *px_end_name(enum px_end why);
 /* So many bytes came after px_close and were not looked at. */
 void px_note_dropped(struct px_session *s, size_t bytes);
+/* Close the connection of a session at rest. False, and it stays open: its caller has said
+ * something that is not read yet, which comes first. */
+bool px_close_resting(struct px_session *s, enum px_end why);
 /* The same for a session at rest that another node may relay to us: that node is told, and what
- * still comes is not run. */
+ * still comes is not run. Whoever ends a session asks again until its connection is closed. */
 void px_end_resting(struct px_session *s, enum px_end why);
 /* When in a span it is this session's turn: they don't all come back at once. */
 int64_t px_turn(const struct px_session *s, int64_t span_us);
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -40,14 +40,15 @@
     bool late;              /* it did not greet in time */
     bool greeted;           /* by the other node */
     bool spoke;             /* the caller got something: another greeting would be too many */
-    bool left;              /* the caller is being sent away */
-    bool rests;             /* there, after the last answer */
-    bool asked;             /* a whole message went there since */
-    int64_t asked_at;       /* the first of them */
-    struct px_question q;   /* what was asked */
-    enum px_txn txn;        /* after the last answer */
-    struct sr_buf in;       /* a line from the other node that is not whole yet */
-    int64_t began;          /* this try */
+    bool left;              /* the caller is being sent away, for this reason */
+    enum px_end why;
+    bool rests;           /* there, after the last answer */
+    bool asked;           /* a whole message went there since */
+    int64_t asked_at;     /* the first of them */
+    struct px_question q; /* what was asked */
+    enum px_txn txn;      /* after the last answer */
+    struct sr_buf in;     /* a line from the other node that is not whole yet */
+    int64_t began;        /* this try */
 };
 
 bool px_is_relayed(const struct px_msg *open, uint64_t *document, bool *pass_on)
@@ -156,6 +157,31 @@
     nt_send(r->net, data, len);
 }
 
+/* The caller is sent away; what it says before it learns of it is refused. */
+static void leave(struct px_relay *r, enum px_end why)
+{
+    r->left = true;
+    r->why = why;
+    px_end_resting(r->s, why);
+}
+
+/* What is open is answered here with a failure. */
+static void refuse_open(struct px_relay *r, enum er_kind kind, const char *detail)
+{
+    struct px_session *s = r->s;
+    s->txn = r->txn != PX_IDLE && !r->q.ends ? PX_TXN_FAILED : PX_IDLE;
+    px_refuse_relayed(s, kind, detail);
+    px_question_answered(&r->q, s->txn);
+    r->asked = false;
+}
+
+/* What the caller asked went nowhere, or to a node that had ended the session. */
+static void tell_not_run(struct px_relay *r)
+{
+    refuse_open(r, r->txn == PX_IDLE ? ER_STOPPING : ER_ABORTED,
+                "the node that serves the session stops; retry at once");
+}
+
 /* What is open there has no answer, and will have none that the caller gets: say what is true
  * of it, and send the caller away. `sent`: it went out. */
 static void tell_unanswered(struct px_relay *r, bool sent, enum px_end why)
@@ -164,19 +190,15 @@
     bool harmless = !sent || px_question_harmless(&r->q);
     bool in_txn = r->txn != PX_IDLE;
     s->arrived = r->asked_at;
-    s->txn = in_txn && !r->q.ends ? PX_TXN_FAILED : PX_IDLE;
     s->p->c.silent_told++;
-    px_refuse_relayed(s,
-                      !harmless ? ER_LOST
-                      : in_txn  ? ER_ABORTED
-                                : ER_OVERLOAD,
-                      harmless
-                          ? "the node that serves the session is silent; nothing is kept, "
-                            "retry at once"
-                          : "the node that serves the session is silent since it was asked");
-    r->asked = false;
-    r->left = true;
-    px_end_resting(s, why);
+    refuse_open(r,
+                !harmless ? ER_LOST
+                : in_txn  ? ER_ABORTED
+                          : ER_OVERLOAD,
+                harmless ? "the node that serves the session is silent; nothing is kept, "
+                           "retry at once"
+                         : "the node that serves the session is silent since it was asked");
+    leave(r, why);
 }
 
 /* What the caller said before it was greeted. */
@@ -193,17 +215,11 @@
  * nowhere, and the caller is told so. */
 static void ended_there(struct px_relay *r)
 {
-    struct px_session *s = r->s;
-    if (!s->net)
+    if (!r->s->net)
         return;
-    if (r->asked) {
-        s->txn = r->txn;
-        px_refuse_relayed(s, r->txn == PX_IDLE ? ER_STOPPING : ER_ABORTED,
-                          "the node that serves the session stops; retry at once");
-        r->asked = false;
-    }
-    r->left = true;
-    px_end_resting(s, PX_END_HOLDER_ENDS);
+    if (r->asked)
+        tell_not_run(r);
+    leave(r, PX_END_HOLDER_ENDS);
 }
 
 /* Pass the first `n` bytes of what came on; they are whole lines. */
@@ -297,8 +313,7 @@
         tell_unanswered(r, true, PX_END_HOLDER_LOST);
         return;
     }
-    r->left = true;
-    px_end_resting(r->s, PX_END_HOLDER_LOST);
+    leave(r, PX_END_HOLDER_LOST);
 }
 
 static void on_close(struct nt_conn *net, void *ud, bool opened, bool refused)
@@ -386,6 +401,18 @@
         tell_unanswered(r, false, PX_END_SILENT);
 }
 
+/* The session there is over. */
+static void said_too_late(struct px_relay *r, const char *data, size_t len)
+{
+    struct px_session *s = r->s;
+    s->arrived = ck_now();
+    px_question_said(&r->q, s->p->cfg.codec, r->txn, data, len);
+    if (r->q.open == 0)
+        return; /* not whole yet */
+    tell_not_run(r);
+    px_close(s, r->why, false);
+}
+
 void px_relay_bytes(struct px_session *s, const char *data, size_t len)
 {
     struct px_relay *r = s->relay;
@@ -393,8 +420,10 @@
         sr_buf_add(&s->in, data, len);
         return;
     }
-    if (r->left)
+    if (r->left) {
+        said_too_late(r, data, len);
         return;
+    }
     if (r->greeted && r->nb->b.state == NB_SILENT && !r->asked) {
         unsent(r, data, len);
         return;
@@ -441,8 +470,7 @@
         if (px_question_harmless(&r->q) || now - r->asked_at > longest_wait(s))
             tell_unanswered(r, true, PX_END_SILENT);
     } else if (r->rests && now - r->nb->b.silent_at > px_turn(s, MOVE_OVER_US)) {
-        r->left = true;
-        px_end_resting(s, PX_END_SILENT);
+        leave(r, PX_END_SILENT);
     }
 }
 
@@ -469,9 +497,11 @@
 {
     struct px_relay *r = s->relay;
     if (r && r->greeted && s->net && px_rests_elsewhere(s) && !r->asked && key_is_gone(s)) {
-        px_close(s, PX_END_REFUSED, false);
+        px_end_resting(s, PX_END_REFUSED);
         return;
     }
+    if (r && r->left && s->net && !s->left_at)
+        px_end_resting(s, r->why);
     if (!r || !r->net)
         return;
     if (r->greeted) {
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -132,7 +132,7 @@
     struct px_proxy *p = s->p;
     (void)opened;
     (void)refused;
-    if (s->end != PX_END_BY_CALLER && nt_dropped(net) > 0)
+    if (s->ended && s->end != PX_END_BY_CALLER && nt_dropped(net) > 0)
         px_note_dropped(s, nt_dropped(net));
     s->net = NULL;
     px_relay_end(s);
@@ -209,22 +209,21 @@
 
 static bool rests(const struct px_session *s)
 {
-    if (s->left_at)
+    if (s->left_at || s->ended)
         return false;
     if (s->relay)
         return px_rests_elsewhere(s);
     return s->opened && s->stage == PX_S_REST && s->txn == PX_IDLE && s->in.len == 0;
 }
 
-/* A caller's own question that crosses the close on its way was read by nobody; one that
- * another node read and passed on would be lost, so that node is told first, and what still
- * comes is not run. */
+/* What a caller sends after the close met it on its way. A question that another node passed on
+ * would be lost, so that node is told first, and what still comes is not run. */
 void px_end_resting(struct px_session *s, enum px_end why)
 {
     struct sr_buf b = {0};
     struct px_msg m = {.kind = PX_END};
     if (!s->came_relayed) {
-        px_close(s, why, false);
+        px_close_resting(s, why);
         return;
     }
     s->left_at = ck_now();
--- a/task/net.c
+++ b/task/net.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "misc/clock.h"
 #include "misc/log.h"
@@ -143,6 +144,27 @@
         lws_set_timeout(c->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
 }
 
+/* Whether bytes have come that nobody read. */
+static bool has_unread(const struct nt_conn *c)
+{
+    char byte;
+    int fd = c->wsi ? lws_get_socket_fd(c->wsi) : -1;
+    return fd >= 0 && recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool nt_close_resting(struct nt_conn *c)
+{
+    if (c->dead || c->closing)
+        return true;
+    if (has_unread(c))
+        return false;
+    /* The end goes out before the loop reads again: what is read later was sent too late. */
+    if (c->wsi && c->opened && !c->head && !lws_partial_buffered(c->wsi))
+        shutdown(lws_get_socket_fd(c->wsi), SHUT_WR);
+    nt_close(c, false);
+    return true;
+}
+
 void nt_forget(struct nt_conn *c)
 {
     c->ops = NULL;
