net: until when a loop has heard its peers

Test: a timer after a step of a second, with a message in the socket, may not believe that it was heard until after that was sent; the same test counts the stall. No user of it yet.

--- a/task/net.h
+++ b/task/net.h
@@ -95,6 +95,10 @@
 void nt_wake(struct nt_loop *l);
 void nt_on_wake(struct nt_loop *l, void (*fn)(void *ud), void *ud);
 const struct nt_counters *nt_stats(const struct nt_loop *l);
+/* What had come by this time (ck_now) was delivered, or is being delivered now. After a long
+ * step it is older than that step, as timers run before sockets are read: whoever judges by a
+ * timer that a peer said nothing compares with this, not with the clock. */
+int64_t nt_heard_until(const struct nt_loop *l);
 
 /* Call fn(ud) once after `us` microseconds; sets anew if it is set. */
 void nt_timer_set(struct nt_loop *l, struct nt_timer *t, int64_t us, void (*fn)(void *),
--- a/task/net_priv.h
+++ b/task/net_priv.h
@@ -61,6 +61,8 @@
 
 struct nt_loop {
     uv_loop_t uv; /* epoll below; lws's own poll() costs more the more sockets are idle */
+    uv_prepare_t before_poll;
+    int64_t heard_until;
     struct lws_context *ctx;
     struct lws_vhost *client_vh;
     bool stop;
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -136,6 +136,93 @@
     }
 }
 
+/* ---- after a long step ---- */
+
+static struct {
+    struct nt_loop *loop;
+    struct nt_conn *peer;
+    struct nt_timer step, look, late;
+    int64_t said_at;
+    bool heard, looked;
+} stall;
+
+static void stall_open(struct nt_conn *c, void *ud)
+{
+    (void)ud;
+    stall.peer = c;
+}
+
+static void stall_heard(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    (void)c;
+    (void)ud;
+    (void)data;
+    (void)len;
+    stall.heard = true;
+}
+
+static const struct nt_ops stall_peer = {stall_open, stall_heard, ended};
+static const struct nt_ops stall_server = {nothing, stall_heard, ended};
+
+static void stall_stop(void *ud)
+{
+    (void)ud;
+    nt_stop(stall.loop);
+}
+
+/* Runs until the message is delivered; before that nobody may believe that there is none. */
+static void stall_look(void *ud)
+{
+    (void)ud;
+    bool believed = nt_heard_until(stall.loop) > stall.said_at;
+    CU_ASSERT(stall.heard || !believed);
+    stall.looked = true;
+    if (stall.heard && believed)
+        nt_stop(stall.loop);
+    else
+        nt_timer_set(stall.loop, &stall.look, CK_MS(1), stall_look, NULL);
+}
+
+static void stall_step(void *ud)
+{
+    (void)ud;
+    stall.said_at = ck_now();
+    nt_send(stall.peer, "x", 1);
+    nt_timer_set(stall.loop, &stall.look, 1, stall_look, NULL);
+    ck_advance(CK_SEC(1));
+    CU_ASSERT(nt_heard_until(stall.loop) <= stall.said_at);
+}
+
+/* Guards against verdicts of silence over peers whose words were in the socket: a timer that
+ * runs after a long step, before the sockets are read. */
+static void timers_know_what_time_was_heard_until(void)
+{
+    int fd, port = make_port(&fd, false);
+    close(fd);
+    struct er_err err = {0};
+    memset(&stall, 0, sizeof(stall));
+    stall.loop = nt_loop_create(64, &err);
+    struct nt_listen l = {.ip = "127.0.0.1",
+                          .port = port,
+                          .stream = true,
+                          .ops = &stall_server,
+                          .accept = accept_echo,
+                          .ud = &stall};
+    ck_pause(CK_SEC(100));
+    CU_ASSERT_PTR_NOT_NULL_FATAL(nt_listen(stall.loop, &l, &err));
+    nt_connect_stream(stall.loop, "127.0.0.1", port, &stall_peer, &stall);
+    nt_timer_set(stall.loop, &stall.step, CK_MS(20), stall_step, NULL);
+    nt_timer_set(stall.loop, &stall.late, CK_SEC(2), stall_stop, NULL);
+    nt_run(stall.loop);
+    CU_ASSERT(stall.looked && stall.heard);
+    CU_ASSERT_EQUAL(nt_stats(stall.loop)->stalls, 1);
+    CU_ASSERT_EQUAL(nt_stats(stall.loop)->longest_stall_us, CK_SEC(1) - 1);
+    nt_timer_cancel(&stall.step);
+    nt_timer_cancel(&stall.look);
+    nt_timer_cancel(&stall.late);
+    ck_resume();
+}
+
 /* ---- frames ---- */
 
 struct big {
@@ -358,4 +445,5 @@
     TEST(s, refusing_listener_opens_nobody);
     TEST(s, the_longest_idle_makes_room);
     TEST(s, unanswered_connects_are_made_anew);
+    TEST(s, timers_know_what_time_was_heard_until);
 }
