--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -223,6 +223,84 @@
     ck_resume();
 }
 
+/* ---- the end of a connection at rest ---- */
+
+static struct {
+    struct nt_loop *loop;
+    int fd; /* the peer's end */
+    bool closes;
+    ssize_t told; /* what the peer read right after the close */
+    struct nt_timer late;
+} rest;
+
+static void rest_open(struct nt_conn *c, void *ud)
+{
+    (void)ud;
+    char byte;
+    rest.closes = nt_close_resting(c);
+    rest.told = recv(rest.fd, &byte, 1, MSG_DONTWAIT);
+}
+
+static void rest_message(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    (void)c;
+    (void)ud;
+    (void)data;
+    (void)len;
+}
+
+static void rest_close(struct nt_conn *c, void *ud, bool opened, bool refused)
+{
+    (void)c;
+    (void)ud;
+    (void)opened;
+    (void)refused;
+    nt_stop(rest.loop);
+}
+
+static const struct nt_ops rest_ops = {rest_open, rest_message, rest_close};
+
+static void *rest_accept(struct nt_conn *c, void *ud)
+{
+    (void)c;
+    return ud;
+}
+
+static void rest_give_up(void *ud)
+{
+    (void)ud;
+    nt_stop(rest.loop);
+}
+
+/* Guards against LOST: as long as the peer is not told of a close, what it says is read and
+ * dropped, which may take as long as the loop's turn does. */
+static void the_close_of_a_resting_connection_is_told_in_the_same_step(void)
+{
+    struct er_err err = {0};
+    int port;
+    memset(&rest, 0, sizeof(rest));
+    rest.loop = nt_loop_create(64, &err);
+    port = make_port(&rest.fd, false);
+    close(rest.fd);
+    struct nt_listen l = {.ip = "127.0.0.1",
+                          .port = port,
+                          .stream = true,
+                          .ops = &rest_ops,
+                          .accept = rest_accept,
+                          .ud = &rest};
+    CU_ASSERT_PTR_NOT_NULL_FATAL(nt_listen(rest.loop, &l, &err));
+    struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    rest.fd = socket(AF_INET, SOCK_STREAM, 0);
+    CU_ASSERT_EQUAL(connect(rest.fd, (struct sockaddr *)&a, sizeof(a)), 0);
+    nt_timer_set(rest.loop, &rest.late, CK_SEC(2), rest_give_up, NULL);
+    nt_run(rest.loop);
+    CU_ASSERT_TRUE(rest.closes);
+    CU_ASSERT_EQUAL(rest.told, 0);
+    nt_timer_cancel(&rest.late);
+    close(rest.fd);
+}
+
 /* ---- frames ---- */
 
 struct big {
@@ -446,4 +524,5 @@
     TEST(s, the_longest_idle_makes_room);
     TEST(s, unanswered_connects_are_made_anew);
     TEST(s, timers_know_what_time_was_heard_until);
+    TEST(s, the_close_of_a_resting_connection_is_told_in_the_same_step);
 }
