--- a/tests/unit/test_endings.c
+++ b/tests/unit/test_endings.c
@@ -321,6 +321,24 @@
     CU_ASSERT_EQUAL(answers(), 3);
 }
 
+static void nothing_more(void *ud)
+{
+    (void)ud;
+    nt_send(w.there, "TERMINATE\r\n", 11);
+    nt_send(w.caller, "QUERY b", 7);
+}
+
+/* Guards against a session that nobody serves and nobody ends: its close was put off for what
+ * had come, and that was no question. */
+static void a_session_whose_holder_ended_it_does_not_stay_open(void)
+{
+    const struct row row = {"half a question, for good", true, nothing, nothing};
+    half = nothing_more;
+    play(&row);
+    half = NULL;
+    CU_ASSERT_TRUE(w.closed);
+}
+
 static void goodbye(void *ud)
 {
     (void)ud;
@@ -345,5 +363,6 @@
     TEST(s, a_question_that_has_arrived_is_answered_when_its_session_ends);
     TEST(s, the_process_does_not_end_before_another_node_has_answered);
     TEST(s, a_question_of_which_a_part_has_arrived_is_answered);
+    TEST(s, a_session_whose_holder_ended_it_does_not_stay_open);
     TEST(s, a_goodbye_that_meets_the_end_of_its_session_gets_no_answer);
 }
