--- a/proxy/question.c
+++ b/proxy/question.c
@@ -38,6 +38,8 @@
     struct px_stmt st = {.verb = PX_V_BAD};
     size_t n = q->len > 0 && q->head[q->len - 1] == '\r' ? q->len - 1 : q->len;
     codec->parse((struct sr_str){q->head, n}, &m);
+    if (m.kind == PX_END)
+        return; /* wants no answer */
     q->piped = q->piped || q->open > 0;
     q->open++;
     if (m.kind == PX_STATEMENT)
