proxy: a node that stops waits for what it asked other nodes

Callers of a node that is stopped lost questions that it had relayed: only its own statements at work kept the process, which ended at 75 % of its grace time.

--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -181,9 +181,18 @@
     nt_refuse_new(p->listener);
 }
 
+static bool any_asked_elsewhere(const struct px_proxy *p)
+{
+    for (const struct px_session *s = p->sessions; s; s = s->next) {
+        if (px_asked_elsewhere(s))
+            return true;
+    }
+    return false;
+}
+
 bool px_stopped(const struct px_proxy *p, int64_t now)
 {
-    if (p->active)
+    if (p->active || any_asked_elsewhere(p))
         return false;
     return p->n_sessions == 0 ||
            now - p->stop_began > p->cfg.grace_us * STOP_LINGER_PERCENT / 100;
