proxy: a relayed session does not end in the middle of a question

A question whose first part had been read when its session's node ended it was closed without an answer once the socket was empty. The rest is waited for, for a second at most, and the question refused as not run.

--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -20,10 +20,11 @@
     /* A node that is cut off from control and did not reach another node either asks none for
      * so long: its callers are told at once. */
     ISOLATED_US = 1000000,
-    MAX_QUEUED = 256 * 1024, /* bytes on their way to a side that does not read */
-    REFUSED_US = 300000,     /* who said no to a session is asked last for so long */
-    NO_WAY_US = 1000000,     /* the same of one that was to pass it on and reached nobody */
-    MOVE_OVER_US = 300000,   /* sessions at rest at a silent node end, spread over so long */
+    MAX_QUEUED = 256 * 1024,   /* bytes on their way to a side that does not read */
+    REFUSED_US = 300000,       /* who said no to a session is asked last for so long */
+    NO_WAY_US = 1000000,       /* the same of one that was to pass it on and reached nobody */
+    MOVE_OVER_US = 300000,     /* sessions at rest at a silent node end, spread over so long */
+    REST_OF_LINE_US = 1000000, /* the rest of a question that is partly here is waited for */
 };
 
 /* Who opens a relayed session, before the version of its document. It is not relayed once more,
@@ -42,6 +43,7 @@
     bool spoke;             /* the caller got something: another greeting would be too many */
     bool left;              /* the caller is being sent away, for this reason */
     enum px_end why;
+    int64_t left_at;
     bool rests;           /* there, after the last answer */
     bool asked;           /* a whole message went there since */
     int64_t asked_at;     /* the first of them */
@@ -157,12 +159,20 @@
     nt_send(r->net, data, len);
 }
 
+/* Close the session, but not in the middle of a question. */
+static void end_left(struct px_relay *r, int64_t now)
+{
+    if (r->q.len == 0 || r->s->came_relayed || now - r->left_at > REST_OF_LINE_US)
+        px_end_resting(r->s, r->why);
+}
+
 /* The caller is sent away; what it says before it learns of it is refused. */
 static void leave(struct px_relay *r, enum px_end why)
 {
     r->left = true;
     r->why = why;
-    px_end_resting(r->s, why);
+    r->left_at = ck_now();
+    end_left(r, r->left_at);
 }
 
 /* What is open is answered here with a failure. */
@@ -501,7 +511,7 @@
         return;
     }
     if (r && r->left && s->net && !s->left_at)
-        px_end_resting(s, r->why);
+        end_left(r, now);
     if (!r || !r->net)
         return;
     if (r->greeted) {
