net, proxy: a close at rest waits for what is queued, too

After a refusal the relay's state of the transaction is what the caller was told; what is said after the end is refused also where the greeting had not been passed on.

--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -356,7 +356,7 @@
 /* So many bytes came after px_close and were not looked at. */
 void px_note_dropped(struct px_session *s, size_t bytes);
 /* Close the connection of a session at rest. False, and it stays open: its caller has said
- * something that is not read yet, which comes first. */
+ * something that is not read yet, or is still being told something, which comes first. */
 bool px_close_resting(struct px_session *s, enum px_end why);
 /* The same for a session at rest that another node may relay to us: that node is told, and what
  * still comes is not run. Whoever ends a session asks again until its connection is closed. */
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -181,7 +181,8 @@
     struct px_session *s = r->s;
     s->txn = r->txn != PX_IDLE && !r->q.ends ? PX_TXN_FAILED : PX_IDLE;
     px_refuse_relayed(s, kind, detail);
-    px_question_answered(&r->q, s->txn);
+    r->txn = s->txn;
+    px_question_answered(&r->q, r->txn);
     r->asked = false;
 }
 
@@ -420,20 +421,20 @@
     if (r->q.open == 0)
         return; /* not whole yet */
     tell_not_run(r);
-    px_close(s, r->why, false);
+    end_left(r, ck_now());
 }
 
 void px_relay_bytes(struct px_session *s, const char *data, size_t len)
 {
     struct px_relay *r = s->relay;
-    if (!r->greeted && s->in.len + len <= MAX_QUEUED) {
-        sr_buf_add(&s->in, data, len);
-        return;
-    }
     if (r->left) {
         said_too_late(r, data, len);
         return;
     }
+    if (!r->greeted && s->in.len + len <= MAX_QUEUED) {
+        sr_buf_add(&s->in, data, len);
+        return;
+    }
     if (r->greeted && r->nb->b.state == NB_SILENT && !r->asked) {
         unsent(r, data, len);
         return;
--- a/task/net.c
+++ b/task/net.c
@@ -156,10 +156,10 @@
 {
     if (c->dead || c->closing)
         return true;
-    if (has_unread(c))
+    if (has_unread(c) || c->head || (c->wsi && lws_partial_buffered(c->wsi)))
         return false;
     /* The end goes out before the loop reads again: what is read later was sent too late. */
-    if (c->wsi && c->opened && !c->head && !lws_partial_buffered(c->wsi))
+    if (c->wsi && c->opened)
         shutdown(lws_get_socket_fd(c->wsi), SHUT_WR);
     nt_close(c, false);
     return true;
--- a/task/net.h
+++ b/task/net.h
@@ -142,9 +142,9 @@
 /* Close once what is queued has been sent (or at once if `hard`). ops->close follows, never
  * from within this call. */
 void nt_close(struct nt_conn *c, bool hard);
-/* Close a connection at rest, once what is queued has been sent. False, and it stays open, if
- * its peer has sent something that was not delivered yet: that comes first. What the peer sends
- * later met the close on its way. */
+/* Close a connection at rest. False, and it stays open, if its peer has sent something that was
+ * not delivered yet, or something is queued for it: that comes first. What the peer sends later
+ * met the close on its way. */
 bool nt_close_resting(struct nt_conn *c);
 /* From now on this connection's callbacks go nowhere; it closes by itself. */
 void nt_forget(struct nt_conn *c);
