control: large documents stand deflated in the log

Cause: the leader sends an entry once to each voter, 3.1 MB for that document, over the connections of the heartbeats. At 60 Mbit/s between regions (100 of its own link) that is 250 to 400 ms, above an election's 200 ms: followers heard nothing, and the leader's vouching ran out as the answers came late. A smaller one (1,466 routes, 1.4 MB, 125 ms) passed.

What was written before is read as it stands; a version of before can't read what this one writes.

heartbeats_pass_large_entries holds the entry as it was (above an election's time) beside the deflated one.

--- a/control/agree.c
+++ b/control/agree.c
@@ -3,12 +3,14 @@
 
 #include "control/control.h"
 #include "misc/clock.h"
+#include "misc/pack.h"
 
 enum {
     /* The log is replaced by a snapshot once it holds so many times its bytes: a restart then
      * applies a few documents at most, and a snapshot is written for that many changes. */
     SNAPSHOT_TIMES = 3,
     SNAPSHOT_LEAST_BYTES = 64 * 1024, /* a shorter log is applied within some milliseconds */
+    MAX_TEXT = 16 << 20,              /* bytes of an entry or a snapshot, inflated */
 };
 
 static void on_send(void *ud, const struct qr_msg *m)
@@ -125,21 +127,33 @@
                "%s %s", vw_change_name(ch->kind), ch->instance);
 }
 
+/* An entry's or a snapshot's text, and what it says; NULL if it can't be read. */
+static json_t *read_text(const char *data, uint32_t len, struct sr_buf *text,
+                         struct er_err *err)
+{
+    if (!pk_unpack((struct sr_str){data, len}, MAX_TEXT, text, err))
+        return NULL;
+    json_t *j = json_loadb(text->p ? text->p : "", text->len, 0, NULL);
+    if (!j)
+        er_set(err, ER_CORRUPT, "%zu bytes are no JSON", text->len);
+    return j;
+}
+
 static void apply_change(struct ct_node *n, uint64_t index, const char *data, uint32_t len)
 {
     struct vw_change ch;
     struct er_err err = {0};
-    json_t *j = json_loadb(data, len, 0, NULL);
+    struct sr_buf text = {0};
+    json_t *j = read_text(data, len, &text, &err);
     bool ok = j && vw_change_parse(j, &ch, &err);
     if (!ok) {
         FL_ERR(&n->log, "entry %llu is no change: %s", (unsigned long long)index, err.text);
-        json_decref(j);
-        return;
+        goto done;
     }
     n->c.applied++;
-    n->applied_bytes += len;
+    n->applied_bytes += text.len;
     if (vw_apply(&n->view, index, &ch, &err)) {
-        remember(n, index, ch.kind, data, len);
+        remember(n, index, ch.kind, text.p, (uint32_t)text.len);
         note_change(n, &ch);
         n->document_due = n->document_due || ch.kind == VW_CH_DOCUMENT;
         ct_group_sync(n, ch.kind == VW_CH_GROUP ? ch.def.name : ch.group);
@@ -157,7 +171,9 @@
                    vw_change_name(ch.kind), err.text);
     }
     ct_ops_applied(n, &ch, &err);
+done:
     json_decref(j);
+    sr_buf_free(&text);
 }
 
 static void on_apply(void *ud, const struct qr_entry *e)
@@ -172,17 +188,24 @@
     ct_orders_applied(n, e);
 }
 
-static void on_restore(void *ud, uint64_t index, const char *data, uint32_t len)
+void ct_restore_view(struct ct_node *n, const char *data, uint32_t len)
 {
-    struct ct_node *n = ud;
     struct er_err err = {0};
-    json_t *j = json_loadb(data, len, 0, NULL);
+    struct sr_buf text = {0};
+    json_t *j = read_text(data, len, &text, &err);
     if (!j || !vw_view_parse(j, &n->view, &err))
-        FL_ERR(&n->log, "snapshot %llu: %s", (unsigned long long)index, err.text);
+        FL_ERR(&n->log, "snapshot: %s", err.text);
+    n->snapshot_bytes = text.len;
     json_decref(j);
+    sr_buf_free(&text);
+}
+
+static void on_restore(void *ud, uint64_t index, const char *data, uint32_t len)
+{
+    struct ct_node *n = ud;
+    ct_restore_view(n, data, len);
     forget_all(n, n->view.generation);
     n->applied_bytes = 0;
-    n->snapshot_bytes = len;
     ct_document_changed(n);
     ct_groups_sync(n);
     FL_INFO(&n->log, "restored from a snapshot up to %llu", (unsigned long long)index);
@@ -220,14 +243,20 @@
         return false;
     json_t *j = vw_change_json(ch);
     char *s = json_dumps(j, JSON_COMPACT);
+    size_t len = strlen(s);
     struct vw_change back;
     /* What can't be read back would be committed and then applied nowhere. */
     bool readable = vw_change_parse(j, &back, err);
     json_decref(j);
-    bool fits = ch->kind == VW_CH_DOCUMENT || strlen(s) <= VW_CHANGE_MAX;
+    bool fits = len <= (ch->kind == VW_CH_DOCUMENT ? QR_MAX_ENTRY : VW_CHANGE_MAX);
     if (!fits)
-        er_set(err, ER_TOO_LARGE, "a change of %zu bytes", strlen(s));
-    bool ok = readable && fits && qr_propose(n->q, s, (uint32_t)strlen(s), ck_now(), &at, err);
+        er_set(err, ER_TOO_LARGE, "a change of %zu bytes", len);
+    struct sr_buf packed = {0};
+    if (readable && fits)
+        pk_pack((struct sr_str){s, len}, &packed);
+    bool ok = readable && fits &&
+              qr_propose(n->q, packed.p, (uint32_t)packed.len, ck_now(), &at, err);
+    sr_buf_free(&packed);
     free(s);
     n->c.proposals += ok;
     if (ok && index)
@@ -253,9 +282,12 @@
         return;
     json_t *j = vw_view_json(&n->view);
     char *s = json_dumps(j, JSON_COMPACT);
+    struct sr_buf packed = {0};
     n->snapshot_bytes = strlen(s);
     n->applied_bytes = 0;
-    qr_compact(n->q, qr_commit(n->q), s, (uint32_t)n->snapshot_bytes);
+    pk_pack((struct sr_str){s, n->snapshot_bytes}, &packed);
+    qr_compact(n->q, qr_commit(n->q), packed.p, (uint32_t)packed.len);
+    sr_buf_free(&packed);
     free(s);
     json_decref(j);
 }
--- a/control/control.c
+++ b/control/control.c
@@ -252,13 +252,9 @@
 
 static void restore_view(struct ct_node *n, const struct so_loaded *disk)
 {
-    struct er_err err = {0};
     if (!disk->restore.snap_len)
         return;
-    json_t *j = json_loadb(disk->restore.snap, disk->restore.snap_len, 0, NULL);
-    if (!j || !vw_view_parse(j, &n->view, &err))
-        FL_ERR(&n->log, "snapshot: %s", err.text);
-    json_decref(j);
+    ct_restore_view(n, disk->restore.snap, disk->restore.snap_len);
     n->past_floor = n->view.generation;
 }
 
--- a/control/control.h
+++ b/control/control.h
@@ -222,7 +222,7 @@
     bool was_leader;
     bool failed;             /* the disk failed */
     uint64_t applied_bytes;  /* of changes, since the last snapshot */
-    uint64_t snapshot_bytes; /* of the last snapshot made here */
+    uint64_t snapshot_bytes; /* of the last snapshot */
     bool document_due;       /* ct_document_changed is to be called */
     bool disk_full;          /* writes wait for room */
     struct ty_tally tally;
@@ -256,6 +256,8 @@
 bool ct_propose(struct ct_node *n, const struct vw_change *ch, uint64_t *index,
                 struct er_err *err);
 void ct_compact_tick(struct ct_node *n);
+/* The view is what the snapshot says. */
+void ct_restore_view(struct ct_node *n, const char *data, uint32_t len);
 /* Whether the changes above `from` are not all kept any more. */
 bool ct_needs_whole_view(const struct ct_node *n, uint64_t from);
 /* Changes above `from` as a JSON list, or the whole view (*from_out = 0). Allocated. */
--- a/tests/unit/test_push.c
+++ b/tests/unit/test_push.c
@@ -1,7 +1,9 @@
 /* Views on their way to 300 nodes over one link, and the heartbeats that share it. */
 #include "misc/clock.h"
+#include "misc/pack.h"
 #include "tests/unit/unit.h"
 #include "view/push.h"
+#include "wire/wire.h"
 
 enum {
     NODES = 300,
@@ -64,6 +66,64 @@
     CU_ASSERT(send_all(12500000, false).worst_us > ELECTION_US * 3);
 }
 
+/* For how long the link between regions carries an entry to five voters. */
+static int64_t entry_takes(struct sr_str text)
+{
+    enum { VOTERS = 5, BYTES_A_SECOND = 7500000 };
+    struct sr_buf frame = {0};
+    struct qr_entry e = {1, 1, QR_DATA, (uint32_t)text.len, (char *)text.p};
+    struct wr_msg m = {.type = WR_QUORUM};
+    m.quorum = (struct qr_msg){.type = QR_APPEND, .n = 1, .entries = &e};
+    wr_encode(&frame, &m);
+    int64_t us = (int64_t)frame.len * VOTERS * 1000000 / BYTES_A_SECOND;
+    sr_buf_free(&frame);
+    return us;
+}
+
+/* An entry of the log that holds a large document leaves the link to heartbeats soon. Guards
+ * against a leader that is replaced while its voters receive one. */
+static void heartbeats_pass_large_entries(void)
+{
+    struct sr_buf text = {0}, packed = {0}, back = {0};
+    struct er_err err = {0};
+    for (int i = 0; i < 2866; i++)
+        sr_buf_printf(&text,
+                      "{\"name\":\"r-%08x\",\"host\":\"h%dx\",\"pathPrefix\":\"/\","
+                      "\"kind\":\"bounded\",\"timeoutMs\":%d,\"latencySloMs\":400,"
+                      "\"service\":\"s%d\",\"maxAttempts\":2,\"maxStalenessMs\":1500},",
+                      (unsigned)i * 2654435761u, i * 7919 % 1000, 1000 + i % 9 * 500, i % 3);
+    struct sr_str whole = {text.p, text.len};
+    CU_ASSERT(entry_takes(whole) > ELECTION_US);
+    pk_pack(whole, &packed);
+    CU_ASSERT(entry_takes((struct sr_str){packed.p, packed.len}) < HEARTBEAT_US);
+    CU_ASSERT_TRUE(pk_unpack((struct sr_str){packed.p, packed.len}, text.len, &back, &err));
+    CU_ASSERT_TRUE(sr_eq((struct sr_str){back.p, back.len}, whole));
+    sr_buf_free(&text);
+    sr_buf_free(&packed);
+    sr_buf_free(&back);
+}
+
+/* What was cut short, or claims to be longer than its bound, is refused and takes no room. */
+static void bad_packs_are_refused(void)
+{
+    char text[4096];
+    struct sr_buf packed = {0}, out = {0};
+    struct er_err err = {0};
+    memset(text, 'a', sizeof(text));
+    pk_pack((struct sr_str){text, sizeof(text)}, &packed);
+    struct sr_str s = {packed.p, packed.len};
+    CU_ASSERT(s.len < sizeof(text));
+    CU_ASSERT_FALSE(pk_unpack(s, sizeof(text) - 1, &out, &err));
+    for (s.len = 1; s.len < packed.len; s.len++)
+        CU_ASSERT_FALSE(pk_unpack(s, sizeof(text), &out, &err));
+    CU_ASSERT_EQUAL(out.len, 0);
+    sr_buf_free(&packed);
+    s = SR_LIT("{\"a\":1}");
+    CU_ASSERT_TRUE(pk_unpack(s, sizeof(text), &out, &err)); /* as short ones stand */
+    CU_ASSERT_EQUAL(out.len, s.len);
+    sr_buf_free(&out);
+}
+
 /* What a small deployment sends goes out at once. */
 static void small_views_are_not_held(void)
 {
@@ -164,6 +224,8 @@
 {
     CU_pSuite s = CU_add_suite("push", NULL, NULL);
     TEST(s, heartbeats_pass_large_views);
+    TEST(s, heartbeats_pass_large_entries);
+    TEST(s, bad_packs_are_refused);
     TEST(s, small_views_are_not_held);
     TEST(s, what_is_held_goes_out_by_itself);
     TEST(s, instances_that_come_together);
