quorum, control: a standstill of the loop is not taken for the others' silence

Beside a large document voters stood still for 100 to 195 ms (it is read, applied and read again, at 0.32 of a core). The timers run before the sockets are read, so a follower counted its own standstill as silence of the leader and asked for votes, and a leader as the loss of its quorum, with the answers already in the sockets.

qr_tick is given until when the loop has heard its peers (nt_heard_until): the election timer and the leader's check of its quorum compare with that. Vouching keeps the clock; sending is by the clock, too. An earlier time can only delay an election, so nothing promised depends on it; handlers of messages go on using the clock.

Open: the other side of a standstill, that a leader says nothing meanwhile.

--- a/control/control.c
+++ b/control/control.c
@@ -152,7 +152,7 @@
     on_disk(n);
     if (n->failed)
         return;
-    qr_tick(n->q, now);
+    qr_tick(n->q, now, nt_heard_until(n->loop));
     if (n->document_due)
         ct_document_changed(n);
     if (!n->leading && ct_vouched(n))
--- a/quorum/lead.c
+++ b/quorum/lead.c
@@ -158,12 +158,12 @@
     return q->round_sent[r % ROUNDS];
 }
 
-void qc_lead_tick(struct qr *q, int64_t now)
+void qc_lead_tick(struct qr *q, int64_t now, int64_t heard)
 {
-    int64_t heard = qc_quorum_contact(q);
-    if (heard < q->leader_since)
-        heard = q->leader_since;
-    if (now - heard > 2 * q->cfg.election_us) {
+    int64_t contact = qc_quorum_contact(q);
+    if (contact < q->leader_since)
+        contact = q->leader_since;
+    if (heard - contact > 2 * q->cfg.election_us) {
         qc_become_follower(q, q->term, 0, now);
         return;
     }
--- a/quorum/quorum.c
+++ b/quorum/quorum.c
@@ -53,11 +53,11 @@
 
 /* ---- time and disk ---- */
 
-void qr_tick(struct qr *q, int64_t now)
+void qr_tick(struct qr *q, int64_t now, int64_t heard)
 {
     if (q->role == QR_LEADER) {
-        qc_lead_tick(q, now);
-    } else if (now >= q->deadline && !disk_clogged(q)) {
+        qc_lead_tick(q, now, heard);
+    } else if (heard >= q->deadline && !disk_clogged(q)) {
         q->transfer = false;
         qc_start_election(q, now);
     }
--- a/tests/unit/cluster_sim.c
+++ b/tests/unit/cluster_sim.c
@@ -442,7 +442,7 @@
     s->now += CK_MS(1 + (int64_t)rn_below(&s->rng, 12));
     for (int i = 0; i < CS_NODES; i++) {
         if (s->n[i].up)
-            qr_tick(s->n[i].q, s->now);
+            qr_tick(s->n[i].q, s->now, s->now);
     }
 }
 
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -65,14 +65,15 @@
     return n;
 }
 
-/* Make `q` (node 1) the leader of term 1 at `now`. */
+/* Make `q` (node 1) the leader of the next term at `now`. */
 static void lead(struct qr *q, int64_t now)
 {
-    qr_tick(q, now);
-    struct qr_msg v = {.type = QR_PREVOTE_R, .from = 2, .to = 1, .ok = true, .round = 1};
+    uint64_t term = qr_term(q) + 1;
+    qr_tick(q, now, now);
+    struct qr_msg v = {.type = QR_PREVOTE_R, .from = 2, .to = 1, .ok = true, .round = term};
     qr_receive(q, &v, now);
     qr_persisted(q, last_seq, now);
-    v = (struct qr_msg){.type = QR_VOTE_R, .from = 2, .to = 1, .term = 1, .ok = true};
+    v = (struct qr_msg){.type = QR_VOTE_R, .from = 2, .to = 1, .term = term, .ok = true};
     qr_receive(q, &v, now);
     CU_ASSERT_EQUAL(qr_role(q), QR_LEADER);
 }
@@ -80,7 +81,7 @@
 static void nothing_leaves_before_the_disk(void)
 {
     struct qr *q = three(1);
-    qr_tick(q, CK_SEC(1));
+    qr_tick(q, CK_SEC(1), CK_SEC(1));
     CU_ASSERT_EQUAL(count(QR_PREVOTE), 2);
     struct qr_msg v = {.type = QR_PREVOTE_R, .from = 2, .to = 1, .ok = true, .round = 1};
     qr_receive(q, &v, CK_SEC(1));
@@ -154,7 +155,28 @@
     struct qr *q = three(1);
     lead(q, CK_SEC(1));
     for (int64_t t = CK_SEC(1); t < CK_MS(1700); t += CK_MS(10))
-        qr_tick(q, t);
+        qr_tick(q, t, t);
+    CU_ASSERT_NOT_EQUAL(qr_role(q), QR_LEADER);
+    qr_destroy(q);
+}
+
+/* A loop that stands still judges nobody by its own standstill: what came meanwhile is read
+ * after the timers. Guards against elections beside a long step of a follower. */
+static void standstill_is_no_silence(void)
+{
+    struct qr *q = three(2);
+    struct qr_msg beat = {.type = QR_APPEND, .from = 1, .to = 2, .term = 1};
+    qr_receive(q, &beat, CK_SEC(1));
+    qr_tick(q, CK_SEC(2), CK_MS(1010));
+    CU_ASSERT_EQUAL(count(QR_PREVOTE), 0);
+    qr_tick(q, CK_SEC(2), CK_SEC(2));
+    CU_ASSERT_EQUAL(count(QR_PREVOTE), 2);
+    qr_destroy(q);
+    q = three(1);
+    lead(q, CK_SEC(1));
+    qr_tick(q, CK_SEC(2), CK_MS(1010));
+    CU_ASSERT_EQUAL(qr_role(q), QR_LEADER);
+    qr_tick(q, CK_SEC(2), CK_SEC(2));
     CU_ASSERT_NOT_EQUAL(qr_role(q), QR_LEADER);
     qr_destroy(q);
 }
@@ -216,7 +238,7 @@
                            .n = 1};
     n_sent = 0;
     struct qr *q = qr_create(&cfg, &r, 0);
-    qr_tick(q, CK_SEC(1));
+    qr_tick(q, CK_SEC(1), CK_SEC(1));
     struct qr_msg v = {
         .type = QR_PREVOTE_R, .from = 2, .to = 1, .term = 3, .ok = true, .round = 4};
     qr_receive(q, &v, CK_SEC(1));
@@ -310,7 +332,7 @@
     n_sent = 0;
     last_seq = 0;
     struct qr *q = qr_create(&cfg, &r, 0);
-    qr_tick(q, CK_MS(65)); /* a quarter of an election's time: it asks */
+    qr_tick(q, CK_MS(65), CK_MS(65)); /* a quarter of an election's time: it asks */
     CU_ASSERT_TRUE(n_sent == 2 && sent[0].type == QR_PREVOTE);
     for (int i = 0; i < answers; i++) {
         struct qr_msg m = {.type = QR_PREVOTE_R, .to = 1, .term = 3, .round = 4, .fresh = true};
@@ -360,6 +382,7 @@
     TEST(s, late_snapshot_keeps_acknowledged_entries);
     TEST(s, returning_node_does_not_disturb);
     TEST(s, leader_without_quorum_steps_down);
+    TEST(s, standstill_is_no_silence);
     TEST(s, vouching_is_counted_from_the_sending);
     TEST(s, behind_learner_does_not_become_a_voter);
     TEST(s, old_terms_are_not_counted);
