quorum: a probe that is repeated carries no large entry

A new leader probes for the place from which each follower's log differs, and repeats the probe with each heartbeat until it is answered. It carried entries, so a follower that lacked a document was sent it again every 50 ms, and once more with the first answer, as that tells what is on disk: five copies in the test, heartbeats behind them.

A probe now carries entries of a kilobyte together at most (a new leader's first entry among them, so it is committed as soon as before). What is long follows the answer, once. A follower that lacks one has it a round trip later.

--- a/quorum/lead.c
+++ b/quorum/lead.c
@@ -23,13 +23,17 @@
     qc_send(q, &m);
 }
 
-static uint32_t batch_size(const struct qr *q, uint64_t from)
+/* How many entries go out together. A probe is repeated until it is answered, so it carries
+ * little: heartbeats would stand behind its copies. */
+static uint32_t batch_size(const struct qr *q, const struct peer *p)
 {
-    uint32_t n = 0, bytes = 0;
+    enum { PROBE_BYTES = 1024 };
+    uint32_t n = 0, bytes = 0, least = p->probing ? 0 : 1;
+    uint32_t most = p->probing ? PROBE_BYTES : QR_MAX_BATCH_BYTES;
     const struct qr_entry *e;
-    while (n < QR_MAX_BATCH && (e = qc_at(q, from + n))) {
+    while (n < QR_MAX_BATCH && (e = qc_at(q, p->next + n))) {
         bytes += e->len;
-        if (n > 0 && bytes > QR_MAX_BATCH_BYTES)
+        if (n >= least && bytes > most)
             break;
         n++;
     }
@@ -49,7 +53,7 @@
                        .log_term = prev_term,
                        .commit = q->commit,
                        .round = q->round};
-    m.n = empty ? 0 : batch_size(q, p->next);
+    m.n = empty ? 0 : batch_size(q, p);
     m.entries = m.n ? qc_at(q, p->next) : NULL;
     if (!p->probing)
         p->next += m.n;
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -181,6 +181,42 @@
     qr_destroy(q);
 }
 
+static uint32_t bytes_sent_to(uint64_t id)
+{
+    uint32_t n = 0;
+    for (int i = 0; i < n_sent; i++) {
+        for (uint32_t k = 0; sent[i].to == id && k < sent[i].n; k++)
+            n += sent[i].entries[k].len;
+    }
+    return n;
+}
+
+/* A follower is sent a long entry once, also if its answers come late: what is repeated until
+ * the place to go on from is found carries no more than a few bytes. Guards against a new
+ * leader whose heartbeats stand behind copies of one document. */
+static void long_entry_is_sent_once(void)
+{
+    static char text[100000];
+    struct qr_entry e = {1, 1, QR_DATA, sizeof(text), text};
+    struct qr_msg append = {.type = QR_APPEND, .from = 3, .to = 1, .term = 1, .n = 1};
+    struct qr *q = three(1);
+    append.entries = &e;
+    qr_receive(q, &append, CK_MS(100));
+    qr_persisted(q, last_seq, CK_MS(100));
+    lead(q, CK_SEC(1));
+    n_sent = 0;
+    struct qr_msg no = {.type = QR_APPEND_R, .from = 2, .to = 1, .term = 2, .round = 1};
+    qr_receive(q, &no, CK_MS(1020)); /* it lacks the entry */
+    for (int64_t t = CK_MS(1020); t < CK_MS(1200); t += CK_MS(10))
+        qr_tick(q, t, t);
+    struct qr_msg yes = no;
+    yes.ok = true;
+    for (yes.round = 2; yes.round < 5; yes.round++) /* it has it, not on disk yet */
+        qr_receive(q, &yes, CK_MS(1200));
+    CU_ASSERT_EQUAL(bytes_sent_to(2), sizeof(text));
+    qr_destroy(q);
+}
+
 /* A vouching ends one shortest election after the sending of a round that a quorum answered. */
 static void vouching_is_counted_from_the_sending(void)
 {
@@ -383,6 +419,7 @@
     TEST(s, returning_node_does_not_disturb);
     TEST(s, leader_without_quorum_steps_down);
     TEST(s, standstill_is_no_silence);
+    TEST(s, long_entry_is_sent_once);
     TEST(s, vouching_is_counted_from_the_sending);
     TEST(s, behind_learner_does_not_become_a_voter);
     TEST(s, old_terms_are_not_counted);
