proxy: a neighbour that has answered is not silent

Cause: questions, greetings and trials were compared with the clock. Timers run before sockets are read, so after a long step all of them were late.

Change: they are compared with the time until which peers were heard (nt_heard_until, px_heard), and what a node may take for a greeting counts from when its connection is open: what this node took is not the other's silence. A frozen node's kernel opens at once, so it is known a round trip later.

Test: the loop stands still with an answer, a greeting, and a trial's connection in the socket.

--- a/proxy/neighbor.c
+++ b/proxy/neighbor.c
@@ -27,11 +27,11 @@
     n->next_trial = now;
 }
 
-void nb_waits(struct nb_neighbor *n, int64_t since, int64_t now)
+void nb_waits(struct nb_neighbor *n, int64_t since, int64_t heard)
 {
     int64_t from = since > n->heard_at ? since : n->heard_at;
-    if (now - from >= DOUBT_US)
-        nb_doubt(n, now);
+    if (heard - from >= DOUBT_US)
+        nb_doubt(n, heard);
 }
 
 void nb_refused(struct nb_neighbor *n, int64_t for_us, int64_t now)
@@ -50,9 +50,9 @@
     n->tried_at = now;
 }
 
-bool nb_trial_late(const struct nb_neighbor *n, int64_t now)
+bool nb_trial_late(const struct nb_neighbor *n, int64_t heard)
 {
-    return n->trying && now - n->tried_at >= TRIAL_US;
+    return n->trying && heard - n->tried_at >= TRIAL_US;
 }
 
 static int64_t doubled(int64_t pause_us)
--- a/proxy/neighbor.h
+++ b/proxy/neighbor.h
@@ -37,18 +37,20 @@
 
 /* It said something on a relayed session. */
 void nb_heard(struct nb_neighbor *n, int64_t now);
-/* Something that was sent to it then has no answer yet. */
-void nb_waits(struct nb_neighbor *n, int64_t since, int64_t now);
+/* Something that was sent to it then has no answer in what had come by `heard`. */
+void nb_waits(struct nb_neighbor *n, int64_t since, int64_t heard);
 /* A greeting did not come, or a connection was reset or refused. */
 void nb_doubt(struct nb_neighbor *n, int64_t now);
 /* It is there, and opens no session for so long. */
 void nb_refused(struct nb_neighbor *n, int64_t for_us, int64_t now);
 
-/* Whether a trial is to be begun; call nb_tried when it is. */
+/* Whether a trial is to be begun; call nb_tried when it is, and when its connection is open:
+ * what this node took until it asked is not the other's silence. */
 bool nb_trial_due(const struct nb_neighbor *n, int64_t now);
 void nb_tried(struct nb_neighbor *n, int64_t now);
-/* Whether the trial that is out has been waited for long enough. */
-bool nb_trial_late(const struct nb_neighbor *n, int64_t now);
+/* Whether the trial that is out has been waited for long enough; what had come by `heard` was
+ * taken in. */
+bool nb_trial_late(const struct nb_neighbor *n, int64_t heard);
 /* What came of it; a no is an answer. */
 void nb_trial_over(struct nb_neighbor *n, bool answered, int64_t now);
 
--- a/proxy/neighbors.c
+++ b/proxy/neighbors.c
@@ -100,6 +100,7 @@
 static void on_open(struct nt_conn *net, void *ud)
 {
     struct px_neighbor *nb = ud;
+    nb_tried(&nb->b, ck_now());
     px_relay_hello(nb->p, net, nb->database, nb->key, PX_HELLO_TRIAL);
 }
 
@@ -121,7 +122,7 @@
     (void)net;
     (void)refused;
     nb->trial = NULL;
-    trial_over(nb, opened && !nb_trial_late(&nb->b, ck_now()));
+    trial_over(nb, opened && !nb_trial_late(&nb->b, px_heard(nb->p)));
 }
 
 static const struct nt_ops trial_ops = {on_open, on_message, on_close};
@@ -144,8 +145,9 @@
 
 void px_neighbors_tick(struct px_proxy *p, int64_t now)
 {
+    int64_t heard = px_heard(p);
     for (struct px_neighbor *nb = p->neighbors; nb; nb = nb->next) {
-        if (nb->trial && nb_trial_late(&nb->b, now))
+        if (nb->trial && nb_trial_late(&nb->b, heard))
             give_up_trial(nb);
         else if (nb_trial_due(&nb->b, now) && (nb->n_relays > 0 || listed(p, nb->name)))
             try_it(nb, now);
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -396,6 +396,11 @@
 /* Look at all sessions: whose time to open, to rest or to stay is over. */
 void px_sessions_slow_tick(struct px_proxy *p, int64_t now);
 
+/* proxy.c: what was heard */
+/* What peers had said by this time was taken in. A verdict that one of them is silent, or that
+ * something has not come, compares with it: after a long step more waits in the sockets. */
+int64_t px_heard(const struct px_proxy *p);
+
 /* proxy.c: the lease */
 /* A lease outlives an election; who has none for longer is on its own. */
 enum { PX_CUT_OFF_US = 300000 };
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -35,6 +35,11 @@
     return p->catalog.version > 0;
 }
 
+int64_t px_heard(const struct px_proxy *p)
+{
+    return nt_heard_until(p->loop);
+}
+
 /* ---- the lease ---- */
 
 bool px_leased(const struct px_proxy *p)
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -48,7 +48,7 @@
     struct px_question q; /* what was asked */
     enum px_txn txn;      /* after the last answer */
     struct sr_buf in;     /* a line from the other node that is not whole yet */
-    int64_t began;        /* this try */
+    int64_t began;        /* this try, and what it waits for: to be open, to be greeted */
 };
 
 bool px_is_relayed(const struct px_msg *open, uint64_t *document, bool *pass_on)
@@ -143,6 +143,7 @@
 static void on_open(struct nt_conn *net, void *ud)
 {
     struct px_relay *r = ud;
+    r->began = ck_now();
     px_relay_hello(r->s->p, net, r->s->database, r->s->key,
                    r->by_other ? PX_HELLO_PASS_ON : PX_HELLO_SERVE);
 }
@@ -467,7 +468,7 @@
 {
     struct px_session *s = r->s;
     if (r->asked) {
-        if (px_question_harmless(&r->q) || now - r->asked_at > longest_wait(s))
+        if (px_question_harmless(&r->q) || px_heard(s->p) - r->asked_at > longest_wait(s))
             tell_unanswered(r, true, PX_END_SILENT);
     } else if (r->rests && now - r->nb->b.silent_at > px_turn(s, MOVE_OVER_US)) {
         leave(r, PX_END_SILENT);
@@ -479,7 +480,7 @@
     if (r->left || !r->s->net)
         return;
     if (r->asked)
-        nb_waits(&r->nb->b, r->asked_at, now);
+        nb_waits(&r->nb->b, r->asked_at, px_heard(r->s->p));
     if (r->nb->b.state == NB_SILENT)
         leave_silent(r, now);
 }
@@ -508,8 +509,9 @@
         watch(r, now);
         return;
     }
+    int64_t heard = px_heard(s->p);
     if (!r->by_other)
-        nb_waits(&r->nb->b, r->began, now);
-    if (now - r->began > GREET_US || r->nb->b.state == NB_SILENT)
+        nb_waits(&r->nb->b, r->began, heard);
+    if (heard - r->began > GREET_US || r->nb->b.state == NB_SILENT)
         greeting_late(r, now);
 }
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -18,15 +18,31 @@
     "\"maxAttempts\":2}],\"services\":[{\"name\":\"g\",\"healthPath\":\"/\",\"maxConns\":1,"
     "\"syncReplicas\":0}],\"limits\":{\"txIdleMs\":3000}}";
 
+/* When in a session's life the loop serves nobody, and for how long. */
+enum moment { NEVER, GREETED, ANSWERED, ASKED_LAST };
+
+struct still {
+    const char *what, *first, *second, *third;
+    bool serves_itself, in_txn;
+    enum moment at;
+    int ms;
+    void (*after_tick)(void);
+    int opened; /* sessions at the other side */
+};
+
 static struct {
     struct nt_loop *loop;
     struct px_proxy *p;
     struct nt_timer tick, late, freeze;
     bool greets,
-        frozen;     /* the other node: it opens sessions; it takes bytes and says nothing */
-    bool in_txn;    /* its answers leave a transaction open */
-    int opened;     /* sessions there, trials too */
-    char hello[80]; /* the first line that it got */
+        frozen;  /* the other node: it opens sessions; it takes bytes and says nothing */
+    bool in_txn; /* its answers leave a transaction open */
+    bool leased, serves_itself; /* our node; it holds the group, the other is its instance */
+    const struct still *still;
+    struct nt_conn *slow; /* the session there, its question not answered yet */
+    bool stood;
+    int opened;                             /* sessions there, trials too */
+    char hello[80];                         /* the first line that it got */
     const char *open_with, *first, *second; /* the caller's words; NULL: none */
     int said;
     struct sr_buf got; /* by the caller */
@@ -40,13 +56,57 @@
     nt_stop(w.loop);
 }
 
+static bool leased(void *ud)
+{
+    (void)ud;
+    return w.leased;
+}
+
 static void tick(void *ud)
 {
     (void)ud;
+    ck_advance(CK_MS(5)); /* if it is paused */
     px_tick(w.p, ck_now());
+    if (w.still && w.still->after_tick)
+        w.still->after_tick();
     nt_timer_set(w.loop, &w.tick, CK_MS(5), tick, NULL);
 }
 
+/* ---- standing still ---- */
+
+/* The loop serves nobody for a while, and its timers come first then. */
+static void stand_still(int64_t us)
+{
+    for (int k = 0; k < 4; k++) {
+        ck_advance(us / 4);
+        px_tick(w.p, ck_now());
+    }
+}
+
+static void maybe_stand_still(enum moment now)
+{
+    if (w.still && w.still->at == now)
+        stand_still(CK_MS(w.still->ms));
+}
+
+static bool counted(const char *line)
+{
+    struct sr_buf b = {0};
+    px_metrics(w.p, &b);
+    bool is = memmem(b.p, b.len, line, strlen(line));
+    sr_buf_free(&b);
+    return is;
+}
+
+/* As soon as a trial has begun, before its connection is seen to be open. */
+static void trial_began(void)
+{
+    if (!w.stood && counted("neighbor_trials_total 1\n")) {
+        w.stood = true;
+        stand_still(CK_MS(300));
+    }
+}
+
 /* ---- the other node ---- */
 
 static void there_open(struct nt_conn *c, void *ud)
@@ -64,6 +124,10 @@
     w.opened += opens;
     if (w.frozen)
         return;
+    if (w.still && w.still->after_tick == trial_began && !opens) {
+        w.slow = c;
+        return;
+    }
     if (opens && !w.greets)
         nt_close(c, true);
     else if (opens)
@@ -71,6 +135,11 @@
     else
         nt_send(c, w.in_txn ? "COMPLETE x\r\nREADY T -\r\n" : "COMPLETE x\r\nREADY I -\r\n",
                 23);
+    maybe_stand_still(opens ? GREETED : ANSWERED);
+    if (opens && w.slow) { /* the trial */
+        stand_still(CK_MS(100));
+        nt_send(w.slow, "COMPLETE x\r\nREADY I -\r\n", 23);
+    }
 }
 
 static void there_close(struct nt_conn *c, void *ud, bool opened, bool refused)
@@ -110,13 +179,18 @@
     (void)ud;
     sr_buf_add(&w.got, data, len);
     w.told_at = ck_now();
-    const char *next = w.said == 0 ? w.first : w.said == 1 ? w.second : NULL;
+    const char *third = w.said == 2 && w.still ? w.still->third : NULL;
+    const char *next = w.said == 0 ? w.first : w.said == 1 ? w.second : third;
     bool last = w.said == 0 ? !w.second : w.said == 1;
     if (w.said == 0)
         w.greeted_at = w.told_at;
     if (next && !w.closed) {
-        w.frozen = last && w.greets; /* the last question finds it frozen */
+        w.frozen = last && w.greets && !w.still; /* the last question finds it frozen */
         say(c, next);
+        if (w.said == 3)
+            maybe_stand_still(ASKED_LAST);
+    } else if (w.still) {
+        nt_stop(w.loop);
     } else if (!next && w.said == 0) {
         nt_stop(w.loop); /* a greeting is all that is wanted */
     }
@@ -158,14 +232,14 @@
     return ours;
 }
 
-static void make_proxy(const char *name, int port)
+static void make_proxy(const char *name, int port, int inst_port)
 {
     static struct vw_group group;
     struct vw_view view = {.generation = 1, .n = 1, .groups = &group};
-    w.p = on_create(w.loop, name, port, 8, NULL);
+    w.p = on_create(w.loop, name, port, 8, leased);
     group = (struct vw_group){.name = "g", .term = 1, .n = 1};
     group.inst[0] = (struct vw_instance){.id = "i", .ip = "127.0.0.1", .domain = "z"};
-    group.inst[0].port = on_free_port(); /* nobody is there */
+    group.inst[0].port = inst_port;
     view.doc = (struct vw_document){1, strdup(document_text), strlen(document_text)};
     px_view(w.p, &view);
     free(view.doc.text);
@@ -185,8 +259,10 @@
                           .ops = &there_ops,
                           .accept = there_accept};
     CU_ASSERT_PTR_NOT_NULL(nt_listen(w.loop, &l, &err));
-    make_proxy(fill_nodes(nodes, holders_there ? there : nobody, there), here);
-    px_nodes(w.p, nodes, NODES);
+    const char *name = fill_nodes(nodes, holders_there ? there : nobody, there);
+    make_proxy(w.serves_itself ? "n0" : name, here, w.serves_itself ? there : nobody);
+    px_nodes(w.p, nodes, w.serves_itself ? 1 : NODES);
+    px_share(w.p, SR_LIT("i"), w.serves_itself);
     tick(NULL);
     nt_connect_stream(w.loop, "127.0.0.1", here, &caller_ops, &w);
     nt_timer_set(w.loop, &w.late, CK_SEC(3), stop, NULL);
@@ -199,7 +275,7 @@
 {
     sr_buf_free(&w.got);
     memset(&w, 0, sizeof(w));
-    w.greets = true;
+    w.greets = w.leased = true;
     w.open_with = open_with;
     w.first = first;
     w.second = second;
@@ -267,9 +343,41 @@
     sr_buf_free(&w.got);
 }
 
+static const char reads[] = "QUERY a READ x\r\n", writes[] = "QUERY a WRITE x y\r\n";
+
+static const struct still stills[] = {
+    {.what = "a relayed read", reads, .at = ANSWERED, .ms = 1200, .opened = 1},
+    {.what = "a relayed write", writes, .at = ANSWERED, .ms = 1200, .opened = 1},
+    {.what = "a relayed session's greeting", reads, .at = GREETED, .ms = 1200, .opened = 1},
+    {.what = "a trial of a slow node", reads, .after_tick = trial_began, .opened = 2},
+};
+
+/* Guards against verdicts over what is in the socket: after a long step of the loop, timers
+ * took nodes, instances and callers that had spoken for silent. */
+static void what_has_come_is_no_silence(void)
+{
+    for (size_t i = 0; i < sizeof(stills) / sizeof(stills[0]); i++) {
+        const struct still *x = &stills[i];
+        reset(caller_opens, x->first, x->second);
+        w.still = x;
+        w.in_txn = x->in_txn;
+        w.serves_itself = x->serves_itself;
+        ck_pause(CK_SEC(1000));
+        call(true);
+        ck_resume();
+        bool good = told("COMPLETE") && !told("ERROR") && !w.closed && w.opened == x->opened;
+        if (!good)
+            printf("\n    %s: opened %d, got %.*s", x->what, w.opened, (int)w.got.len,
+                   w.got.p ? w.got.p : "");
+        CU_ASSERT_TRUE(good);
+    }
+    sr_buf_free(&w.got);
+}
+
 void silence_suite(void)
 {
     CU_pSuite s = CU_add_suite("silence", NULL, NULL);
+    TEST(s, what_has_come_is_no_silence);
     TEST(s, a_silent_holder_keeps_no_caller);
     TEST(s, who_reaches_no_holder_is_passed_on);
     TEST(s, a_session_is_passed_on_once);
