proxy: an instance or a caller that has spoken is not late

Callers saw, after a long step of the loop: TIMEOUT for statements whose answers were in the socket (a write: not known whether it ran), ABORTED for transactions whose next statement was there, and "no connection is free" beside connections whose answers were. Control was told that instances are silent.

Change: the time of a statement that is out, the second try of a read, a wait for a connection, a transaction that rests, an instance's greeting, an answer nobody waits for, a planned change's wait and what makes an instance suspect compare with the time until which peers were heard. What was not sent yet keeps the clock: it has no time left to be sent in, and could only be told TIMEOUT after.

Test: rows of the same test, for an instance's greeting, a read, a write and a transaction; each failed before.

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -472,14 +472,14 @@
 
 void px_conn_tick(struct px_conn *c, int64_t now)
 {
+    int64_t silent_us = px_heard(c->inst->p) - c->sent_at;
     if (c->closing)
         return;
-    if (c->phase == PX_C_OPENING && now - c->sent_at > OPEN_US) {
+    if (c->phase == PX_C_OPENING && silent_us > OPEN_US) {
         c->inst->next_open = now + RETRY_US;
         px_inst_suspect(c->inst, WR_SILENT);
         px_conn_close(c);
-    } else if ((c->phase == PX_C_ORPHAN || c->phase == PX_C_ENDING) &&
-               now - c->sent_at > ORPHAN_US) {
+    } else if ((c->phase == PX_C_ORPHAN || c->phase == PX_C_ENDING) && silent_us > ORPHAN_US) {
         px_outlier_note(&c->inst->outlier, false, now);
         px_conn_close(c);
     }
--- a/proxy/groups.c
+++ b/proxy/groups.c
@@ -204,7 +204,7 @@
 {
     for (int i = 0; i < p->n_groups; i++) {
         struct px_group *g = p->groups[i];
-        if (g->settle_by && (now > g->settle_by || !at_primary(g)))
+        if (g->settle_by && (px_heard(p) > g->settle_by || !at_primary(g)))
             g->settle_by = 0;
         for (int k = 0; k < g->cfg.n; k++)
             px_inst_tick(g->inst[k], now);
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -151,7 +151,7 @@
  * hold up the others. */
 int px_inst_running(const struct px_inst *in)
 {
-    int64_t since = ck_now() - in->service_us * LOST_TIMES;
+    int64_t since = px_heard(in->p) - in->service_us * LOST_TIMES;
     int k = 0;
     for (const struct px_conn *c = in->conns; c; c = c->next) {
         bool out = c->phase == PX_C_SETUP || c->phase == PX_C_RUNNING;
@@ -318,21 +318,24 @@
 
 /* Something is out, for long, and nothing was heard meanwhile: an answer that was lost, or an
  * instance that is gone. A new connection tells. */
-static bool quiet(const struct px_inst *in, int64_t now)
+static bool quiet(const struct px_inst *in)
 {
+    int64_t heard = px_heard(in->p);
     for (const struct px_conn *c = in->conns; c; c = c->next) {
         bool out = c->phase != PX_C_IDLE && c->phase != PX_C_RESTING;
-        if (out && now - c->sent_at > QUIET_US && in->heard < c->sent_at)
+        if (out && heard - c->sent_at > QUIET_US && in->heard < c->sent_at)
             return true;
     }
     return false;
 }
 
 /* A connection is not greeted: nobody is there, or can be reached. */
-static bool silent(const struct px_inst *in, int64_t now)
+static bool silent(const struct px_inst *in)
 {
+    int64_t heard = px_heard(in->p);
     for (const struct px_conn *c = in->conns; c; c = c->next) {
-        if (c->phase == PX_C_OPENING && now - c->sent_at > SILENT_US && in->heard < c->sent_at)
+        bool late = c->phase == PX_C_OPENING && heard - c->sent_at > SILENT_US;
+        if (late && in->heard < c->sent_at)
             return true;
     }
     return false;
@@ -362,38 +365,38 @@
 }
 
 /* It has failed alone for so long that others, if they fail as well, would have shown it. */
-static bool outlived_doubt(const struct px_inst *in, int64_t now)
+static bool outlived_doubt(const struct px_inst *in)
 {
-    return in->alone_since && now - in->alone_since > ALONE_US;
+    return in->alone_since && px_heard(in->p) - in->alone_since > ALONE_US;
 }
 
-static bool is_behind(const struct px_inst *in, int64_t now)
+static bool is_behind(const struct px_inst *in, int64_t heard)
 {
-    return now - in->behind_until < BEHIND_GAP_US && now - in->served_at > BEHIND_GAP_US;
+    return heard - in->behind_until < BEHIND_GAP_US && heard - in->served_at > BEHIND_GAP_US;
 }
 
-static struct px_relief_view relief_view(const struct px_group *g, int64_t now)
+static struct px_relief_view relief_view(const struct px_group *g)
 {
     struct px_relief_view v = {.refused_at = g->refused_at, .term_since = g->term_since};
     for (int i = 0; i < g->cfg.n; i++) {
         if (i == g->cfg.primary || g->cfg.inst[i].draining)
             continue;
         v.replicas++;
-        v.behind += is_behind(g->inst[i], now);
+        v.behind += is_behind(g->inst[i], px_heard(g->p));
     }
     return v;
 }
 
 /* The group's primary serves alone, and callers are refused for it. */
-static bool needs_relief(struct px_inst *in, int64_t now)
+static bool needs_relief(struct px_inst *in)
 {
-    struct px_relief_view v = relief_view(in->group, now);
-    return px_relief_due(&in->group->relief, &v, now);
+    struct px_relief_view v = relief_view(in->group);
+    return px_relief_due(&in->group->relief, &v, px_heard(in->p));
 }
 
-static bool serves_alone(const struct px_inst *in, int64_t now)
+static bool serves_alone(const struct px_inst *in)
 {
-    struct px_relief_view v = relief_view(in->group, now);
+    struct px_relief_view v = relief_view(in->group);
     return in->at == in->group->cfg.primary && px_relief_alone(&v);
 }
 
@@ -405,13 +408,13 @@
         return WR_UNKNOWN;
     if (in->refused_at)
         return WR_REFUSED;
-    if (silent(in, now) || outlived_doubt(in, now))
+    if (silent(in) || outlived_doubt(in))
         return WR_SILENT;
     if (in->unfit)
         return WR_UNFIT;
     if (px_outlier_failing(&in->outlier, now))
         return WR_UNKNOWN; /* no better one is known */
-    if (serves_alone(in, now))
+    if (serves_alone(in))
         return WR_UNKNOWN;
     return now - in->heard < FRESH_US ? WR_OK : WR_UNKNOWN;
 }
@@ -441,14 +444,14 @@
     if (in->wants_first && in->n_conns == 0 && px_inst_has_room(in, now))
         px_conn_open(in, in->p->cfg.name);
     /* One more than the share, to learn whether it is there: refused, it is. */
-    bool ask = in->asks || quiet(in, now);
+    bool ask = in->asks || quiet(in);
     in->asks = false;
     if (ask && opening(in) == 0 && now >= in->next_open && !in->gone)
         px_conn_open(in, in->waiters ? in->waiters->account : in->last_account);
     note_alone(in, now);
     bool leads = !in->gone && in->at == in->group->cfg.primary;
-    in->unfit = leads && needs_relief(in, now);
-    if (silent(in, now) || outlived_doubt(in, now))
+    in->unfit = leads && needs_relief(in);
+    if (silent(in) || outlived_doubt(in))
         px_inst_suspect(in, WR_SILENT);
     else if (in->unfit)
         px_inst_suspect(in, WR_UNFIT);
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -198,10 +198,11 @@
 }
 
 /* A transaction that rests too long holds a connection that others wait for. */
-static void txn_tick(struct px_session *s, int64_t now)
+static void txn_tick(struct px_session *s)
 {
     int64_t bound = s->p->catalog.txn_idle_us;
-    if (s->txn == PX_IDLE || s->stage != PX_S_REST || !bound || now - s->since < bound)
+    bool rests = s->txn != PX_IDLE && s->stage == PX_S_REST;
+    if (!rests || !bound || px_heard(s->p) - s->since < bound)
         return;
     if (s->conn)
         px_abort_txn(s);
@@ -302,7 +303,7 @@
             continue;
         }
         open_tick(s, now);
-        txn_tick(s, now);
+        txn_tick(s);
         leave_if_due(s, now);
         px_relay_tick(s, now);
     }
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -193,12 +193,12 @@
 
 /* A read that got no answer for long is asked of another instance; its first answer is not
  * waited for. */
-static void hedge(struct px_session *s, int64_t now)
+static void hedge(struct px_session *s)
 {
     struct px_conn *c = s->conn;
     if (!repeatable(s) || px_needs_primary(s) || px_last_try(s))
         return;
-    if (c->phase != PX_C_RUNNING || now - s->sent_at < patience(s))
+    if (c->phase != PX_C_RUNNING || px_heard(s->p) - s->sent_at < patience(s))
         return;
     s->skip |= 1u << c->inst->at;
     s->conn = NULL;
@@ -215,7 +215,7 @@
 /* Where it waits no connection comes free; another instance may have one. */
 static void wait_tick(struct px_session *s, int64_t now)
 {
-    if (now - s->arrived > longest_wait(s)) {
+    if (px_heard(s->p) - s->arrived > longest_wait(s)) {
         if (s->inst->at == s->inst->group->cfg.primary)
             s->inst->group->refused_at = now;
         px_refuse(s, ER_OVERLOAD, "no connection to the database is free; retry in 100 ms");
@@ -230,9 +230,16 @@
     px_route_work(s);
 }
 
+/* What was sent may have been answered; what was not has no time left to be sent in. */
+static bool expired(const struct px_session *s, int64_t now)
+{
+    bool sent = s->stage == PX_S_AT_INSTANCE && s->conn && s->conn->phase == PX_C_RUNNING;
+    return (sent ? px_heard(s->p) : now) > s->deadline;
+}
+
 void px_work_tick(struct px_session *s, int64_t now)
 {
-    if (now > s->deadline)
+    if (expired(s, now))
         px_expire(s);
     else if (s->stage == PX_S_PARKED && px_cut_off(s->p, now))
         px_refuse(s, ER_NO_LEASE, "this node is cut off; another may serve it, at once");
@@ -243,5 +250,5 @@
     else if (s->stage == PX_S_WAITING)
         wait_tick(s, now);
     else if (s->stage == PX_S_AT_INSTANCE && s->conn)
-        hedge(s, now);
+        hedge(s);
 }
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -350,6 +350,23 @@
     {.what = "a relayed write", writes, .at = ANSWERED, .ms = 1200, .opened = 1},
     {.what = "a relayed session's greeting", reads, .at = GREETED, .ms = 1200, .opened = 1},
     {.what = "a trial of a slow node", reads, .after_tick = trial_began, .opened = 2},
+    {.what = "an instance's greeting",
+     reads,
+     .serves_itself = true,
+     .at = GREETED,
+     .ms = 1200,
+     .opened = 1},
+    {.what = "a read", reads, .serves_itself = true, .at = ANSWERED, .ms = 1200, .opened = 1},
+    {.what = "a write", writes, .serves_itself = true, .at = ANSWERED, .ms = 1200, .opened = 1},
+    {.what = "a transaction that rests",
+     "QUERY a BEGIN\r\n",
+     reads,
+     reads,
+     .serves_itself = true,
+     .in_txn = true,
+     .at = ASKED_LAST,
+     .ms = 4000,
+     .opened = 1},
 };
 
 /* Guards against verdicts over what is in the socket: after a long step of the loop, timers
