proxy: no node is cut off, and none without others, by what it has not read

Callers saw: statements refused with "this node is cut off" after a long step, though the grant waited in the socket or had just been read: statements were looked at before the lease was, in the same tick. So were the wait for a permit, for the first document, and for the list of nodes, without which a node takes to holding every group.

Change: these compare with the time until which peers were heard, and a node with a live lease is never cut off. What the lease protects keeps the clock: the primary, ages, shares, permits.

Test: a statement waits for a lease that comes behind a step of 0.8 s; refused before. A node without a list holds nothing before it has heard, and everything after.

--- a/proxy/holders.c
+++ b/proxy/holders.c
@@ -30,9 +30,10 @@
     NODES_WAIT_US = 1000000,
 };
 
-bool px_knows_nodes(const struct px_proxy *p, int64_t now)
+bool px_knows_nodes(const struct px_proxy *p)
 {
-    return p->n_nodes > 0 || (p->configured_at && now - p->configured_at >= NODES_WAIT_US);
+    bool waited = p->configured_at && px_heard(p) - p->configured_at >= NODES_WAIT_US;
+    return p->n_nodes > 0 || waited;
 }
 
 static bool holds(const struct px_proxy *p, const struct px_group *g)
@@ -95,7 +96,7 @@
 
 void px_holders_changed(struct px_proxy *p)
 {
-    bool known = p->knew_nodes = px_knows_nodes(p, ck_now());
+    bool known = p->knew_nodes = px_knows_nodes(p);
     for (int i = 0; i < p->n_groups; i++) {
         struct px_group *g = p->groups[i];
         int out[HO_MAX_HOLDERS], k = holders_of(p, g), before = g->n_holders;
@@ -117,9 +118,9 @@
     }
 }
 
-void px_holders_tick(struct px_proxy *p, int64_t now)
+void px_holders_tick(struct px_proxy *p)
 {
-    if (!p->knew_nodes && px_knows_nodes(p, now))
+    if (!p->knew_nodes && px_knows_nodes(p))
         px_holders_changed(p);
 }
 
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -409,7 +409,7 @@
 bool px_leased(const struct px_proxy *p);
 /* Without a lease for so long that this node is probably cut off from control, and others are
  * not. */
-bool px_cut_off(const struct px_proxy *p, int64_t now);
+bool px_cut_off(const struct px_proxy *p);
 
 /* relay.c: sessions that another node serves */
 /* Whether another node holds the session's group, or probably has connections to it while this
@@ -477,9 +477,9 @@
 void px_holders_changed(struct px_proxy *p);
 /* Whether it is known which other nodes there are, or has been waited for long enough. Until
  * then this node holds no group. */
-bool px_knows_nodes(const struct px_proxy *p, int64_t now);
+bool px_knows_nodes(const struct px_proxy *p);
 /* Every tick. */
-void px_holders_tick(struct px_proxy *p, int64_t now);
+void px_holders_tick(struct px_proxy *p);
 /* The holders for the session's account, the one to ask first in front: numbers in p->nodes;
  * returns how many. `out` has room for HO_MAX_HOLDERS. */
 int px_holders_for(const struct px_session *s, struct px_group *g, int *out);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -47,9 +47,9 @@
     return p->cfg.host.leased(p->cfg.host.ud);
 }
 
-bool px_cut_off(const struct px_proxy *p, int64_t now)
+bool px_cut_off(const struct px_proxy *p)
 {
-    return p->leased_at && now - p->leased_at > PX_CUT_OFF_US;
+    return p->leased_at && !px_leased(p) && px_heard(p) - p->leased_at > PX_CUT_OFF_US;
 }
 
 /* ---- shares ---- */
@@ -155,7 +155,7 @@
     }
     if (px_leased(p))
         p->leased_at = now;
-    px_holders_tick(p, now);
+    px_holders_tick(p);
     px_groups_tick(p, now);
     px_neighbors_tick(p, now);
     if (now < p->next_slow_tick)
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -92,10 +92,9 @@
 bool px_should_relay(const struct px_session *s)
 {
     struct px_group *g = px_wanted_group(s);
-    int64_t now = ck_now();
     if (!g || s->p->n_nodes < 2 || (s->came_relayed && (!s->to_pass_on || g->held)))
         return false;
-    if (px_cut_off(s->p, now))
+    if (px_cut_off(s->p))
         return true;
     if (g->held && px_has_accounts(s->p))
         return !px_serves_account(s, g);
@@ -343,7 +342,7 @@
         return;
     if (s->came_relayed)
         px_close(s, PX_END_NO_HOLDER, true);
-    else if (px_cut_off(s->p, ck_now()))
+    else if (px_cut_off(s->p))
         px_fail_cut_off(s);
     else
         px_fail_and_close(s, ER_NO_LEASE,
@@ -353,7 +352,7 @@
 static bool may_try(const struct px_relay *r, int64_t now)
 {
     const struct px_proxy *p = r->s->p;
-    bool isolated = px_cut_off(p, now) && now < p->isolated_until;
+    bool isolated = px_cut_off(p) && now < p->isolated_until;
     return !isolated && now - r->s->since < TRY_FOR_US;
 }
 
@@ -488,7 +487,7 @@
 static void greeting_late(struct px_relay *r, int64_t now)
 {
     struct px_proxy *p = r->s->p;
-    if (px_cut_off(p, now) && !px_any_passes_on(p, now))
+    if (px_cut_off(p) && !px_any_passes_on(p, now))
         p->isolated_until = now + ISOLATED_US;
     r->late = true;
     nt_close(r->net, true);
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -34,7 +34,7 @@
         px_fail_and_close(s, ER_NO_ACCOUNT, "the key belongs to no account");
         return;
     }
-    if (!px_knows_nodes(s->p, ck_now()))
+    if (!px_knows_nodes(s->p))
         return; /* it may have to be relayed */
     if (px_should_relay(s)) {
         px_relay_start(s);
@@ -59,7 +59,7 @@
         s->key[0] = 0;
     /* Closed before a greeting, so that another holder is asked. A node that is cut off from
      * control is listed for three seconds more and would refuse whatever it is asked. */
-    if (s->came_relayed && (s->p->stopping || px_cut_off(s->p, ck_now()))) {
+    if (s->came_relayed && (s->p->stopping || px_cut_off(s->p))) {
         px_close(s, PX_END_NOT_TAKEN, true);
         return;
     }
@@ -186,14 +186,14 @@
 
 /* ---- time ---- */
 
-static void open_tick(struct px_session *s, int64_t now)
+static void open_tick(struct px_session *s)
 {
     if (!s->database[0] || s->opened || s->relay)
         return;
     try_open(s);
     if (s->opened)
         px_session_go_on(s);
-    else if (!s->relay && now - s->since > UNANSWERED_OPEN_US)
+    else if (!s->relay && px_heard(s->p) - s->since > UNANSWERED_OPEN_US)
         px_fail_and_close(s, ER_NO_LEASE, "no configuration has come yet; retry in 500 ms");
 }
 
@@ -245,13 +245,14 @@
 }
 
 /* Its caller finds another node, which can serve it, when it comes back. */
-static void cut_off_tick(struct px_session *s, int64_t now)
+static void cut_off_tick(struct px_session *s)
 {
     const struct px_proxy *p = s->p;
+    int64_t since = p->leased_at + PX_CUT_OFF_US;
     /* Once: where all nodes are cut off it would only come back to be closed again. */
-    if (s->relay || !px_cut_off(p, now) || !rests(s) || s->opened_at > p->leased_at)
+    if (s->relay || !px_cut_off(p) || !rests(s) || s->opened_at > p->leased_at)
         return;
-    if (now - p->leased_at - PX_CUT_OFF_US > px_turn(s, CUT_OFF_CLOSE_OVER_US))
+    if (px_heard(p) - since > px_turn(s, CUT_OFF_CLOSE_OVER_US))
         px_end_resting(s, PX_END_ELSEWHERE);
 }
 
@@ -290,7 +291,7 @@
     if (s->left_at)
         return;
     stop_tick(s, now);
-    cut_off_tick(s, now);
+    cut_off_tick(s);
     moved_tick(s, now);
 }
 
@@ -302,7 +303,7 @@
             left_tick(s, now);
             continue;
         }
-        open_tick(s, now);
+        open_tick(s);
         txn_tick(s);
         leave_if_due(s, now);
         px_relay_tick(s, now);
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -241,9 +241,9 @@
 {
     if (expired(s, now))
         px_expire(s);
-    else if (s->stage == PX_S_PARKED && px_cut_off(s->p, now))
+    else if (s->stage == PX_S_PARKED && px_cut_off(s->p))
         px_refuse(s, ER_NO_LEASE, "this node is cut off; another may serve it, at once");
-    else if (s->permit == PX_P_DUE && now - s->arrived > longest_wait(s))
+    else if (s->permit == PX_P_DUE && px_heard(s->p) - s->arrived > longest_wait(s))
         px_refuse(s, ER_LIMIT, "no permit for the account has come; retry in 200 ms");
     else if (s->stage == PX_S_PARKED && now >= s->retry_at)
         px_route_work(s);
--- a/tests/unit/one_node.c
+++ b/tests/unit/one_node.c
@@ -33,6 +33,19 @@
     (void)health;
 }
 
+static void stop(void *ud)
+{
+    nt_stop(ud);
+}
+
+void on_hear(struct nt_loop *l)
+{
+    struct nt_timer t = {0};
+    nt_timer_set(l, &t, 1, stop, l);
+    nt_run(l);
+    nt_timer_cancel(&t);
+}
+
 struct px_proxy *on_create(struct nt_loop *l, const char *name, int port, int max_sessions,
                            bool (*leased)(void *ud))
 {
--- a/tests/unit/one_node.h
+++ b/tests/unit/one_node.h
@@ -10,4 +10,7 @@
 struct px_proxy *on_create(struct nt_loop *l, const char *name, int port, int max_sessions,
                            bool (*leased)(void *ud));
 
+/* Let the loop hear its peers once: what was decided by time before may be decided anew. */
+void on_hear(struct nt_loop *l);
+
 #endif
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -107,6 +107,15 @@
     }
 }
 
+/* While a statement waits for the lease, which is back then. */
+static void waits_for_lease(void)
+{
+    if (!w.leased && counted("session_parked_total 1\n")) {
+        stand_still(CK_MS(800));
+        w.leased = true;
+    }
+}
+
 /* ---- the other node ---- */
 
 static void there_open(struct nt_conn *c, void *ud)
@@ -186,6 +195,7 @@
         w.greeted_at = w.told_at;
     if (next && !w.closed) {
         w.frozen = last && w.greets && !w.still; /* the last question finds it frozen */
+        w.leased = w.leased && (!w.still || w.still->after_tick != waits_for_lease);
         say(c, next);
         if (w.said == 3)
             maybe_stand_still(ASKED_LAST);
@@ -367,6 +377,11 @@
      .at = ASKED_LAST,
      .ms = 4000,
      .opened = 1},
+    {.what = "the lease",
+     writes,
+     .serves_itself = true,
+     .after_tick = waits_for_lease,
+     .opened = 1},
 };
 
 /* Guards against verdicts over what is in the socket: after a long step of the loop, timers
