proxy: a question that was given up has one answer

Callers could get an answer twice, the second in the place of the next one's: where a node is silent its caller is told and sent away, but the session stays open while the caller has said more that is not read (nt_close_resting), and what the silent node answered after all was still passed on.

Change: what comes from the other node after the caller is being sent away is not passed on; all that was open is answered then. Test: a caller that goes on talking until it is told, and a node that answers after that; it got both before. Found by reading, seen at no deployment.

--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -267,6 +267,8 @@
     struct px_relay *r = ud;
     struct sr_str last;
     nb_heard(&r->nb->b, ck_now());
+    if (r->left)
+        return; /* what it answers now the caller was told of already */
     sr_buf_add(&r->in, data, len);
     size_t n = px_whole_lines(&r->in, &last);
     if (n == 0) {
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -26,7 +26,7 @@
     bool serves_itself, in_txn;
     enum moment at;
     int ms;
-    void (*after_tick)(void);
+    void (*before_tick)(void), (*after_tick)(void);
     int opened; /* sessions at the other side */
 };
 
@@ -39,7 +39,7 @@
     bool in_txn; /* its answers leave a transaction open */
     bool leased, serves_itself; /* our node; it holds the group, the other is its instance */
     const struct still *still;
-    struct nt_conn *slow; /* the session there, its question not answered yet */
+    struct nt_conn *caller, *slow; /* the session there, its question not answered yet */
     bool stood;
     int opened;                             /* sessions there, trials too */
     char hello[80];                         /* the first line that it got */
@@ -66,6 +66,8 @@
 {
     (void)ud;
     ck_advance(CK_MS(5)); /* if it is paused */
+    if (w.still && w.still->before_tick)
+        w.still->before_tick();
     px_tick(w.p, ck_now());
     if (w.still && w.still->after_tick)
         w.still->after_tick();
@@ -116,6 +118,18 @@
     }
 }
 
+/* The caller goes on talking until it is told that the node is silent, which then answers. */
+static void talks_on(void)
+{
+    if (!counted("silent_told_total 1\n")) {
+        if (w.slow)
+            nt_send(w.caller, "Q", 1);
+    } else if (w.slow) {
+        nt_send(w.slow, "COMPLETE x\r\nREADY I -\r\n", 23);
+        w.slow = NULL;
+    }
+}
+
 /* ---- the other node ---- */
 
 static void there_open(struct nt_conn *c, void *ud)
@@ -133,8 +147,9 @@
     w.opened += opens;
     if (w.frozen)
         return;
-    if (w.still && w.still->after_tick == trial_began && !opens) {
+    if (w.still && (w.still->after_tick == trial_began || w.still->before_tick) && !opens) {
         w.slow = c;
+        w.frozen = w.still->before_tick != NULL;
         return;
     }
     if (opens && !w.greets)
@@ -180,6 +195,7 @@
 static void caller_open(struct nt_conn *c, void *ud)
 {
     (void)ud;
+    w.caller = c;
     nt_send(c, w.open_with, strlen(w.open_with));
 }
 
@@ -199,7 +215,7 @@
         say(c, next);
         if (w.said == 3)
             maybe_stand_still(ASKED_LAST);
-    } else if (w.still) {
+    } else if (w.still && !w.still->before_tick) {
         nt_stop(w.loop);
     } else if (!next && w.said == 0) {
         nt_stop(w.loop); /* a greeting is all that is wanted */
@@ -406,10 +422,25 @@
     sr_buf_free(&w.got);
 }
 
+/* Guards against an answer in the place of another: a question that was given up was answered
+ * after all, while its caller was being sent away. */
+static void a_question_that_was_given_up_has_one_answer(void)
+{
+    static const struct still late = {.what = "", .before_tick = talks_on};
+    reset(caller_opens, reads, NULL);
+    w.still = &late;
+    ck_pause(CK_SEC(1000));
+    call(true);
+    ck_resume();
+    CU_ASSERT(told("ERROR BUSY ") && !told("COMPLETE") && w.closed);
+    sr_buf_free(&w.got);
+}
+
 void silence_suite(void)
 {
     CU_pSuite s = CU_add_suite("silence", NULL, NULL);
     TEST(s, what_has_come_is_no_silence);
+    TEST(s, a_question_that_was_given_up_has_one_answer);
     TEST(s, a_silent_holder_keeps_no_caller);
     TEST(s, who_reaches_no_holder_is_passed_on);
     TEST(s, a_session_is_passed_on_once);
