proxy: a holder that ends a session before its greeting is passed over

Callers could be sent away with neither greeting nor refusal, and with what they had said already unanswered: a holder that stops ends the sessions that are relayed to it, also those it has not greeted yet (it waits for a document), and that was taken for the end of an open session.

Change: the next holder is asked, as if it had closed. Test: the first holder ends the session in place of its greeting; the caller was closed before. Found by reading, seen at no deployment.

--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -217,6 +217,10 @@
 {
     if (!r->s->net)
         return;
+    if (!r->spoke) {
+        nt_close(r->net, true); /* it opened no session: another may */
+        return;
+    }
     if (r->asked)
         tell_not_run(r);
     leave(r, PX_END_HOLDER_ENDS);
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -40,6 +40,7 @@
     bool leased, serves_itself; /* our node; it holds the group, the other is its instance */
     const struct still *still;
     struct nt_conn *caller, *slow; /* the session there, its question not answered yet */
+    bool ends_early;               /* instead of a greeting, once */
     bool stood;
     int opened;                             /* sessions there, trials too */
     char hello[80];                         /* the first line that it got */
@@ -154,11 +155,14 @@
     }
     if (opens && !w.greets)
         nt_close(c, true);
+    else if (opens && w.ends_early)
+        nt_send(c, "TERMINATE\r\n", 11);
     else if (opens)
         nt_send(c, "READY I -\r\n", 11);
     else
         nt_send(c, w.in_txn ? "COMPLETE x\r\nREADY T -\r\n" : "COMPLETE x\r\nREADY I -\r\n",
                 23);
+    w.ends_early = false;
     maybe_stand_still(opens ? GREETED : ANSWERED);
     if (opens && w.slow) { /* the trial */
         stand_still(CK_MS(100));
@@ -436,11 +440,23 @@
     sr_buf_free(&w.got);
 }
 
+/* Guards against callers who were sent away ungreeted, though other holders had not been asked:
+ * one that stops ends what is relayed to it, also what it has not greeted. */
+static void who_is_ended_before_the_greeting_is_asked_no_more(void)
+{
+    reset(caller_opens, NULL, NULL);
+    w.ends_early = true;
+    call(true);
+    CU_ASSERT(told("READY I ") && !w.closed);
+    sr_buf_free(&w.got);
+}
+
 void silence_suite(void)
 {
     CU_pSuite s = CU_add_suite("silence", NULL, NULL);
     TEST(s, what_has_come_is_no_silence);
     TEST(s, a_question_that_was_given_up_has_one_answer);
+    TEST(s, who_is_ended_before_the_greeting_is_asked_no_more);
     TEST(s, a_silent_holder_keeps_no_caller);
     TEST(s, who_reaches_no_holder_is_passed_on);
     TEST(s, a_session_is_passed_on_once);
