--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -50,7 +50,7 @@
     struct px_question q; /* what was asked */
     enum px_txn txn;      /* after the last answer */
     struct sr_buf in;     /* a line from the other node that is not whole yet */
-    int64_t began;        /* this try */
+    int64_t began;        /* this try, and what it waits for: to be open, to be greeted */
 };
 
 bool px_is_relayed(const struct px_msg *open, uint64_t *document, bool *pass_on)
@@ -94,10 +94,9 @@
 bool px_should_relay(const struct px_session *s)
 {
     struct px_group *g = px_wanted_group(s);
-    int64_t now = ck_now();
     if (!g || s->p->n_nodes < 2 || (s->came_relayed && (!s->to_pass_on || g->held)))
         return false;
-    if (px_cut_off(s->p, now))
+    if (px_cut_off(s->p))
         return true;
     if (g->held && px_has_accounts(s->p))
         return !px_serves_account(s, g);
@@ -145,6 +144,7 @@
 static void on_open(struct nt_conn *net, void *ud)
 {
     struct px_relay *r = ud;
+    r->began = ck_now();
     px_relay_hello(r->s->p, net, r->s->database, r->s->key,
                    r->by_other ? PX_HELLO_PASS_ON : PX_HELLO_SERVE);
 }
@@ -228,6 +228,10 @@
 {
     if (!r->s->net)
         return;
+    if (!r->spoke) {
+        nt_close(r->net, true); /* it opened no session: another may */
+        return;
+    }
     if (r->asked)
         tell_not_run(r);
     leave(r, PX_END_HOLDER_ENDS);
@@ -278,6 +282,8 @@
     struct px_relay *r = ud;
     struct sr_str last;
     nb_heard(&r->nb->b, ck_now());
+    if (r->left)
+        return; /* what it answers now the caller was told of already */
     sr_buf_add(&r->in, data, len);
     size_t n = px_whole_lines(&r->in, &last);
     if (n == 0) {
@@ -353,7 +359,7 @@
         return;
     if (s->came_relayed)
         px_close(s, PX_END_NO_HOLDER, true);
-    else if (px_cut_off(s->p, ck_now()))
+    else if (px_cut_off(s->p))
         px_fail_cut_off(s);
     else
         px_fail_and_close(s, ER_NO_LEASE,
@@ -363,7 +369,7 @@
 static bool may_try(const struct px_relay *r, int64_t now)
 {
     const struct px_proxy *p = r->s->p;
-    bool isolated = px_cut_off(p, now) && now < p->isolated_until;
+    bool isolated = px_cut_off(p) && now < p->isolated_until;
     return !isolated && now - r->s->since < TRY_FOR_US;
 }
 
@@ -478,7 +484,7 @@
 {
     struct px_session *s = r->s;
     if (r->asked) {
-        if (px_question_harmless(&r->q) || now - r->asked_at > longest_wait(s))
+        if (px_question_harmless(&r->q) || px_heard(s->p) - r->asked_at > longest_wait(s))
             tell_unanswered(r, true, PX_END_SILENT);
     } else if (r->rests && now - r->nb->b.silent_at > px_turn(s, MOVE_OVER_US)) {
         leave(r, PX_END_SILENT);
@@ -490,7 +496,7 @@
     if (r->left || !r->s->net)
         return;
     if (r->asked)
-        nb_waits(&r->nb->b, r->asked_at, now);
+        nb_waits(&r->nb->b, r->asked_at, px_heard(r->s->p));
     if (r->nb->b.state == NB_SILENT)
         leave_silent(r, now);
 }
@@ -498,7 +504,7 @@
 static void greeting_late(struct px_relay *r, int64_t now)
 {
     struct px_proxy *p = r->s->p;
-    if (px_cut_off(p, now) && !px_any_passes_on(p, now))
+    if (px_cut_off(p) && !px_any_passes_on(p, now))
         p->isolated_until = now + ISOLATED_US;
     r->late = true;
     nt_close(r->net, true);
@@ -519,8 +525,9 @@
         watch(r, now);
         return;
     }
+    int64_t heard = px_heard(s->p);
     if (!r->by_other)
-        nb_waits(&r->nb->b, r->began, now);
-    if (now - r->began > GREET_US || r->nb->b.state == NB_SILENT)
+        nb_waits(&r->nb->b, r->began, heard);
+    if (heard - r->began > GREET_US || r->nb->b.state == NB_SILENT)
         greeting_late(r, now);
 }
