--- a/tests/unit/test_endings.c
+++ b/tests/unit/test_endings.c
@@ -299,7 +299,7 @@
  * another node, which is among no statements at work here. */
 static void the_process_does_not_end_before_another_node_has_answered(void)
 {
-    const struct row row = {"asked elsewhere", true, ask_the_mute, stop_soon};
+    const struct row row = {"asked elsewhere", true, nothing, ask_the_mute, stop_soon};
     play(&row);
     CU_ASSERT_EQUAL(answers(), 2);
     CU_ASSERT_FALSE(w.ends);
@@ -324,7 +324,7 @@
  * ended, the rest comes in another segment. */
 static void a_question_of_which_a_part_has_arrived_is_answered(void)
 {
-    const struct row row = {"half a question", true, nothing, nothing};
+    const struct row row = {"half a question", true, nothing, nothing, nothing};
     half = half_said;
     play(&row);
     half = NULL;
@@ -342,7 +342,7 @@
  * had come, and that was no question. */
 static void a_session_whose_holder_ended_it_does_not_stay_open(void)
 {
-    const struct row row = {"half a question, for good", true, nothing, nothing};
+    const struct row row = {"half a question, for good", true, nothing, nothing, nothing};
     half = nothing_more;
     play(&row);
     half = NULL;
@@ -359,7 +359,7 @@
 /* Guards against an answer to nothing: the caller's own end is no question. */
 static void a_goodbye_that_meets_the_end_of_its_session_gets_no_answer(void)
 {
-    const struct row row = {"goodbye", true, nothing, nothing};
+    const struct row row = {"goodbye", true, nothing, nothing, nothing};
     half = goodbye;
     play(&row);
     half = NULL;
