control: a leader beats ahead of reading a document, and proposes what it has read

A document of 4,266 routes takes a leader 140 to 195 ms to read. Counted from its last heartbeat, up to 50 ms before, that is above its followers' 200 ms: another was elected beside it. And its own vouching, 200 ms from the sending of an answered round, had run out when it was done, so it refused the document that it had just read ("no leader is known that a quorum vouches for"), and the operator came again a second later.

The leader now beats right before it reads one. Whether it may answer is asked before the step; afterwards it proposes as long as its role is the leader's. That promises nothing: the acknowledgement waits for the commit, and a leader that was replaced doesn't get there.

--- a/control/agree.c
+++ b/control/agree.c
@@ -235,10 +235,16 @@
 bool ct_propose(struct ct_node *n, const struct vw_change *ch, uint64_t *index,
                 struct er_err *err)
 {
-    uint64_t at;
     if (!ct_vouched(n))
         return er_set(err, qr_role(n->q) == QR_LEADER ? ER_NO_QUORUM : ER_NOT_LEADER,
                       "this node can't change the configuration now");
+    return ct_propose_unvouched(n, ch, index, err);
+}
+
+bool ct_propose_unvouched(struct ct_node *n, const struct vw_change *ch, uint64_t *index,
+                          struct er_err *err)
+{
+    uint64_t at;
     if (!vw_check(&n->view, ch, err))
         return false;
     json_t *j = vw_change_json(ch);
--- a/control/control.h
+++ b/control/control.h
@@ -255,6 +255,10 @@
 extern const struct qr_sink ct_sink;
 bool ct_propose(struct ct_node *n, const struct vw_change *ch, uint64_t *index,
                 struct er_err *err);
+/* The same for what was asked while a quorum vouched, which may have run out since: nothing is
+ * promised until it is committed. */
+bool ct_propose_unvouched(struct ct_node *n, const struct vw_change *ch, uint64_t *index,
+                          struct er_err *err);
 void ct_compact_tick(struct ct_node *n);
 /* The view is what the snapshot says. */
 void ct_restore_view(struct ct_node *n, const char *data, uint32_t len);
--- a/control/documents.c
+++ b/control/documents.c
@@ -19,7 +19,11 @@
 {
     struct cg_catalog cat;
     struct vw_change ch = {.kind = VW_CH_DOCUMENT, .text = text};
+    struct er_err why = {0};
     uint64_t index;
+    /* Reading takes long, a leader's vouching may run out by that alone. */
+    bool may_answer = ct_may_answer(n, &why);
+    qr_beat(n->q, ck_now());
     /* Not valid here is not valid anywhere: no leader is needed to say so. */
     if (!cg_read(n->outside->documents, text, &cat, err)) {
         FL_EVENT(&n->log, LG_INFO, "document_refused", "detail=%s", err->text);
@@ -27,14 +31,16 @@
     }
     ch.version = cat.version;
     cg_free(&cat);
-    if (!ct_may_answer(n, err))
+    if (!may_answer) {
+        *err = why;
         return false;
+    }
     if (ch.version <= n->view.doc.version)
         return true; /* the higher one holds; this one changes nothing */
     if (voters(n) < mb_needed(n->s->tolerates))
         return er_set(err, ER_NO_QUORUM, "%d voters, expected %d before anything is promised",
                       voters(n), mb_needed(n->s->tolerates));
-    if (!ct_propose(n, &ch, &index, err))
+    if (!ct_propose_unvouched(n, &ch, &index, err))
         return false;
     ct_await(n, c, index, done);
     return false;
@@ -58,6 +64,7 @@
     if (!n->outside || n->view.doc.version == n->catalog.version)
         return;
     struct sr_str text = {n->view.doc.text, n->view.doc.len};
+    qr_beat(n->q, ck_now());
     if (!cg_read(n->outside->documents, text, &cat, &err)) {
         FL_ERR(&n->log, "document %llu is in the log but can't be read: %s",
                (unsigned long long)n->view.doc.version, err.text);
--- a/quorum/core.h
+++ b/quorum/core.h
@@ -123,6 +123,7 @@
 void qc_apply_committed(struct qr *q);
 void qc_advance_commit(struct qr *q, int64_t now);
 int64_t qc_quorum_contact(const struct qr *q);
+void qc_heartbeat(struct qr *q, int64_t now);
 void qc_lead_tick(struct qr *q, int64_t now, int64_t heard);
 void qc_on_append_reply(struct qr *q, const struct qr_msg *m, int64_t now);
 
--- a/quorum/lead.c
+++ b/quorum/lead.c
@@ -61,7 +61,7 @@
     qc_send(q, &m);
 }
 
-static void heartbeat(struct qr *q, int64_t now)
+void qc_heartbeat(struct qr *q, int64_t now)
 {
     q->round++;
     q->round_sent[q->round % ROUNDS] = now;
@@ -99,7 +99,7 @@
     qc_reset_peers(q, now);
     memset(q->round_sent, 0, sizeof(q->round_sent));
     qc_append_own(q, QR_NOOP, NULL, 0, now);
-    heartbeat(q, now);
+    qc_heartbeat(q, now);
     q->cfg.sink->role(q->cfg.ud);
 }
 
@@ -172,7 +172,7 @@
         return;
     }
     if (now >= q->next_beat)
-        heartbeat(q, now);
+        qc_heartbeat(q, now);
 }
 
 void qc_on_append_reply(struct qr *q, const struct qr_msg *m, int64_t now)
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -181,6 +181,21 @@
     qr_destroy(q);
 }
 
+/* A leader that is about to stand still has just been heard, and by nobody else's word. */
+static void leader_beats_ahead_of_a_long_step(void)
+{
+    struct qr *q = three(1);
+    qr_beat(q, CK_SEC(1));
+    CU_ASSERT_EQUAL(n_sent, 0);
+    lead(q, CK_SEC(1));
+    n_sent = 0;
+    qr_beat(q, CK_MS(1010));
+    CU_ASSERT_EQUAL(count(QR_APPEND), 2);
+    qr_tick(q, CK_MS(1055), CK_MS(1055)); /* the next one is counted from it */
+    CU_ASSERT_EQUAL(count(QR_APPEND), 2);
+    qr_destroy(q);
+}
+
 static uint32_t bytes_sent_to(uint64_t id)
 {
     uint32_t n = 0;
@@ -419,6 +434,7 @@
     TEST(s, returning_node_does_not_disturb);
     TEST(s, leader_without_quorum_steps_down);
     TEST(s, standstill_is_no_silence);
+    TEST(s, leader_beats_ahead_of_a_long_step);
     TEST(s, long_entry_is_sent_once);
     TEST(s, vouching_is_counted_from_the_sending);
     TEST(s, behind_learner_does_not_become_a_voter);
