--- a/control/control.h
+++ b/control/control.h
@@ -4,6 +4,7 @@
 #define FL_CONTROL_CONTROL_H
 
 #include "control/tally.h"
+#include "control/turn.h"
 #include "catalog/catalog.h"
 #include "endpoint/endpoint.h"
 #include "intent/intent.h"
@@ -107,7 +108,7 @@
     uint64_t told_controls; /* hash of the list of control nodes it was told */
     uint64_t sent_gen;      /* entry: generation sent last */
     int64_t sent_at;        /* when */
-    bool view_due;          /* a view was held back */
+    struct tu_turn turn;    /* a view was held back */
     bool knows_permits;     /* entry: it has told what permits it has */
     bool shares_told;       /* the node knows all its shares but for those that changed since */
     uint64_t nodes_hash;    /* entry: the list of nodes it has, or was sent last */
@@ -255,6 +256,10 @@
 extern const struct qr_sink ct_sink;
 bool ct_propose(struct ct_node *n, const struct vw_change *ch, uint64_t *index,
                 struct er_err *err);
+/* The same for what was asked while a quorum vouched, which may have run out since: nothing is
+ * promised until it is committed. */
+bool ct_propose_unvouched(struct ct_node *n, const struct vw_change *ch, uint64_t *index,
+                          struct er_err *err);
 void ct_compact_tick(struct ct_node *n);
 /* The view is what the snapshot says. */
 void ct_restore_view(struct ct_node *n, const char *data, uint32_t len);
