net: a connection whose next request has come makes no room for others

Where more callers keep their HTTP connections than fit, the one that rested longest was ended though its next request was in the socket. Read in the same turn the request was answered, but libwebsockets then forgot the end, so that one connection more than the bound stayed, and could never make room again; read later it was cut off without an answer.

Change: nt_close_resting decides, as for sessions; the next in line makes room.

--- a/task/http.c
+++ b/task/http.c
@@ -31,15 +31,14 @@
 }
 
 /* Callers that keep their connection come again soon; the one that has rested longest is the
- * least likely to. False: none rests. */
+ * least likely to, unless its next request is there already. False: none rests. */
 static bool make_room(struct nt_listener *ln)
 {
     struct nt_conn *c = ln->oldest;
-    while (c && (!c->idle || c->closing))
+    while (c && (!c->idle || c->closing || !nt_close_resting(c)))
         c = c->newer;
     if (!c)
         return false;
-    c->closing = true;
     ln->loop->st.http_displaced++;
     lws_set_timeout(c->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     return true;
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -318,12 +318,13 @@
 
 /* ---- plain HTTP ---- */
 
-enum { KEPT = 2, STEP_MS = 30 };
+enum { KEPT = 2, STEP_MS = 30, END = -1, AT_ONCE = -2 };
 
 /* Callers that keep their connections, one more than fit. */
 struct keepers {
     struct nt_loop *loop;
     struct nt_timer timer;
+    const int *who; /* asks; AT_ONCE: the next with the one before; to END */
     int port, step, fd[KEPT + 1];
     bool ended[KEPT + 1]; /* the listener closed it */
     int answers[KEPT + 1];
@@ -334,15 +335,19 @@
     nt_http_reply(req->conn, 200, "text/plain", "", 0);
 }
 
-static void ask(struct keepers *k, int i)
+static void dial(struct keepers *k)
 {
-    static const char get[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
     struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons((uint16_t)k->port)};
     a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (!k->fd[i]) {
+    for (int i = 0; i <= KEPT; i++) {
         k->fd[i] = socket(AF_INET, SOCK_STREAM, 0);
         CU_ASSERT_EQUAL(connect(k->fd[i], (struct sockaddr *)&a, sizeof(a)), 0);
     }
+}
+
+static void ask(struct keepers *k, int i)
+{
+    static const char get[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
     CU_ASSERT_EQUAL(send(k->fd[i], get, sizeof(get) - 1, MSG_NOSIGNAL),
                     (ssize_t)sizeof(get) - 1);
 }
@@ -350,49 +355,72 @@
 static void hear(struct keepers *k, int i)
 {
     char buf[2048];
-    ssize_t n = k->fd[i] ? recv(k->fd[i], buf, sizeof(buf), MSG_DONTWAIT) : -1;
+    ssize_t n = recv(k->fd[i], buf, sizeof(buf), MSG_DONTWAIT);
     if (n == 0)
         k->ended[i] = true;
     if (n > 0)
         k->answers[i]++;
 }
 
-/* One asks after the other; the first again, so that the second has rested longest when the
- * third comes; then the first once more. */
+/* One asks after the other, as k->who says. */
 static void next_step(void *ud)
 {
-    static const int who[] = {0, 1, 0, 2, 0};
-    enum { STEPS = sizeof(who) / sizeof(who[0]) };
     struct keepers *k = ud;
     for (int i = 0; i <= KEPT; i++)
         hear(k, i);
-    if (k->step == STEPS) {
+    if (k->who[k->step] == END) {
         nt_stop(k->loop);
         return;
     }
-    ask(k, who[k->step++]);
+    ask(k, k->who[k->step++]);
+    if (k->who[k->step] == AT_ONCE) {
+        ask(k, k->who[k->step + 1]);
+        k->step += 2;
+    }
     nt_timer_set(k->loop, &k->timer, CK_MS(STEP_MS), next_step, k);
 }
 
-/* Load: more callers that keep their connections than a node has descriptors for. The one that
- * rested longest makes room; those that come often keep theirs. */
-static void the_longest_idle_makes_room(void)
+static struct keepers let_ask(const int *who)
 {
     int fd;
     struct er_err err = {0};
-    struct keepers k = {.loop = nt_loop_create(64, &err), .port = make_port(&fd, false)};
+    struct keepers k = {
+        .loop = nt_loop_create(64, &err), .port = make_port(&fd, false), .who = who};
     close(fd);
     struct nt_listen l = {
         .ip = "127.0.0.1", .port = k.port, .http = answer_empty, .max_http = KEPT, .ud = &k};
     CU_ASSERT_PTR_NOT_NULL_FATAL(nt_listen(k.loop, &l, &err));
-    nt_timer_set(k.loop, &k.timer, CK_MS(1), next_step, &k);
+    dial(&k);
+    nt_timer_set(k.loop, &k.timer, CK_MS(STEP_MS), next_step, &k);
     nt_run(k.loop);
+    nt_timer_cancel(&k.timer);
+    for (int i = 0; i <= KEPT; i++)
+        close(k.fd[i]);
+    return k;
+}
+
+/* Load: more callers that keep their connections than a node has descriptors for. The one that
+ * rested longest makes room; those that come often keep theirs. The first asks again, so that
+ * the second has rested longest when the third comes; then the first once more. */
+static void the_longest_idle_makes_room(void)
+{
+    static const int who[] = {0, 1, 0, 2, 0, END};
+    struct keepers k = let_ask(who);
     CU_ASSERT(k.answers[0] == 3 && !k.ended[0]);
     CU_ASSERT(k.answers[1] == 1 && k.ended[1]);
     CU_ASSERT(k.answers[2] == 1 && !k.ended[2]);
     CU_ASSERT_EQUAL(nt_stats(k.loop)->http_displaced, 1);
-    for (int i = 0; i <= KEPT; i++)
-        close(k.fd[i]);
+}
+
+/* Guards against requests that were cut off unanswered: the connection that had rested longest
+ * made room though its next request had come, and was not read yet. */
+static void who_has_asked_makes_no_room(void)
+{
+    static const int who[] = {0, 1, 2, AT_ONCE, 0, END};
+    struct keepers k = let_ask(who);
+    CU_ASSERT(k.answers[0] == 2 && !k.ended[0]);
+    CU_ASSERT(k.answers[1] == 1 && k.ended[1]);
+    CU_ASSERT(k.answers[2] == 1 && !k.ended[2]);
 }
 
 /* ---- connects that nobody answers ---- */
@@ -444,6 +472,7 @@
     TEST(s, frames_hold_a_whole_view);
     TEST(s, refusing_listener_opens_nobody);
     TEST(s, the_longest_idle_makes_room);
+    TEST(s, who_has_asked_makes_no_room);
     TEST(s, unanswered_connects_are_made_anew);
     TEST(s, timers_know_what_time_was_heard_until);
 }
