entry: control, instances and callers that have spoken are not late

After a long step of the loop, by the same cause: a renewal whose answer was in the socket went to another control node, and the answer of the first was then not taken; a link was given up that was open; at the own interface instances were suspected, a transaction whose next statement was there was rolled back, and requests were answered with lost, no_lease or no_primary.

Change: these compare with the time until which the loop heard its peers. An instance whose signs of life may wait in the socket is told to control as unknown, not as silent. What was not sent keeps the clock for its deadline, and so do the lease itself and the shares.

No unit test: entry/ has no set-up for one (its decisions by time are a tick's); the process tests cover that it works, not that it failed before.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -184,12 +184,12 @@
 }
 
 /* A planned change: what runs at the old primary may finish, within a bound. */
-static void drain_tick(struct en_group *g, int64_t now)
+static void drain_tick(struct en_group *g)
 {
     if (!g->drain_until)
         return;
     bool idle = en_writes_in_flight(g) == 0 && en_txns_open(g) == 0;
-    if (!idle && now < g->drain_until)
+    if (!idle && nt_heard_until(g->node->loop) < g->drain_until)
         return;
     g->drain_until = 0;
     tl_add(g->node->tl, TL_TERM_DROPPED, g->cfg.name, g->serve_term, "parked and drained");
@@ -252,7 +252,7 @@
         return px_stopped(n->px, now);
     if (n->n_reqs > 0 || n->txns)
         n->quiet_since = now;
-    return n->n_callers == 0 || now - n->quiet_since > LINGER_US;
+    return n->n_callers == 0 || nt_heard_until(n->loop) - n->quiet_since > LINGER_US;
 }
 
 /* A group that is held elsewhere rests once its connections are closed: hundreds of them are
@@ -279,12 +279,12 @@
     if (n->s->observer)
         en_observer_tick(n);
     en_sweep(n, now);
-    en_txn_sweep(n, now);
+    en_txn_sweep(n);
     if (n->px)
         px_tick(n->px, now);
     for (int g = 0; g < n->n_groups; g++) {
         struct en_group *group = n->groups[g];
-        drain_tick(group, now);
+        drain_tick(group);
         if (!group->rests)
             group_tick(group, now);
     }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -285,7 +285,7 @@
 void en_ep_release(struct en_ep *ep);
 void en_ep_close(struct en_ep *ep);
 bool en_ep_send(struct en_ep *ep, struct en_req *r, struct ep_request *q);
-bool en_usable(const struct en_inst *in, int64_t now);
+bool en_usable(const struct en_inst *in);
 void en_inst_gone(struct en_inst *in);
 /* This node does not hold the group any more: what waits goes elsewhere, what runs ends here.
  */
@@ -307,7 +307,7 @@
 void en_txn_end(struct en_txn *t, bool rollback);
 void en_txn_conn_lost(struct en_txn *t);
 void en_caller_gone(struct en_caller *c);
-void en_txn_sweep(struct en_node *n, int64_t now);
+void en_txn_sweep(struct en_node *n);
 /* The group's term ended: its open transactions are lost. */
 void en_txn_drop(struct en_group *g);
 int en_txns_open(const struct en_group *g);
--- a/entry/link.c
+++ b/entry/link.c
@@ -117,7 +117,8 @@
  * of a lease (0.2 s) more. */
 static bool renewal_due(struct en_node *n, int64_t now)
 {
-    return now >= n->next_renew || (!n->awaiting && n->px && px_has_news(n->px));
+    int64_t by = n->awaiting ? nt_heard_until(n->loop) : now; /* its answer may have come */
+    return by >= n->next_renew || (!n->awaiting && n->px && px_has_news(n->px));
 }
 
 /* A few renewals a lease; one that is not answered in time goes to the next control node. */
@@ -297,7 +298,10 @@
 {
     if (in->refusing)
         return WR_REFUSED;
-    return in->watch && now - in->heard <= CHECK_FRESH_US ? WR_OK : WR_SILENT;
+    if (in->watch && now - in->heard <= CHECK_FRESH_US)
+        return WR_OK;
+    bool unread = in->watch && nt_heard_until(in->node->loop) - in->heard <= CHECK_FRESH_US;
+    return unread ? WR_UNKNOWN : WR_SILENT;
 }
 
 static void on_check(struct en_link *l, const struct wr_check *c)
@@ -526,7 +530,7 @@
             l->net = nt_connect(n->loop, l->peer.ip, l->peer.port, true, &link_ops, l);
             nt_meter(l->net, &n->control_traffic);
             rd_dialed(&l->line, now);
-        } else if (l->net && !l->open && rd_hangs(&l->line, now)) {
+        } else if (l->net && !l->open && rd_hangs(&l->line, nt_heard_until(n->loop))) {
             rd_gave_up(&l->line);
             nt_close(l->net, true);
         }
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -31,11 +31,17 @@
     ad_init(&in->q, &ac, rn_next(&n->rng));
 }
 
-bool en_usable(const struct en_inst *in, int64_t now)
+/* It was asked and has not answered in so long, as far as answers were read. */
+static bool unanswered(const struct en_inst *in, int64_t us)
+{
+    return in->status_sent && nt_heard_until(in->node->loop) - in->status_sent >= us;
+}
+
+bool en_usable(const struct en_inst *in)
 {
     if (!in->watch || !in->watch->open)
         return false;
-    return in->status_sent == 0 || now - in->status_sent < SILENT_US;
+    return !unanswered(in, SILENT_US);
 }
 
 /* ---- events of a connection ---- */
@@ -291,13 +297,14 @@
 }
 
 /* A connection that owes a reply for far too long is closed: what it owes will not come. */
-static void close_stuck(struct en_inst *in, int64_t now)
+static void close_stuck(struct en_inst *in)
 {
     struct en_ep *w = in->watch;
-    if (w && in->status_sent && now - in->status_sent > STATUS_LOST_US)
+    int64_t heard = nt_heard_until(in->node->loop);
+    if (w && unanswered(in, STATUS_LOST_US))
         en_ep_close(w);
     for (struct en_ep *e = in->eps; e; e = e->next) {
-        if (e->orphan && now - e->sent_at > ORPHAN_US)
+        if (e->orphan && heard - e->sent_at > ORPHAN_US)
             en_ep_close(e);
     }
 }
@@ -322,7 +329,7 @@
 {
     note_want(in);
     shrink(in);
-    close_stuck(in, now);
+    close_stuck(in);
     if (in->n_conns == 0 && in->share > 0 && in->group->held && now >= in->next_open)
         open_one(in);
     struct en_ep *w = in->watch;
@@ -331,7 +338,7 @@
     int64_t every = poll_every(in, now);
     if (!w->status_id && now - w->status_at >= every)
         send_status(w, EP_STATUS, now);
-    if (in->status_sent && now - in->status_sent >= SILENT_US)
+    if (unanswered(in, SILENT_US))
         en_suspect(in, WR_SILENT);
 }
 
--- a/entry/request.c
+++ b/entry/request.c
@@ -190,39 +190,46 @@
     en_txn_drop(g);
 }
 
+/* Somebody may have run it. */
+static bool away(const struct en_req *r)
+{
+    return r->state == EN_SENT || r->state == EN_HOLDING || r->state == EN_FORWARDED;
+}
+
 static enum er_kind past_deadline(const struct en_req *r)
 {
-    bool away = r->state == EN_SENT || r->state == EN_HOLDING || r->state == EN_FORWARDED;
-    if (away)
+    if (away(r))
         return r->r.kind == CL_BEGIN ? ER_DEADLINE : ER_LOST;
     return r->state == EN_PARKED ? ER_NO_PRIMARY : ER_DEADLINE;
 }
 
-static bool parked_too_long(const struct en_req *r, int64_t now)
+static bool parked_too_long(const struct en_req *r, int64_t heard)
 {
-    int64_t most = CK_MS(r->group->node->s->park_ms);
-    return r->state == EN_PARKED && (now - r->parked_at > most || !en_leased(r->group->node));
+    const struct en_node *n = r->group->node;
+    bool leased = ls_live(&n->lease, heard) || n->s->off_terms;
+    return r->state == EN_PARKED && (heard - r->parked_at > CK_MS(n->s->park_ms) || !leased);
 }
 
-static bool stuck_read(const struct en_req *r, int64_t now)
+static bool stuck_read(const struct en_req *r, int64_t heard)
 {
     if (r->state != EN_SENT || r->r.kind != CL_READ || r->txn || r->at_primary || !r->inst)
         return false;
-    return !en_usable(r->inst, now) && now - r->ep->sent_at > READ_SILENT_US;
+    return !en_usable(r->inst) && heard - r->ep->sent_at > READ_SILENT_US;
 }
 
 void en_sweep(struct en_node *n, int64_t now)
 {
     struct en_req *next;
+    int64_t heard = nt_heard_until(n->loop);
     for (struct en_req *r = n->reqs; r; r = next) {
         next = r->next;
         if (r->state == EN_LATER)
             continue;
-        if (now >= r->deadline) {
+        if ((away(r) ? heard : now) >= r->deadline) {
             en_fail(r, past_deadline(r), en_jitter(n, 50), "the deadline passed");
-        } else if (parked_too_long(r, now)) {
+        } else if (parked_too_long(r, heard)) {
             en_fail(r, en_leased(n) ? ER_NO_PRIMARY : ER_NO_LEASE, en_jitter(n, 200), NULL);
-        } else if (stuck_read(r, now)) {
+        } else if (stuck_read(r, heard)) {
             struct en_ep *ep = r->ep;
             r->tried |= 1u << r->inst->at;
             ep->req = NULL;
--- a/entry/routing.c
+++ b/entry/routing.c
@@ -95,7 +95,7 @@
     return checks || in->at == g->cfg.primary || in->following == g->serve_term;
 }
 
-static void refresh_route(struct en_group *g, int64_t now)
+static void refresh_route(struct en_group *g)
 {
     struct rt_group *rt = &g->rt;
     rt->primary = g->cfg.phase == VW_SERVING ? g->cfg.primary : -1;
@@ -103,7 +103,7 @@
         struct en_inst *in = g->inst[i];
         /* A primary on its way out may hold what nobody else does and nobody ever will. */
         bool leaving = g->cfg.phase != VW_SERVING && i == g->cfg.primary;
-        rt->inst[i].usable = en_usable(in, now) && !leaving && follows(in);
+        rt->inst[i].usable = en_usable(in) && !leaving && follows(in);
         rt->inst[i].draining = g->cfg.inst[i].draining;
         rt->inst[i].in_flight = in->q.in_flight + in->q.queued;
         rt->inst[i].limit = in->q.limit >= 1 ? (int)in->q.limit : 1;
@@ -142,7 +142,6 @@
 static void to_primary(struct en_req *r)
 {
     struct en_group *g = r->group;
-    int64_t now = ck_now();
     if (g->cfg.phase != VW_SERVING || g->cfg.primary < 0) {
         en_park(r);
         return;
@@ -152,7 +151,7 @@
         en_fail(r, ER_NO_LEASE, en_jitter(g->node, NO_LEASE_RETRY_MS), NULL);
         return;
     }
-    if (!en_usable(in, now)) {
+    if (!en_usable(in)) {
         en_suspect(in, in->refusing ? WR_REFUSED : WR_SILENT);
         en_park(r);
         return;
@@ -174,7 +173,7 @@
                          .token = r->token,
                          .max_age_us = age >= 0 ? CK_MS(age) : -1,
                          .max_wait_us = CK_MS(n->s->read_wait_ms)};
-    refresh_route(g, now);
+    refresh_route(g);
     if (n->s->off_tokens && r->has_token)
         q.token = (struct ps_pos){0};
     if (n->s->primary_only) {
