proxy: a large document is taken in over several ticks

The proxy now reads, sorts and checks a few hundred routes a tick (cg_take). The document in force stays until the newer one is whole and valid; one being taken in is finished before the newest is begun, as a node that is offered many would else act on none; the node reports the generation only then, but for its first document, as it acts on no older one. Statements that are parked are looked at anew when it is in force.

Tests: the old document holds until the new one is whole, and the newest of several wins, failed on the code before (taken in within px_view); one that is not valid changes nothing.

--- a/proxy/groups.c
+++ b/proxy/groups.c
@@ -143,29 +143,10 @@
     return g;
 }
 
-static void take_document(struct px_proxy *p, const struct vw_document *d)
-{
-    struct cg_catalog c;
-    struct er_err err = {0};
-    if (d->version == p->catalog.version)
-        return;
-    if (!cg_read(p->cfg.documents, (struct sr_str){d->text, d->len}, &c, &err)) {
-        FL_ERR(&p->log, "document %llu can't be read: %s", (unsigned long long)d->version,
-               err.text);
-        return;
-    }
-    FL_EVENT(&p->log, LG_INFO, "document_in_force", "document=%llu before=%llu routes=%d",
-             (unsigned long long)c.version, (unsigned long long)p->catalog.version, c.n_routes);
-    if (!p->catalog.version)
-        p->configured_at = ck_now();
-    cg_free(&p->catalog);
-    p->catalog = c;
-}
-
 void px_view(struct px_proxy *p, const struct vw_view *v)
 {
     struct px_group **next = sr_alloc(sizeof(*next) * (size_t)(v->n + 1));
-    take_document(p, &v->doc);
+    px_document(p, &v->doc);
     for (int i = 0; i < v->n; i++) {
         struct px_group *g = px_group(p, v->groups[i].name);
         next[i] = g ? g : group_new(p, &v->groups[i]);
@@ -193,6 +174,8 @@
 
 bool px_settled(const struct px_proxy *p)
 {
+    if (px_document_due(p))
+        return false;
     for (int i = 0; i < p->n_groups; i++) {
         if (p->groups[i]->settle_by)
             return false;
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -292,6 +292,10 @@
 
     /* what is in force */
     struct cg_catalog catalog;
+    struct cg_taking taking;          /* of `document` */
+    struct vw_document document;      /* is being taken in */
+    struct vw_document next_document; /* the newest, if another is being taken in */
+    uint64_t document_seen;           /* version of the newest */
     int n_groups;
     struct px_group **groups; /* sorted by name */
     int n_nodes;
@@ -567,6 +571,14 @@
 void px_conn_close(struct px_conn *c);
 void px_conn_tick(struct px_conn *c, int64_t now);
 
+/* documents.c: the document that is in force */
+
+/* The view's, which may be the one that is in force. */
+void px_document(struct px_proxy *p, const struct vw_document *d);
+/* Whether an older one is acted on while a newer one is being taken in. */
+bool px_document_due(const struct px_proxy *p);
+void px_documents_tick(struct px_proxy *p);
+
 /* groups.c: the view */
 struct px_group *px_group(const struct px_proxy *p, const char *name);
 /* The group that the session's route names, NULL: none, or no route was taken. */
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -150,6 +150,7 @@
     }
     if (px_leased(p))
         p->leased_at = now;
+    px_documents_tick(p);
     px_holders_tick(p, now);
     px_groups_tick(p, now);
     px_neighbors_tick(p, now);
