--- a/tests/unit/test_watch.c
+++ b/tests/unit/test_watch.c
@@ -55,8 +55,8 @@
 /* A control node that knows groups of three instances, each named by its number. */
 static struct ct_node *node_with(int groups)
 {
-    static const struct st_settings s = {.name = "c", .probe_ms = 100, .silence_ms = 300,
-                                         .probe_rate = 2000};
+    static const struct st_settings s = {
+        .name = "c", .probe_ms = 100, .silence_ms = 300, .probe_rate = 2000};
     struct ct_node *n = sr_alloc(sizeof(*n));
     drv.changed = drv.open = drv.refuses = 0;
     n->s = &s;
@@ -105,8 +105,8 @@
     return ticks;
 }
 
-/* A new leader that connected to a thousand instances in one step, or closed them in one when it
- * led no more, stood still until the others had elected the next. */
+/* A new leader that connected to a thousand instances in one step, or closed them in one when
+ * it led no more, stood still until the others had elected the next. */
 static void leaders_connect_in_small_steps(void)
 {
     static const int nodes[] = {30, 100, 300, 1000};
