proxy: a relayed session is not closed inside its caller's question

Callers could see the connection closed with no answer while they sent: a question whose first part was passed on does not make the session one that rests no more for whoever sends its caller away, so it was closed before the rest came. A session that is served here was never closed so.

Change: it is closed when the question is whole and was refused. Test: the caller of the last test but one ends its line 30 ticks after it was told; it was closed without an answer before. Found by reading, seen at no deployment.

--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -157,12 +157,20 @@
     nt_send(r->net, data, len);
 }
 
+/* Called until the connection is closed: a caller whose question has come in part is told what
+ * became of it when the rest has. */
+static void go_on_leaving(struct px_relay *r)
+{
+    if (r->s->came_relayed || r->q.len == 0)
+        px_end_resting(r->s, r->why);
+}
+
 /* The caller is sent away; what it says before it learns of it is refused. */
 static void leave(struct px_relay *r, enum px_end why)
 {
     r->left = true;
     r->why = why;
-    px_end_resting(r->s, why);
+    go_on_leaving(r);
 }
 
 /* What is open is answered here with a failure. */
@@ -507,7 +515,7 @@
         return;
     }
     if (r && r->left && s->net && !s->left_at)
-        px_end_resting(s, r->why);
+        go_on_leaving(r);
     if (!r || !r->net)
         return;
     if (r->greeted) {
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -42,6 +42,7 @@
     struct nt_conn *caller, *slow; /* the session there, its question not answered yet */
     bool ends_early;               /* instead of a greeting, once */
     bool stood;
+    int ticks_more;                         /* since the caller was told */
     int opened;                             /* sessions there, trials too */
     char hello[80];                         /* the first line that it got */
     const char *open_with, *first, *second; /* the caller's words; NULL: none */
@@ -119,15 +120,19 @@
     }
 }
 
-/* The caller goes on talking until it is told that the node is silent, which then answers. */
+/* The caller goes on talking until it is told that the node is silent, which then answers; the
+ * end of what it says comes later than a resting session would be closed. */
 static void talks_on(void)
 {
+    enum { TICKS_MORE = 30 };
     if (!counted("silent_told_total 1\n")) {
         if (w.slow)
             nt_send(w.caller, "Q", 1);
     } else if (w.slow) {
         nt_send(w.slow, "COMPLETE x\r\nREADY I -\r\n", 23);
         w.slow = NULL;
+    } else if (++w.ticks_more == TICKS_MORE && !w.closed) {
+        nt_send(w.caller, "\r\n", 2);
     }
 }
 
@@ -426,8 +431,17 @@
     sr_buf_free(&w.got);
 }
 
+static int answers(void)
+{
+    int n = 0;
+    for (size_t i = 0; i + 5 <= w.got.len; i++)
+        n += memcmp(w.got.p + i, "READY", 5) == 0;
+    return n;
+}
+
 /* Guards against an answer in the place of another: a question that was given up was answered
- * after all, while its caller was being sent away. */
+ * after all, while its caller was being sent away; and against a caller that was sent away
+ * while the rest of its next question was on its way. */
 static void a_question_that_was_given_up_has_one_answer(void)
 {
     static const struct still late = {.what = "", .before_tick = talks_on};
@@ -437,6 +451,7 @@
     call(true);
     ck_resume();
     CU_ASSERT(told("ERROR BUSY ") && !told("COMPLETE") && w.closed);
+    CU_ASSERT_EQUAL(answers(), 3);
     sr_buf_free(&w.got);
 }
 
