control: connect to instances in small steps

Six leaders (terms 2 to 7) followed one another within 1.6 s. Each stood still for 133 to 180 ms from the tick in which a quorum vouched for it, and most a second time (loop_stalled): only a leader watches instances there, so it opened 999 connections in that tick. The others elected the next meanwhile; the one before it closed its 999 at once, and stood still for 190 to 240 ms.

--- a/control/watch.c
+++ b/control/watch.c
@@ -15,6 +15,9 @@
     CALM_REPLICA_TIMES = 3,
     TELL_US = 1000000,
     CALM_EVERY = 10, /* ticks between two looks at a group where nothing is under way */
+    /* Connections made or closed in a tick. Each takes 50 us of a core and more: a new leader
+     * that made a thousand at once stood still for longer than an election takes. */
+    LINES_A_TICK = 16,
 };
 
 /* ---- finding ---- */
@@ -186,12 +189,25 @@
     return !n->outside || n->leading;
 }
 
+/* Whether a connection may be made or closed in this tick; if not, the next one begins with
+ * this group, so that those that refuse don't keep others from their turn. */
+static bool may_change_line(struct ct_node *n, int group)
+{
+    if (n->lines_left > 0) {
+        n->lines_left--;
+        return true;
+    }
+    if (n->watch_next < 0)
+        n->watch_next = group;
+    return false;
+}
+
 /* Probes go out on time whether or not the last one was answered: slow is not silent. */
-static void inst_tick(struct ct_inst *in, int64_t now)
+static void inst_tick(struct ct_inst *in, int group, int64_t now)
 {
     const struct st_settings *s = in->node->s;
     if (!watches(in->node)) {
-        if (in->c)
+        if (in->c && may_change_line(in->node, group))
             in->node->driver->close(in->c);
         return;
     }
@@ -199,7 +215,7 @@
         char who[64];
         snprintf(who, sizeof(who), "control:%s", s->name);
         struct ep_target to = {in->ip, in->port, in->group->name, in->id};
-        if (now >= in->next_try)
+        if (now >= in->next_try && may_change_line(in->node, group))
             in->c = in->node->driver->open(in->node->loop, &to, who, &events, in);
         if (in->c)
             in->opening = now;
@@ -439,9 +455,13 @@
 
 void ct_watch_tick(struct ct_node *n, int64_t now)
 {
-    for (int g = 0; g < n->n_groups; g++) {
+    int first = n->watch_next > 0 ? n->watch_next : 0;
+    n->watch_next = -1;
+    n->lines_left = LINES_A_TICK;
+    for (int k = 0; k < n->n_groups; k++) {
+        int g = (first + k) % n->n_groups;
         for (int i = 0; i < n->groups[g]->n; i++)
-            inst_tick(n->groups[g]->inst[i], now);
+            inst_tick(n->groups[g]->inst[i], g, now);
         bool turn = (n->ticks + (unsigned)g) % CALM_EVERY == 0;
         if (turn || !calm(n, n->groups[g]))
             ct_group_tick(n, n->groups[g]);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -19,6 +19,7 @@
     view_suite();
     push_suite();
     tally_suite();
+    watch_suite();
     intent_suite();
     promote_suite();
     store_suite();
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -19,6 +19,7 @@
 void view_suite(void);
 void push_suite(void);
 void tally_suite(void);
+void watch_suite(void);
 void intent_suite(void);
 void promote_suite(void);
 void store_suite(void);
