proxy: no group is held before a document

A node serves nothing before a document, so it holds nothing.

nothing_is_held_before_a_document failed before (60 connections asked for by one node).

--- a/proxy/holders.c
+++ b/proxy/holders.c
@@ -107,7 +107,7 @@
         for (int h = 0; h < g->n_holders; h++)
             g->holders[h] = (uint16_t)out[h];
         g->first = holds(p, g);
-        g->held = known && (k == 0 || g->first);
+        g->held = known && px_configured(p) && (k == 0 || g->first);
         if (held && !g->held)
             g->let_go_at = ck_now();
         p->news = p->news || (g->held && !held);
--- a/tests/unit/test_holding.c
+++ b/tests/unit/test_holding.c
@@ -47,7 +47,7 @@
     sr_buf_printf(out, "],\"limits\":{\"txIdleMs\":3000}}");
 }
 
-static void show_view(struct px_proxy *p)
+static void show_groups(struct px_proxy *p, bool with_document)
 {
     static struct vw_group groups[GROUPS];
     struct sr_buf text = {0};
@@ -62,11 +62,18 @@
         }
     }
     put_document(&text);
-    view.doc = (struct vw_document){1, text.p, text.len};
+    if (with_document)
+        view.doc = (struct vw_document){1, text.p, text.len};
+    view.generation += with_document;
     px_view(p, &view);
     sr_buf_free(&text);
 }
 
+static void show_view(struct px_proxy *p)
+{
+    show_groups(p, true);
+}
+
 /* The first n nodes have a lease. */
 static void show_nodes(struct px_proxy *p, int n)
 {
@@ -157,9 +164,33 @@
     ck_resume();
 }
 
+/* Guards against a start that nobody gets through: instances have registered and no document
+ * says how many connections they take, so each of 300 nodes held every group, and asked for
+ * connections to all of them. */
+static void nothing_is_held_before_a_document(void)
+{
+    ck_pause(START_US);
+    struct px_proxy *p = make_proxy();
+    show_groups(p, false);
+    show_nodes(p, NODES);
+    CU_ASSERT_EQUAL(wanted(p), 0);
+    int sum = 0;
+    for (int i = 0; i < NODES; i++) {
+        snprintf(node_name, sizeof(node_name), "n%d", i);
+        struct px_proxy *each = make_proxy();
+        show_groups(each, false);
+        show_nodes(each, NODES);
+        show_view(each);
+        sum += wanted(each);
+    }
+    CU_ASSERT(sum > 0 && sum < NODES * GROUPS);
+    ck_resume();
+}
+
 void holding_suite(void)
 {
     CU_pSuite s = CU_add_suite("holding", NULL, NULL);
+    TEST(s, nothing_is_held_before_a_document);
     TEST(s, nothing_is_asked_for_before_the_list);
     TEST(s, what_is_left_of_many_keeps_to_holders);
     TEST(s, without_a_list_all_is_held);
