--- a/control/turn.h
+++ b/control/turn.h
@@ -1,8 +1,8 @@
 /* A node's turn for a view that the pace (view/push.h) holds back.
  *
- * Pattern: a large document goes to all nodes, those at the end of the line get it after most of
- * a lease. A node takes no lease for a view that it has not got, so it is granted one for the
- * view that it was sent last, as long as the newer one waits here. Pure. */
+ * Pattern: a large document goes to all nodes, those at the end of the line get it after most
+ * of a lease. A node takes no lease for a view that it has not got, so it is granted one for
+ * the view that it was sent last, as long as the newer one waits here. Pure. */
 #ifndef FL_CONTROL_TURN_H
 #define FL_CONTROL_TURN_H
 
