wire: version 3, as entries of the log may stand deflated

A process of before takes a deflated entry for no change and skips it, so its view would differ for good without a word. Found by the developer of the deflated log; no run with two versions.

--- a/wire/wire.h
+++ b/wire/wire.h
@@ -13,7 +13,7 @@
 #include "quorum/quorum.h"
 
 enum {
-    WR_VERSION = 2,
+    WR_VERSION = 3,
     WR_MAX_SHARES = 4096,
     WR_MAX_PROBES = 4096,
     WR_MAX_NODES = 1024,
