--- a/tests/unit/one_node.c
+++ b/tests/unit/one_node.c
@@ -1,6 +1,8 @@
 #include "tests/unit/one_node.h"
 
 #include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -64,3 +66,29 @@
     CU_ASSERT_PTR_NOT_NULL_FATAL(p);
     return p;
 }
+
+void on_show_group(struct px_proxy *p, int inst_port, const char *document)
+{
+    static struct vw_group group;
+    struct vw_view view = {.generation = 1, .n = 1, .groups = &group};
+    group = (struct vw_group){.name = "g", .term = 1, .n = 1};
+    group.inst[0] = (struct vw_instance){.id = "i", .ip = "127.0.0.1", .domain = "z"};
+    group.inst[0].port = inst_port;
+    view.doc = (struct vw_document){1, strdup(document), strlen(document)};
+    px_view(p, &view);
+    free(view.doc.text);
+}
+
+void on_no_open(struct nt_conn *c, void *ud)
+{
+    (void)c;
+    (void)ud;
+}
+
+void on_no_close(struct nt_conn *c, void *ud, bool opened, bool refused)
+{
+    (void)c;
+    (void)ud;
+    (void)opened;
+    (void)refused;
+}
--- a/tests/unit/one_node.h
+++ b/tests/unit/one_node.h
@@ -10,6 +10,13 @@
 struct px_proxy *on_create(struct nt_loop *l, const char *name, int port, int max_sessions,
                            bool (*leased)(void *ud));
 
+/* The proxy acts on one group "g" with one instance "i" at that port, and on the document. */
+void on_show_group(struct px_proxy *p, int inst_port, const char *document);
+
+/* Callbacks that do nothing. */
+void on_no_open(struct nt_conn *c, void *ud);
+void on_no_close(struct nt_conn *c, void *ud, bool opened, bool refused);
+
 /* Let the loop hear its peers once: what was decided by time before may be decided anew. */
 void on_hear(struct nt_loop *l);
 
--- a/tests/unit/test_endings.c
+++ b/tests/unit/test_endings.c
@@ -111,12 +111,6 @@
 
 /* ---- the other node ---- */
 
-static void there_open(struct nt_conn *c, void *ud)
-{
-    (void)c;
-    (void)ud;
-}
-
 static void there_message(struct nt_conn *c, void *ud, const char *data, size_t len)
 {
     (void)ud;
@@ -128,15 +122,7 @@
     }
 }
 
-static void there_close(struct nt_conn *c, void *ud, bool opened, bool refused)
-{
-    (void)c;
-    (void)ud;
-    (void)opened;
-    (void)refused;
-}
-
-static const struct nt_ops there_ops = {there_open, there_message, there_close};
+static const struct nt_ops there_ops = {on_no_open, there_message, on_no_close};
 
 static void *there_accept(struct nt_conn *c, void *ud)
 {
@@ -222,19 +208,6 @@
     }
 }
 
-static void make_proxy(int port)
-{
-    static struct vw_group group;
-    struct vw_view view = {.generation = 1, .n = 1, .groups = &group};
-    w.p = on_create(w.loop, "n0", port, 8, leased);
-    group = (struct vw_group){.name = "g", .term = 1, .n = 1};
-    group.inst[0] = (struct vw_instance){.id = "i", .ip = "127.0.0.1", .domain = "z"};
-    group.inst[0].port = on_free_port(); /* nobody is there */
-    view.doc = (struct vw_document){1, strdup(document_text), strlen(document_text)};
-    px_view(w.p, &view);
-    free(view.doc.text);
-}
-
 static void play(const struct row *row)
 {
     struct er_err err = {0};
@@ -252,7 +225,8 @@
                           .accept = there_accept};
     CU_ASSERT_PTR_NOT_NULL(nt_listen(w.loop, &l, &err));
     fill_nodes(there);
-    make_proxy(here);
+    w.p = on_create(w.loop, "n0", here, 8, leased);
+    on_show_group(w.p, on_free_port(), document_text); /* nobody is there */
     px_nodes(w.p, w.nodes, row->relayed ? NODES : 0);
     tick(NULL);
     nt_connect_stream(w.loop, "127.0.0.1", here, &caller_ops, &w);
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -138,12 +138,6 @@
 
 /* ---- the other node ---- */
 
-static void there_open(struct nt_conn *c, void *ud)
-{
-    (void)c;
-    (void)ud;
-}
-
 static void there_message(struct nt_conn *c, void *ud, const char *data, size_t len)
 {
     (void)ud;
@@ -175,15 +169,7 @@
     }
 }
 
-static void there_close(struct nt_conn *c, void *ud, bool opened, bool refused)
-{
-    (void)c;
-    (void)ud;
-    (void)opened;
-    (void)refused;
-}
-
-static const struct nt_ops there_ops = {there_open, there_message, there_close};
+static const struct nt_ops there_ops = {on_no_open, there_message, on_no_close};
 
 static void *there_accept(struct nt_conn *c, void *ud)
 {
@@ -269,15 +255,8 @@
 
 static void make_proxy(const char *name, int port, int inst_port)
 {
-    static struct vw_group group;
-    struct vw_view view = {.generation = 1, .n = 1, .groups = &group};
     w.p = on_create(w.loop, name, port, 8, leased);
-    group = (struct vw_group){.name = "g", .term = 1, .n = 1};
-    group.inst[0] = (struct vw_instance){.id = "i", .ip = "127.0.0.1", .domain = "z"};
-    group.inst[0].port = inst_port;
-    view.doc = (struct vw_document){1, strdup(document_text), strlen(document_text)};
-    px_view(w.p, &view);
-    free(view.doc.text);
+    on_show_group(w.p, inst_port, document_text);
 }
 
 /* The caller opens a session at a node that holds nothing. The other node stands for its
