--- a/catalog/order.c
+++ b/catalog/order.c
@@ -34,8 +34,7 @@
 
 bool od_go_on(struct od_order *o, od_before before, const void *of, int *moves)
 {
-    while (o->width<o->n && * moves> 0) {
-        *moves -= 1;
+    for (; *moves > 0 && o->width < o->n; --*moves) {
         move(o, before, of);
         if (o->k < o->n)
             continue;
--- a/control/watch.c
+++ b/control/watch.c
@@ -15,8 +15,8 @@
     CALM_REPLICA_TIMES = 3,
     TELL_US = 1000000,
     CALM_EVERY = 10, /* ticks between two looks at a group where nothing is under way */
-    /* Connections made or closed in a tick. Each takes 50 us of a core and more: a new leader
-     * that made a thousand at once stood still for longer than an election takes. */
+    /* Connections made or closed in a tick: all of a thousand in one would take a new leader
+     * longer than its followers wait for a heartbeat. */
     LINES_A_TICK = 16,
 };
 
--- a/proxy/documents.c
+++ b/proxy/documents.c
@@ -6,7 +6,7 @@
 #include "proxy/priv.h"
 
 enum {
-    READ_A_TICK = 200, /* elements: 2 ms of a core at most, where all are left to jansson */
+    READ_A_TICK = 200, /* elements */
 };
 
 static void free_text(struct vw_document *d)
