--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -12,8 +12,8 @@
 sleep 1
 grep -q 'answer c0-[0-9]* COMPLETE' "$RECORD" || cannot_run "no write is served"
 db drain 1 > /dev/null
-for ((t = 0; t < 50; t++)); do grep -q 'acknowledged: i-1 is draining' "$RECORD" && break; sleep 0.1; done
-grep -q 'acknowledged: i-1 is draining' "$RECORD" || cannot_run "draining is not acknowledged"
+for ((t = 0; t < 50; t++)); do grep -q 'acknowledged: reg0-1 is draining' "$RECORD" && break; sleep 0.1; done
+grep -q 'acknowledged: reg0-1 is draining' "$RECORD" || cannot_run "draining is not acknowledged"
 if [ "$TROUBLE" != 0 ]; then
     db pause 2 > /dev/null
     sleep 2
--- a/review/standin/cluster.sh
+++ b/review/standin/cluster.sh
@@ -78,15 +78,18 @@
  "platform":{"promotions":"$DB_IP:$((DB_PORT + 10))"},"log":{"json":true}}
 JSON
 }
+start_control() { # machine bootstrap
+    control_settings "$1" "$2" > "$WORK/control-$1.json"
+    start "control_$1" env FERRYLANDING_CONFIG="$WORK/control-$1.json" "$ROOT/target/ferryd"
+}
 start_machine() { # machine
     entry_settings "$1" > "$WORK/entry-$1.json"
-    control_settings "$1" true > "$WORK/control-$1.json"
-    start "control_$1" env FERRYLANDING_CONFIG="$WORK/control-$1.json" "$ROOT/target/ferryd"
+    start_control "$1" true
     start "entry_$1" env FERRYLANDING_CONFIG="$WORK/entry-$1.json" "$ROOT/target/ferryd"
 }
-start_databases() { # syncReplicas
-    start db "$STANDIN" db "$DB_IP" "$DB_PORT" reg0 "$1" "$RECORD" "$(ip_of 0):$CONTROL" "$(ip_of 1):$CONTROL" \
-        "$(ip_of 2):$CONTROL"
+start_databases() { # syncReplicas [service port]
+    start "db_${2:-reg0}" "$STANDIN" db "$DB_IP" "${3:-$DB_PORT}" "${2:-reg0}" "$1" "$RECORD" "$(ip_of 0):$CONTROL" \
+        "$(ip_of 1):$CONTROL" "$(ip_of 2):$CONTROL"
 }
 db() { # command...
     exec 9<> "/dev/tcp/$DB_IP/$((DB_PORT + 11))" || return 1
@@ -94,9 +97,10 @@
     timeout 2 cat <&9
     exec 9>&-
 }
-http() { # ip port method path [body]: the status in STATUS, Location in LOCATION
-    local line body=${5:-}
-    STATUS=0 LOCATION=
+http() { # ip port method path [body]: the status in STATUS, Location in LOCATION, the body in BODY
+    local line body=${5:-} length=0
+    STATUS=0 LOCATION='' BODY=''
+
     exec 8<> "/dev/tcp/$1/$2" 2> /dev/null || return 1
     printf '%s %s HTTP/1.1\r\nHost: %s:%s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s' \
         "$3" "$4" "$1" "$2" "${#body}" "$body" >&8
@@ -106,8 +110,10 @@
         case $line in
         HTTP/*) STATUS=${line#* } STATUS=${STATUS%% *} ;;
         [Ll]ocation:*) LOCATION=${line#*: } ;;
+        [Cc]ontent-[Ll]ength:*) length=${line#*:} length=${length// /} ;;
         esac
     done
+    [ "$length" -gt 0 ] && BODY=$(timeout 1 head -c "$length" <&8)
     exec 8>&-
 }
 # An order of the operator: to one control node after the other, sent on by 307.
@@ -126,6 +132,24 @@
     done
     return 1
 }
+# The operator reads the configuration back: from one control node after the other, for so
+# many seconds. What came is in BODY; false if nothing did.
+read_back() { # seconds
+    local until=$(($(date +%s) + $1)) i to
+    while [ "$(date +%s)" -lt $until ]; do
+        for i in 0 1 2; do
+            http "$(ip_of $i)" $CONTROL GET /api/config/fetch
+            if [ "$STATUS" = 307 ]; then
+                to=${LOCATION#http://} to=${to%%/*}
+                http "${to%:*}" "${to#*:}" GET /api/config/fetch
+            fi
+            [ "$STATUS" = 200 ] && { say "read back: $BODY"; return 0; }
+            say "read from $(ip_of $i): $STATUS"
+        done
+        sleep 0.3
+    done
+    return 1
+}
 is_ready() { http "$(ip_of "$1")" $READY GET /api/readyz && [ "$STATUS" = 200 ]; }
 wait_ready() {
     local tries i
--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -1,15 +1,20 @@
 /* Stand-ins for the review's scripts, written from the users' pages only.
  *
  *   standin db IP PORT SERVICE SYNC RECORD CONTROL...
- *     Three instances of one service (IP:PORT+0..2, ids i-0 to i-2), the platform's POST
- * /promote (IP:PORT+10) and a port for the script's commands (IP:PORT+11, one word line each).
- *   standin client RECORD SECONDS DATABASE NAME ADDRESS...
- *     A client that writes one statement after the other, each with a new id and new data.
+ *     Three instances of one service (IP:PORT+0..2, ids SERVICE-0 to SERVICE-2), the platform's
+ * POST /promote (IP:PORT+10) and a port for the script's commands (IP:PORT+11, one word line
+ * each). standin client RECORD SECONDS DATABASE NAME ADDRESS... A client that writes one
+ * statement after the other, each with a new id and new data.
  *
- *   standin pipe RECORD COMMANDS LISTEN=TARGET...
- *     A proxy between machines: passes bytes in both directions. After the line "silence" at
- * the address COMMANDS, the connections that are open then pass nothing more, for good; they
- * are neither closed nor reset, and new ones work.
+ *   standin rude RECORD DATABASE NAME COUNT ADDRESS...
+ *     Peers one after the other, each with a session of its own. Each sends one message, ended
+ * by its only CR LF, whose last field holds a lone LF and then the words of another request.
+ *   standin talk RECORD DATABASE NAME ADDRESS
+ *     One session. Sends each line of the input as a statement with a new id; prints the
+ * answer. standin pipe RECORD COMMANDS LISTEN=TARGET... A proxy between machines: passes bytes
+ * in both directions. After the line "silence" at the address COMMANDS, the connections that
+ * are open then pass nothing more, for good; they are neither closed nor reset, and new ones
+ * work.
  *
  * Everything sent, answered and run goes to RECORD, one line each, with the wall clock in ms.
  *
@@ -56,12 +61,15 @@
 static void note(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
 static void note(const char *fmt, ...)
 {
+    char text[LINE * 2];
     va_list ap;
-    pthread_mutex_lock(&record_lock);
-    fprintf(record, "%lld ", now_ms());
     va_start(ap, fmt);
-    vfprintf(record, fmt, ap);
+    vsnprintf(text, sizeof(text), fmt, ap);
     va_end(ap);
+    pthread_mutex_lock(&record_lock);
+    fprintf(record, "%lld ", now_ms());
+    for (const char *c = text; *c; c++)
+        fprintf(record, (unsigned char)*c < ' ' ? "\\x%02x" : "%c", (unsigned char)*c);
     fputc('\n', record);
     fflush(record);
     pthread_mutex_unlock(&record_lock);
@@ -163,7 +171,7 @@
 
 struct instance {
     int at, port, listener;
-    char id[16];
+    char id[32];
     bool up, receives, draining, leave_told;
     unsigned long long seq;
     struct entry *log;
@@ -752,7 +760,7 @@
     for (int i = 0; i < INSTANCES; i++) {
         struct instance *in = &inst[i];
         *in = (struct instance){.at = i, .port = base + i, .up = true, .receives = true};
-        snprintf(in->id, sizeof(in->id), "i-%d", i);
+        snprintf(in->id, sizeof(in->id), "%.20s-%d", service, i);
         in->log = calloc(MAX_LOG, sizeof(*in->log));
         for (int k = 0; k < MAX_CONNS; k++)
             in->conns[k] = -1;
@@ -835,6 +843,49 @@
     }
 }
 
+static void run_talk(char **argv)
+{
+    const char *name = argv[1];
+    char text[512], id[64], line[LINE], what[LINE];
+    struct session s;
+    if (!open_session(&s, argv[2], argv[0]))
+        exit(2);
+    for (unsigned k = 1; fgets(text, sizeof(text), stdin); k++) {
+        text[strcspn(text, "\n")] = 0;
+        snprintf(id, sizeof(id), "%s-%u", name, k);
+        snprintf(line, sizeof(line), "QUERY %s %s\r\n", id, text);
+        note("sent %s %s to %s", id, text, s.where);
+        what[0] = 0;
+        bool answered = send_text(s.r.fd, line) && answer(&s, id, what);
+        printf("%s\n", answered ? what : "none");
+        fflush(stdout);
+        if (!answered)
+            exit(1);
+    }
+}
+
+static void run_rude(int argc, char **argv)
+{
+    const char *database = argv[0], *name = argv[1];
+    int count = atoi(argv[2]), n_nodes = argc - 3;
+    for (int k = 1; k <= count; k++) {
+        char id[64], text[192], line[LINE], what[LINE];
+        struct session s;
+        if (!open_session(&s, argv[3 + k % n_nodes], database))
+            continue;
+        snprintf(id, sizeof(id), "%s-%d", name, k);
+        snprintf(text, sizeof(text), "%s%d first\nQUERY inside-%s WRITE other%d x", name, k, id,
+                 k);
+        snprintf(line, sizeof(line), "QUERY %s WRITE %s\r\n", id, text);
+        note("sent %s WRITE %s to %s", id, text, s.where);
+        if (send_text(s.r.fd, line))
+            answer(&s, id, what);
+        if (answer(&s, id, what))
+            note("a second answer to %s", id);
+        close(s.r.fd);
+    }
+}
+
 /* ---- the proxy ---- */
 
 struct link {
@@ -944,8 +995,10 @@
     signal(SIGPIPE, SIG_IGN);
     bool db = argc > 7 && strcmp(argv[1], "db") == 0;
     bool client = argc > 6 && strcmp(argv[1], "client") == 0;
+    bool rude = argc > 6 && strcmp(argv[1], "rude") == 0;
+    bool talk = argc == 6 && strcmp(argv[1], "talk") == 0;
     bool proxy = argc > 4 && strcmp(argv[1], "pipe") == 0;
-    if (!db && !client && !proxy) {
+    if (!db && !client && !rude && !talk && !proxy) {
         fprintf(stderr, "usage: see the comment at the top of standin.c\n");
         return 2;
     }
@@ -955,6 +1008,10 @@
     setvbuf(record, NULL, _IOLBF, 0);
     if (db)
         run_db(argc - 2, argv + 2);
+    else if (rude)
+        run_rude(argc - 3, argv + 3);
+    else if (talk)
+        run_talk(argv + 3);
     else if (proxy)
         run_pipe(argc - 3, argv + 3);
     else
