--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -890,7 +890,7 @@
 
 struct link {
     struct link *next;
-    int fd[2];
+    int fd[2], listen_port;
     bool silent;
 };
 
@@ -900,7 +900,7 @@
 };
 
 struct forward {
-    int listener;
+    int listener, listen_port;
     char to[32];
     int port;
 };
@@ -952,7 +952,7 @@
         struct link *l = calloc(1, sizeof(*l));
         struct direction *there = calloc(1, sizeof(*there)), *back = calloc(1, sizeof(*back));
         pthread_mutex_lock(&lock);
-        *l = (struct link){.next = links, .fd = {in, out}};
+        *l = (struct link){.next = links, .fd = {in, out}, .listen_port = f->listen_port};
         links = l;
         pthread_mutex_unlock(&lock);
         *there = (struct direction){l, in, out};
@@ -971,17 +971,23 @@
     for (int i = 1; i < argc; i++) {
         struct forward *f = calloc(1, sizeof(*f));
         sscanf(argv[i], "%31[^:]:%d=%31[^:]:%d", to, &port, f->to, &f->port);
+        f->listen_port = port;
         f->listener = listen_on(to, port);
         start(accept_links, f);
     }
     for (;;) {
         struct reader r = {.fd = accept(commands, NULL, NULL)};
         char line[LINE];
-        int n = 0;
-        if (read_line(&r, line) && strcmp(line, "silence") == 0) {
+        int n = 0, only = 0;
+        if (read_line(&r, line) && strncmp(line, "silence", 7) == 0) {
+            sscanf(line, "silence %d", &only);
             pthread_mutex_lock(&lock);
-            for (struct link *l = links; l; l = l->next, n++)
+            for (struct link *l = links; l; l = l->next) {
+                if (only && l->listen_port != only)
+                    continue;
                 l->silent = true;
+                n++;
+            }
             pthread_mutex_unlock(&lock);
             note("proxy: %d connections between machines go silent", n);
         }
