--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -816,7 +816,7 @@
     return false;
 }
 
-static void run_client(int argc, char **argv)
+static void run_client(int argc, char **argv, bool reads)
 {
     long long until = now_ms() + (long long)(atof(argv[0]) * 1000);
     const char *database = argv[1], *name = argv[2];
@@ -832,9 +832,15 @@
                 sleep_ms(50);
             continue;
         }
+        bool read = reads && k % 3 == 0;
         snprintf(id, sizeof(id), "%s-%u", name, k);
-        snprintf(line, sizeof(line), "QUERY %s WRITE %s v%u\r\n", id, name, k);
-        note("sent %s WRITE %s v%u to %s", id, name, k++, s.where);
+        if (read)
+            snprintf(line, sizeof(line), "QUERY %s READ %s\r\n", id, name);
+        else
+            snprintf(line, sizeof(line), "QUERY %s WRITE %s v%u\r\n", id, name, k);
+        note("sent %s %.*s to %s", id, (int)strcspn(line + 7 + strlen(id), "\r"),
+             line + 7 + strlen(id), s.where);
+        k++;
         if (!send_text(s.r.fd, line) || !answer(&s, id, what)) {
             close(s.r.fd);
             open = false;
@@ -1000,7 +1006,8 @@
 {
     signal(SIGPIPE, SIG_IGN);
     bool db = argc > 7 && strcmp(argv[1], "db") == 0;
-    bool client = argc > 6 && strcmp(argv[1], "client") == 0;
+    bool mixed = argc > 6 && strcmp(argv[1], "mixed") == 0;
+    bool client = mixed || (argc > 6 && strcmp(argv[1], "client") == 0);
     bool rude = argc > 6 && strcmp(argv[1], "rude") == 0;
     bool talk = argc == 6 && strcmp(argv[1], "talk") == 0;
     bool proxy = argc > 4 && strcmp(argv[1], "pipe") == 0;
@@ -1021,6 +1028,6 @@
     else if (proxy)
         run_pipe(argc - 3, argv + 3);
     else
-        run_client(argc - 3, argv + 3);
+        run_client(argc - 3, argv + 3, mixed);
     return 0;
 }
