review: case 2, CONFIG: a key that was taken away still runs statements

Cause: BEGIN is answered by the proxy, which fixes the account then; the first statement of the transaction does not look the key up again, and a transaction that holds no connection is not ended for resting.

--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -16,6 +16,8 @@
  * are open then pass nothing more, for good; they are neither closed nor reset, and new ones
  * work.
  *
+ * Sessions are opened with the key in the variable KEY, or "u1".
+ *
  * Everything sent, answered and run goes to RECORD, one line each, with the wall clock in ms.
  *
  * Commands of db: status; drain N; pause N (receives nothing); resume N; crash N; quit.
@@ -465,6 +467,8 @@
         ready(c);
     else
         say(c, "ERROR MISROUTED %s", c->in->id);
+    if (right && strncmp(who, "control:", 8) != 0)
+        note("connection at %s for %s", c->in->id, who);
     return right;
 }
 
@@ -809,7 +813,8 @@
     s->r.fd = dial(to, port, 2000);
     if (s->r.fd < 0)
         return false;
-    snprintf(line, sizeof(line), "STARTUP %s u1\r\n", database);
+    const char *key = getenv("KEY");
+    snprintf(line, sizeof(line), "STARTUP %s %s\r\n", database, key ? key : "u1");
     if (send_text(s->r.fd, line) && answer(s, "-", line) && line[0] == 0)
         return true;
     close(s->r.fd);
