--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,6 +2,7 @@
 # syncReplicas 1: a replica receives nothing for a while, and the primary crashes meanwhile. No commit that a
 # client was told of may be missing from the log of an instance that is promoted.
 CASE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE/record.txt # what was sent, answered and run
 . "$CASE/../standin/cluster.sh"
 for i in 0 1 2; do start_machine $i; done
 start_databases 1
@@ -22,7 +23,7 @@
 else
     sleep 6.4
 fi
-sleep 2
+sleep 0.7
 say "end"
 db quit > /dev/null
 
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,14 +1,17 @@
 #!/usr/bin/env bash
-# A session on an `own` route writes; the route is moved to another service, where the session writes too,
-# and moved back by the next change, while one replica receives nothing. All within the route's
+# A session on an `own` route writes; a change removes the route and adds one to another service, where the
+# session writes too, and the next change undoes that, while one replica receives nothing. All within the route's
 # maxStalenessMs. The session must read its own write.
 CASE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE/record.txt # what was sent, answered and run
 . "$CASE/../standin/cluster.sh"
 for i in 0 1 2; do start_machine $i; done
 start_databases 0
 start_databases 0 reg1 9200
-two() { # version service: the configuration with both services, "status" at the one given
-    config "$1" 0 | sed -e "s/\(\"host\":\"status\".*\"service\":\"\)reg0\(\".*\]\)/\1$2\2/" \
+# The configuration with both services: the database "status" has a route to the one given. A change removes
+# the route to the other service and adds one of another name.
+two() { # version service
+    config "$1" 0 | sed -e "s/\"name\":\"r2\",\(\"host\":\"status\".*\"service\":\"\)reg0\(\".*\]\)/\"name\":\"to-$2\",\1$2\2/" \
         -e 's/"services":\[\({[^}]*}\)/"services":[\1,{"name":"reg1","healthPath":"\/healthz","maxConns":43,"protocol":"h1","tls":false,"syncReplicas":0}/'
 }
 order /api/config/replace "$(two 7 reg0)" || cannot_run "the configuration is not taken"
@@ -42,7 +45,7 @@
 while [ $(($(date +%s%3N) - from)) -lt 2300 ]; do ask READ x; sleep 0.02; done
 say "read until $(($(date +%s%3N) - from)) ms after the write"
 say "end"
-awk -v first=$first '$2 == "run" && $3 ~ /^s-/ && $6 == "READ" && $7 == "x:" {
+awk -v first=$first '$2 == "run" && $3 ~ /^s-/ && $5 ~ /^reg0-/ && $6 == "READ" && $7 == "x:" {
         split($3, a, "-"); if (a[2] >= first) {n++; if ($8 != "mine") {bad++; print "STALE " $0}}}
     END {print n " reads of the session after its write, " bad + 0 " of them without it"; exit bad > 0}' "$RECORD" > "$WORK/found"
 rc=$?
--- a/review/left-out/draining/run.sh
+++ b/review/left-out/draining/run.sh
@@ -3,6 +3,7 @@
 # every acknowledged commit, is draining. No commit that a client was told of may be missing from the
 # log of the instance that is promoted.
 CASE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE/record.txt # what was sent, answered and run
 . "$CASE/../../standin/cluster.sh"
 for i in 0 1 2; do start_machine $i; done
 start_databases 1
--- a/review/left-out/lone-lf/run.sh
+++ b/review/left-out/lone-lf/run.sh
@@ -2,6 +2,7 @@
 # Peers put a request inside another one: a single message, ended by its only CR LF, whose last field
 # holds a lone LF. Every statement that an instance runs must have the id and the text of a message sent.
 CASE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE/record.txt # what was sent, answered and run
 . "$CASE/../../standin/cluster.sh"
 for i in 0 1 2; do start_machine $i; done
 start_databases 0
--- a/review/left-out/silent/run.sh
+++ b/review/left-out/silent/run.sh
@@ -2,6 +2,7 @@
 # The open connections between the machines go silent for good, without a reset, while new ones work.
 # Half a minute later the operator reads the configuration back, for 10 s.
 CASE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE/record.txt # what was sent, answered and run
 PROXY=1
 . "$CASE/../../standin/cluster.sh"
 start_proxy
--- a/review/standin/cluster.sh
+++ b/review/standin/cluster.sh
@@ -1,10 +1,10 @@
 # Starts a small deployment on loopback addresses: three machines, each with the roles entry and
-# control of deploy/system.toml. Sourced by the cases' run.sh after CASE is set to their folder.
+# control of deploy/system.toml. Sourced by the cases' run.sh after CASE is set to
+# their folder and RECORD to the record.txt there.
 # Each machine has an address of its own in 127.0.0.0/8, drawn until its ports are free.
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 STANDIN=$ROOT/review/target/standin
 TROUBLE=${TROUBLE:-1}
-RECORD=$CASE/record.txt
 WORK=$(mktemp -d "${TMPDIR:-/tmp}/review.XXXXXX")
 PIDS=()
 FRONT=8784 READY=8785 CONTROL=8782 PEERS=7440 DB_PORT=9100 PIPE_PORT=9120
--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -271,7 +271,6 @@
 static bool commit(struct conn *c, const char *id, int n, char text[][192])
 {
     struct instance *p = c->in;
-    struct timespec until;
     for (int i = 0; i < n; i++) {
         struct entry *e = &p->log[p->n_log];
         unsigned long long last = p->n_log ? p->log[p->n_log - 1].number : 0;
@@ -283,12 +282,8 @@
     }
     int want = p->n_log;
     replicate();
-    clock_gettime(CLOCK_REALTIME, &until);
-    until.tv_sec += 5;
-    while (p->up && primary == p->at && replicas_with(want) < sync_replicas) {
-        if (pthread_cond_timedwait(&received, &lock, &until) == ETIMEDOUT)
-            return false;
-    }
+    while (p->up && primary == p->at && replicas_with(want) < sync_replicas)
+        pthread_cond_wait(&received, &lock);
     return p->up && primary == p->at;
 }
 
