proxy: a session keeps the position of its last commit in each group

Cause: px_session kept one position and the name of its group. A commit in another group replaced both, so a read in the first group had the floor of the accepted age only, which does not cover younger commits.

Evidence: the debug line of the reads shows floor 1.2 and the position 1.4 of the other group, while the session's commit was at 1.577. The line now names the group.

Test: the suite "own commits" (tables, and sessions through a node over sockets).

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -75,11 +75,13 @@
         c->inst->p->cfg.codec->put_text(&text, &st);
         m.text = (struct sr_str){text.p, text.len};
     }
+    struct ps_pos own = px_own_commit_pos(&s->own_commits, c->inst->group);
     FL_DBG(&c->inst->p->log,
-           "request %.*s session %llu to %s: floor %d %llu.%llu, seen %llu.%llu, begun %d",
+           "request %.*s session %llu to %s: floor %d %llu.%llu, own commit %llu.%llu in %s, "
+           "begun %d",
            (int)s->id.len, s->id.p, (unsigned long long)s->state.session, c->inst->cfg.id,
            floor, (unsigned long long)s->floor.term, (unsigned long long)s->floor.pos,
-           (unsigned long long)s->last_commit.term, (unsigned long long)s->last_commit.pos,
+           (unsigned long long)own.term, (unsigned long long)own.pos, c->inst->group->cfg.name,
            s->txn_begun);
     c->phase = PX_C_RUNNING;
     px_stage_done(s, PX_T_SETUP);
--- a/proxy/outcome.c
+++ b/proxy/outcome.c
@@ -106,14 +106,19 @@
 
 /* ---- answers ---- */
 
+/* Records the position of a commit of the session, which its later reads must see. */
 static void note_commit(struct px_session *s, const struct px_conn *c)
 {
     bool commits = s->stmt.verb == PX_V_COMMIT ? s->txn_wrote : s->writes && !px_in_txn(s);
-    if (!commits || !c->has_pos)
+    const struct px_group *g = c->inst->group;
+    if (!commits)
         return;
-    bool same = strcmp(s->last_commit_group, s->route.group) == 0;
-    s->last_commit = same ? ps_max(s->last_commit, c->pos) : c->pos;
-    sr_copy(s->last_commit_group, sizeof(s->last_commit_group), sr_from(s->route.group));
+    bool tracked = c->has_pos;
+    if (!c->has_pos)
+        px_own_commit_untracked(&s->own_commits, g, ck_now());
+    else
+        tracked = px_own_commit_add(&s->own_commits, g, c->pos, ck_now());
+    s->p->c.untracked_commits += !tracked;
 }
 
 static void count_read(struct px_session *s, const struct px_conn *c)
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -13,6 +13,7 @@
 #include "proxy/conn_choice.h"
 #include "proxy/saturation.h"
 #include "proxy/neighbor.h"
+#include "proxy/own_commits.h"
 #include "proxy/outlier.h"
 #include "proxy/service_time.h"
 #include "proxy/read_choice.h"
@@ -210,12 +211,11 @@
 
     /* state kept between statements */
     char database[CG_NAME];
-    char key[AC_KEY];          /* the caller's key; never logged */
-    char account[AC_NAME];     /* account of the operation, as instances get it */
-    uint64_t min_document;     /* version that the relaying node acts on; no older may answer */
-    struct px_state state;     /* values and prepared statements */
-    struct ps_pos last_commit; /* position of the last commit, in `last_commit_group` */
-    char last_commit_group[VW_NAME];
+    char key[AC_KEY];      /* the caller's key; never logged */
+    char account[AC_NAME]; /* account of the operation, as instances get it */
+    uint64_t min_document; /* version that the relaying node acts on; no older may answer */
+    struct px_state state; /* values and prepared statements */
+    struct px_own_commits own_commits; /* keyed by px_group, which is never freed */
 
     enum px_permit permit; /* of the current operation */
 
@@ -276,8 +276,10 @@
     uint64_t sessions, statements;
     uint64_t ok, failed, by_reason[ER_COUNT];
     uint64_t reads_primary, reads_replica;
-    uint64_t behind;  /* times that an instance lacked the position of a read */
-    uint64_t retries; /* repeated attempts of statements */
+    uint64_t untracked_commits; /* commits of sessions whose positions are not kept */
+    uint64_t reads_untracked;   /* reads at the primary because of such a commit */
+    uint64_t behind;            /* times that an instance lacked the position of a read */
+    uint64_t retries;           /* repeated attempts of statements */
     uint64_t parked;
     uint64_t lost_conns;        /* connections lost with a statement on them */
     uint64_t opened_conns;      /* connections opened to instances */
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -383,6 +383,8 @@
                 {"failed_total", p->c.failed},
                 {"reads_primary_total", p->c.reads_primary},
                 {"reads_replica_total", p->c.reads_replica},
+                {"untracked_commits_total", p->c.untracked_commits},
+                {"reads_untracked_total", p->c.reads_untracked},
                 {"behind_total", p->c.behind},
                 {"retries_total", p->c.retries},
                 {"parked_total", p->c.parked},
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -111,8 +111,11 @@
     struct ps_pos floor;
     if (!px_age_floor(g, s->route.max_age_us, now, &floor))
         return px_serving_primary(g, now);
-    if (s->route.reads == CG_SESSION && strcmp(s->last_commit_group, g->cfg.name) == 0)
-        floor = ps_max(floor, s->last_commit);
+    if (s->route.reads == CG_SESSION &&
+        !px_own_commit_floor(&s->own_commits, g, now - s->route.max_age_us, &floor)) {
+        s->p->c.reads_untracked++;
+        return px_serving_primary(g, now);
+    }
     s->has_floor = true;
     s->floor = floor;
     for (int i = 0; i < g->cfg.n; i++)
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -37,6 +37,7 @@
     endings_suite();
     holding_suite();
     opening_suite();
+    own_commits_suite();
     accounts_suite();
     fit_suite();
     full_suite();
