takeover: the successor holds every commit that replicas acknowledged

Cause: nothing in takeover/ knew that commits are acknowledged once replicas have received them. A planned change waited 0.8 s for its successor and then called for it though it was behind; an unplanned one called for whoever answered within 0.3 s; a draining replica was passed over though it alone had the commits; a refused call went to the next instance.

Evidence: control's log has the right promotion (replace, reg0-1), then 2.6 s later a planned change from reg0-1, which is up, and its order to reg0-2 1.4 s after that; the promoted log has 1152 of 1269 entries.

Change: an acknowledged commit is in one of any r - copies + 1 of r replicas, so the successor must have received what these have, by statuses requested after the old term was dropped (coverage.c). A replica whose process is gone, or that left, is bounded by what the primary reported since. Otherwise the change waits, and a planned one returns to the primary; none begins that could only be abandoned. A draining replica is the last resort. The view keeps the addresses of replicas that left until a successor registers there. With syncReplicas 0 nothing changes. A wait is logged (change_waits_for_copies) and counted.

--- a/control/control.h
+++ b/control/control.h
@@ -57,8 +57,9 @@
     /* The node with id `vantage`, this one or another, reports the instance's health. */
     void (*probed)(struct ct_group *g, const char *inst, uint64_t vantage, const char *domain,
                    enum pr_health health);
-    /* The instance answered a request. */
-    void (*replied)(struct ct_group *g, const char *inst, const struct ep_reply *r);
+    /* The instance answered a request that was made at `asked_at` or later; 0: unknown. */
+    void (*replied)(struct ct_group *g, const char *inst, const struct ep_reply *r,
+                    int64_t asked_at);
     /* A connection to the instance was opened. */
     void (*connected)(struct ct_group *g, const char *inst);
     /* An entry node answered check request `nonce`. */
@@ -149,6 +150,9 @@
     int64_t health_changed_at; /* when `health` last changed */
     enum pr_health health;
     uint64_t last_request_id;
+    /* the oldest request without an answer: its id, 0: none, and when it was made */
+    uint64_t unanswered_id;
+    int64_t unanswered_since;
     struct ep_reply status; /* the last one received; its strings are not valid */
     /* outstanding fence and promotion requests: their id, 0: none, and their term */
     uint64_t fence_id, promote_id, fence_term, promote_term;
@@ -163,8 +167,9 @@
     uint64_t phase_generation; /* generation that began the current phase */
     enum vw_phase phase;
     uint64_t term;
-    int primary;   /* index in `inst`; -1: none */
-    bool tick_due; /* ct_group_tick is due in the next iteration of the loop */
+    int primary;     /* index in `inst`; -1: none */
+    int sync_copies; /* replicas that must have a commit before it is acknowledged */
+    bool tick_due;   /* ct_group_tick is due in the next iteration of the loop */
 };
 
 /* An operator's HTTP request that is answered when its intent is committed. */
@@ -248,7 +253,8 @@
     struct {
         uint64_t grants, refused_grants, views, view_bytes, snapshots, node_lists,
             node_list_bytes, proposals, applied;
-        uint64_t refused_changes, promotions, bad_messages, refused_peers, platform_failures;
+        uint64_t refused_changes, promotions, waits_for_copies, bad_messages, refused_peers,
+            platform_failures;
     } counters;
 };
 
--- a/control/ops.c
+++ b/control/ops.c
@@ -103,6 +103,7 @@
         {"changes_applied_total", n->counters.applied},
         {"changes_refused_total", n->counters.refused_changes},
         {"promotions_total", n->counters.promotions},
+        {"waits_for_copies_total", n->counters.waits_for_copies},
         {"bad_messages_total", n->counters.bad_messages},
         {"refused_peers_total", n->counters.refused_peers},
         {"platform_failures_total", n->counters.platform_failures},
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -106,8 +106,10 @@
     pr_probed(&g->pr, inst, vantage, domain, health == PR_UNFIT ? PR_UP : health, ck_now());
 }
 
-static void replied(struct ct_group *g, const char *inst, const struct ep_reply *r)
+static void replied(struct ct_group *g, const char *inst, const struct ep_reply *r,
+                    int64_t asked_at)
 {
+    (void)asked_at;
     pr_set_status(&g->pr, inst, r->primary, r->term, r->following, r->held, ck_now());
 }
 
--- a/control/takeovers.c
+++ b/control/takeovers.c
@@ -1,5 +1,7 @@
 /* Changes of primary that the platform carries out: sends the orders that takeover/ decides on.
  */
+#include <stdio.h>
+
 #include "control/control.h"
 #include "misc/clock.h"
 
@@ -22,6 +24,12 @@
     tk_begin(&g->tk, &cfg, ck_now());
 }
 
+static const char *const health_names[] = {[TK_UNKNOWN] = "unknown",
+                                           [TK_UP] = "up",
+                                           [TK_SILENT] = "silent",
+                                           [TK_REFUSED] = "refused",
+                                           [TK_UNFIT] = "unfit"};
+
 static enum tk_health health_of(enum pr_health h)
 {
     static const enum tk_health map[] = {[PR_UNKNOWN] = TK_UNKNOWN,
@@ -40,19 +48,20 @@
     (void)domain;
     bool primary = g->primary >= 0 && strcmp(g->inst[g->primary]->id, inst) == 0;
     if (vantage == g->inst[0]->node->id)
-        tk_set_health(&g->tk, inst, health_of(health));
+        tk_set_health(&g->tk, inst, health_of(health), ck_now());
     else if (primary && health >= PR_SILENT)
         tk_suspected(&g->tk, inst);
 }
 
-static void replied(struct ct_group *g, const char *inst, const struct ep_reply *r)
+static void replied(struct ct_group *g, const char *inst, const struct ep_reply *r,
+                    int64_t asked_at)
 {
-    tk_set_status(&g->tk, inst, r->primary, r->held, ck_now());
+    tk_set_status(&g->tk, inst, r->primary, r->held, asked_at, ck_now());
 }
 
 static void connected(struct ct_group *g, const char *inst)
 {
-    tk_set_health(&g->tk, inst, TK_UP);
+    tk_set_health(&g->tk, inst, TK_UP, ck_now());
 }
 
 static void checked(struct ct_group *g, uint64_t nonce, enum pr_health health)
@@ -128,12 +137,42 @@
     }
 }
 
+/* While the document in force is not loaded yet, one replica is assumed. */
+static int copies_of(const struct ct_node *n, const struct ct_group *g)
+{
+    return n->catalog.version == n->view.doc.version ? g->sync_copies : 1;
+}
+
+/* Logs when a change begins and ends to wait for an instance that holds every acknowledged
+ * commit. */
+static void log_wait(struct ct_node *n, struct ct_group *g, bool waited)
+{
+    char text[512] = "";
+    size_t len = 0;
+    if (g->tk.waits_for_copies == waited)
+        return;
+    n->counters.waits_for_copies += !waited;
+    for (int i = 0; i < g->tk.n && len < sizeof(text); i++) {
+        const struct tk_inst *in = &g->tk.inst[i];
+        len += (size_t)snprintf(text + len, sizeof(text) - len, "%s%s:%s:%llu.%llu",
+                                i ? "," : "", in->id, health_names[in->health],
+                                (unsigned long long)in->received.term,
+                                (unsigned long long)in->received.pos);
+    }
+    FL_EVENT(&n->log, waited ? LG_INFO : LG_WARN, "change_waits_for_copies",
+             "group=%s term=%llu waits=%d copies=%d left=%d instances=%s", g->name,
+             (unsigned long long)g->tk.term, !waited, g->tk.copies,
+             vw_group(&n->view, g->name)->n_left, text);
+}
+
 static void decide(struct ct_node *n, struct ct_group *g)
 {
     const struct vw_group *v = vw_group(&n->view, g->name);
     struct tk_actions acts;
-    tk_tick(&g->tk, v, ls_all_applied(&n->leases, g->phase_generation, ck_now()), ck_now(),
-            &acts);
+    bool waited = g->tk.waits_for_copies;
+    tk_tick(&g->tk, v, copies_of(n, g),
+            ls_all_applied(&n->leases, g->phase_generation, ck_now()), ck_now(), &acts);
+    log_wait(n, g, waited);
     for (int i = 0; i < acts.n; i++)
         do_action(n, g, &acts.a[i]);
 }
--- a/control/watch.c
+++ b/control/watch.c
@@ -53,9 +53,22 @@
     if (!in->conn || !in->open || !in->node->driver->send(in->conn, q))
         return 0;
     tf_count_probe(&in->node->traffic, TF_PROBE_SENT);
+    if (!in->unanswered_id) {
+        in->unanswered_id = q->id;
+        in->unanswered_since = ck_now();
+    }
     return q->id;
 }
 
+/* The time at which the answered request was made, or an earlier one; 0: unknown. */
+static int64_t take_asked_at(struct ct_inst *in, uint64_t id)
+{
+    if (!in->unanswered_id || id < in->unanswered_id)
+        return 0;
+    in->unanswered_id = 0;
+    return in->unanswered_since;
+}
+
 static void set_health(struct ct_inst *in, enum pr_health health)
 {
     struct ct_node *n = in->node;
@@ -87,6 +100,7 @@
     struct ct_node *n = in->node;
     int64_t now = ck_now();
     (void)c;
+    int64_t asked_at = take_asked_at(in, r->id);
     tf_count_probe(&n->traffic, TF_PROBE_ANSWERED);
     in->replied_at = now;
     in->status = *r;
@@ -96,7 +110,7 @@
         return;
     set_health(in, PR_UP);
     if (r->result == EP_OK)
-        n->failover->replied(g, in->id, r);
+        n->failover->replied(g, in->id, r, asked_at);
     bool phase_running = g->phase != VW_SERVING;
     if (r->id == in->fence_id && r->result == EP_OK) {
         tl_add(n->tl, TL_FENCED, g->name, in->fence_term, "%s at %llu/%llu", in->id,
@@ -128,7 +142,7 @@
     in->conn = NULL;
     in->open = false;
     tf_count_probe(&in->node->traffic, TF_PROBE_CLOSED);
-    in->fence_id = in->promote_id = 0;
+    in->fence_id = in->promote_id = in->unanswered_id = 0;
     if (in->removed) {
         free(in);
         return;
@@ -282,6 +296,16 @@
     return s && s->max_conns > 0 ? s->max_conns : in->max_conns;
 }
 
+/* A group that the document in force lacks may have acknowledged commits under an earlier one:
+ * one replica is assumed. */
+static int sync_copies(const struct ct_node *n, const struct ct_group *g)
+{
+    const struct cg_service *s = cg_service(&n->catalog, g->name);
+    if (s)
+        return s->sync_copies;
+    return n->catalog.version > 0 ? 1 : 0;
+}
+
 static bool same_process(const struct ct_inst *in, const struct vw_instance *v)
 {
     return strcmp(in->id, v->id) == 0 && in->born == v->born;
@@ -336,6 +360,7 @@
     g->phase = v->phase;
     g->term = v->term;
     g->primary = v->primary;
+    g->sync_copies = sync_copies(n, g);
     g->tick_due = true;
 }
 
--- a/proxy/own_commits.c
+++ b/proxy/own_commits.c
@@ -66,6 +66,7 @@
 
 struct ps_pos px_own_commit_pos(const struct px_own_commits *c, const void *group)
 {
+    static const struct ps_pos none;
     int i = find(c, group);
-    return i < 0 ? (struct ps_pos){0} : c->commit[i].pos;
+    return i < 0 ? none : c->commit[i].pos;
 }
--- a/takeover/takeover.c
+++ b/takeover/takeover.c
@@ -9,7 +9,8 @@
     STATUS_WAIT_US =
         300000, /* how long the reachable instances may take to report their positions */
     PRIMARY_REPORT_GRACE_US =
-        400000, /* how long a new primary may take to report that it is primary */
+        400000,              /* how long a new primary may take to report that it is primary */
+    HAND_RETRY_US = 2000000, /* after an abandoned planned change, before the next one */
 };
 
 /* ---- state of the instances ---- */
@@ -23,10 +24,32 @@
     return NULL;
 }
 
+static void set_absent(struct tk_bound *b, bool absent, int64_t now)
+{
+    if (!absent)
+        *b = (struct tk_bound){0};
+    else if (!b->since)
+        b->since = now;
+}
+
+/* An instance is not in the view any more. A successor at its address need not have its log. If
+ * the primary left, there is none to bound what it had. */
+static void note_left(struct tk_group *t, const struct vw_group *g, int64_t now)
+{
+    if (g->primary < 0)
+        return;
+    t->left = (struct tk_bound){.since = now};
+    t->has_left = true;
+}
+
 /* Puts the instances in the order of the view and keeps what is known of them. */
-static void sync_instances(struct tk_group *t, const struct vw_group *g)
+static void sync_instances(struct tk_group *t, const struct vw_group *g, int64_t now)
 {
     struct tk_inst next[VW_MAX_INSTANCES] = {0};
+    for (int i = 0; i < t->n; i++) {
+        if (vw_instance(g, t->inst[i].id) < 0)
+            note_left(t, g, now);
+    }
     for (int i = 0; i < g->n; i++) {
         const struct tk_inst *has = find_inst(t, g->inst[i].id);
         if (has)
@@ -51,19 +74,22 @@
     t->target = -1;
     t->step_at = now;
     t->serving_since = now;
+    t->left.since = now;
     /* Calls of earlier leaders may be open, for instances that can't be known. */
     t->open_calls_differ = true;
 }
 
-void tk_set_health(struct tk_group *t, const char *id, enum tk_health health)
+void tk_set_health(struct tk_group *t, const char *id, enum tk_health health, int64_t now)
 {
     struct tk_inst *in = find_inst(t, id);
-    if (in)
-        in->health = health;
+    if (!in)
+        return;
+    in->health = health;
+    set_absent(&in->bound, health == TK_REFUSED, now);
 }
 
 void tk_set_status(struct tk_group *t, const char *id, bool primary, struct ps_pos received,
-                   int64_t now)
+                   int64_t asked_at, int64_t now)
 {
     struct tk_inst *in = find_inst(t, id);
     if (!in)
@@ -71,6 +97,7 @@
     in->reports_primary = primary;
     in->received = received;
     in->status_at = now;
+    in->asked_at = asked_at;
 }
 
 void tk_suspected(struct tk_group *t, const char *id)
@@ -114,17 +141,18 @@
     const struct tk_inst *in = &t->inst[i];
     if (g->phase == VW_HANDING && i == g->primary)
         return false; /* the successor must be another instance */
-    return in->health == TK_UP && in->status_at && !g->inst[i].draining &&
-           now >= in->avoid_until;
+    return in->health == TK_UP && in->status_at && now >= in->avoid_until;
 }
 
-/* The instance that received most among those that can take over; among equals the one that is
- * primary already, so that no instance changes its role without need. */
-static int best_candidate(const struct tk_group *t, const struct vw_group *g, int64_t now)
+/* The instance that received most among those that can take over, with or without draining
+ * ones; among equals the one that is primary already, so that no instance changes its role
+ * without need. */
+static int most_received(const struct tk_group *t, const struct vw_group *g, bool with_draining,
+                         int64_t now)
 {
     int b = -1;
     for (int i = 0; i < t->n; i++) {
-        if (!can_take_over(t, g, i, now))
+        if (!can_take_over(t, g, i, now) || (g->inst[i].draining && !with_draining))
             continue;
         int c = b < 0 ? 1 : ps_cmp(t->inst[i].received, t->inst[b].received);
         if (c > 0 || (c == 0 && t->inst[i].reports_primary))
@@ -133,6 +161,11 @@
     return b;
 }
 
+static int best_candidate(const struct tk_group *t, const struct vw_group *g, int64_t now)
+{
+    return most_received(t, g, false, now);
+}
+
 /* The best candidate among the instances that are not the view's primary. */
 static int best_successor(const struct tk_group *t, const struct vw_group *g, int64_t now)
 {
@@ -141,6 +174,35 @@
     return best_candidate(t, &handing, now);
 }
 
+/* Whether an instance could take over if the primary were gone. A draining one is the last
+ * resort where it alone may hold acknowledged commits. */
+static bool has_successor(const struct tk_group *t, const struct vw_group *g, int64_t now)
+{
+    return most_received(t, g, t->copies > 0, now) >= 0;
+}
+
+/* Whether the primary that is to hand over still leads, so that it can stay. */
+static bool primary_can_stay(const struct tk_group *t, const struct vw_group *g)
+{
+    const struct tk_inst *p = g->primary >= 0 ? &t->inst[g->primary] : NULL;
+    return p && p->health == TK_UP && p->reports_primary && p->asked_at >= t->step_at;
+}
+
+/* The instance to call for; -1: none yet. */
+static int choose_successor(const struct tk_group *t, const struct vw_group *g, int64_t now)
+{
+    int i = best_candidate(t, g, now);
+    if (t->copies == 0 || (i >= 0 && tk_holds_acknowledged(t, g, i)))
+        return i;
+    i = most_received(t, g, true, now);
+    if (i >= 0 && tk_holds_acknowledged(t, g, i))
+        return i;
+    bool late = now - t->step_at >= t->cfg.catch_up_timeout_us;
+    if (g->phase == VW_HANDING && late && primary_can_stay(t, g))
+        return g->primary;
+    return -1;
+}
+
 /* ---- steps ---- */
 
 static void propose_replace(struct tk_group *t, const struct vw_group *g, int64_t now,
@@ -165,6 +227,16 @@
     set_step(t, TK_PROPOSED, now);
 }
 
+/* Whether a planned change to the instance may begin. While it runs, no statement is served, so
+ * none begins that could only be abandoned. */
+static bool may_hand_over(const struct tk_group *t, const struct vw_group *g, int next,
+                          int64_t now)
+{
+    if (next < 0)
+        return false;
+    return t->copies == 0 || (now >= t->hand_retry_at && tk_can_hand_over_to(t, g, next));
+}
+
 static void begin_check(struct tk_group *t, const struct vw_group *g, int64_t now,
                         struct tk_actions *out)
 {
@@ -187,14 +259,15 @@
                       struct tk_actions *out)
 {
     const struct tk_inst *p = &t->inst[g->primary];
-    int next = best_candidate(t, g, now);
+    int next = best_successor(t, g, now);
     if (was_demoted(t, p)) {
         snprintf(t->why, sizeof(t->why), "%.48s reports that it is not the primary", p->id);
         propose_replace(t, g, now, out);
-    } else if (g->inst[g->primary].draining && next >= 0) {
+    } else if (g->inst[g->primary].draining && may_hand_over(t, g, next, now)) {
         snprintf(t->why, sizeof(t->why), "%.48s is draining", p->id);
         propose_hand_over(t, g, next, now, out);
-    } else if ((is_down(p) || t->suspect_reports > 0) && next >= 0 && now >= t->recheck_at) {
+    } else if ((is_down(p) || t->suspect_reports > 0) && has_successor(t, g, now) &&
+               now >= t->recheck_at) {
         begin_check(t, g, now, out);
     }
 }
@@ -205,13 +278,29 @@
 {
     const struct tk_inst *p = &t->inst[g->primary];
     int next = best_successor(t, g, now);
-    if (p->health != TK_UP || next < 0)
+    if (p->health != TK_UP || !may_hand_over(t, g, next, now))
         return false;
     snprintf(t->why, sizeof(t->why), "%.40s: unfit for %d nodes", p->id, t->checks_unfit);
     propose_hand_over(t, g, next, now, out);
     return true;
 }
 
+/* Replaces a primary that is down for most. If this leader reaches it, it hands over what it
+ * has; with copies it stays if nobody can take that over. Returns whether a change began. */
+static bool replace_down_primary(struct tk_group *t, const struct vw_group *g, int64_t now,
+                                 struct tk_actions *out)
+{
+    int next = best_successor(t, g, now);
+    if (t->inst[g->primary].health != TK_UP || next < 0) {
+        propose_replace(t, g, now, out);
+        return true;
+    }
+    if (!may_hand_over(t, g, next, now))
+        return false;
+    propose_hand_over(t, g, next, now, out);
+    return true;
+}
+
 static void check_tick(struct tk_group *t, const struct vw_group *g, int64_t now,
                        struct tk_actions *out)
 {
@@ -219,17 +308,13 @@
     if (t->checks_pending > 0 && now - t->step_at < t->cfg.check_us)
         return;
     int up = t->checks_up + (p->health == TK_UP), down = t->checks_down + is_down(p);
-    if (down > up) {
+    bool is_down_for_most = down > up;
+    if (is_down_for_most)
         snprintf(t->why, sizeof(t->why), "%.40s: down for %d nodes, up for %d", p->id, down,
                  up);
-        int next = best_successor(t, g, now);
-        if (p->health == TK_UP && next >= 0)
-            propose_hand_over(t, g, next, now, out);
-        else
-            propose_replace(t, g, now, out);
+    if (is_down_for_most && replace_down_primary(t, g, now, out))
         return;
-    }
-    if (t->checks_unfit > up && should_hand_over(t, g, now, out))
+    if (!is_down_for_most && t->checks_unfit > up && should_hand_over(t, g, now, out))
         return;
     t->recheck_at = now + t->cfg.recheck_delay_us;
     set_step(t, TK_IDLE, now);
@@ -275,14 +360,17 @@
                         struct tk_actions *out)
 {
     int64_t waited = now - t->step_at;
-    int i = best_candidate(t, g, now);
+    int i = choose_successor(t, g, now);
     bool wait = i < 0 || (!all_status_recent(t) && waited < STATUS_WAIT_US) ||
                 (successor_is_behind(t, g, i) && waited < t->cfg.catch_up_timeout_us);
-    if (!wait) {
-        send_call(t, i, now, out);
+    t->waits_for_copies = t->copies > 0 && i < 0 && waited >= STATUS_WAIT_US;
+    if (wait) {
+        probe_all(t, out);
         return;
     }
-    probe_all(t, out);
+    if (g->phase == VW_HANDING && i == g->primary)
+        t->hand_retry_at = now + HAND_RETRY_US;
+    send_call(t, i, now, out);
 }
 
 /* Whether no open call can make another instance the primary: every call that may be open is
@@ -358,16 +446,18 @@
     return strcmp(t->inst[t->target].id, g->inst[t->target].id) != 0;
 }
 
-void tk_tick(struct tk_group *t, const struct vw_group *g, bool dropped, int64_t now,
-             struct tk_actions *out)
+void tk_tick(struct tk_group *t, const struct vw_group *g, int copies, bool dropped,
+             int64_t now, struct tk_actions *out)
 {
     out->n = 0;
+    t->copies = copies;
+    t->waits_for_copies = false;
     if (target_has_changed(t, g)) {
         t->target = -1;
         if (t->step == TK_CALLED)
             set_step(t, TK_CHOOSING, now);
     }
-    sync_instances(t, g);
+    sync_instances(t, g, now);
     if (g->phase != VW_SERVING) {
         change_tick(t, g, dropped, now, out);
         return;
@@ -375,10 +465,12 @@
     if (t->step >= TK_DROPPING) {
         t->serving_since = now;
         t->suspect_reports = 0;
+        t->marks.n = 0;
         set_step(t, TK_IDLE, now);
     }
     if (g->primary < 0)
         return; /* the group never had a primary */
+    tk_note_primary_pos(t, g, now);
     if (t->step == TK_PROPOSED && now - t->step_at > PROPOSAL_TIMEOUT_US)
         set_step(t, TK_IDLE, now);
     if (t->step == TK_IDLE)
--- a/takeover/takeover.h
+++ b/takeover/takeover.h
@@ -14,6 +14,10 @@
  *     -> pick the instance that received most; one call for it under this term
  *     -> the instance reports that it is primary -> propose PRIMARY
  *
+ * Where commits are acknowledged once replicas have received them (`copies`), the successor
+ * must be sure to hold all of them: coverage.c. Until such an instance is known, the change
+ * waits, or a planned one is abandoned.
+ *
  * A call without a reply may still be carried out later. The next call is made under a higher
  * term, which fences the earlier one, and no new primary is concluded while a call for another
  * instance may be open. */
@@ -35,14 +39,32 @@
 /* TK_UNFIT: the instance is alive, but another one should lead. Only entry nodes report it. */
 enum tk_health { TK_UNKNOWN, TK_UP, TK_SILENT, TK_REFUSED, TK_UNFIT };
 
+/* An upper bound of the acknowledged commits in the logs of instances that receive nothing
+ * while they are absent: a position that the primary reported since. */
+struct tk_bound {
+    int64_t since; /* since when they are absent; 0: they are not */
+    bool known;
+    struct ps_pos pos;
+};
+
 /* What the leader knows of one instance. Indexed like the instances of the view's group. */
 struct tk_inst {
     char id[VW_NAME];
     enum tk_health health;
     bool reports_primary;
     struct ps_pos received;
-    int64_t status_at;   /* when the instance last reported its status; 0 never */
-    int64_t avoid_until; /* a call for it was refused: no call before this time */
+    int64_t status_at;     /* when the instance last reported its status; 0 never */
+    int64_t asked_at;      /* that status was requested at this time or later; 0: unknown */
+    int64_t avoid_until;   /* a call for it was refused: no call before this time */
+    struct tk_bound bound; /* while its connections are refused: its process is gone */
+};
+
+/* The primary's positions at the last two of regular times: a replica that receives has the
+ * older one. */
+struct tk_marks {
+    int n;
+    int64_t at; /* when the newer one was taken */
+    struct ps_pos older, newer;
 };
 
 enum tk_step {
@@ -70,6 +92,12 @@
     int64_t recheck_at;    /* entry nodes saw the primary up: no new check before this time */
     int suspect_reports;   /* suspicions that entry nodes reported since the latest check */
     int64_t serving_since; /* since when the view's primary serves */
+    int copies;            /* replicas that must have received a commit that is acknowledged */
+    bool waits_for_copies; /* no instance is sure to hold all acknowledged commits */
+    int64_t hand_retry_at; /* a planned change was abandoned: no other one before this time */
+    struct tk_marks marks;
+    struct tk_bound left; /* of the replicas that left */
+    bool has_left;        /* one left or was replaced since this leader began */
     int n;
     struct tk_inst inst[VW_MAX_INSTANCES];
     char why[96]; /* reason of the latest proposed change, for operators */
@@ -107,10 +135,11 @@
  * calls earlier leaders made. */
 void tk_begin(struct tk_group *t, const struct tk_config *cfg, int64_t now);
 /* Sets the health that this leader's connection to the instance shows. */
-void tk_set_health(struct tk_group *t, const char *inst, enum tk_health health);
-/* Stores the status that the instance reported about itself. */
+void tk_set_health(struct tk_group *t, const char *inst, enum tk_health health, int64_t now);
+/* Stores the status that the instance reported about itself on a request of `asked_at`, or a
+ * later one; 0: the time is not known. */
 void tk_set_status(struct tk_group *t, const char *inst, bool primary, struct ps_pos received,
-                   int64_t now);
+                   int64_t asked_at, int64_t now);
 /* An entry node reports that the instance does not reply to it. */
 void tk_suspected(struct tk_group *t, const char *inst);
 /* TK_DO_CHECK was carried out: `n` entry nodes were asked. */
@@ -119,9 +148,20 @@
 void tk_check_reply(struct tk_group *t, uint64_t nonce, enum tk_health health);
 /* The outcome of the call with the token `term`. */
 void tk_call_result(struct tk_group *t, uint64_t term, enum tk_outcome what, int64_t now);
-/* Decides the next actions. `dropped`: no entry node acts on a view older than the change that
- * began the phase. */
-void tk_tick(struct tk_group *t, const struct vw_group *g, bool dropped, int64_t now,
-             struct tk_actions *out);
+/* Decides the next actions. `copies`: replicas that must have received a commit before it is
+ * acknowledged. `dropped`: no entry node acts on a view older than the change that began the
+ * phase, and none acknowledges a commit of an older term any more. */
+void tk_tick(struct tk_group *t, const struct vw_group *g, int copies, bool dropped,
+             int64_t now, struct tk_actions *out);
+
+/* coverage.c: which instances hold all acknowledged commits */
+/* Whether the log of instance `i` is sure to hold every commit that was acknowledged. Call it
+ * after the old term was dropped; only statuses requested since `t->step_at` count. */
+bool tk_holds_acknowledged(const struct tk_group *t, const struct vw_group *g, int i);
+/* Whether a planned change to instance `i` can be expected to end: it receives what the primary
+ * writes, or has all that enough replicas have. */
+bool tk_can_hand_over_to(const struct tk_group *t, const struct vw_group *g, int i);
+/* Records the primary's position, by its latest status, while the group serves. */
+void tk_note_primary_pos(struct tk_group *t, const struct vw_group *g, int64_t now);
 
 #endif
--- a/tests/process/sessions.sh
+++ b/tests/process/sessions.sh
@@ -46,7 +46,7 @@
     if [ $T_BAD = 0 ]; then rm -rf "$T_DIR"; else echo "logs: $T_DIR"; fi
 }
 se_document() { # version [extra route]
-    local r='"kind":"%s","timeoutMs":1500,"latencySloMs":300,"priority":1,"service":"reg0","maxAttempts":2'
+    local r='"kind":"%s","timeoutMs":'"${SE_TIMEOUT_MS:-1500}"',"latencySloMs":300,"priority":1,"service":"reg0","maxAttempts":2'
     printf '{"version":%s,"routes":[' "$1"
     # shellcheck disable=SC2059
     printf "{\"name\":\"r1\",\"host\":\"p\",$r}," primary
@@ -54,7 +54,7 @@
     printf "{\"name\":\"r2\",\"host\":\"b\",$r,\"maxStalenessMs\":1500}," bounded
     # shellcheck disable=SC2059
     printf "{\"name\":\"r3\",\"host\":\"o\",$r,\"maxStalenessMs\":1500}%s]," own "${2:-}"
-    printf '"services":[{"name":"reg0","maxConns":25,"syncReplicas":0}],"limits":{"txIdleMs":3000}}'
+    printf '"services":[{"name":"reg0","maxConns":25,"syncReplicas":%s}],"limits":{"txIdleMs":3000}}' "${SE_COPIES:-0}"
 }
 # Sent like an operator: to one control node after the other, sent on by 307.
 se_order() { # path [body]: the status, body in $SE_DIR/answer
--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -3,10 +3,12 @@
  * /promote. Written from the platform's pages, not from platform/.
  *
  * Instance i of group g listens on base + 10 g + i (world_lines.c). Whatever is committed is
- * received by the other instances at once and applied after the group's lag, so a promotion
- * loses nothing and every stale read is the proxy's doing. Orders come to base - 1 by HTTP
+ * received at once by the other instances that live and are not deaf, and applied after the
+ * group's lag. So while all receive, a promotion loses nothing and every stale read is the
+ * proxy's doing. Orders come to base - 1 by HTTP
  * (world_orders.c), commands of a test to base - 2: /kill/G/I, /revive/G/I, /drain/G/I,
- * /lag/G/MS, /busy-sets/N (the next N SETs are refused), /deaf-orders/N (the next N go
+ * /lag/G/MS, /copies/G/N (a commit is answered when N replicas have received it),
+ * /deaf/G/I/0|1, /busy-sets/N (the next N SETs are refused), /deaf-orders/N (the next N go
  * unanswered and are carried out late), /halves/N (the next N answers break off), /grey/G/I/P
  * (P in a hundred reads fail there), /via/N (instances say that they are N ports further, where
  * a ferry-pipe is), /status. */
@@ -69,6 +71,10 @@
         w->inst[a][b].draining = true;
     else if (sscanf(path, "/grey/%d/%d/%d", &a, &b, &p) == 3)
         w->inst[a][b].grey = (unsigned)p;
+    else if (sscanf(path, "/copies/%d/%d", &a, &b) == 2)
+        w->g[a].copies = b;
+    else if (sscanf(path, "/deaf/%d/%d/%d", &a, &b, &p) == 3)
+        wd_set_deaf(&w->inst[a][b], p != 0);
     else if (sscanf(path, "/lag/%d/%d", &a, &b) == 2)
         wd_set_lag(w, a, b);
     else if (sscanf(path, "/busy-sets/%d", &a) == 1)
@@ -89,8 +95,9 @@
                       (unsigned long long)w->g[g].token, w->g[g].n_log);
     for (int g = 0; g < w->n_groups; g++) {
         for (int i = 0; i < INSTS; i++)
-            sr_buf_printf(out, "instance %d %d reads %u failed %llu\n", g, i,
-                          w->inst[g][i].reads, (unsigned long long)w->inst[g][i].failed);
+            sr_buf_printf(out, "instance %d %d reads %u failed %llu received %d\n", g, i,
+                          w->inst[g][i].reads, (unsigned long long)w->inst[g][i].failed,
+                          w->inst[g][i].received);
     }
     for (int i = 0; i < w->n_accounts; i++)
         sr_buf_printf(out, "account %s statements %llu\n", w->accounts[i].name,
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -29,6 +29,7 @@
 struct group {
     char name[16];
     int lag_ms, n_log, primary;
+    int copies; /* replicas that must have received a commit before it is answered */
     uint64_t term, token;
     struct entry *log;
 };
@@ -38,6 +39,8 @@
     struct group *g;
     int at, port;
     bool dead, draining;
+    bool deaf;       /* receives nothing; so does a dead one */
+    int received;    /* of the group's log */
     unsigned grey;   /* of a hundred reads so many fail */
     unsigned reads;  /* that it was asked for */
     uint64_t failed; /* of these */
@@ -75,6 +78,9 @@
 void wd_make_group(struct world *w, int g, struct er_err *err);
 /* Dead: its connections end, and it takes none. */
 void wd_kill(struct inst *in, bool dead);
+void wd_set_deaf(struct inst *in, bool deaf);
+/* It leads the next term with what it has received; the rest of the log is cut off. */
+void wd_promote(struct inst *in);
 
 /* The lag of a group's replicas from now on; what they have applied stays so. */
 void wd_set_lag(struct world *w, int g, int ms);
--- a/tests/standin/world_lines.c
+++ b/tests/standin/world_lines.c
@@ -15,6 +15,7 @@
     struct sr_buf buf;
     struct account *account;
     bool greeted, txn, read_only, failed, was_primary;
+    int awaits; /* a commit is not answered before so much of the log is received; 0: none */
     uint64_t term;
     int n_writes, n_sets, n_prep;
     struct entry writes[16];
@@ -44,7 +45,7 @@
 static int applied(struct inst *in)
 {
     const struct group *g = in->g;
-    int n = g->n_log;
+    int n = in->received;
     int64_t until = ck_now() - CK_MS(g->lag_ms);
     while (!wd_leads(in) && n > in->applied && g->log[n - 1].at > until)
         n--;
@@ -103,6 +104,57 @@
     ready(c);
 }
 
+/* ---- replication ---- */
+
+/* Whoever lives and is not deaf receives at once what the primary has, if that lives. */
+static void replicate(struct group *g, struct inst *insts)
+{
+    for (int i = 0; i < INSTS; i++) {
+        struct inst *in = &insts[i];
+        if (i == g->primary || (!in->dead && !in->deaf && !insts[g->primary].dead))
+            in->received = g->n_log;
+    }
+}
+
+static int count_received(const struct group *g, const struct inst *insts, int n_log)
+{
+    int k = 0;
+    for (int i = 0; i < INSTS; i++)
+        k += i != g->primary && insts[i].received >= n_log;
+    return k;
+}
+
+static struct inst *insts_of(struct inst *in)
+{
+    return in - in->at;
+}
+
+/* Answers the commits that enough replicas have received by now; those of a former primary get
+ * no answer. */
+static void answer_commits(struct inst *any)
+{
+    struct group *g = any->g;
+    struct inst *insts = insts_of(any);
+    replicate(g, insts);
+    for (struct conn *c = insts[g->primary].conns; c; c = c->next) {
+        if (!c->awaits || count_received(g, insts, c->awaits) < g->copies)
+            continue;
+        c->awaits = 0;
+        complete(c, "c.1");
+    }
+}
+
+/* A commit is in the primary's log. */
+static void committed(struct conn *c, const char *signature)
+{
+    struct group *g = c->in->g;
+    replicate(g, insts_of(c->in));
+    if (count_received(g, insts_of(c->in), g->n_log) < g->copies)
+        c->awaits = g->n_log;
+    else
+        complete(c, signature);
+}
+
 /* ---- statements ---- */
 
 static void end_txn(struct conn *c)
@@ -166,11 +218,13 @@
         return;
     }
     snprintf(e.value, sizeof(e.value), "%s", value);
-    if (c->txn && c->n_writes < 16)
+    if (c->txn && c->n_writes < 16) {
         c->writes[c->n_writes++] = e;
-    else
-        append(c, &e);
-    complete(c, "w.1");
+        complete(c, "w.1");
+        return;
+    }
+    append(c, &e);
+    committed(c, "w.1");
 }
 
 static void do_commit(struct conn *c)
@@ -181,10 +235,14 @@
         error(c, lost ? "READONLY" : "MALFORMED");
         return;
     }
+    bool wrote = c->n_writes > 0;
     for (int i = 0; i < c->n_writes; i++)
         append(c, &c->writes[i]);
     end_txn(c);
-    complete(c, "c.1");
+    if (wrote)
+        committed(c, "c.1");
+    else
+        complete(c, "c.1");
 }
 
 static void do_begin(struct conn *c, bool read_only)
@@ -247,7 +305,7 @@
 {
     const struct inst *in = c->in;
     say(c, "DATAROW %s %llu %llu.%d 0 %d 0 %d", wd_leads(in) ? "primary" : "replica",
-        (unsigned long long)in->g->term, (unsigned long long)in->g->term, in->g->n_log,
+        (unsigned long long)in->g->term, (unsigned long long)in->g->term, in->received,
         wd_leads(in) ? 0 : in->g->lag_ms, in->n_conns);
     complete(c, "-");
 }
@@ -412,4 +470,31 @@
     in->dead = dead;
     for (struct conn *c = in->conns; dead && c; c = c->next)
         nt_close(c->net, true);
+    answer_commits(in);
+}
+
+void wd_set_deaf(struct inst *in, bool deaf)
+{
+    in->deaf = deaf;
+    answer_commits(in);
+}
+
+void wd_promote(struct inst *in)
+{
+    struct group *g = in->g;
+    struct inst *insts = insts_of(in);
+    for (struct conn *c = insts[g->primary].conns; c; c = c->next) {
+        if (c->awaits)
+            nt_close(c->net, true);
+        c->awaits = 0;
+    }
+    g->term++;
+    g->primary = in->at;
+    g->n_log = in->received;
+    for (int i = 0; i < INSTS; i++) {
+        struct inst *o = &insts[i];
+        o->received = o->received < g->n_log ? o->received : g->n_log;
+        o->applied = o->applied < g->n_log ? o->applied : g->n_log;
+    }
+    answer_commits(in);
 }
--- a/tests/standin/world_orders.c
+++ b/tests/standin/world_orders.c
@@ -28,11 +28,9 @@
 static void carry_out(const struct order *o, struct group *g)
 {
     int at = o->id[0] ? atoi(o->id + strlen(o->id) - 1) : 0;
-    if (o->w->inst[g - o->w->g][at].dead)
-        return;
-    if (g->primary != at)
-        g->term++;
-    g->primary = at;
+    struct inst *in = &o->w->inst[g - o->w->g][at];
+    if (!in->dead && g->primary != at)
+        wd_promote(in);
 }
 
 /* An order is carried out a while after it was taken, unless a later one fenced it. */
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 
 #include "intent/intent.h"
@@ -136,6 +137,39 @@
     vw_free(&w);
 }
 
+/* A replica's address is remembered until an instance registers there: it gets the log. */
+static void replicas_that_left_are_remembered(void)
+{
+    struct vw_view w, back = {0};
+    struct er_err err = {0};
+    vw_init(&w);
+    CU_ASSERT_TRUE(join(&w, 1, "a", 1, true) && join(&w, 2, "b", 2, false));
+    CU_ASSERT_TRUE(join(&w, 3, "c", 3, false) && leave(&w, 4, "c"));
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->n_left, 1);
+    json_t *j = vw_view_json(&w);
+    CU_ASSERT_TRUE(vw_view_parse(j, &back, &err));
+    CU_ASSERT_EQUAL(back.groups[0].n_left, 1);
+    CU_ASSERT_EQUAL(back.groups[0].left[0].port, 3);
+    CU_ASSERT_STRING_EQUAL(back.groups[0].left[0].ip, "10.0.0.1");
+    CU_ASSERT_TRUE(join(&w, 5, "d", 4, false));
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->n_left, 1);
+    CU_ASSERT_TRUE(join(&w, 6, "e", 3, false));
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->n_left, 0);
+    /* One that is replaced at its address leaves no gap, nor does the primary. */
+    CU_ASSERT_TRUE(join(&w, 7, "f", 2, false) && leave(&w, 8, "a"));
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->n_left, 0);
+    for (int i = 0; i < 2 * VW_MAX_INSTANCES; i++) {
+        char id[8];
+        snprintf(id, sizeof(id), "x%d", i);
+        CU_ASSERT_TRUE(join(&w, (uint64_t)(10 + 2 * i), id, 20 + i, false));
+        CU_ASSERT_TRUE(leave(&w, (uint64_t)(11 + 2 * i), id));
+    }
+    CU_ASSERT_EQUAL(vw_group(&w, "reg")->n_left, VW_MAX_INSTANCES);
+    json_decref(j);
+    vw_free(&back);
+    vw_free(&w);
+}
+
 static bool document(struct vw_view *w, uint64_t at, uint64_t version, const char *text)
 {
     struct vw_change ch = {.kind = VW_CH_DOCUMENT, .version = version, .text = sr_from(text)};
@@ -252,6 +286,7 @@
     TEST(s, removing_keeps_the_primary_right);
     TEST(s, text_round_trip);
     TEST(s, instances_register_themselves);
+    TEST(s, replicas_that_left_are_remembered);
     TEST(s, highest_document_holds);
     TEST(s, equal_numbers_name_the_winner);
     TEST(s, running_intents_are_not_forgotten);
--- a/view/json.c
+++ b/view/json.c
@@ -141,6 +141,14 @@
     return true;
 }
 
+static json_t *left_json(const struct vw_group *g)
+{
+    json_t *a = json_array();
+    for (int i = 0; i < g->n_left; i++)
+        json_array_append_new(a, json_pack("[s,i]", g->left[i].ip, g->left[i].port));
+    return a;
+}
+
 json_t *vw_group_json(const struct vw_group *g)
 {
     json_t *inst = json_array();
@@ -150,10 +158,30 @@
     for (int i = 0; i < g->n_starts; i++)
         json_array_append_new(starts, json_pack("[I,I]", (json_int_t)g->starts[i].term,
                                                 (json_int_t)g->starts[i].pos));
-    return json_pack("{s:s,s:s,s:I,s:i,s:i,s:o,s:o,s:I,s:i,s:b}", "name", g->name, "phase",
-                     phase_names[g->phase], "term", (json_int_t)g->term, "primary", g->primary,
-                     "target", g->target, "instances", inst, "starts", starts, "max_age_ms",
-                     (json_int_t)g->max_age_ms, "copies", g->copies, "degraded", g->degraded);
+    json_t *j =
+        json_pack("{s:s,s:s,s:I,s:i,s:i,s:o,s:o,s:I,s:i,s:b}", "name", g->name, "phase",
+                  phase_names[g->phase], "term", (json_int_t)g->term, "primary", g->primary,
+                  "target", g->target, "instances", inst, "starts", starts, "max_age_ms",
+                  (json_int_t)g->max_age_ms, "copies", g->copies, "degraded", g->degraded);
+    if (g->n_left > 0)
+        json_object_set_new(j, "left", left_json(g));
+    return j;
+}
+
+static bool left_parse(const json_t *a, struct vw_group *g, struct er_err *err)
+{
+    size_t n = json_array_size(a);
+    if (n > VW_MAX_INSTANCES)
+        return er_set(err, ER_TOO_LARGE, "left: %zu, expected at most %d", n, VW_MAX_INSTANCES);
+    for (size_t i = 0; i < n; i++) {
+        const json_t *pair = json_array_get(a, i), *ip = json_array_get(pair, 0);
+        struct sr_str s = {json_string_value(ip), json_string_length(ip)};
+        if (!s.p || !sr_copy(g->left[i].ip, sizeof(g->left[i].ip), s))
+            return er_set(err, ER_BAD_INPUT, "left: expected pairs of address and port");
+        g->left[i].port = (int)json_integer_value(json_array_get(pair, 1));
+    }
+    g->n_left = (int)n;
+    return true;
 }
 
 static bool starts_parse(const json_t *a, struct vw_group *g, struct er_err *err)
@@ -204,7 +232,8 @@
     g->copies = (int)copies;
     g->phase = (enum vw_phase)phase;
     g->degraded = json_is_true(json_object_get(j, "degraded"));
-    return starts_parse(json_object_get(j, "starts"), g, err);
+    return starts_parse(json_object_get(j, "starts"), g, err) &&
+           left_parse(json_object_get(j, "left"), g, err);
 }
 
 bool vw_group_parse(const json_t *j, struct vw_group *g, struct er_err *err)
--- a/view/view.c
+++ b/view/view.c
@@ -335,6 +335,28 @@
     add_start(g, (struct ps_start){term, pos});
 }
 
+static void add_left(struct vw_group *g, const struct vw_instance *in)
+{
+    if (g->n_left == VW_MAX_INSTANCES) {
+        memmove(&g->left[0], &g->left[1], sizeof(g->left[0]) * (VW_MAX_INSTANCES - 1));
+        g->n_left--;
+    }
+    struct vw_address *a = &g->left[g->n_left++];
+    sr_copy(a->ip, sizeof(a->ip), sr_from(in->ip));
+    a->port = in->port;
+}
+
+/* An instance has registered at the address. */
+static void remove_left(struct vw_group *g, const struct vw_instance *in)
+{
+    int kept = 0;
+    for (int i = 0; i < g->n_left; i++) {
+        if (g->left[i].port != in->port || strcmp(g->left[i].ip, in->ip) != 0)
+            g->left[kept++] = g->left[i];
+    }
+    g->n_left = kept;
+}
+
 /* Removes the instance. If it was the primary, the group has no primary until one is chosen
  * under the next term. */
 static void apply_leave(struct vw_view *v, struct vw_group *g, const char *leaving_id)
@@ -346,6 +368,8 @@
     int at = v->n_departed++ % VW_MAX_DEPARTED;
     sr_copy(v->departed[at], VW_NAME, sr_from(id));
     v->departed_born[at] = g->inst[i].born;
+    if (!was_primary)
+        add_left(g, &g->inst[i]);
     remove_instance(g, i);
     if (!was_primary)
         return;
@@ -412,6 +436,7 @@
     if (i < 0)
         i = g->n++;
     g->inst[i] = ch->inst;
+    remove_left(g, &ch->inst);
     /* An instance's own report makes it the primary only in a group that never had one. */
     if (ch->flag && g->term == 0)
         set_primary(g, i, 1, 0);
--- a/view/view.h
+++ b/view/view.h
@@ -41,6 +41,11 @@
     int64_t born;
 };
 
+struct vw_address {
+    char ip[46];
+    int port;
+};
+
 /* State of a group's primary. */
 enum vw_phase {
     VW_SERVING,   /* `primary` serves `term` */
@@ -56,6 +61,10 @@
     int target;    /* VW_HANDING: index of the successor */
     int n;
     struct vw_instance inst[VW_MAX_INSTANCES];
+    /* Addresses of replicas that left, until their successors, which get their logs, register
+     * there. The oldest are dropped first. */
+    int n_left;
+    struct vw_address left[VW_MAX_INSTANCES];
     int n_starts;
     struct ps_start starts[VW_MAX_STARTS]; /* ascending; the oldest are dropped first */
     int64_t max_age_ms;                    /* maximum age that a read may accept */
