proxy: no commit is acknowledged in a term that the node has dropped

What callers would see: with syncReplicas, a commit that is answered by the old primary after its entry node dropped the term was passed on as successful, though control chooses the next primary by what replicas held when the term was dropped.

Cause: the term was checked when a statement was sent, not when its answer came.

Change: where replicas must have received a commit, its answer is passed on only under a lease and in the term that it was sent in, or while a planned change waits for it; otherwise the outcome is unknown (counted in ferry_session_withheld_commits_total). With syncReplicas 0 nothing changes.

--- a/proxy/holders.c
+++ b/proxy/holders.c
@@ -88,10 +88,10 @@
                                                                               : k;
 }
 
-/* The number of holders such that each has a few connections; 0: all nodes. */
-static int holders_of(const struct px_proxy *p, const struct px_group *g)
+/* The number of holders such that each has a few connections; 0: all nodes. `svc`: of the
+ * group, or NULL. */
+static int holders_of(const struct px_proxy *p, const struct cg_service *svc)
 {
-    const struct cg_service *svc = cg_service(&p->catalog, g->cfg.name);
     int conns = svc ? svc->max_conns : 0;
     if (px_has_accounts(p))
         return holders_for_accounts(p, conns);
@@ -106,8 +106,10 @@
     bool known = p->knew_nodes = px_knows_nodes(p);
     for (int i = 0; i < p->n_groups; i++) {
         struct px_group *g = p->groups[i];
-        int out[HO_MAX_HOLDERS], k = holders_of(p, g), n_before = g->n_holders;
+        const struct cg_service *svc = cg_service(&p->catalog, g->cfg.name);
+        int out[HO_MAX_HOLDERS], k = holders_of(p, svc), n_before = g->n_holders;
         bool was_held = g->held;
+        g->sync_copies = svc ? svc->sync_copies : 1;
         free(g->placements);
         g->placements = NULL;
         g->n_holders = ho_pick(p->nodes, p->n_nodes, g->cfg.name, k ? k : MIN_HOLDERS, out);
--- a/proxy/outcome.c
+++ b/proxy/outcome.c
@@ -106,12 +106,16 @@
 
 /* ---- answers ---- */
 
+bool px_commits_writes(const struct px_session *s)
+{
+    return s->stmt.verb == PX_V_COMMIT ? s->txn_wrote : s->writes && !px_in_txn(s);
+}
+
 /* Records the position of a commit of the session, which its later reads must see. */
 static void note_commit(struct px_session *s, const struct px_conn *c)
 {
-    bool commits = s->stmt.verb == PX_V_COMMIT ? s->txn_wrote : s->writes && !px_in_txn(s);
     const struct px_group *g = c->inst->group;
-    if (!commits)
+    if (!px_commits_writes(s))
         return;
     bool tracked = c->has_pos;
     if (!c->has_pos)
@@ -153,8 +157,35 @@
     release(c);
 }
 
+/* Whether a commit that the instance answered may be acknowledged. Where replicas must have
+ * received it, control chooses the next primary by what they hold once every node has dropped
+ * the term; so nothing may be acknowledged in a term that this node has dropped, or may have to
+ * by now. In a planned change it is dropped when the statements at the old primary have ended.
+ */
+static bool may_acknowledge(const struct px_group *g, const struct px_conn *c)
+{
+    if (g->sync_copies == 0)
+        return true;
+    bool ending = g->cfg.phase == VW_HANDING && g->settle_deadline;
+    return px_leased(g->p) && (c->term == g->cfg.term || ending);
+}
+
+static void withhold_acknowledgement(struct px_session *s, struct px_conn *c)
+{
+    s->p->c.withheld_commits++;
+    s->txn = PX_IDLE;
+    s->conn = NULL;
+    c->session = NULL;
+    px_refuse(s, ER_LOST, "the primary was being replaced when it answered the commit");
+    release(c);
+}
+
 void px_on_answer(struct px_session *s, struct px_conn *c)
 {
+    if (c->error == ER_NONE && px_commits_writes(s) && !may_acknowledge(c->inst->group, c)) {
+        withhold_acknowledgement(s, c);
+        return;
+    }
     if (px_in_txn(s)) {
         count_read(s, c);
         if (c->error == ER_NONE)
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -134,6 +134,9 @@
      * holder. */
     bool held;
     bool connects_first; /* this node is among `holders` */
+    /* Replicas that must have received a commit before the instance acknowledges it; at least
+     * one is assumed if the document in force lacks the group. */
+    int sync_copies;
     int64_t released_at; /* when this node stopped holding it */
     /* Indices into the proxy's nodes: the holders, or where all nodes hold the group, those
      * that connect first. */
@@ -277,6 +280,7 @@
     uint64_t ok, failed, by_reason[ER_COUNT];
     uint64_t reads_primary, reads_replica;
     uint64_t untracked_commits; /* commits of sessions whose positions are not kept */
+    uint64_t withheld_commits;  /* commits answered by a primary that was being replaced */
     uint64_t reads_untracked;   /* reads at the primary because of such a commit */
     uint64_t behind;            /* times that an instance lacked the position of a read */
     uint64_t retries;           /* repeated attempts of statements */
@@ -546,6 +550,8 @@
 void px_work_tick(struct px_session *s, int64_t now);
 
 /* outcome.c: outcome of a statement */
+/* Whether the session's statement commits writes. */
+bool px_commits_writes(const struct px_session *s);
 /* The connection received the whole answer. */
 void px_on_answer(struct px_session *s, struct px_conn *c);
 /* The statement could not be sent; nothing of it was. */
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -385,6 +385,7 @@
                 {"reads_replica_total", p->c.reads_replica},
                 {"untracked_commits_total", p->c.untracked_commits},
                 {"reads_untracked_total", p->c.reads_untracked},
+                {"withheld_commits_total", p->c.withheld_commits},
                 {"behind_total", p->c.behind},
                 {"retries_total", p->c.retries},
                 {"parked_total", p->c.parked},
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -38,6 +38,7 @@
     holding_suite();
     opening_suite();
     own_commits_suite();
+    sync_commits_suite();
     accounts_suite();
     fit_suite();
     full_suite();
