proxy: commits that wait for a replica are no failure of the instance

Cause: where a commit is answered once a replica has received it, one whose replica receives nothing is never answered. Each such statement was counted as a lost answer of the instance, so entry nodes reported the primary as failing while it served reads.

Evidence: instance_suspected of two nodes, "does not answer, or fails", then change_of_primary "down for 2 nodes, up for 1".

Change: a statement that commits in such a group does not count against the instance when its answer is late. Answers that break off, lost connections and reads count as before.

Test: commits_that_wait_for_a_replica_are_no_failure; without the change it fails.

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -29,6 +29,7 @@
     c->sent_at = ck_now();
     c->term = c->inst->group->cfg.term;
     c->leased = px_leased(p);
+    c->awaits_copies = false;
     c->complete_seen = false;
     c->error = ER_NONE;
     c->rows.len = c->signature.len = 0;
@@ -88,6 +89,7 @@
     s->sent_at = c->last_used_at = ck_now();
     s->offers++;
     bool ok = send_msg(c, &m);
+    c->awaits_copies = c->inst->group->sync_copies > 0 && px_commits_writes(s);
     sr_buf_free(&text);
     return ok;
 }
@@ -497,7 +499,8 @@
         px_conn_close(c);
     } else if ((c->phase == PX_C_ORPHANED || c->phase == PX_C_ROLLING_BACK) &&
                silent_us > ORPHAN_TIMEOUT_US) {
-        px_outlier_record(&c->inst->outlier, false, now);
+        if (!c->awaits_copies)
+            px_outlier_record(&c->inst->outlier, false, now);
         px_conn_close(c);
     }
 }
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -61,6 +61,9 @@
     int64_t sent_at; /* when the statement was sent; PX_C_OPENING: when opening began */
     uint64_t term;   /* term of the group when the statement was sent */
     bool leased;     /* the term was known to be in force then */
+    /* It commits where replicas must receive a commit before it is answered: a late answer
+     * tells of them, not of the instance. */
+    bool awaits_copies;
 
     /* the part of the answer received so far */
     struct sr_buf rows; /* result rows, as passed to the caller */
--- a/tests/unit/test_sync_commits.c
+++ b/tests/unit/test_sync_commits.c
@@ -1,5 +1,6 @@
 /* Commits at an instance that answers them once a replica has received them: none is
- * acknowledged in a term that this node has dropped. */
+ * acknowledged in a term that this node has dropped, and those that wait for a replica are no
+ * evidence against the instance. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -264,9 +265,60 @@
     CU_ASSERT_TRUE(is_in_doubt());
 }
 
+/* ---- commits without an answer, beside reads that have one ---- */
+
+static void write_and_read(struct nt_conn *c)
+{
+    static const char both[] = "QUERY w WRITE x y\r\nQUERY r READ x\r\n";
+    nt_send(c, both, sizeof(both) - 1);
+}
+
+static void writer_open(struct nt_conn *c, void *ud)
+{
+    (void)ud;
+    nt_send(c, "STARTUP db me\r\n", 15);
+    write_and_read(c);
+}
+
+static void writer_message(struct nt_conn *c, void *ud, const char *data, size_t len)
+{
+    (void)ud;
+    if (memmem(data, len, "DATAROW", 7))
+        write_and_read(c);
+}
+
+static const struct nt_ops writer_ops = {writer_open, writer_message, on_no_close};
+
+static void watch_health(void *ud)
+{
+    (void)ud;
+    if (px_instance_health(w.p, SR_LIT("i0")) == WR_SILENT)
+        nt_stop(w.loop);
+    else
+        nt_timer_set(w.loop, &w.step, CK_MS(10), watch_health, NULL);
+}
+
+static enum wr_health health_after_writes(int copies)
+{
+    int here = make_node(copies, 150);
+    for (int i = 0; i < CALLERS; i++)
+        nt_connect_stream(w.loop, "127.0.0.1", here, &writer_ops, &w);
+    watch_health(NULL);
+    run_for(CK_SEC(4));
+    return px_instance_health(w.p, SR_LIT("i0"));
+}
+
+/* LOST: the primary, whose commits waited for a replica, was reported as failing. */
+static void commits_that_wait_for_a_replica_are_no_failure(void)
+{
+    CU_ASSERT_EQUAL(health_after_writes(0), WR_SILENT);
+    CU_ASSERT_NOT_EQUAL(health_after_writes(1), WR_SILENT);
+}
+
 void sync_commits_suite(void)
 {
     CU_pSuite s = CU_add_suite("sync commits", NULL, NULL);
     TEST(s, a_dropped_term_acknowledges_nothing);
     TEST(s, a_planned_change_lets_commits_end);
+    TEST(s, commits_that_wait_for_a_replica_are_no_failure);
 }
