--- a/takeover/coverage.c
+++ b/takeover/coverage.c
@@ -3,11 +3,11 @@
  *
  * A commit that was acknowledged is at the primary of its term and at `copies` of the r
  * replicas. So it is in one of any r - copies + 1 of them, and the one of these that received
- * most has all of them. A replica that receives nothing any more counts as one of
- * them with an upper bound: whatever was acknowledged before is at or below each position that
- * the primary reported since. That is so for one that left, and for one whose connections are
- * refused: its port is dead, as an instance that is dark or cut off says nothing. A replica that
- * does not answer, but may receive, is not known: the change waits for it, or for the primary.
+ * most has all of them. A replica that receives nothing any more counts as one of them with an
+ * upper bound: whatever was acknowledged before is at or below each position that the primary
+ * reported since. That is so for one that left, and for one whose connections are refused: its
+ * port is dead, as an instance that is dark or cut off says nothing. A replica that does not
+ * answer, but may receive, is not known: the change waits for it, or for the primary.
  *
  * The primary of an earlier term is a replica in this count. Its successor was chosen by the
  * same rule, so it holds what was acknowledged in earlier terms. */
