--- a/tests/unit/one_node.c
+++ b/tests/unit/one_node.c
@@ -79,6 +79,27 @@
     free(view.doc.text);
 }
 
+void on_listen(struct nt_loop *l, int port, const struct nt_ops *ops,
+               void *(*accept)(struct nt_conn *c, void *ud), void *ud)
+{
+    struct er_err err = {0};
+    struct nt_listen at = {.ip = "127.0.0.1",
+                           .port = port,
+                           .stream = true,
+                           .ops = ops,
+                           .accept = accept,
+                           .ud = ud};
+    CU_ASSERT_PTR_NOT_NULL_FATAL(nt_listen(l, &at, &err));
+}
+
+void on_show_two_nodes(struct px_proxy *p, int port)
+{
+    struct ho_node nodes[2] = {{.name = "n0", .domain = "z", .ip = "127.0.0.1", .port = port},
+                               {.name = "n1", .domain = "z", .ip = "127.0.0.1", .port = 1}};
+    ho_prepare(nodes, 2);
+    px_set_nodes(p, nodes, 2);
+}
+
 void on_no_open(struct nt_conn *c, void *ud)
 {
     (void)c;
--- a/tests/unit/one_node.h
+++ b/tests/unit/one_node.h
@@ -13,6 +13,13 @@
 /* The proxy acts on one group "g" with one instance "i" at that port, and on the document. */
 void on_show_group(struct px_proxy *p, int inst_port, const char *document);
 
+/* Listens at a port of 127.0.0.1 for connections that are handled by `ops`. */
+void on_listen(struct nt_loop *l, int port, const struct nt_ops *ops,
+               void *(*accept)(struct nt_conn *c, void *ud), void *ud);
+
+/* The proxy's node "n0", with sessions at that port, and "n1", which does not answer. */
+void on_show_two_nodes(struct px_proxy *p, int port);
+
 /* Callbacks that do nothing. */
 void on_no_open(struct nt_conn *c, void *ud);
 void on_no_close(struct nt_conn *c, void *ud, bool opened, bool refused);
--- a/tests/unit/test_opening.c
+++ b/tests/unit/test_opening.c
@@ -28,20 +28,6 @@
     struct nt_conn *callers[CALLERS];
 } w;
 
-static void no_open(struct nt_conn *c, void *ud)
-{
-    (void)c;
-    (void)ud;
-}
-
-static void no_close(struct nt_conn *c, void *ud, bool opened, bool refused)
-{
-    (void)c;
-    (void)ud;
-    (void)opened;
-    (void)refused;
-}
-
 /* ---- the instance ---- */
 
 static void inst_message(struct nt_conn *c, void *ud, const char *data, size_t len)
@@ -55,7 +41,7 @@
         nt_send(c, done, sizeof(done) - 1);
 }
 
-static const struct nt_ops inst_ops = {no_open, inst_message, no_close};
+static const struct nt_ops inst_ops = {on_no_open, inst_message, on_no_close};
 
 static void *inst_accept(struct nt_conn *c, void *ud)
 {
@@ -80,7 +66,7 @@
     w.answered += memmem(data, len, "COMPLETE", 8) != NULL;
 }
 
-static const struct nt_ops caller_ops = {caller_open, caller_message, no_close};
+static const struct nt_ops caller_ops = {caller_open, caller_message, on_no_close};
 
 /* ---- the node between them ---- */
 
@@ -101,8 +87,6 @@
 {
     static struct vw_group group;
     struct vw_view view = {.generation = 1, .n = 1, .groups = &group};
-    struct ho_node nodes[2] = {{.name = "n0", .domain = "z", .ip = "127.0.0.1", .port = port},
-                               {.name = "n1", .domain = "z", .ip = "127.0.0.1", .port = 1}};
     group = (struct vw_group){.name = "g", .term = 1, .n = 1, .phase = VW_SERVING};
     group.inst[0] = (struct vw_instance){.id = "i", .ip = "127.0.0.1", .domain = "z"};
     group.inst[0].port = inst_port;
@@ -110,8 +94,7 @@
     w.p = on_create(w.loop, "n0", port, CALLERS, NULL);
     px_set_view(w.p, &view);
     free(view.doc.text);
-    ho_prepare(nodes, 2);
-    px_set_nodes(w.p, nodes, 2);
+    on_show_two_nodes(w.p, port);
     px_set_share(w.p, SR_LIT("i"), SHARE);
 }
 
@@ -120,12 +103,7 @@
     struct er_err err = {0};
     int here = on_free_port(), there = on_free_port();
     w = (struct world){.loop = nt_loop_create(64, &err), .greets = greets};
-    struct nt_listen l = {.ip = "127.0.0.1",
-                          .port = there,
-                          .stream = true,
-                          .ops = &inst_ops,
-                          .accept = inst_accept};
-    CU_ASSERT_PTR_NOT_NULL(nt_listen(w.loop, &l, &err));
+    on_listen(w.loop, there, &inst_ops, inst_accept, NULL);
     make_node(here, there);
     tick(NULL);
     for (int i = 0; i < CALLERS; i++)
--- a/tests/unit/test_own_commits.c
+++ b/tests/unit/test_own_commits.c
@@ -79,7 +79,7 @@
 
 /* An instance; a replica has received nothing since the start. */
 struct db {
-    int group, index, port;
+    int group, port;
     unsigned pos;   /* of its log */
     unsigned asked; /* reads that it was asked for */
     unsigned stale; /* reads that it served without the session's write in the group */
@@ -258,19 +258,13 @@
     nt_stop(w.loop);
 }
 
-static void listen_all(struct er_err *err)
+static void listen_all(void)
 {
     for (int k = 0; k < GROUPS; k++) {
         for (int i = 0; i < INSTANCES; i++) {
             struct db *d = &w.db[k][i];
-            *d = (struct db){.group = k, .index = i, .port = on_free_port(), .pos = 3};
-            struct nt_listen l = {.ip = "127.0.0.1",
-                                  .port = d->port,
-                                  .stream = true,
-                                  .ops = &db_ops,
-                                  .accept = db_accept,
-                                  .ud = d};
-            CU_ASSERT_PTR_NOT_NULL(nt_listen(w.loop, &l, err));
+            *d = (struct db){.group = k, .port = on_free_port(), .pos = 3};
+            on_listen(w.loop, d->port, &db_ops, db_accept, d);
         }
     }
 }
@@ -301,13 +295,10 @@
     w.at = -1;
     w.write = write;
     w.read = read;
-    listen_all(&err);
+    listen_all();
     w.p = on_create(w.loop, "n0", here, 4, NULL);
     move_to(route[0]);
-    struct ho_node nodes[2] = {{.name = "n0", .domain = "z", .ip = "127.0.0.1", .port = here},
-                               {.name = "n1", .domain = "z", .ip = "127.0.0.1", .port = 1}};
-    ho_prepare(nodes, 2);
-    px_set_nodes(w.p, nodes, 2);
+    on_show_two_nodes(w.p, here);
     give_shares();
     tick(NULL);
     nt_connect_stream(w.loop, "127.0.0.1", here, &caller_ops, &w);
--- a/tests/unit/test_sync_commits.c
+++ b/tests/unit/test_sync_commits.c
@@ -158,20 +158,11 @@
     w.leased = true;
     for (int i = 0; i < INSTANCES; i++) {
         w.port[i] = on_free_port();
-        struct nt_listen l = {.ip = "127.0.0.1",
-                              .port = w.port[i],
-                              .stream = true,
-                              .ops = &inst_ops,
-                              .accept = inst_accept,
-                              .ud = &w};
-        CU_ASSERT_PTR_NOT_NULL(nt_listen(w.loop, &l, &err));
+        on_listen(w.loop, w.port[i], &inst_ops, inst_accept, &w);
     }
     w.p = on_create(w.loop, "n0", here, CALLERS, leased);
     show_view(VW_SERVING, 1);
-    struct ho_node nodes[2] = {{.name = "n0", .domain = "z", .ip = "127.0.0.1", .port = here},
-                               {.name = "n1", .domain = "z", .ip = "127.0.0.1", .port = 1}};
-    ho_prepare(nodes, 2);
-    px_set_nodes(w.p, nodes, 2);
+    on_show_two_nodes(w.p, here);
     for (int i = 0; i < INSTANCES; i++) {
         char id[8];
         snprintf(id, sizeof(id), "i%d", i);
