view: replicas that left stand in the free slots of a group's instances

Cause: an array of its own for what is empty nearly always, while inst[] has room for seven instances and groups have three.

Change: they stand at the end of inst[], as many as there is room for; an instance that joins pushes out the oldest. The view's text is the same.

--- a/view/json.c
+++ b/view/json.c
@@ -144,8 +144,8 @@
 static json_t *left_json(const struct vw_group *g)
 {
     json_t *a = json_array();
-    for (int i = 0; i < g->n_left; i++)
-        json_array_append_new(a, json_pack("[s,i]", g->left[i].ip, g->left[i].port));
+    for (int k = g->n_left - 1; k >= 0; k--)
+        json_array_append_new(a, json_pack("[s,i]", vw_left(g, k)->ip, vw_left(g, k)->port));
     return a;
 }
 
@@ -168,19 +168,20 @@
     return j;
 }
 
+/* Oldest first. */
 static bool left_parse(const json_t *a, struct vw_group *g, struct er_err *err)
 {
     size_t n = json_array_size(a);
-    if (n > VW_MAX_INSTANCES)
-        return er_set(err, ER_TOO_LARGE, "left: %zu, expected at most %d", n, VW_MAX_INSTANCES);
+    if (n > (size_t)(VW_MAX_INSTANCES - g->n))
+        return er_set(err, ER_TOO_LARGE, "left: %zu, expected at most %d", n,
+                      VW_MAX_INSTANCES - g->n);
     for (size_t i = 0; i < n; i++) {
-        const json_t *pair = json_array_get(a, i), *ip = json_array_get(pair, 0);
-        struct sr_str s = {json_string_value(ip), json_string_length(ip)};
-        if (!s.p || !sr_copy(g->left[i].ip, sizeof(g->left[i].ip), s))
+        const json_t *pair = json_array_get(a, i);
+        const char *ip = json_string_value(json_array_get(pair, 0));
+        if (!ip)
             return er_set(err, ER_BAD_INPUT, "left: expected pairs of address and port");
-        g->left[i].port = (int)json_integer_value(json_array_get(pair, 1));
+        vw_add_left(g, ip, (int)json_integer_value(json_array_get(pair, 1)));
     }
-    g->n_left = (int)n;
     return true;
 }
 
--- a/view/view.c
+++ b/view/view.c
@@ -335,26 +335,44 @@
     add_start(g, (struct ps_start){term, pos});
 }
 
-static void add_left(struct vw_group *g, const struct vw_instance *in)
+/* Replicas that left stand at the end of inst[], the newest last. */
+static struct vw_instance *left_slot(struct vw_group *g, int k)
 {
-    if (g->n_left == VW_MAX_INSTANCES) {
-        memmove(&g->left[0], &g->left[1], sizeof(g->left[0]) * (VW_MAX_INSTANCES - 1));
-        g->n_left--;
-    }
-    struct vw_address *a = &g->left[g->n_left++];
-    sr_copy(a->ip, sizeof(a->ip), sr_from(in->ip));
-    a->port = in->port;
+    return &g->inst[VW_MAX_INSTANCES - 1 - k];
+}
+
+const struct vw_instance *vw_left(const struct vw_group *g, int k)
+{
+    return left_slot((struct vw_group *)g, k);
+}
+
+/* Drops the oldest of them, so that `n` instances have room. */
+static void make_room(struct vw_group *g, int n)
+{
+    if (g->n_left > VW_MAX_INSTANCES - n)
+        g->n_left = (uint8_t)(VW_MAX_INSTANCES - n);
+}
+
+void vw_add_left(struct vw_group *g, const char *ip, int port)
+{
+    make_room(g, g->n + 1);
+    for (int k = g->n_left; k > 0; k--)
+        *left_slot(g, k) = *left_slot(g, k - 1);
+    *left_slot(g, 0) = (struct vw_instance){.port = port};
+    sr_copy(left_slot(g, 0)->ip, sizeof(left_slot(g, 0)->ip), sr_from(ip));
+    g->n_left++;
 }
 
 /* An instance has registered at the address. */
 static void remove_left(struct vw_group *g, const struct vw_instance *in)
 {
     int kept = 0;
-    for (int i = 0; i < g->n_left; i++) {
-        if (g->left[i].port != in->port || strcmp(g->left[i].ip, in->ip) != 0)
-            g->left[kept++] = g->left[i];
+    for (int k = 0; k < g->n_left; k++) {
+        const struct vw_instance *o = vw_left(g, k);
+        if (o->port != in->port || strcmp(o->ip, in->ip) != 0)
+            *left_slot(g, kept++) = *o;
     }
-    g->n_left = kept;
+    g->n_left = (uint8_t)kept;
 }
 
 /* Removes the instance. If it was the primary, the group has no primary until one is chosen
@@ -368,11 +386,12 @@
     int at = v->n_departed++ % VW_MAX_DEPARTED;
     sr_copy(v->departed[at], VW_NAME, sr_from(id));
     v->departed_born[at] = g->inst[i].born;
-    if (!was_primary)
-        add_left(g, &g->inst[i]);
+    struct vw_instance left = g->inst[i];
     remove_instance(g, i);
-    if (!was_primary)
+    if (!was_primary) {
+        vw_add_left(g, left.ip, left.port);
         return;
+    }
     g->primary = -1;
     g->target = -1;
     g->phase = VW_REPLACING;
@@ -407,6 +426,7 @@
         g->max_age_ms = ch->max_age_ms;
         break;
     case VW_CH_ADD:
+        make_room(g, g->n + 1);
         g->inst[g->n++] = ch->inst;
         break;
     case VW_CH_REMOVE:
@@ -433,10 +453,12 @@
     if (other >= 0 && strcmp(g->inst[other].id, ch->inst.id) != 0)
         apply_leave(v, g, g->inst[other].id);
     int i = vw_instance(g, ch->inst.id);
-    if (i < 0)
+    remove_left(g, &ch->inst);
+    if (i < 0) {
+        make_room(g, g->n + 1);
         i = g->n++;
+    }
     g->inst[i] = ch->inst;
-    remove_left(g, &ch->inst);
     /* An instance's own report makes it the primary only in a group that never had one. */
     if (ch->flag && g->term == 0)
         set_primary(g, i, 1, 0);
--- a/view/view.h
+++ b/view/view.h
@@ -41,11 +41,6 @@
     int64_t born;
 };
 
-struct vw_address {
-    char ip[46];
-    int port;
-};
-
 /* State of a group's primary. */
 enum vw_phase {
     VW_SERVING,   /* `primary` serves `term` */
@@ -61,15 +56,14 @@
     int target;    /* VW_HANDING: index of the successor */
     int n;
     struct vw_instance inst[VW_MAX_INSTANCES];
-    /* Addresses of replicas that left, until their successors, which get their logs, register
-     * there. The oldest are dropped first. */
-    int n_left;
-    struct vw_address left[VW_MAX_INSTANCES];
     int n_starts;
     struct ps_start starts[VW_MAX_STARTS]; /* ascending; the oldest are dropped first */
     int64_t max_age_ms;                    /* maximum age that a read may accept */
     int copies;                            /* instances that must hold an acknowledged write */
     bool degraded;                         /* the operator allows writes with fewer copies */
+    /* Replicas that left, until their successors, which get their logs, register at their
+     * addresses: vw_left. As many as inst[] has room for; the oldest are dropped first. */
+    uint8_t n_left;
 };
 
 enum vw_intent_kind {
@@ -162,6 +156,10 @@
 
 struct vw_group *vw_group(const struct vw_view *v, const char *name);
 int vw_instance(const struct vw_group *g, const char *id);
+/* The replica that left, newest first, below n_left; only its address is set. */
+const struct vw_instance *vw_left(const struct vw_group *g, int k);
+/* Records that a replica with that address left. */
+void vw_add_left(struct vw_group *g, const char *ip, int port);
 /* Whether an instance with this id is among the latest VW_MAX_DEPARTED that left. */
 bool vw_has_left(const struct vw_view *v, const char *id);
 /* Whether the instance that started at `born` is such a departed instance, or an earlier start
