tests: each instance of ferry-world goes through the control nodes itself

Cause: in ferry-world, not in control. Three instances shared one index of the control node that they register at, and each failure moved it on. A follower acknowledges what is unchanged and redirects a change, so only the draining instance failed there; the index moved on to an address where no node runs, three failures moved it on by three, which of four nodes is the follower again. The leader never heard of the drain: c2 counted 48 heartbeats in 10 s and redirected 16 of them, c0, which led, counted none.

Change: an index for each instance, moved on once for each node that fails, so that no node is skipped. The platform's callers follow the redirect; ferry-world still does not, but reaches the leader within a beat for each node.

Checks are unchanged.

--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -21,19 +21,31 @@
 
 /* ---- registering ---- */
 
+/* A registration that is under way. */
+struct beat {
+    struct inst *in;
+    int control;
+};
+
+/* An instance that is not acknowledged goes on to the next control node. Each instance does so
+ * for itself, and once for each node, so that none is skipped: only the leader acknowledges a
+ * change. */
 static void beaten(void *ud, int status, const char *body, size_t len)
 {
-    struct world *w = ud;
+    struct beat *b = ud;
     (void)body;
     (void)len;
-    if (status != 200)
-        w->next_control = (w->next_control + 1) % w->n_controls;
+    if (status != 200 && b->in->control == b->control)
+        b->in->control = (b->control + 1) % b->in->w->n_controls;
+    free(b);
 }
 
 static void beat_one(struct world *w, struct inst *in)
 {
     char path[96], body[320];
     int g = (int)(in->g - w->g);
+    struct beat *b = sr_alloc(sizeof(*b));
+    *b = (struct beat){in, in->control};
     snprintf(path, sizeof(path), "/api/instances/i-%d-%d/heartbeat", g, in->at);
     snprintf(
         body, sizeof(body),
@@ -42,8 +54,8 @@
         "llu}",
         in->g->name, in->port + w->via, in->at, in->draining ? "draining" : "ready",
         wd_leads(in) ? "primary" : "replica", (unsigned long long)++in->seq);
-    nt_http_get(w->loop, w->control_ip[w->next_control], w->control_port[w->next_control],
-                "POST", path, body, beaten, w);
+    nt_http_get(w->loop, w->control_ip[b->control], w->control_port[b->control], "POST", path,
+                body, beaten, b);
 }
 
 static void beat_all(void *ud)
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -46,6 +46,7 @@
     uint64_t failed; /* of these */
     int applied;     /* of its log; it never goes back */
     uint64_t seq;    /* of its registrations */
+    int control;     /* index of the control node that it registers at */
     struct conn *conns;
     int n_conns;
 };
@@ -57,7 +58,7 @@
     int busy_sets; /* SETs that are to be refused */
     int via;       /* added to the ports that instances tell */
     int halves;    /* answers of reads and writes that are to break off before their end */
-    int n_controls, control_port[8], next_control;
+    int n_controls, control_port[8];
     char control_ip[8][46];
     struct group g[GROUPS];
     struct inst inst[GROUPS][INSTS];
