--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -72,22 +72,27 @@
 
 /* ---- commands ---- */
 
+static bool has_inst(const struct world *w, int g, int i)
+{
+    return g >= 0 && g < w->n_groups && i >= 0 && i < INSTS;
+}
+
 static void obey(struct world *w, const char *path)
 {
     int a = 0, b = 0, p = 0;
-    if (sscanf(path, "/kill/%d/%d", &a, &b) == 2)
+    if (sscanf(path, "/kill/%d/%d", &a, &b) == 2 && has_inst(w, a, b))
         wd_kill(&w->inst[a][b], true);
-    else if (sscanf(path, "/revive/%d/%d", &a, &b) == 2)
+    else if (sscanf(path, "/revive/%d/%d", &a, &b) == 2 && has_inst(w, a, b))
         wd_kill(&w->inst[a][b], false);
-    else if (sscanf(path, "/drain/%d/%d", &a, &b) == 2)
+    else if (sscanf(path, "/drain/%d/%d", &a, &b) == 2 && has_inst(w, a, b))
         w->inst[a][b].draining = true;
-    else if (sscanf(path, "/grey/%d/%d/%d", &a, &b, &p) == 3)
+    else if (sscanf(path, "/grey/%d/%d/%d", &a, &b, &p) == 3 && has_inst(w, a, b))
         w->inst[a][b].grey = (unsigned)p;
-    else if (sscanf(path, "/copies/%d/%d", &a, &b) == 2)
+    else if (sscanf(path, "/copies/%d/%d", &a, &b) == 2 && has_inst(w, a, 0))
         w->g[a].copies = b;
-    else if (sscanf(path, "/deaf/%d/%d/%d", &a, &b, &p) == 3)
+    else if (sscanf(path, "/deaf/%d/%d/%d", &a, &b, &p) == 3 && has_inst(w, a, b))
         wd_set_deaf(&w->inst[a][b], p != 0);
-    else if (sscanf(path, "/lag/%d/%d", &a, &b) == 2)
+    else if (sscanf(path, "/lag/%d/%d", &a, &b) == 2 && has_inst(w, a, 0))
         wd_set_lag(w, a, b);
     else if (sscanf(path, "/busy-sets/%d", &a) == 1)
         w->busy_sets = a;
@@ -97,6 +102,8 @@
         w->via = a;
     else if (sscanf(path, "/deaf-orders/%d", &a) == 1)
         w->deaf = a;
+    else if (strcmp(path, "/status") != 0)
+        fprintf(stderr, "ferry-world: %s: no such command, group or instance\n", path);
 }
 
 static void put_status(struct sr_buf *out, const struct world *w)
