tests: t_copies also plays relayed sessions

A scenario with six entry nodes and five connections an instance: a replica receives nothing and the primary dies, while sessions are relayed.

--- a/tests/process/t_copies.sh
+++ b/tests/process/t_copies.sh
@@ -79,6 +79,29 @@
 sleep 1; se_world "revive/0/$B" > /dev/null; se_world "deaf/0/$C/0" > /dev/null
 se_load_end
 
+t_say "entry nodes that hold no connections relay sessions, and the primary dies"
+few() { se_document "$1" | sed 's/"maxConns":25/"maxConns":5/'; }
+relayed() { # by all six nodes
+    local i
+    for i in 0 1 2 3 4 5; do curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + i))/metrics"; done |
+        awk '$1 == "ferry_session_relayed_total" {n += $2} END {print n + 0}'
+}
+for i in 3 4 5; do se_node entry $i; done
+t_check "five connections an instance, for six nodes" se_put "$(few 8)" 200
+for i in 3 4 5; do t_check "entry node $i is ready" t_until se_ready $i; done
+t_until is_level
+se_load 11 27 "${P[@]}" $((SE_BASE + 43)) $((SE_BASE + 44)) $((SE_BASE + 45))
+sleep 2; name_instances; se_world "deaf/0/$C/1" > /dev/null
+sleep 0.3; se_world "kill/0/$A" > /dev/null
+sleep 6
+t_check "the other one leads and stays" leads "$B"
+se_world "deaf/0/$C/0" > /dev/null
+se_load_end
+t_check "sessions were relayed" [ "$(relayed)" -gt 0 ]
+se_world "revive/0/$A" > /dev/null
+for i in 3 4 5; do se_kill "e$i" TERM; done
+t_check "connections for all again" se_put "$(se_document 9)" 200
+
 t_say "the primary drains while a replica receives nothing"
 t_until is_level
 se_load 5 25 "${P[@]}"
