--- a/tests/process/t_moved.sh
+++ b/tests/process/t_moved.sh
@@ -9,12 +9,15 @@
 for i in 0 1 2; do se_node control $i true; done
 for i in 0 1 2 3 4 5; do se_node entry $i; done
 
-# Database "o" in the given group. reg0 has fewer connections than there are entry nodes: some relay.
-# reg1 has enough, as a session stays at the node that serves it wherever its database moves.
+# The configuration with database "o" in the given group, which is another route then. reg0 has fewer
+# connections than there are entry nodes, so some relay. reg1 has enough for all, as a session stays at
+# the node that serves it wherever its database moves.
 moved_to() { # version group
-    se_document "$1" | sed -e 's/"maxStalenessMs":1500/"maxStalenessMs":6000/' -e "s/\"name\":\"r3\",\([^}]*\"service\":\"\)reg0/\"name\":\"to-$2\",\1$2/" \
-        -e 's/"maxConns":25,"syncReplicas":0}/"maxConns":5,"syncReplicas":0},{"name":"reg1","maxConns":25,"syncReplicas":0}/'
+    local route="s/\"name\":\"r3\",\([^}]*\"service\":\"\)reg0/\"name\":\"to-$2\",\1$2/"
+    local services='s/"maxConns":25,"syncReplicas":0}/"maxConns":5,"syncReplicas":0},{"name":"reg1","maxConns":25,"syncReplicas":0}/'
+    se_document "$1" | sed -e 's/"maxStalenessMs":1500/"maxStalenessMs":6000/' -e "$route" -e "$services"
 }
+without_reg0() { sed -e 's/"service":"reg0"/"service":"reg1"/g' -e 's/{"name":"reg0"[^}]*},//'; }
 relayed() { curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + $1))/metrics" | awk '$1 == "ferry_session_relayed_total" {print $2}'; }
 all_relayed() {
     local i n=0
@@ -82,7 +85,7 @@
 
 # All sessions write, the database moves to reg1, where all write too, and back; then all read.
 # The reads end while the first writes are younger than the age that the route accepts.
-round() { # number of the round
+round() { # number of the round, what happens between the moves, a filter of the first document
     local i kind began stale=0 reads=0 other
     LAST=
     open_sessions
@@ -90,7 +93,7 @@
     for i in 1 2; do se_world "deaf/0/$i/1" > /dev/null; done
     began=$(date +%s%3N)
     for i in 0 1 2 3 4 5; do ask "$i" "WRITE m$i $1" || t_fail "session $i: the write was not acknowledged: $ANSWER"; done
-    se_put "$(moved_to $((1000 + 2 * $1)) reg1)" 200 || t_fail "the move was not acknowledged"
+    se_put "$(moved_to $((1000 + 2 * $1)) reg1 | ${3:-cat})" 200 || t_fail "the move was not acknowledged"
     other=$(log_of reg1)
     for i in 0 1 2 3 4 5; do
         t_until is_in "$i" 222 || t_fail "session $i does not reach reg1: $ANSWER"
@@ -134,14 +137,17 @@
 round 1 :
 t_check "three of six sessions were relayed" [ "$(all_relayed)" = $((n + 3)) ]
 
+t_say "the first group's service leaves the configuration and returns"
+round 2 : without_reg0
+
 t_say "a replica is started again meanwhile"
-round 2 "se_world kill/0/1 > /dev/null; se_world revive/0/1 > /dev/null"
+round 3 "se_world kill/0/1 > /dev/null; se_world revive/0/1 > /dev/null"
 
 t_say "a replica begins to drain meanwhile"
-round 3 "se_world drain/0/2 > /dev/null"
+round 4 "se_world drain/0/2 > /dev/null"
 
 t_say "the leader of control is killed meanwhile"
 l=$(leader)
-round 4 'se_kill "c$l"'
+round 5 'se_kill "c$l"'
 se_node control "$l" false
 exit $T_BAD
