tests: reading metrics and finding control's leader stand once

t_copies, t_moved, t_relays, t_calls and t_operators each had their own; they are in sessions.sh now. A sum over nodes is empty if one of them does not answer.

A first form, which took a node without the metric for one that does not answer, failed in t_operators.

--- a/tests/process/sessions.sh
+++ b/tests/process/sessions.sh
@@ -71,6 +71,24 @@
 se_put() { [ "$(se_order /api/config/replace "$1")" = "$2" ]; }
 se_version() { se_order /api/config/fetch > /dev/null; sed -n 's/^{"version":\([0-9]*\),.*/\1/p' "$SE_DIR/answer"; }
 se_ready() { [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$((SE_BASE + 60 + $1))/api/readyz")" = 200 ]; }
+# Index of the control node that leads.
+se_leader() {
+    local i
+    for i in 0 1 2; do
+        curl -s -m 2 "http://$(se_ip "$i"):$((SE_BASE + 20))/v1/status" | grep -q '"leads":true' && { echo "$i"; return; }
+    done
+}
+se_metric() { # index of an entry node, metric: "" if the node does not answer
+    curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + $1))/metrics" | awk -v m="$2" '$1 == m {print $2}'
+}
+se_metric_sum() { # metric, entry nodes...: "" if one does not answer; 0 where it has no such metric
+    local i page pages=
+    for i in "${@:2}"; do
+        page=$(curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + i))/metrics") || return 1
+        pages+=$page$'\n'
+    done
+    awk -v m="$1" '$1 == m {n += $2} END {print n + 0}' <<< "$pages"
+}
 se_world() { curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 100))/$1"; }
 se_primary() { se_world status | awk '$1 == "reg0" {print $3}'; }
 se_load() { # seconds seed ports...: in the background
--- a/tests/process/t_calls.sh
+++ b/tests/process/t_calls.sh
@@ -14,8 +14,7 @@
 call() { # node id port state seq: the status, not sent on
     curl -s -m 2 -o "$SE_DIR/answer" -w '%{http_code}' -d "$(told "${@:2}")" "$(url "$1" "$2")"
 }
-leads() { curl -s -m 2 "http://$(se_ip "$1"):$((SE_BASE + 20))/v1/status" | grep -q '"leads":true'; }
-leader() { for i in 0 1 2; do leads $i && L=$i && return 0; done; return 1; }
+leader() { L=$(se_leader); [ -n "$L" ]; }
 KNOWN=$((SE_BASE + 103)) # where i-0-1 is
 SEQ=100000
 everywhere() { # each node ends the call and names itself
--- a/tests/process/t_copies.sh
+++ b/tests/process/t_copies.sh
@@ -19,12 +19,6 @@
 waited() { waits | grep -q .; }
 # A wait while both replicas answer. Where the machine is busy, they may not, and are waited for.
 waited_in_vain() { waits | grep -q ':up:.*:up:'; }
-leader() { # index of the control node that leads
-    local i
-    for i in 0 1 2; do
-        curl -s -m 1 "http://$(se_ip "$i"):$((SE_BASE + 20))/metrics" | grep -q '^ferry_control_leads 1' && { echo "$i"; return; }
-    done
-}
 # The primary in A, the other two in B and C.
 name_instances() { A=$(se_primary) B=$(((A + 1) % 3)) C=$(((A + 2) % 3)); }
 
@@ -57,7 +51,7 @@
 sleep 2
 n=$(orders)
 t_check "the change waits and says so" waited
-l=$(leader)
+l=$(se_leader)
 se_kill "c$l"
 sleep 2
 t_check "nobody was called for" [ "$(orders)" = "$n" ]
@@ -81,11 +75,6 @@
 
 t_say "entry nodes that hold no connections relay sessions, and the primary dies"
 few() { se_document "$1" | sed 's/"maxConns":25/"maxConns":5/'; }
-relayed() { # by all six nodes
-    local i
-    for i in 0 1 2 3 4 5; do curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + i))/metrics"; done |
-        awk '$1 == "ferry_session_relayed_total" {n += $2} END {print n + 0}'
-}
 for i in 3 4 5; do se_node entry $i; done
 t_check "five connections an instance, for six nodes" se_put "$(few 8)" 200
 for i in 3 4 5; do t_check "entry node $i is ready" t_until se_ready $i; done
@@ -97,7 +86,7 @@
 t_check "the other one leads and stays" leads "$B"
 se_world "deaf/0/$C/0" > /dev/null
 se_load_end
-t_check "sessions were relayed" [ "$(relayed)" -gt 0 ]
+t_check "sessions were relayed" [ "$(se_metric_sum ferry_session_relayed_total 0 1 2 3 4 5)" -gt 0 ]
 se_world "revive/0/$A" > /dev/null
 for i in 3 4 5; do se_kill "e$i" TERM; done
 t_check "connections for all again" se_put "$(se_document 9)" 200
--- a/tests/process/t_moved.sh
+++ b/tests/process/t_moved.sh
@@ -18,19 +18,8 @@
     se_document "$1" | sed -e 's/"maxStalenessMs":1500/"maxStalenessMs":6000/' -e "$route" -e "$services"
 }
 without_reg0() { sed -e 's/"service":"reg0"/"service":"reg1"/g' -e 's/{"name":"reg0"[^}]*},//'; }
-relayed() { curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + $1))/metrics" | awk '$1 == "ferry_session_relayed_total" {print $2}'; }
-all_relayed() {
-    local i n=0
-    for i in 0 1 2 3 4 5; do n=$((n + $(relayed $i))); done
-    echo $n
-}
+relayed() { se_metric_sum ferry_session_relayed_total 0 1 2 3 4 5; }
 log_of() { se_world status | awk -v g="$1" '$1 == g {print $NF}'; }
-leader() { # index of the control node that leads
-    local i
-    for i in 0 1 2; do
-        curl -s -m 1 "http://$(se_ip "$i"):$((SE_BASE + 20))/metrics" | grep -q '^ferry_control_leads 1' && { echo "$i"; return; }
-    done
-}
 
 # ---- sessions, one through each entry node ----
 FD=()
@@ -133,9 +122,9 @@
 se_load_end
 
 t_say "moved there and back"
-n=$(all_relayed)
+n=$(relayed)
 round 1 :
-t_check "three of six sessions were relayed" [ "$(all_relayed)" = $((n + 3)) ]
+t_check "three of six sessions were relayed" [ "$(relayed)" = $((n + 3)) ]
 
 t_say "the first group's service leaves the configuration and returns"
 round 2 : without_reg0
@@ -147,7 +136,7 @@
 round 4 "se_world drain/0/2 > /dev/null"
 
 t_say "the leader of control is killed meanwhile"
-l=$(leader)
+l=$(se_leader)
 round 5 'se_kill "c$l"'
 se_node control "$l" false
 exit $T_BAD
--- a/tests/process/t_operators.sh
+++ b/tests/process/t_operators.sh
@@ -23,9 +23,7 @@
 line() { awk -v name="$1" '$1 == name' "$SE_DIR/out"; }
 field() { line "$1" | awk -v n="$2" '{print $n}'; } # of a line, by number
 holds() { awk -v v="$1" "BEGIN {exit !(v $2)}"; }   # a number and what it has to be
-metric() { # name: the sum over all entry nodes
-    for i in 0 1 2; do curl -s "http://127.0.0.1:$((SE_BASE + 60 + i))/metrics"; done | awk -v k="$1" '$1 == k {n += $2} END {print n + 0}'
-}
+metric() { se_metric_sum "$1" 0 1 2; }
 
 # A session that comes before its group is there is served where it came.
 knows_all() { [ "$(metric ferry_session_nodes)" = 9 ] && [ "$(metric ferry_session_groups_held)" = 3 ]; }
--- a/tests/process/t_relays.sh
+++ b/tests/process/t_relays.sh
@@ -9,7 +9,7 @@
 P=()
 for i in 0 1 2 3 4 5; do P+=($((SE_BASE + 40 + i))); done
 few() { se_document "$1" | sed 's/"maxConns":25/"maxConns":5/'; }
-relayed() { curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + $1))/metrics" | awk '$1 == "ferry_session_relayed_total" {print $2}'; }
+relayed() { se_metric "$1" ferry_session_relayed_total; }
 relays() { # how many nodes have relayed, and whether so many as expected
     local i n=0
     for i in 0 1 2 3 4 5; do [ "$(relayed $i)" -gt 0 ] 2> /dev/null && n=$((n + 1)); done
@@ -30,7 +30,7 @@
 mapfile -t H < <(holders)
 
 t_say "who holds no group names no instance when it renews its lease"
-renewed() { curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + $1))/metrics" | awk '$1 == "ferry_renewed_instances_total" {print $2}'; }
+renewed() { se_metric "$1" ferry_renewed_instances_total; }
 says_nothing() { local a; a=$(renewed "$1"); sleep 1; [ -n "$a" ] && [ "$(renewed "$1")" = "$a" ]; }
 says_some() { ! says_nothing "$1"; }
 for i in 0 1 2 3 4 5; do
@@ -39,10 +39,9 @@
 done
 
 t_say "the control leader is killed: holders stay who they are"
-leader() { for i in 0 1 2; do curl -s -m 2 "http://$(se_ip $i):$((SE_BASE + 20))/v1/status" | grep -q '"leads":true' && { echo $i; return; }; done; }
 holdings() { cat "$SE_DIR"/e*.log | grep -c '"event":"holding_changed"'; }
-another_leads() { local now; now=$(leader); [ -n "$now" ] && [ "$now" != "$old" ]; }
-old=$(leader) before=$(holdings)
+another_leads() { local now; now=$(se_leader); [ -n "$now" ] && [ "$now" != "$old" ]; }
+old=$(se_leader) before=$(holdings)
 se_load 4 24 "${P[@]}"
 sleep 0.5; se_kill "c$old"
 t_check "another leads" t_until another_leads
@@ -59,7 +58,7 @@
     kill -0 "${SE_PID[e${H[0]}]}" 2> /dev/null || return 1
     for i in 0 1 2 3 4 5; do
         [ $i = "${H[0]}" ] && continue
-        curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + i))/metrics" | grep -q '^ferry_session_nodes 5$' || return 1
+        [ "$(se_metric "$i" ferry_session_nodes)" = 5 ] || return 1
     done
     kill -0 "${SE_PID[e${H[0]}]}" 2> /dev/null
 }
@@ -70,11 +69,8 @@
 t_check "it comes back" t_until se_ready "${H[0]}"
 
 t_say "a holder freezes: who relays to it knows, and knows when it is back"
-silent() { # how many beliefs of silence there are at those that relay
-    local i n=0
-    for i in "${R[@]}"; do n=$((n + $(curl -s -m 2 "http://127.0.0.1:$((SE_BASE + 60 + i))/metrics" | awk '$1 == "ferry_session_neighbors_silent" {print $2}'))); done
-    echo $n
-}
+# How many beliefs of silence there are at those that relay.
+silent() { se_metric_sum ferry_session_neighbors_silent "${R[@]}"; }
 some_silent() { [ "$(silent)" -gt 0 ]; }
 none_silent() { [ "$(silent)" = 0 ]; }
 told() { cat "$SE_DIR"/e*.log | grep -c '"event":"neighbor_changed"'; }
