--- a/tests/unit/one_node.h
+++ b/tests/unit/one_node.h
@@ -13,7 +13,8 @@
 /* The proxy acts on one group "g" with one instance "i" at that port, and on the document. */
 void on_show_group(struct px_proxy *p, int inst_port, const char *document);
 
-/* Listens at a port of 127.0.0.1 for connections that are handled by `ops`. */
+/* Listens at a port of 127.0.0.1 for connections that are handled by `ops`. Ends the test if it
+ * can't: whatever it checks afterwards needs the connections. */
 void on_listen(struct nt_loop *l, int port, const struct nt_ops *ops,
                void *(*accept)(struct nt_conn *c, void *ud), void *ud);
 
