--- a/tests/standin/sessions.c
+++ b/tests/standin/sessions.c
@@ -45,6 +45,7 @@
     struct acked acked[HISTORY]; /* of the shared key, by time */
     int done;
     unsigned long ok, refused, doubt, closed, broken, reads, commits;
+    unsigned long questions;
     unsigned long cut; /* closed with a question out that must have been read */
 };
 
@@ -59,12 +60,13 @@
     int last; /* the step that was answered last */
     struct step step[STEPS];
     char row[WORD * 2];
+    char question[WORD]; /* id of the last statement */
     bool waiting, error, txn, over;
     int64_t asked, txn_at;
     long own_acked, own_sent; /* numbers of its own key: known to be there, perhaps there */
     long txn_own;             /* written in the open transaction */
     long txn_sent;            /* the same, acknowledged or not */
-    long dead;                /* the last one whose transaction was rolled back */
+    long dead;                /* the last one that was refused or rolled back */
     bool doubtful;            /* the last error leaves open whether it ran */
 };
 
@@ -174,7 +176,7 @@
         if (saw < least)
             broken(s, "its own write is missing", saw, least);
         if (saw && saw == s->dead)
-            broken(s, "a write of a transaction that was not kept", saw, s->dead);
+            broken(s, "a write that was refused or rolled back", saw, s->dead);
         if (saw > s->own_sent)
             broken(s, "a number that was never written", saw, s->own_sent);
         break;
@@ -234,6 +236,25 @@
     return strncmp(line, "ERROR INDOUBT", 13) == 0 || strncmp(line, "ERROR TIMEOUT", 13) == 0;
 }
 
+/* Whether the error says that nothing was kept. */
+static bool is_promise(const char *line)
+{
+    static const char *const words[] = {"BUSY",     "ABORTED",   "LAGGING",
+                                        "READONLY", "MISROUTED", "TOOMANY"};
+    for (size_t i = 0; i < sizeof(words) / sizeof(words[0]); i++) {
+        if (strncmp(line + 6, words[i], strlen(words[i])) == 0)
+            return true;
+    }
+    return false;
+}
+
+/* Instances sign with the statement's id, a dot and a number. */
+static bool is_own_signature(const struct session *s, const char *signature)
+{
+    size_t n = strlen(s->question);
+    return strncmp(signature, s->question, n) == 0 && signature[n] == '.';
+}
+
 /* ---- the conversation ---- */
 
 static void open_session(struct session *s);
@@ -266,7 +287,8 @@
         s->own_sent = st->number;
     if (st->check == C_WRITE_OWN && s->txn)
         s->txn_sent = st->number;
-    int n = snprintf(line, sizeof(line), "QUERY %d.%lu %s\r\n", s->id, s->r->ok, st->text);
+    snprintf(s->question, sizeof(s->question), "%d.%lu", s->id, ++s->r->questions);
+    int n = snprintf(line, sizeof(line), "QUERY %s %s\r\n", s->question, st->text);
     s->asked = ck_now();
     if (strncmp(st->text, "BEGIN", 5) == 0)
         s->txn_at = s->asked;
@@ -319,10 +341,15 @@
         bool signed_ = strcmp(text, "COMPLETE -") != 0;
         if (!signed_ && must_be_signed(s))
             broken(s, "a success without the instance's signature", 0, 0);
+        if (signed_ && !is_own_signature(s, text + 9))
+            broken(s, "the signature of another statement", 0, 0);
         note_done(s);
     } else if (strncmp(text, "ERROR", 5) == 0) {
+        const struct step *st = &s->step[s->at];
         s->error = true;
         s->doubtful = is_doubt(text);
+        if (st->check == C_WRITE_OWN && !s->txn && is_promise(text))
+            s->dead = st->number;
         if (s->doubtful)
             r->doubt++;
         else
--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -10,7 +10,7 @@
  * /lag/G/MS, /copies/G/N (a commit is answered when N replicas have received it),
  * /deaf/G/I/0|1, /busy-sets/N (the next N SETs are refused), /deaf-orders/N (the next N go
  * unanswered and are carried out late), /halves/N (the next N answers break off), /grey/G/I/P
- * (P in a hundred reads fail there), /via/N (instances say that they are N ports further, where
+X (instances say that they are N ports further, where
  * a ferry-pipe is), /status. */
 #include <stdio.h>
 #include <stdlib.h>
@@ -102,6 +102,10 @@
         w->halves = a;
     else if (sscanf(path, "/via/%d", &a) == 1)
         w->via = a;
+    else if (sscanf(path, "/repeats/%d/%d/%d", &a, &b, &p) == 3)
+        wd_set_repeats(w, a, b, (unsigned)p);
+    else if (sscanf(path, "/busy/%d", &a) == 1)
+        w->busy_one_in = a;
     else if (sscanf(path, "/deaf-orders/%d", &a) == 1)
         w->deaf = a;
     else if (strcmp(path, "/status") != 0)
@@ -123,9 +127,9 @@
     for (int i = 0; i < w->n_accounts; i++)
         sr_buf_printf(out, "account %s statements %llu\n", w->accounts[i].name,
                       (unsigned long long)w->accounts[i].statements);
-    sr_buf_printf(out, "orders %llu fenced %llu\nstrangers %llu\n",
+    sr_buf_printf(out, "orders %llu fenced %llu\nstrangers %llu\nrepeated %llu\n",
                   (unsigned long long)w->orders, (unsigned long long)w->refused_orders,
-                  (unsigned long long)w->strangers);
+                  (unsigned long long)w->strangers, (unsigned long long)w->repeated);
 }
 
 /* Whatever is asked, the answer is the status. */
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -13,6 +13,15 @@
 
 enum { ACCOUNTS = 64, GROUPS = 4, INSTS = 3, LOG = 200000, KEYS = 4096, WORD = 64, SLOTS = 3 };
 
+/* Kinds of answers that may be repeated. */
+enum {
+    REPEAT_SIGNED = 1, /* to reads, writes and commits */
+    REPEAT_ERRORS = 2,
+    REPEAT_UNSIGNED = 4, /* to the other statements of sessions and of the proxy */
+    REPEAT_STATUS = 8,
+    REPEAT_GREETING = 16
+};
+
 /* For whom connections were opened, and what ran on them. */
 struct account {
     char name[WORD];
@@ -60,6 +69,12 @@
     int busy_sets; /* SETs that are to be refused */
     int via;       /* added to the ports that instances tell */
     int halves;    /* answers of reads and writes that are to break off before their end */
+    /* One answer in `repeat_one_in` is sent once more, up to `repeat_ms` later; 0: none. */
+    int repeat_one_in, repeat_ms;
+    unsigned repeat_kinds;         /* bits REPEAT_* */
+    int busy_one_in;               /* one read or write in so many is refused; 0: none */
+    unsigned long long signatures; /* given so far: each answer has one of its own */
+    uint64_t repeated;
     int n_controls, control_port[8];
     char control_ip[8][46];
     struct group g[GROUPS];
@@ -85,6 +100,9 @@
 /* It leads the next term with what it has received; the rest of the log is cut off. */
 void wd_promote(struct inst *in);
 
+/* One answer in `one_in` of these kinds (REPEAT_*) is sent once more, up to `ms` later. */
+void wd_set_repeats(struct world *w, int one_in, int ms, unsigned kinds);
+
 /* The lag of a group's replicas from now on; what they have applied stays so. */
 void wd_set_lag(struct world *w, int g, int ms);
 
--- a/tests/standin/world_lines.c
+++ b/tests/standin/world_lines.c
@@ -8,12 +8,23 @@
 
 enum { MAX_SETS = 16, LINE = 512 };
 
+/* An answer that is sent once more. */
+struct repeat {
+    struct repeat *next;
+    struct conn *c;
+    struct nt_timer at;
+    struct sr_buf text;
+};
+
 struct conn {
     struct conn *next;
     struct inst *in;
     struct nt_conn *net;
     struct sr_buf buf;
-    bool works; /* on `text`, until `done` */
+    struct sr_buf answer;   /* what was said since the last answer was sent */
+    struct repeat *repeats; /* still to be sent */
+    char id[WORD];          /* of the statement */
+    bool works;             /* on `text`, until `done` */
     char text[LINE];
     struct nt_timer done;
     struct account *account;
@@ -76,10 +87,51 @@
     int n = vsnprintf(line, sizeof(line) - 2, fmt, ap);
     va_end(ap);
     memcpy(line + n, "\r\n", 2);
-    nt_send(c->net, line, (size_t)n + 2);
+    sr_buf_add(&c->answer, line, (size_t)n + 2);
+}
+
+static void repeat_free(struct repeat *r)
+{
+    nt_timer_cancel(&r->at);
+    sr_buf_free(&r->text);
+    free(r);
+}
+
+static void send_repeat(void *ud)
+{
+    struct repeat *r = ud, **at = &r->c->repeats;
+    while (*at != r)
+        at = &(*at)->next;
+    *at = r->next;
+    r->c->in->w->repeated++;
+    nt_send(r->c->net, r->text.p, r->text.len);
+    repeat_free(r);
+}
+
+static void repeat_later(struct conn *c)
+{
+    struct world *w = c->in->w;
+    struct repeat *r = sr_alloc(sizeof(*r));
+    r->c = c;
+    r->next = c->repeats;
+    c->repeats = r;
+    sr_buf_add(&r->text, c->answer.p, c->answer.len);
+    int64_t later = CK_MS(1) + (int64_t)rn_below(&w->rng, (uint64_t)CK_MS(w->repeat_ms));
+    nt_timer_set(w->loop, &r->at, later, send_repeat, r);
+}
+
+/* Sends what was said, in one piece. */
+static void send_answer(struct conn *c, unsigned kind)
+{
+    struct world *w = c->in->w;
+    nt_send(c->net, c->answer.p, c->answer.len);
+    bool may = w->repeat_one_in > 0 && (w->repeat_kinds & kind);
+    if (may && rn_below(&w->rng, (uint64_t)w->repeat_one_in) == 0)
+        repeat_later(c);
+    sr_buf_reset(&c->answer);
 }
 
-static void ready(struct conn *c)
+static void ready(struct conn *c, unsigned kind)
 {
     struct inst *in = c->in;
     int n = applied(in);
@@ -89,22 +141,41 @@
         : c->txn  ? 'T'
                   : 'I',
         (unsigned long long)term, n);
+    send_answer(c, kind);
 }
 
 static void error(struct conn *c, const char *what)
 {
     say(c, "ERROR %s inst", what);
     c->failed = c->txn;
-    ready(c);
+    ready(c, REPEAT_ERRORS);
 }
 
-static void complete(struct conn *c, const char *signature)
+/* A success with a signature of its own, which names the statement. */
+static void complete(struct conn *c)
 {
-    bool half = c->in->w->halves > 0 && signature[0] != '-';
-    c->in->w->halves -= half;
+    struct world *w = c->in->w;
+    bool half = w->halves > 0;
+    w->halves -= half;
     if (!half)
-        say(c, "COMPLETE %s", signature);
-    ready(c);
+        say(c, "COMPLETE %s.%llx", c->id, ++w->signatures);
+    ready(c, REPEAT_SIGNED);
+}
+
+static void complete_unsigned(struct conn *c, unsigned kind)
+{
+    say(c, "COMPLETE -");
+    ready(c, kind);
+}
+
+/* Whether a read or write is refused without being run. */
+static bool refuse_busy(struct conn *c)
+{
+    struct world *w = c->in->w;
+    if (!w->busy_one_in || rn_below(&w->rng, (uint64_t)w->busy_one_in) != 0)
+        return false;
+    error(c, "BUSY");
+    return true;
 }
 
 /* ---- replication ---- */
@@ -143,19 +214,19 @@
         if (!c->awaits || count_received(g, insts, c->awaits) < g->copies)
             continue;
         c->awaits = 0;
-        complete(c, "c.1");
+        complete(c);
     }
 }
 
 /* A commit is in the primary's log. */
-static void committed(struct conn *c, const char *signature)
+static void committed(struct conn *c)
 {
     struct group *g = c->in->g;
     replicate(g, insts_of(c->in));
     if (count_received(g, insts_of(c->in), g->n_log) < g->copies)
         c->awaits = g->n_log;
     else
-        complete(c, signature);
+        complete(c);
 }
 
 /* ---- statements ---- */
@@ -180,6 +251,8 @@
 {
     struct inst *in = c->in;
     in->reads++;
+    if (refuse_busy(c))
+        return;
     if (rn_below(&in->w->rng, 100) < in->grey) {
         in->failed++;
         error(c, "FAILED");
@@ -192,7 +265,7 @@
             v = c->writes[i].value;
     }
     say(c, "DATAROW %s%s", shape, v);
-    complete(c, "r.1");
+    complete(c);
 }
 
 static void append(struct conn *c, const struct entry *e)
@@ -216,6 +289,8 @@
 static void do_write(struct conn *c, const char *key, const char *value)
 {
     struct entry e = {.key = key_of(c->in->w, key)};
+    if (refuse_busy(c))
+        return;
     if (!wd_leads(c->in) || (c->txn && (c->read_only || c->term != c->in->g->term))) {
         error(c, "READONLY");
         return;
@@ -223,11 +298,11 @@
     snprintf(e.value, sizeof(e.value), "%s", value);
     if (c->txn && c->n_writes < 16) {
         c->writes[c->n_writes++] = e;
-        complete(c, "w.1");
+        complete(c);
         return;
     }
     append(c, &e);
-    committed(c, "w.1");
+    committed(c);
 }
 
 static void do_commit(struct conn *c)
@@ -243,9 +318,9 @@
         append(c, &c->writes[i]);
     end_txn(c);
     if (wrote)
-        committed(c, "c.1");
+        committed(c);
     else
-        complete(c, "c.1");
+        complete(c);
 }
 
 static void do_begin(struct conn *c, bool read_only)
@@ -257,7 +332,7 @@
     c->txn = true;
     c->read_only = read_only;
     c->term = c->in->g->term;
-    complete(c, "-");
+    complete_unsigned(c, REPEAT_UNSIGNED);
 }
 
 static void do_set(struct conn *c, const char *name, const char *value)
@@ -275,7 +350,7 @@
     c->n_sets = i == c->n_sets ? i + 1 : c->n_sets;
     snprintf(c->set[i][0], WORD, "%s", name);
     snprintf(c->set[i][1], WORD, "%s", value);
-    complete(c, "-");
+    complete_unsigned(c, REPEAT_UNSIGNED);
 }
 
 static void do_prepare(struct conn *c, const char *name, const char *kind, const char *shape)
@@ -285,7 +360,7 @@
     snprintf(c->prep[c->n_prep][0], WORD, "%s", name);
     snprintf(c->prep[c->n_prep][1], WORD, "%s", kind);
     snprintf(c->prep[c->n_prep++][2], WORD, "%s", shape);
-    complete(c, "-");
+    complete_unsigned(c, REPEAT_UNSIGNED);
 }
 
 static void do_execute(struct conn *c, const char *name, const char *key, const char *value)
@@ -310,7 +385,7 @@
     say(c, "DATAROW %s %llu %llu.%d 0 %d 0 %d", wd_leads(in) ? "primary" : "replica",
         (unsigned long long)in->g->term, (unsigned long long)in->g->term, in->received,
         wd_leads(in) ? 0 : in->g->lag_ms, in->n_conns);
-    complete(c, "-");
+    complete_unsigned(c, REPEAT_STATUS);
 }
 
 static void statement(struct conn *c, const char *text)
@@ -346,7 +421,7 @@
         if (w[0][0] == 'D')
             c->n_sets = c->n_prep = 0;
         end_txn(c);
-        complete(c, "-");
+        complete_unsigned(c, REPEAT_UNSIGNED);
     } else {
         error(c, "MALFORMED");
     }
@@ -373,12 +448,15 @@
     if (sscanf(text, "STARTUP %63s %63s %63s", group, who, id) >= 2) {
         c->greeted = strcmp(group, c->in->g->name) == 0 && (!id[0] || strcmp(id, own) == 0);
         c->account = account_of(c->in->w, who);
-        if (c->greeted)
-            ready(c);
-        else
+        if (c->greeted) {
+            ready(c, REPEAT_GREETING);
+        } else {
             say(c, "ERROR MISROUTED %s", own);
+            send_answer(c, REPEAT_ERRORS);
+        }
     } else if (c->greeted && sscanf(text, "QUERY %63s %n", id, &used) == 1) {
         c->account->statements += strcmp(id, "-") != 0;
+        snprintf(c->id, sizeof(c->id), "%s", id);
         statement(c, text + used);
     } else {
         c->in->w->strangers += !c->greeted;
@@ -456,7 +534,13 @@
     *at = c->next;
     c->in->n_conns--;
     nt_timer_cancel(&c->done);
+    while (c->repeats) {
+        struct repeat *r = c->repeats;
+        c->repeats = r->next;
+        repeat_free(r);
+    }
     sr_buf_free(&c->buf);
+    sr_buf_free(&c->answer);
     free(c);
 }
 
@@ -505,6 +589,13 @@
     w->g[g].lag_ms = ms;
 }
 
+void wd_set_repeats(struct world *w, int one_in, int ms, unsigned kinds)
+{
+    w->repeat_one_in = one_in;
+    w->repeat_ms = ms;
+    w->repeat_kinds = kinds;
+}
+
 void wd_kill(struct inst *in, bool dead)
 {
     in->dead = dead;
