proxy: counts and logs answers that can't be the outstanding statement's

Nothing told a repeated answer from the outstanding statement's: only an answer on an idle connection was logged. proxy/match judges each answer by what the connection has given before.

The stand-ins of the unit tests gave one signature to every statement, BEGIN too, which no instance does; they now give each read, write and commit its own.

--- a/proxy/answer.c
+++ b/proxy/answer.c
@@ -10,7 +10,7 @@
 
 /* Limits failure lines to a few per second, so that a long failure does not fill the disk; the
  * rest are counted. */
-static bool may_log(struct px_proxy *p)
+bool px_may_log(struct px_proxy *p)
 {
     int64_t now = ck_now();
     if (now - p->log_budget_at > CK_SEC(1)) {
@@ -41,7 +41,7 @@
     const struct px_group *g = px_session_group(s);
     p->c.failed++;
     p->c.by_reason[kind]++;
-    if (!may_log(p))
+    if (!px_may_log(p))
         return;
     FL_EVENT(&p->log, LG_INFO, "request_failed",
              "request=%.*s session=%llu database=%s group=%s term=%llu document=%llu leased=%d "
@@ -174,7 +174,7 @@
 {
     struct px_proxy *p = s->p;
     p->c.dropped++;
-    if (may_log(p))
+    if (px_may_log(p))
         FL_EVENT(&p->log, LG_INFO, "session_dropped",
                  "session=%llu database=%s relayed=%d why=%s bytes=%zu",
                  (unsigned long long)s->state.session, s->database, s->relay != NULL,
@@ -189,7 +189,7 @@
     s->end_reason = why;
     p->c.ends[why]++;
     p->c.cut += cut;
-    if (cut && may_log(p))
+    if (cut && px_may_log(p))
         FL_EVENT(&p->log, LG_INFO, "session_cut", "session=%llu database=%s relayed=%d why=%s",
                  (unsigned long long)s->state.session, s->database, s->relay != NULL,
                  end_names[why]);
@@ -214,7 +214,7 @@
 void px_send_refusal(struct px_session *s, enum er_kind kind, const char *detail)
 {
     struct sr_buf b = {0};
-    if (may_log(s->p))
+    if (px_may_log(s->p))
         FL_EVENT(&s->p->log, LG_INFO, "session_refused",
                  "session=%llu database=%s document=%llu kind=%s detail=%s",
                  (unsigned long long)s->state.session, s->database,
--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -285,6 +285,51 @@
     return c->phase != PX_C_OPENING && !c->complete_seen && c->error == ER_NONE;
 }
 
+/* ---- matching answers ---- */
+
+static struct mt_outstanding outstanding(const struct px_conn *c)
+{
+    struct mt_outstanding o = {MT_NOTHING, ~(uint32_t)0};
+    if (c->phase == PX_C_OPENING)
+        o.expected = MT_GREETING;
+    else if (c->phase == PX_C_RUNNING || c->phase == PX_C_ORPHANED)
+        o.expected = MT_SIGNED;
+    else if (c->phase == PX_C_SETUP && c->setup.verb == PX_V_BEGIN)
+        o.expected = MT_SETUP_BEGIN;
+    else if (c->phase == PX_C_SETUP)
+        o.expected = c->state == PX_IN_TXN ? MT_SETUP_IN_TXN : MT_SETUP;
+    else if (c->phase == PX_C_ROLLING_BACK)
+        o.expected = MT_SETUP;
+    return o;
+}
+
+/* Counts and logs an answer that is not proved to be the outstanding statement's. */
+static void note_unmatched(struct px_conn *c, const struct px_msg *m)
+{
+    static const char *const names[] = {"taken", "doubted", "repeated", "unexpected"};
+    static const char *const phases[] = {"opening",     "idle",         "setup",   "running",
+                                         "idle_in_txn", "rolling_back", "orphaned"};
+    const struct mt_outstanding o = outstanding(c);
+    struct mt_answer a = {.done = c->complete_seen,
+                          .error = c->error,
+                          .signature = {c->signature.p, c->signature.len},
+                          .rows = {c->rows.p, c->rows.len},
+                          .txn = m->txn,
+                          .has_pos = m->has_pos,
+                          .pos = m->pos};
+    enum mt_verdict v = mt_judge(&c->history, &c->inst->signer, &o, &a);
+    c->inst->p->c.repeated_answers += v == MT_DROP;
+    c->inst->p->c.doubted_answers += v == MT_DOUBT;
+    if (v == MT_TAKE || !px_may_log(c->inst->p))
+        return;
+    FL_EVENT(&c->inst->p->log, LG_INFO, "answer_unmatched",
+             "instance=%s group=%s verdict=%s signed=%d done=%d phase=%s kind=%s "
+             "since_sent_ms=%lld signatures=%d",
+             c->inst->cfg.id, c->inst->group->cfg.name, names[v], a.signature.len > 0, a.done,
+             phases[c->phase], er_name(a.error), (long long)((ck_now() - c->sent_at) / 1000),
+             c->history.n);
+}
+
 /* Handles the end of an answer, its READY. */
 static void handle_answer(struct px_conn *c)
 {
@@ -374,6 +419,7 @@
         snprintf(c->detail, sizeof(c->detail), "%.*s", (int)m->detail.len, m->detail.p);
         break;
     case PX_READY:
+        note_unmatched(c, m);
         c->state = m->txn;
         c->has_pos = m->has_pos;
         c->pos = m->pos;
@@ -432,6 +478,7 @@
     sr_buf_free(&c->input);
     sr_buf_free(&c->rows);
     sr_buf_free(&c->signature);
+    mt_free(&c->history);
     free(c);
 }
 
@@ -483,6 +530,7 @@
     c->last_used_at = ck_now();
     c->inst = in;
     c->phase = PX_C_OPENING;
+    c->history.conn = ++in->p->last_conn;
     c->sent_at = ck_now();
     px_saturation_opening(&in->saturation, &in->p->saturation, in->n_conns, c->sent_at);
     c->next = in->conns;
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -18,6 +18,7 @@
 #include "proxy/service_time.h"
 #include "proxy/read_choice.h"
 #include "proxy/handover.h"
+#include "proxy/match.h"
 #include "proxy/proxy.h"
 #include "proxy/pending.h"
 #include "proxy/stages.h"
@@ -65,13 +66,18 @@
      * tells of them, not of the instance. */
     bool awaits_copies;
 
-    /* the part of the answer received so far */
+    struct mt_outstanding outstanding;
+    struct mt_history history;
+
+    /* The part received so far of an answer, which need not be the outstanding statement's. */
     struct sr_buf rows; /* result rows, as passed to the caller */
     struct sr_buf signature;
     bool complete_seen; /* PX_DONE was received */
     enum er_kind error;
-    char detail[160];  /* detail of the error, truncated */
-    enum px_txn state; /* transaction state after the answer */
+    char detail[160]; /* detail of the error, truncated */
+
+    /* the last answer that was taken for the outstanding statement's */
+    enum px_txn state; /* transaction state after it */
     bool has_pos;
     struct ps_pos pos;
 };
@@ -104,6 +110,8 @@
     struct px_session *waiters, *last_waiter;
     int n_waiters;
 
+    struct mt_signer signer;
+
     /* reachability */
     int64_t last_received; /* when the last bytes arrived */
     /* When opening a connection failed; 0: something was received since. */
@@ -299,11 +307,14 @@
     uint64_t behind;            /* times that an instance lacked the position of a read */
     uint64_t retries;           /* repeated attempts of statements */
     uint64_t parked;
-    uint64_t lost_conns;        /* connections lost with a statement on them */
-    uint64_t opened_conns;      /* connections opened to instances */
-    uint64_t replaced_conns;    /* connections closed to open one for another account */
-    uint64_t unknown_keys;      /* operations and sessions refused because of their key */
-    uint64_t relayed;           /* sessions that another node serves */
+    uint64_t lost_conns;       /* connections lost with a statement on them */
+    uint64_t opened_conns;     /* connections opened to instances */
+    uint64_t repeated_answers; /* answers that were repeats of earlier ones, and dropped */
+    uint64_t doubted_answers; /* errors that may have been repeats; the connection was closed */
+    uint64_t worn_conns;      /* connections closed so that their next answers can be proved */
+    uint64_t replaced_conns;  /* connections closed to open one for another account */
+    uint64_t unknown_keys;    /* operations and sessions refused because of their key */
+    uint64_t relayed;         /* sessions that another node serves */
     uint64_t relayed_by_others; /* of `relayed`, those by way of a node that is no holder */
     uint64_t passed_on;         /* sessions relayed to this node and relayed on to a holder */
     uint64_t trials;            /* trials of nodes that were in doubt or silent */
@@ -356,6 +367,7 @@
     int n_sessions;
     int n_relays;         /* connections to serving nodes */
     uint64_t last_number; /* number of the last session; the first has 1 */
+    uint64_t last_conn;   /* number of the last connection to an instance; the first has 1 */
     int64_t next_slow_tick;
 
     /* shutdown */
@@ -396,6 +408,8 @@
  * caller with a request open does not learn whether it ran. */
 void px_close(struct px_session *s, enum px_end_reason why, bool at_once);
 const char *px_end_reason_name(enum px_end_reason why);
+/* Whether one more line about a failure may be logged now; else it is counted as left out. */
+bool px_may_log(struct px_proxy *p);
 /* Records that the session ends for this reason; its connection is closed by others. */
 void px_note_end(struct px_session *s, enum px_end_reason why);
 /* Sends a failure, as the last message of the session. */
@@ -656,6 +670,8 @@
 void px_conn_rollback(struct px_conn *c);
 /* The connection has no open transaction: serves other sessions. */
 void px_conn_idle(struct px_conn *c);
+/* The session's transaction is open on the connection, and no statement outstanding. */
+void px_conn_idle_in_txn(struct px_conn *c);
 /* Closes the connection; the close is reported to its session by px_on_conn_lost. */
 void px_conn_close(struct px_conn *c);
 void px_conn_tick(struct px_conn *c, int64_t now);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -49,6 +49,7 @@
     takeover_suite();
     member_suite();
     lines_suite();
+    match_suite();
     documents_suite();
     CU_basic_set_mode(CU_BRM_NORMAL);
     CU_basic_run_tests();
--- a/tests/unit/one_node.c
+++ b/tests/unit/one_node.c
@@ -114,3 +114,18 @@
     (void)opened;
     (void)refused;
 }
+
+const char *on_success(const char *line)
+{
+    static const char *const is_signed[] = {" READ ", " WRITE ", " EXECUTE ", " COMMIT"};
+    static char text[48];
+    static unsigned n;
+    bool begins = strstr(line, " BEGIN") || strstr(line, " PREPARE ");
+    for (size_t i = 0; !begins && i < sizeof(is_signed) / sizeof(is_signed[0]); i++) {
+        if (strstr(line, is_signed[i])) {
+            snprintf(text, sizeof(text), "COMPLETE s.%u\r\n", ++n);
+            return text;
+        }
+    }
+    return "COMPLETE -\r\n";
+}
--- a/tests/unit/one_node.h
+++ b/tests/unit/one_node.h
@@ -28,4 +28,9 @@
 /* Let the loop hear its peers once: what was decided by time before may be decided anew. */
 void on_hear(struct nt_loop *l);
 
+/* The success of an instance that is sent the line, up to its READY: statements that read,
+ * write or commit get a signature of their own, which begins with "s.". Valid until the next
+ * call. */
+const char *on_success(const char *line);
+
 #endif
--- a/tests/unit/test_accounts.c
+++ b/tests/unit/test_accounts.c
@@ -169,8 +169,7 @@
 
 static void inst_message(struct nt_conn *c, void *ud, const char *data, size_t len)
 {
-    static const char ready[] = "READY I 1.1\r\n", done[] = "COMPLETE x\r\nREADY I 1.1\r\n",
-                      in_txn[] = "COMPLETE x\r\nREADY T 1.1\r\n";
+    static const char ready[] = "READY I 1.1\r\n", in_txn[] = "READY T 1.1\r\n";
     struct opened *o = ud;
     char line[256];
     snprintf(line, sizeof(line), "%.*s", (int)len, data);
@@ -181,7 +180,9 @@
     }
     o->statements++;
     bool open = strstr(line, "BEGIN") || strstr(line, " READ t");
-    nt_send(c, open ? in_txn : done, open ? sizeof(in_txn) - 1 : sizeof(done) - 1);
+    char done[96];
+    int n = snprintf(done, sizeof(done), "%s%s", on_success(line), open ? in_txn : ready);
+    nt_send(c, done, (size_t)n);
 }
 
 static void inst_close(struct nt_conn *c, void *ud, bool opened, bool refused)
@@ -320,9 +321,9 @@
     begin(TWO, 4);
     struct caller *a = call("STARTUP db key1"), *b = call("STARTUP db key2"),
                   *c = call("STARTUP db key3");
-    CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE x"));
-    CU_ASSERT_TRUE(asks(b, "QUERY q2 READ x", "COMPLETE x"));
-    CU_ASSERT_TRUE(asks(a, "QUERY q3 READ x", "COMPLETE x"));
+    CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE s."));
+    CU_ASSERT_TRUE(asks(b, "QUERY q2 READ x", "COMPLETE s."));
+    CU_ASSERT_TRUE(asks(a, "QUERY q3 READ x", "COMPLETE s."));
     CU_ASSERT_TRUE(was_told(c, "ERROR UNAUTH") && c->closed);
     CU_ASSERT_EQUAL(opened_for("one"), 1);
     CU_ASSERT_EQUAL(opened_for("two"), 1);
@@ -336,8 +337,8 @@
 {
     begin(TWO, 4);
     struct caller *a = call("STARTUP open nobodys"), *b = call("STARTUP open key1");
-    CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE x"));
-    CU_ASSERT_TRUE(asks(b, "QUERY q2 READ x", "COMPLETE x"));
+    CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE s."));
+    CU_ASSERT_TRUE(asks(b, "QUERY q2 READ x", "COMPLETE s."));
     CU_ASSERT_EQUAL(opened_for("-"), 1);
     CU_ASSERT_EQUAL(opened_for("one"), 1);
     end();
@@ -350,8 +351,8 @@
     begin(TWO, 1);
     struct caller *a = call("STARTUP db key1"), *b = call("STARTUP db key2");
     for (int i = 0; i < 3; i++) {
-        CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE x"));
-        CU_ASSERT_TRUE(asks(b, "QUERY q2 READ x", "COMPLETE x"));
+        CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE s."));
+        CU_ASSERT_TRUE(asks(b, "QUERY q2 READ x", "COMPLETE s."));
     }
     CU_ASSERT_EQUAL(opened_for("one"), 3);
     CU_ASSERT_EQUAL(opened_for("two"), 3);
@@ -364,12 +365,12 @@
 {
     begin(TWO, 4);
     struct caller *a = call("STARTUP db key1"), *b = call("STARTUP db key2");
-    CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE x"));
+    CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE s."));
     CU_ASSERT_TRUE(asks(b, "QUERY q2 BEGIN", "READY T"));
     CU_ASSERT_TRUE(asks(b, "QUERY q3 READ t", "READY T"));
     /* The first key moves to another account, the second is taken away. */
     put_in_force("[{\"name\":\"one\",\"keys\":[]},{\"name\":\"three\",\"keys\":[\"key1\"]}]");
-    CU_ASSERT_TRUE(asks(a, "QUERY q4 READ x", "COMPLETE x"));
+    CU_ASSERT_TRUE(asks(a, "QUERY q4 READ x", "COMPLETE s."));
     CU_ASSERT_EQUAL(opened_for("three"), 1);
     CU_ASSERT_TRUE(asks(b, "QUERY q5 READ t", "READY T")); /* its transaction ends first */
     CU_ASSERT_TRUE(asks(b, "QUERY q6 COMMIT", "READY I"));
@@ -377,8 +378,8 @@
     CU_ASSERT_TRUE(asks(b, "QUERY q8 BEGIN", "ERROR UNAUTH"));
     /* It comes back. */
     put_in_force(TWO);
-    CU_ASSERT_TRUE(asks(b, "QUERY q9 READ x", "COMPLETE x"));
-    CU_ASSERT_TRUE(asks(a, "QUERY q10 READ x", "COMPLETE x"));
+    CU_ASSERT_TRUE(asks(b, "QUERY q9 READ x", "COMPLETE s."));
+    CU_ASSERT_TRUE(asks(a, "QUERY q10 READ x", "COMPLETE s."));
     end();
 }
 
@@ -423,12 +424,12 @@
     begin(TWO, 0);
     a = call("STARTUP db key1");
     px_has_changes(w.p);
-    CU_ASSERT_FALSE(asks(a, "QUERY q1 READ x", "COMPLETE x"));
+    CU_ASSERT_FALSE(asks(a, "QUERY q1 READ x", "COMPLETE s."));
     CU_ASSERT_TRUE(px_has_changes(w.p));
     CU_ASSERT(wanted() >= 1);
     px_set_share(w.p, SR_LIT("i"), 1);
     run_for(WAIT_MS);
-    CU_ASSERT_TRUE(was_told(a, "COMPLETE x"));
+    CU_ASSERT_TRUE(was_told(a, "COMPLETE s."));
     end();
 }
 
@@ -439,8 +440,8 @@
     enum { RENEWALS = 40 };
     begin(TWO, 4);
     struct caller *a = call("STARTUP db key1"), *b = call("STARTUP db key2");
-    CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE x"));
-    CU_ASSERT_TRUE(asks(b, "QUERY q2 READ x", "COMPLETE x"));
+    CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE s."));
+    CU_ASSERT_TRUE(asks(b, "QUERY q2 READ x", "COMPLETE s."));
     int want = 0;
     for (int i = 0; i < RENEWALS; i++)
         want = wanted();
@@ -458,7 +459,7 @@
     put_in_force(TWO);
     run_for(WAIT_MS);
     CU_ASSERT_TRUE(was_told(a, "READY I"));
-    CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE x"));
+    CU_ASSERT_TRUE(asks(a, "QUERY q1 READ x", "COMPLETE s."));
     CU_ASSERT_EQUAL(opened_for("one"), 1);
     end();
 }
--- a/tests/unit/test_opening.c
+++ b/tests/unit/test_opening.c
@@ -32,13 +32,15 @@
 
 static void inst_message(struct nt_conn *c, void *ud, const char *data, size_t len)
 {
-    static const char ready[] = "READY I 1.1\r\n", done[] = "COMPLETE x\r\nREADY I 1.1\r\n";
+    static const char ready[] = "READY I 1.1\r\n";
+    char line[96], done[96];
+    snprintf(line, sizeof(line), "%.*s", (int)len, data);
     bool opens = len > 7 && memcmp(data, "STARTUP", 7) == 0;
     (void)ud;
     if (opens && w.greets)
         nt_send(c, ready, sizeof(ready) - 1);
     else if (!opens)
-        nt_send(c, done, sizeof(done) - 1);
+        nt_send(c, done, (size_t)snprintf(done, sizeof(done), "%s%s", on_success(line), ready));
 }
 
 static const struct nt_ops inst_ops = {on_no_open, inst_message, on_no_close};
--- a/tests/unit/test_own_commits.c
+++ b/tests/unit/test_own_commits.c
@@ -155,9 +155,11 @@
         d->asked++;
         answer(c, "ERROR LAGGING\r\n", d, true);
     } else {
+        char done[96];
         run(d, line);
-        answer(c, reads_one ? "DATAROW x\r\nCOMPLETE s\r\n" : "COMPLETE s\r\n", d,
-               reads_one || !w.no_positions);
+        snprintf(done, sizeof(done), "%s%s", reads_one ? "DATAROW x\r\n" : "",
+                 on_success(line));
+        answer(c, done, d, reads_one || !w.no_positions);
     }
 }
 
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -138,6 +138,15 @@
 
 /* ---- the other node ---- */
 
+static void answer(struct nt_conn *c, const char *data, size_t len)
+{
+    char line[96], out[96];
+    snprintf(line, sizeof(line), "%.*s", (int)len, data);
+    int n =
+        snprintf(out, sizeof(out), "%sREADY %c -\r\n", on_success(line), w.in_txn ? 'T' : 'I');
+    nt_send(c, out, (size_t)n);
+}
+
 static void there_message(struct nt_conn *c, void *ud, const char *data, size_t len)
 {
     (void)ud;
@@ -159,8 +168,7 @@
     else if (opens)
         nt_send(c, "READY I -\r\n", 11);
     else
-        nt_send(c, w.in_txn ? "COMPLETE x\r\nREADY T -\r\n" : "COMPLETE x\r\nREADY I -\r\n",
-                23);
+        answer(c, data, len);
     w.ends_early = false;
     maybe_stand_still(opens ? GREETED : ANSWERED);
     if (opens && w.slow) { /* the trial */
--- a/tests/unit/test_sync_commits.c
+++ b/tests/unit/test_sync_commits.c
@@ -96,7 +96,7 @@
 {
     (void)ud;
     w.settled = px_settled(w.p);
-    answer(w.waiting, "COMPLETE s\r\n");
+    answer(w.waiting, on_success(" COMMIT"));
 }
 
 static void on_commit(struct nt_conn *c)
@@ -120,7 +120,10 @@
         on_commit(c);
     } else {
         w.in_txn = w.in_txn || strstr(line, "BEGIN") != NULL;
-        answer(c, strstr(line, "READ x") ? "DATAROW 1\r\nCOMPLETE s\r\n" : "COMPLETE s\r\n");
+        char done[96];
+        snprintf(done, sizeof(done), "%s%s", strstr(line, "READ x") ? "DATAROW 1\r\n" : "",
+                 on_success(line));
+        answer(c, done);
     }
 }
 
@@ -217,7 +220,7 @@
 
 static bool is_acknowledged(void)
 {
-    return strstr(w.told, "COMPLETE s") != NULL;
+    return strstr(w.told, "COMPLETE s.") != NULL;
 }
 
 static bool is_in_doubt(void)
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -50,5 +50,6 @@
 void member_suite(void);
 void documents_suite(void);
 void lines_suite(void);
+void match_suite(void);
 
 #endif
