proxy: an answer is taken only if it can't be a repeat of an earlier one

What callers saw: rows, signatures and errors of other statements, and BUSY for writes that had run, where instances send some answers twice.

Cause: an answer carries no id, and the connection took the next one for the statement in flight. One repeat left the connection an answer behind, and each later session on it got the answer before its own. Class: an assumption (instances answer once) in place of a proof.

Change: proxy/match decides by what the connection has given in its life. A new signature proves the answer; one given before is dropped; an error is believed once a kind, and a connection that gave one is closed when it is idle; successes without a signature are believed as far as a later signature bears them out (docs/design/answers.md). A repeat on an idle connection is dropped: before, it ended the connection, and the transaction on it.

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -21,7 +21,7 @@
 
 /* ---- sending ---- */
 
-static bool send_msg(struct px_conn *c, const struct px_msg *m)
+static bool send_msg(struct px_conn *c, const struct px_msg *m, struct mt_outstanding o)
 {
     struct sr_buf b = {0};
     struct px_proxy *p = c->inst->p;
@@ -30,15 +30,36 @@
     c->term = c->inst->group->cfg.term;
     c->leased = px_leased(p);
     c->awaits_copies = false;
-    c->complete_seen = false;
-    c->error = ER_NONE;
-    sr_buf_reset(&c->rows);
-    sr_buf_reset(&c->signature);
+    c->outstanding = o;
     bool ok = c->net && nt_send(c->net, b.p, b.len);
     sr_buf_free(&b);
     return ok;
 }
 
+/* The kinds of errors that a statement may get. An instance that lacks a position says so only
+ * of a statement that states one, and refuses as no primary only what needs the primary. */
+static uint32_t possible_errors(bool has_floor, bool needs_primary)
+{
+    uint32_t all = ~(mt_error_bit(ER_BEHIND) | mt_error_bit(ER_TERM));
+    return all | (has_floor ? mt_error_bit(ER_BEHIND) : 0) |
+           (needs_primary ? mt_error_bit(ER_TERM) : 0);
+}
+
+/* BEGIN is the only statement of the proxy that opens a transaction, and ROLLBACK the only one
+ * that ends it; the others leave it as it is. */
+static struct mt_outstanding own_stmt(const struct px_conn *c, const struct px_stmt *st,
+                                      bool has_floor)
+{
+    bool in_txn = c->state == PX_IN_TXN && st->verb != PX_V_ROLLBACK;
+    bool begins = st->verb == PX_V_BEGIN;
+    struct mt_outstanding o = {
+        .expected = begins   ? MT_SETUP_BEGIN
+                    : in_txn ? MT_SETUP_IN_TXN
+                             : MT_SETUP,
+        .errors = possible_errors(has_floor, in_txn || (begins && !st->read_only))};
+    return o;
+}
+
 static bool send_own_stmt(struct px_conn *c, const struct px_stmt *st, bool has_floor,
                           struct ps_pos floor)
 {
@@ -46,7 +67,7 @@
     c->inst->p->cfg.codec->put_text(&text, st);
     struct px_msg m = {
         .kind = PX_STATEMENT, .text = {text.p, text.len}, .has_floor = has_floor, .pos = floor};
-    bool ok = send_msg(c, &m);
+    bool ok = send_msg(c, &m, own_stmt(c, st, has_floor));
     sr_buf_free(&text);
     return ok;
 }
@@ -60,12 +81,18 @@
     return px_find_prepared(&s->state, s->stmt.name);
 }
 
+static bool is_read(const struct px_session *s)
+{
+    return !s->writes && s->stmt.verb != PX_V_COMMIT;
+}
+
 static bool send_statement(struct px_conn *c, struct px_session *s)
 {
     struct sr_buf text = {0};
     const struct px_prepared *prepared = prepared_to_execute(s);
-    /* A transaction checked the floor when it began. */
-    bool floor = s->has_floor && s->txn == PX_IDLE;
+    /* A transaction checked the floor when it began, if it began. */
+    bool in_txn = s->txn != PX_IDLE;
+    bool floor = s->has_floor && (!in_txn || (!c->history.begin_settled && is_read(s)));
     struct px_msg m = {.kind = PX_STATEMENT,
                        .id = s->id,
                        .text = s->text,
@@ -89,7 +116,9 @@
     px_stage_done(s, PX_T_SETUP);
     s->sent_at = c->last_used_at = ck_now();
     s->offers++;
-    bool ok = send_msg(c, &m);
+    bool needs_primary = !is_read(s) || (in_txn && !s->txn_read_only);
+    struct mt_outstanding o = {MT_SIGNED, possible_errors(floor, needs_primary)};
+    bool ok = send_msg(c, &m, o);
     c->awaits_copies = c->inst->group->sync_copies > 0 && px_commits_writes(s);
     sr_buf_free(&text);
     return ok;
@@ -137,21 +166,41 @@
 
 /* ---- ending ---- */
 
+/* Closes the connection if its next answers could not be matched. Returns whether it did. */
+static bool close_if_worn(struct px_conn *c)
+{
+    if (!mt_worn(&c->history) || c->closing)
+        return c->closing;
+    c->inst->p->c.worn_conns++;
+    px_conn_close(c);
+    return true;
+}
+
 void px_conn_idle(struct px_conn *c)
 {
     if (c->phase != PX_C_IDLE && c->phase != PX_C_OPENING)
         c->inst->busy--;
     c->phase = PX_C_IDLE;
+    c->outstanding = (struct mt_outstanding){MT_NOTHING, 0};
     c->session = NULL;
+    close_if_worn(c);
     px_inst_serve_waiters(c->inst);
 }
 
+void px_conn_idle_in_txn(struct px_conn *c)
+{
+    c->phase = PX_C_IDLE_IN_TXN;
+    c->outstanding = (struct mt_outstanding){MT_NOTHING, 0};
+}
+
 void px_conn_rollback(struct px_conn *c)
 {
     struct px_stmt st = {.verb = PX_V_ROLLBACK};
     struct ps_pos none = {0};
     c->session = NULL;
     c->phase = PX_C_ROLLING_BACK;
+    if (close_if_worn(c)) /* the instance rolls back */
+        return;
     if (!send_own_stmt(c, &st, false, none))
         px_conn_close(c);
 }
@@ -196,7 +245,7 @@
     if (ps_cmp(c->pos, in->known_pos) > 0)
         in->known_pos = c->pos;
     bool primary = in->index == in->group->cfg.primary;
-    if (primary && c->leased && c->term == in->group->cfg.term)
+    if (primary && c->leased && c->term == in->group->cfg.term && !c->history.unsettled)
         rt_record_primary_pos(&in->group->rt, c->sent_at, c->pos);
 }
 
@@ -278,68 +327,55 @@
     send_next(c);
 }
 
-/* Whether the answer ended without COMPLETE or ERROR: it is incomplete, and it is not known
- * what was executed. */
-static bool is_incomplete(const struct px_conn *c)
-{
-    return c->phase != PX_C_OPENING && !c->complete_seen && c->error == ER_NONE;
-}
-
 /* ---- matching answers ---- */
 
-static struct mt_outstanding outstanding(const struct px_conn *c)
-{
-    struct mt_outstanding o = {MT_NOTHING, ~(uint32_t)0};
-    if (c->phase == PX_C_OPENING)
-        o.expected = MT_GREETING;
-    else if (c->phase == PX_C_RUNNING || c->phase == PX_C_ORPHANED)
-        o.expected = MT_SIGNED;
-    else if (c->phase == PX_C_SETUP && c->setup.verb == PX_V_BEGIN)
-        o.expected = MT_SETUP_BEGIN;
-    else if (c->phase == PX_C_SETUP)
-        o.expected = c->state == PX_IN_TXN ? MT_SETUP_IN_TXN : MT_SETUP;
-    else if (c->phase == PX_C_ROLLING_BACK)
-        o.expected = MT_SETUP;
-    return o;
+static const char *const phase_names[] = {
+    [PX_C_OPENING] = "opening",
+    [PX_C_IDLE] = "idle",
+    [PX_C_SETUP] = "setup",
+    [PX_C_RUNNING] = "running",
+    [PX_C_IDLE_IN_TXN] = "idle_in_txn",
+    [PX_C_ROLLING_BACK] = "rolling_back",
+    [PX_C_ORPHANED] = "orphaned",
+};
+
+static const char *form_name(const struct mt_answer *a)
+{
+    if (a->error != ER_NONE)
+        return "error";
+    if (!a->done)
+        return a->rows.len ? "incomplete" : "ready";
+    return a->signature.len ? "signed" : "unsigned";
 }
 
-/* Counts and logs an answer that is not proved to be the outstanding statement's. */
-static void note_unmatched(struct px_conn *c, const struct px_msg *m)
+static void log_unmatched(struct px_conn *c, const struct mt_answer *a, const char *event)
 {
-    static const char *const names[] = {"taken", "doubted", "repeated", "unexpected"};
-    static const char *const phases[] = {"opening",     "idle",         "setup",   "running",
-                                         "idle_in_txn", "rolling_back", "orphaned"};
-    const struct mt_outstanding o = outstanding(c);
-    struct mt_answer a = {.done = c->complete_seen,
-                          .error = c->error,
-                          .signature = {c->signature.p, c->signature.len},
-                          .rows = {c->rows.p, c->rows.len},
-                          .txn = m->txn,
-                          .has_pos = m->has_pos,
-                          .pos = m->pos};
-    enum mt_verdict v = mt_judge(&c->history, &c->inst->signer, &o, &a);
-    c->inst->p->c.repeated_answers += v == MT_DROP;
-    c->inst->p->c.doubted_answers += v == MT_DOUBT;
-    if (v == MT_TAKE || !px_may_log(c->inst->p))
+    if (!px_may_log(c->inst->p))
         return;
-    FL_EVENT(&c->inst->p->log, LG_INFO, "answer_unmatched",
-             "instance=%s group=%s verdict=%s signed=%d done=%d phase=%s kind=%s "
-             "since_sent_ms=%lld signatures=%d",
-             c->inst->cfg.id, c->inst->group->cfg.name, names[v], a.signature.len > 0, a.done,
-             phases[c->phase], er_name(a.error), (long long)((ck_now() - c->sent_at) / 1000),
-             c->history.n);
+    FL_EVENT(&c->inst->p->log, LG_INFO, event,
+             "instance=%s group=%s form=%s phase=%s kind=%s since_sent_ms=%lld signatures=%d",
+             c->inst->cfg.id, c->inst->group->cfg.name, form_name(a), phase_names[c->phase],
+             er_name(a->error), (long long)((ck_now() - c->sent_at) / 1000), c->history.n);
 }
 
-/* Handles the end of an answer, its READY. */
-static void handle_answer(struct px_conn *c)
+static void on_broken_answer(struct px_conn *c, const struct mt_answer *a)
 {
-    if (is_incomplete(c)) {
+    bool outstanding = c->phase != PX_C_IDLE && c->phase != PX_C_IDLE_IN_TXN;
+    if (outstanding)
         px_outlier_record(&c->inst->outlier, false, ck_now());
-        FL_EVENT(&c->inst->p->log, LG_INFO, "answer_broke_off", "instance=%s group=%s",
-                 c->inst->cfg.id, c->inst->group->cfg.name);
-        px_conn_close(c); /* treated like the loss of the answer */
-        return;
-    }
+    if (c->phase == PX_C_SETUP) /* its statement is tried again at once, and may fail again */
+        c->inst->next_open_at = ck_now() + CONNECT_RETRY_US;
+    log_unmatched(c, a,
+                  a->done || a->error != ER_NONE ? "answer_unexpected" : "answer_broke_off");
+    px_conn_close(c); /* treated like the loss of the answer */
+}
+
+/* The outstanding statement's answer. */
+static void on_matched_answer(struct px_conn *c, const struct mt_answer *a)
+{
+    c->state = a->txn;
+    c->has_pos = a->has_pos;
+    c->pos = a->pos;
     note_position(c);
     switch (c->phase) {
     case PX_C_OPENING:
@@ -365,13 +401,66 @@
         break;
     case PX_C_IDLE:
     case PX_C_IDLE_IN_TXN:
-        FL_WARN(&c->inst->p->log, "instance %s sent an unexpected answer; closing",
-                c->inst->cfg.id);
+        break; /* nothing matches there */
+    }
+    if (mt_full(&c->history))
         px_conn_close(c);
+}
+
+/* An error that may be a repeat. The statement may have run, or still run, and its answer may
+ * still come, so the connection is closed. For a read, and for a statement that was not sent
+ * yet, the error says nothing that could be untrue; for another, the answer counts as lost. */
+static void on_doubtful_answer(struct px_conn *c, const struct mt_answer *a)
+{
+    struct px_session *s = c->session;
+    c->inst->p->c.doubted_answers++;
+    log_unmatched(c, a, "answer_doubted");
+    px_conn_close(c); /* reported to the session, if it still has it */
+    if (a->error == ER_BUSY)
+        px_window_queue_full(&c->inst->window, ck_now());
+    c->has_pos = false;
+    if (c->phase == PX_C_SETUP)
+        handle_setup_error(c, s);
+    else if (c->phase == PX_C_RUNNING && !px_in_txn(s) && is_read(s))
+        px_on_answer(s, c);
+}
+
+static void handle_answer(struct px_conn *c, const struct mt_answer *a)
+{
+    switch (mt_judge(&c->history, &c->inst->signer, &c->outstanding, a)) {
+    case MT_TAKE:
+        on_matched_answer(c, a);
+        break;
+    case MT_DOUBT:
+        on_doubtful_answer(c, a);
+        break;
+    case MT_DROP:
+        c->inst->p->c.repeated_answers++;
+        log_unmatched(c, a, "answer_repeated");
+        break;
+    case MT_BROKEN:
+        on_broken_answer(c, a);
         break;
     }
 }
 
+/* An answer is complete; what follows belongs to another. */
+static void on_ready(struct px_conn *c, const struct px_msg *m)
+{
+    struct mt_answer a = {.done = c->complete_seen,
+                          .error = c->error,
+                          .signature = {c->signature.p, c->signature.len},
+                          .rows = {c->rows.p, c->rows.len},
+                          .txn = m->txn,
+                          .has_pos = m->has_pos,
+                          .pos = m->pos};
+    handle_answer(c, &a);
+    sr_buf_reset(&c->rows);
+    sr_buf_reset(&c->signature);
+    c->complete_seen = false;
+    c->error = ER_NONE;
+}
+
 /* A connection was refused while opening. No session is affected; the next one is opened later.
  */
 static void handle_open_error(struct px_conn *c, const struct px_msg *m)
@@ -419,11 +508,7 @@
         snprintf(c->detail, sizeof(c->detail), "%.*s", (int)m->detail.len, m->detail.p);
         break;
     case PX_READY:
-        note_unmatched(c, m);
-        c->state = m->txn;
-        c->has_pos = m->has_pos;
-        c->pos = m->pos;
-        handle_answer(c);
+        on_ready(c, m);
         break;
     default:
         FL_WARN(&c->inst->p->log, "instance %s sent an invalid message; closing",
@@ -443,9 +528,7 @@
     while (ends_line && !c->closing && px_next_msg(c->inst->p->cfg.codec, &c->input, &at, &m))
         handle_msg(c, &m);
     px_consume(&c->input, at);
-    if (c->phase == PX_C_IDLE)
-        sr_buf_reset(&c->rows); /* the answer was passed on */
-    nt_charge(net, c->input.cap + c->rows.cap + c->signature.cap);
+    nt_charge(net, c->input.cap + c->rows.cap + c->signature.cap + mt_bytes(&c->history));
     if (c->input.len > PX_MAX_LINE)
         px_conn_close(c);
 }
@@ -458,7 +541,7 @@
                        .identity = sr_from(c->account),
                        .expect = sr_from(c->inst->cfg.id)};
     (void)net;
-    send_msg(c, &m);
+    send_msg(c, &m, (struct mt_outstanding){MT_GREETING, 0});
 }
 
 static void unlink_conn(struct px_conn *c)
@@ -530,6 +613,7 @@
     c->last_used_at = ck_now();
     c->inst = in;
     c->phase = PX_C_OPENING;
+    c->outstanding.expected = MT_GREETING;
     c->history.conn = ++in->p->last_conn;
     c->sent_at = ck_now();
     px_saturation_opening(&in->saturation, &in->p->saturation, in->n_conns, c->sent_at);
--- a/proxy/outcome.c
+++ b/proxy/outcome.c
@@ -146,7 +146,7 @@
     px_end_work(s);
     if (s->txn != PX_IDLE && c->state != PX_IDLE) {
         s->conn = c;
-        c->phase = PX_C_IDLE_IN_TXN;
+        px_conn_idle_in_txn(c);
         px_answer(s, c);
         px_inst_serve_waiters(c->inst);
         return;
@@ -157,6 +157,29 @@
     release(c);
 }
 
+/* The outcome of a statement of the transaction that was sent and has no answer. If it may have
+ * run outside of the transaction, a write of it may be kept. */
+static bool may_be_kept(const struct px_session *s, const struct px_conn *c)
+{
+    if (s->stmt.verb == PX_V_COMMIT)
+        return s->txn_wrote;
+    return s->writes && !c->history.begin_settled;
+}
+
+/* The statement ran, but no transaction is open on the connection: its BEGIN did not run. */
+static void ran_outside_txn(struct px_session *s, struct px_conn *c)
+{
+    bool kept = s->writes;
+    s->conn = NULL;
+    c->session = NULL;
+    px_conn_close(c);
+    s->txn = PX_TXN_FAILED;
+    s->txn_rolled_back = true;
+    px_refuse(s, kept ? ER_LOST : ER_ABORTED,
+              kept ? "the instance ran the write outside of its transaction"
+                   : "the instance lost the transaction; nothing of it is kept");
+}
+
 /* Whether a commit that the instance answered may be acknowledged. Where replicas must have
  * received it, control chooses the next primary by what they hold once every node has dropped
  * the term; so nothing may be acknowledged in a term that this node has dropped, or may have to
@@ -186,6 +209,11 @@
         withhold_acknowledgement(s, c);
         return;
     }
+    bool ends = s->stmt.verb == PX_V_COMMIT;
+    if (px_in_txn(s) && c->error == ER_NONE && !ends && c->state == PX_IDLE) {
+        ran_outside_txn(s, c);
+        return;
+    }
     if (px_in_txn(s)) {
         count_read(s, c);
         if (c->error == ER_NONE)
@@ -232,10 +260,10 @@
 
 /* The transaction's connection was lost: the transaction was rolled back, unless its COMMIT had
  * been sent, whose outcome is unknown. */
-static void txn_lost(struct px_session *s, bool sent)
+static void txn_lost(struct px_session *s, const struct px_conn *c, bool sent)
 {
     bool ends = s->stmt.verb == PX_V_COMMIT;
-    bool in_doubt = ends && s->txn_wrote && sent;
+    bool in_doubt = sent && may_be_kept(s, c);
     if (s->stage == PX_S_IDLE) { /* idle in transaction: the next statement gets the error */
         fail_txn(s);
         return;
@@ -243,7 +271,7 @@
     s->txn = ends ? PX_IDLE : PX_TXN_FAILED;
     s->txn_rolled_back = !ends;
     px_refuse(s, in_doubt ? ER_LOST : ER_ABORTED,
-              in_doubt ? "the connection was lost after the commit was sent"
+              in_doubt ? "the connection was lost after the write or commit was sent"
                        : "the connection was lost; the transaction was rolled back");
 }
 
@@ -252,7 +280,7 @@
     struct px_inst *in = c->inst;
     s->p->c.lost_conns += sent;
     if (px_in_txn(s) && s->txn_begun) {
-        txn_lost(s, sent);
+        txn_lost(s, c, sent);
         return;
     }
     if (!px_needs_primary(s))
@@ -294,7 +322,7 @@
 static void expire_txn(struct px_session *s, struct px_conn *c, bool sent)
 {
     bool ends = s->stmt.verb == PX_V_COMMIT;
-    bool in_doubt = ends && s->txn_wrote && sent;
+    bool in_doubt = sent && may_be_kept(s, c);
     s->conn = NULL;
     c->session = NULL;
     if (ends)
@@ -304,7 +332,7 @@
     s->txn = ends ? PX_IDLE : PX_TXN_FAILED;
     s->txn_rolled_back = !ends;
     px_refuse(s, in_doubt ? ER_TIMEOUT : ER_ABORTED,
-              in_doubt ? "no answer to the commit before its deadline"
+              in_doubt ? "no answer to the write or commit before its deadline"
                        : "no answer before the deadline; the transaction was rolled back");
 }
 
