proxy: a message ends at CR LF, not at a LF alone

What callers saw: a statement with a line feed in its last field ran cut off there, acknowledged; the rest ran as a statement that nobody had sent.

Cause: px_next_line() ended a message at any LF and dropped a CR before it, while the protocol ends it by CR LF; the sessions', relays' and instances' connections and the count of a relayed session's open requests looked for a bare LF too. All of them now search for CR LF. A CR that ends one piece and the LF that begins the next are one end; a message is searched once, however many pieces it comes in (px_ends_line).

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -523,8 +523,8 @@
     struct px_msg m;
     size_t at = 0;
     note_received(c);
-    bool ends_line = memchr(data, '\n', len) != NULL;
     sr_buf_add(&c->input, data, len);
+    bool ends_line = px_ends_line(&c->input, len);
     while (ends_line && !c->closing && px_next_msg(c->inst->p->cfg.codec, &c->input, &at, &m))
         handle_msg(c, &m);
     px_consume(&c->input, at);
--- a/proxy/pending.c
+++ b/proxy/pending.c
@@ -51,7 +51,9 @@
                     const char *data, size_t len)
 {
     for (size_t i = 0; i < len; i++) {
-        if (data[i] == '\n') {
+        bool ends_line = q->after_cr && data[i] == '\n';
+        q->after_cr = data[i] == '\r';
+        if (ends_line) {
             add_line(q, codec, txn);
             q->len = 0;
         } else if (q->len < sizeof(q->head)) {
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -343,9 +343,8 @@
     nb_received(&r->nb->status, ck_now());
     if (r->ending)
         return; /* the caller already got an answer for these requests */
-    bool ends_line = memchr(data, '\n', len) != NULL;
     sr_buf_add(&r->in, data, len);
-    size_t n = ends_line ? px_complete_lines(&r->in, &last) : 0;
+    size_t n = px_ends_line(&r->in, len) ? px_complete_lines(&r->in, &last) : 0;
     if (n == 0) {
         if (r->in.len > PX_MAX_LINE)
             nt_close(net, true);
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -191,8 +191,8 @@
         return;
     }
     /* A long message that arrives in many pieces is searched for its end only once. */
-    bool ends_line = memchr(data, '\n', len) != NULL;
     sr_buf_add(&s->in, data, len);
+    bool ends_line = px_ends_line(&s->in, len);
     if (s->lacks_line_end && !ends_line) {
         limit_input(s);
         px_session_charge(s);
--- a/proxy/wire.h
+++ b/proxy/wire.h
@@ -103,9 +103,14 @@
     void (*put_text)(struct sr_buf *out, const struct px_stmt *st);
 };
 
-/* Finds the next complete line of `in` at *at and moves *at behind it. Returns false if there
+/* A message is ended by CR LF; its last field may hold a CR or LF alone.
+ *
+ * Finds the next complete line of `in` at *at and moves *at behind it. Returns false if there
  * is none. */
 bool px_next_line(const struct sr_buf *in, size_t *at, struct sr_str *line);
+/* Whether a line ends in the last `n` bytes of `in`, which have just arrived: a message that
+ * comes in many pieces is searched once. */
+bool px_ends_line(const struct sr_buf *in, size_t n);
 /* Like px_next_line, and parses the line; the strings of *m point into `in`. */
 bool px_next_msg(const struct px_codec *codec, const struct sr_buf *in, size_t *at,
                  struct px_msg *m);
--- a/tests/unit/test_neighbor.c
+++ b/tests/unit/test_neighbor.c
@@ -144,6 +144,11 @@
     {"ROLLBACK", PX_IN_TXN, "QUERY a WRITE x y\r\n", "QUERY b ROLLBACK\r\n", true},
     {"two at once: which was answered can't be told", PX_IDLE, "",
      "QUERY a READ x\r\nQUERY b READ y\r\n", false},
+    {"a line feed in a field begins no request", PX_IDLE, "",
+     "QUERY a READ x\nQUERY b WRITE x y\n\r\n", true},
+    {"nor does one in a value end a transaction", PX_IN_TXN, "QUERY a WRITE x y\r\n",
+     "QUERY b READ x\nQUERY c COMMIT\r\r\n", true},
+    {"a write that ends with a line feed is not whole", PX_IDLE, "", "QUERY a WRITE x\n", true},
     {"a write that is not whole ran nowhere", PX_IDLE, "", "QUERY a WRITE x", true},
 };
 
@@ -187,6 +192,7 @@
     char line[600];
     memset(line, 'x', sizeof(line));
     sr_move(line, "QUERY a WRITE ", 14);
+    line[sizeof(line) - 2] = '\r';
     line[sizeof(line) - 1] = '\n';
     px_pending_add(&q, &pf_lines, PX_IDLE, line, sizeof(line));
     CU_ASSERT(q.open == 1 && !px_pending_harmless(&q));
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -51,5 +51,6 @@
 void documents_suite(void);
 void lines_suite(void);
 void match_suite(void);
+void boundary_suite(void);
 
 #endif
