--- a/proxy/pending.h
+++ b/proxy/pending.h
@@ -13,7 +13,7 @@
 struct px_pending {
     char head[PX_PENDING_HEAD_BYTES]; /* start of the incomplete line */
     size_t len;
-    bool after_cr; /* the last byte was a CR, which may begin the line's end */
+    bool after_cr;  /* the last byte was a CR, which may begin the line's end */
     int open;       /* complete requests since the last answer */
     bool may_keep;  /* one of them may have changed data */
     bool ends_txn;  /* the last of them ends the transaction */
