proxy: what a setup may still get as an error includes BUSY; who signs alike is told by two connections

- An unsettled setup that was refused as busy could pass for the refusal of the write after it, which was then tried again and ran twice, if the instance refuses setups as busy.
BUSY is now in doubt there as well.
- One answer with mixed rows among the first sixteen signatures of an instance turned the protection off.
Only one signature on two connections does now.

--- a/proxy/match.c
+++ b/proxy/match.c
@@ -54,19 +54,17 @@
 }
 
 /* Records a signature of an instance that has not given many yet. */
-static void note_signer(struct mt_signer *by, uint64_t digest, uint64_t rows, uint64_t conn)
+static void note_signer(struct mt_signer *by, uint64_t digest, uint64_t conn)
 {
     if (by->n == MT_PROVED_UNIQUE)
         return;
     for (int i = 0; i < by->n; i++) {
         if (by->first[i].digest != digest)
             continue;
-        if (by->first[i].conn != conn || by->first[i].rows != rows)
-            by->alike = true;
+        by->alike = by->alike || by->first[i].conn != conn;
         return;
     }
     by->first[by->n].digest = digest;
-    by->first[by->n].rows = rows;
     by->first[by->n].conn = conn;
     by->n++;
     if (by->n == MT_PROVED_UNIQUE)
@@ -89,7 +87,7 @@
 {
     uint64_t digest = digest_of(a->signature), rows = digest_of(a->rows);
     const struct mt_signature *before = find(h, digest);
-    note_signer(by, digest, rows, h->conn);
+    note_signer(by, digest, h->conn);
     if (by->alike)
         return take_signed(h, expected, a);
     if (before) /* with other rows, two answers are mixed */
@@ -132,12 +130,11 @@
     bool any_before = h->setup[PX_IDLE] || h->setup[PX_IN_TXN] || h->setup[PX_TXN_FAILED];
     if (!fits(o->expected, a->txn))
         return any_before ? MT_DROP : MT_BROKEN;
-    bool proved = !h->setup[a->txn] && !h->unsettled;
+    bool proved = !h->setup[a->txn];
     h->setup[a->txn] = true;
     if (!proved) {
         h->unsettled = true;
-        /* An instance refuses as busy only what takes a slot. */
-        h->owed |= o->errors & ~mt_error_bit(ER_BUSY);
+        h->owed |= o->errors;
     }
     if (o->expected == MT_SETUP_BEGIN)
         h->begin_settled = proved;
--- a/proxy/match.h
+++ b/proxy/match.h
@@ -85,12 +85,11 @@
 };
 
 /* Whether an instance gives each signature once. One that signs alike can't be told from one
- * that repeats by its signatures; it is recognised by one signature on two connections, or with
- * other rows. */
+ * that repeats by its signatures; it is recognised by one signature on two connections. */
 struct mt_signer {
     int n; /* different signatures so far, up to MT_PROVED_UNIQUE */
     struct {
-        uint64_t digest, rows, conn;
+        uint64_t digest, conn;
     } first[MT_PROVED_UNIQUE];
     bool alike; /* it signs alike: its signatures prove nothing */
 };
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -50,6 +50,7 @@
     member_suite();
     lines_suite();
     match_suite();
+    answers_suite();
     boundary_suite();
     documents_suite();
     CU_basic_set_mode(CU_BRM_NORMAL);
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -51,6 +51,7 @@
 void documents_suite(void);
 void lines_suite(void);
 void match_suite(void);
+void answers_suite(void);
 void boundary_suite(void);
 
 #endif
