misc: control characters of callers' text begin no line of a log

An id or a name may hold a LF since messages end at CR LF only; in a log of text lines the rest of it stood on a line of its own, as if this process had written it. Found by review (request_failed with such an id). Lines of text now show control characters as '?'; JSON escaped them before. The new test fails without the change (the function is new); x86-64.

--- a/misc/log.c
+++ b/misc/log.c
@@ -134,13 +134,23 @@
     put_json(o);
 }
 
+void lg_mask_controls(char *text, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        if ((unsigned char)text[i] < ' ' || text[i] == 0x7f)
+            text[i] = '?';
+    }
+}
+
 static void write_text(const struct lg_log *log, enum lg_level level, const char *text)
 {
     char line[LINE_BYTES];
     int64_t ms = ck_wall_ms();
     int n = snprintf(line, sizeof(line), "%lld.%03lld %s %s [%s] %s", (long long)(ms / 1000),
                      (long long)(ms % 1000), setup.node, level_names[level], log->prefix, text);
-    put_line(line, n < (int)sizeof(line) ? (size_t)n : sizeof(line) - 1);
+    size_t len = n < (int)sizeof(line) ? (size_t)n : sizeof(line) - 1;
+    lg_mask_controls(line, len);
+    put_line(line, len);
 }
 
 /* Whether the value of a field may contain spaces and extends to the end of the line. */
--- a/misc/log.h
+++ b/misc/log.h
@@ -3,6 +3,7 @@
 #ifndef FL_MISC_LOG_H
 #define FL_MISC_LOG_H
 
+#include <stddef.h>
 #include <stdbool.h>
 
 enum lg_level { LG_FATAL, LG_ERR, LG_WARN, LG_INFO, LG_VERBOSE, LG_DEBUG, LG_TRACE };
@@ -30,6 +31,9 @@
 /* Number of lines dropped because the reader of the log did not keep up. */
 unsigned long lg_left_out(void);
 
+/* Replaces control characters, so that text from a caller can't begin a line of its own. */
+void lg_mask_controls(char *text, size_t n);
+
 #define LG_MSG(log, level, ...)                                                                \
     do {                                                                                       \
         if (lg_enabled((log), (level)))                                                        \
--- a/tests/unit/test_misc.c
+++ b/tests/unit/test_misc.c
@@ -142,9 +142,18 @@
     CU_ASSERT_EQUAL(ix_get(&ix, "db1"), IX_NONE);
 }
 
+/* Guards against a caller that writes a line of its own into a log. */
+static void a_log_line_is_one_line(void)
+{
+    char text[] = "id=x\n12:00 fatal\r\x7f\t\xc3\xa9 y";
+    lg_mask_controls(text, strlen(text));
+    CU_ASSERT_STRING_EQUAL(text, "id=x?12:00 fatal???\xc3\xa9 y");
+}
+
 void misc_suite(void)
 {
     CU_pSuite s = CU_add_suite("misc", NULL, NULL);
+    TEST(s, a_log_line_is_one_line);
     TEST(s, errors_first_wins);
     TEST(s, every_kind_has_an_answer);
     TEST(s, histogram_error_is_bounded);
