proxy: each kind of error has its own bit; a greeting is repeated once; closing connections are not free

Found by review of proxy/match: - mt_error_bit() shifted 1 by up to 33: ABORTED shared a bit with no error and UNAUTH with MALFORMED on x86-64, other kinds elsewhere. The masks are 64 bits wide, and ER_COUNT is checked when compiling. - Any READY like the greeting was dropped, so each answer that broke off to it waited for its time limit. Only the first on a connection is dropped. - An idle connection that is being closed counted as a free one when an instance was chosen.

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -38,9 +38,9 @@
 
 /* The kinds of errors that a statement may get. An instance that lacks a position says so only
  * of a statement that states one, and refuses as no primary only what needs the primary. */
-static uint32_t possible_errors(bool has_floor, bool needs_primary)
+static uint64_t possible_errors(bool has_floor, bool needs_primary)
 {
-    uint32_t all = ~(mt_error_bit(ER_BEHIND) | mt_error_bit(ER_TERM));
+    uint64_t all = ~(mt_error_bit(ER_BEHIND) | mt_error_bit(ER_TERM));
     return all | (has_floor ? mt_error_bit(ER_BEHIND) : 0) |
            (needs_primary ? mt_error_bit(ER_TERM) : 0);
 }
--- a/proxy/match.c
+++ b/proxy/match.c
@@ -101,7 +101,7 @@
 static enum mt_verdict judge_error(struct mt_history *h, const struct mt_outstanding *o,
                                    enum er_kind error)
 {
-    uint32_t bit = mt_error_bit(error);
+    uint64_t bit = mt_error_bit(error);
     bool given = h->errors & bit, owed = h->owed & bit;
     h->errors |= bit;
     if (!(o->errors & bit)) /* a setup statement that failed after all is no repeat */
@@ -152,9 +152,10 @@
         h->greeting_pos = a->pos;
         return MT_TAKE;
     }
-    bool greets = a->rows.len == 0 && a->txn == h->greeting_txn &&
+    bool greets = !h->greeted_again && a->rows.len == 0 && a->txn == h->greeting_txn &&
                   a->has_pos == h->greeting_has_pos &&
                   (!a->has_pos || ps_cmp(a->pos, h->greeting_pos) == 0);
+    h->greeted_again = h->greeted_again || greets;
     return greets ? MT_DROP : MT_BROKEN;
 }
 
--- a/proxy/match.h
+++ b/proxy/match.h
@@ -43,7 +43,7 @@
 /* What is outstanding on a connection. */
 struct mt_outstanding {
     enum mt_expected expected;
-    uint32_t errors; /* the kinds of errors that it may get; mt_error_bit */
+    uint64_t errors; /* the kinds of errors that it may get; mt_error_bit */
 };
 
 /* A whole answer, up to its PX_READY. */
@@ -74,14 +74,15 @@
     uint64_t conn; /* number of the connection, above 0 */
     int n, room;   /* signatures; size of the table, 0 or a power of two */
     struct mt_signature *signatures;
-    uint32_t errors;    /* kinds of errors */
+    uint64_t errors;    /* kinds of errors */
     bool setup[3];      /* an answer to a setup statement, by transaction state */
     bool unsettled;     /* a setup statement was taken for answered without proof */
-    uint32_t owed;      /* the kinds of errors that such a statement may still get */
+    uint64_t owed;      /* the kinds of errors that such a statement may still get */
     bool begin_settled; /* the BEGIN of the open transaction was answered for certain */
     enum px_txn greeting_txn;
     bool greeting_has_pos;
     struct ps_pos greeting_pos;
+    bool greeted_again; /* its repeat was dropped */
 };
 
 /* Whether an instance gives each signature once. One that signs alike can't be told from one
@@ -94,9 +95,10 @@
     bool alike; /* it signs alike: its signatures prove nothing */
 };
 
-static inline uint32_t mt_error_bit(enum er_kind kind)
+_Static_assert(ER_COUNT <= 64, "a bit for each kind of error");
+static inline uint64_t mt_error_bit(enum er_kind kind)
 {
-    return (uint32_t)1 << kind;
+    return (uint64_t)1 << kind;
 }
 
 /* Judges an answer that arrived while `o` was outstanding, and records it. */
--- a/proxy/pool.c
+++ b/proxy/pool.c
@@ -92,6 +92,15 @@
     return idle_conn(in, s) != NULL;
 }
 
+bool px_inst_has_free_conn(const struct px_inst *in)
+{
+    for (const struct px_conn *c = in->conns; c; c = c->next) {
+        if (!c->closing && (c->phase == PX_C_IDLE || c->phase == PX_C_OPENING))
+            return true;
+    }
+    return false;
+}
+
 bool px_inst_usable(const struct px_inst *in, int64_t now)
 {
     if (in->cfg.draining || in->removed)
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -640,6 +640,8 @@
 void px_inst_submit(struct px_inst *in, struct px_session *s);
 /* Whether a connection of the session's account is idle. */
 bool px_inst_has_idle_conn(const struct px_inst *in, const struct px_session *s);
+/* Whether a connection is idle, or will be soon because it is being opened. */
+bool px_inst_has_free_conn(const struct px_inst *in);
 /* Removes the session from the waiting ones. */
 void px_inst_dequeue(struct px_inst *in, struct px_session *s);
 /* Serves waiting sessions as far as connections are idle. */
--- a/proxy/work.c
+++ b/proxy/work.c
@@ -88,7 +88,7 @@
     /* With accounts, room for one more connection does not count as a free one: it would first
      * have to be opened for the account. */
     bool accounts = px_has_accounts(in->p);
-    bool idle = accounts ? px_inst_has_idle_conn(in, s) : in->n_conns > in->busy;
+    bool idle = accounts ? px_inst_has_idle_conn(in, s) : px_inst_has_free_conn(in);
     return (struct px_candidate){
         .usable = px_inst_usable(in, now) && !(s->skip_mask & (1u << in->index)),
         .primary = in->index == g->cfg.primary,
