control: a status that is sent again is no newer than when it was first sent

Seen: with syncReplicas 1, callers missed acknowledged commits after a change of primary, because a replica that lacked them was promoted. Needs an instance that sends an answer to STATUS a second time while the primary is replaced.

Cause: the answer to STATUS was read as the answer to whatever request was outstanding. Its role and position were believed to be as new as that request, so the replica that held everything appeared to hold less than the other one.

--- a/control/control.h
+++ b/control/control.h
@@ -339,8 +339,8 @@
 void ct_on_suspect(struct ct_conn *c, const struct wr_check *m);
 /* Sends a request; returns its id, 0 if it could not be sent. */
 uint64_t ct_send_op(struct ct_inst *in, struct ep_request *q);
-/* Sends a status request. */
-void ct_probe(struct ct_inst *in, int64_t now);
+/* Sends a status request; the status must be of `since` or later, 0: of any time. */
+void ct_probe(struct ct_inst *in, int64_t since, int64_t now);
 /* NULL if there is no group of that name. */
 struct ct_group *ct_group_of(struct ct_node *n, const char *name);
 /* Whether the instance follows the primary and holds all that the primary holds, by probes that
--- a/control/promotions.c
+++ b/control/promotions.c
@@ -59,7 +59,7 @@
         do_follow(n, g, a);
         break;
     case PR_DO_PROBE:
-        ct_probe(in, ck_now());
+        ct_probe(in, 0, ck_now());
         break;
     }
 }
--- a/control/takeovers.c
+++ b/control/takeovers.c
@@ -132,7 +132,7 @@
         send_order(n, g, a);
         break;
     case TK_DO_PROBE:
-        ct_probe(g->inst[a->inst], ck_now());
+        ct_probe(g->inst[a->inst], a->since, ck_now());
         break;
     }
 }
--- a/control/watch.c
+++ b/control/watch.c
@@ -101,6 +101,8 @@
     int64_t now = ck_now();
     (void)c;
     int64_t asked_at = take_asked_at(in, r->id);
+    if (r->as_of)
+        asked_at = r->as_of;
     tf_count_probe(&n->traffic, TF_PROBE_ANSWERED);
     in->replied_at = now;
     in->status = *r;
@@ -189,9 +191,9 @@
     return intervals > configured ? intervals : configured;
 }
 
-void ct_probe(struct ct_inst *in, int64_t now)
+void ct_probe(struct ct_inst *in, int64_t since, int64_t now)
 {
-    struct ep_request q = {.op = EP_STATUS};
+    struct ep_request q = {.op = EP_STATUS, .since = since};
     /* The first probe is sent at once, the next after an offset that depends on the instance's
      * id, so that thousands of instances that were connected together are not probed together.
      */
@@ -252,7 +254,7 @@
     if (!in->open)
         return;
     if (now - in->probed_at >= inst_probe_interval_us(in))
-        ct_probe(in, now);
+        ct_probe(in, 0, now);
     if (now - in->replied_at > silence_limit_us(in) && in->health != PR_SILENT) {
         set_health(in, PR_SILENT);
         send_probes(in->node);
--- a/endpoint/endpoint.h
+++ b/endpoint/endpoint.h
@@ -46,6 +46,9 @@
     bool txn;            /* READ, WRITE inside the open transaction */
     struct sr_str ip;    /* DO_FOLLOW: the primary */
     int port;
+    /* STATUS: replies until one reports what was so at this time or later are of no use; 0: any
+     * is. */
+    int64_t since;
 };
 
 enum ep_result {
@@ -65,6 +68,9 @@
     bool primary;
     uint64_t term, following;
     struct ps_pos held, applied;
+    /* STATUS: it reports what was so at this time or later, if the driver can't tell by `id`;
+     * else 0. */
+    int64_t as_of;
 };
 
 struct ep_conn;
--- a/takeover/coverage.c
+++ b/takeover/coverage.c
@@ -99,6 +99,21 @@
     b->pos = primary->received;
 }
 
+static int64_t bound_since(const struct tk_bound *b)
+{
+    return b->known ? 0 : b->since;
+}
+
+int64_t tk_primary_pos_since(const struct tk_group *t, const struct vw_group *g)
+{
+    int64_t since = bound_since(&t->left);
+    for (int i = 0; i < t->n; i++) {
+        int64_t at = i == g->primary ? 0 : bound_since(&t->inst[i].bound);
+        since = at > since ? at : since;
+    }
+    return since > t->serving_since ? since : t->serving_since;
+}
+
 void tk_note_primary_pos(struct tk_group *t, const struct vw_group *g, int64_t now)
 {
     const struct tk_inst *p = &t->inst[g->primary];
--- a/takeover/takeover.c
+++ b/takeover/takeover.c
@@ -125,7 +125,13 @@
                        uint64_t term)
 {
     if (out->n < TK_MAX_ACTIONS)
-        out->a[out->n++] = (struct tk_action){kind, inst, term};
+        out->a[out->n++] = (struct tk_action){kind, inst, term, 0};
+}
+
+static void probe(struct tk_actions *out, int inst, int64_t since)
+{
+    if (out->n < TK_MAX_ACTIONS)
+        out->a[out->n++] = (struct tk_action){TK_DO_PROBE, inst, 0, since};
 }
 
 /* ---- choice of the successor ---- */
@@ -247,12 +253,30 @@
     add_action(out, TK_DO_CHECK, g->primary, 0);
 }
 
+/* When the view's primary should have reported its role. */
+static int64_t role_since(const struct tk_group *t)
+{
+    return t->serving_since + PRIMARY_REPORT_GRACE_US;
+}
+
 /* Whether the view's primary reports that it is not primary any more. An earlier call may have
  * been carried out late, or somebody else may have made one. */
 static bool was_demoted(const struct tk_group *t, const struct tk_inst *p)
 {
-    return p->health == TK_UP && p->status_at > t->serving_since + PRIMARY_REPORT_GRACE_US &&
-           !p->reports_primary;
+    return p->health == TK_UP && p->asked_at > role_since(t) && !p->reports_primary;
+}
+
+/* Requests the status of the serving primary if the last one may be too old for what it is
+ * needed for. */
+static void renew_primary_status(const struct tk_group *t, const struct vw_group *g,
+                                 struct tk_actions *out)
+{
+    const struct tk_inst *p = &t->inst[g->primary];
+    int64_t since = t->copies > 0 ? tk_primary_pos_since(t, g) : 0;
+    if (!p->reports_primary && role_since(t) >= since)
+        since = role_since(t) + 1;
+    if (p->health == TK_UP && p->status_at > since && p->asked_at < since)
+        probe(out, g->primary, since);
 }
 
 static void idle_tick(struct tk_group *t, const struct vw_group *g, int64_t now,
@@ -324,7 +348,7 @@
 static bool all_status_recent(const struct tk_group *t)
 {
     for (int i = 0; i < t->n; i++) {
-        if (t->inst[i].health == TK_UP && t->inst[i].status_at < t->step_at)
+        if (t->inst[i].health == TK_UP && t->inst[i].asked_at < t->step_at)
             return false;
     }
     return true;
@@ -333,7 +357,7 @@
 static void probe_all(const struct tk_group *t, struct tk_actions *out)
 {
     for (int i = 0; i < t->n; i++)
-        add_action(out, TK_DO_PROBE, i, 0);
+        probe(out, i, t->step_at);
 }
 
 /* Whether the successor still lacks writes of a draining primary that is up. The call waits
@@ -385,7 +409,7 @@
 {
     const struct tk_inst *in = &t->inst[t->target];
     int64_t waited = now - t->step_at;
-    if (in->reports_primary && in->status_at > t->step_at && outcome_is_certain(t)) {
+    if (in->reports_primary && in->asked_at > t->step_at && outcome_is_certain(t)) {
         t->open_call_inst[0] = 0;
         t->open_calls_differ = false;
         add_action(out, TK_DO_PRIMARY, t->target, t->term);
@@ -397,7 +421,7 @@
         propose_replace(t, g, now, out);
         return;
     }
-    add_action(out, TK_DO_PROBE, t->target, 0);
+    probe(out, t->target, t->step_at + 1);
 }
 
 void tk_call_result(struct tk_group *t, uint64_t term, enum tk_outcome what, int64_t now)
@@ -471,6 +495,7 @@
     if (g->primary < 0)
         return; /* the group never had a primary */
     tk_note_primary_pos(t, g, now);
+    renew_primary_status(t, g, out);
     if (t->step == TK_PROPOSED && now - t->step_at > PROPOSAL_TIMEOUT_US)
         set_step(t, TK_IDLE, now);
     if (t->step == TK_IDLE)
--- a/takeover/takeover.h
+++ b/takeover/takeover.h
@@ -54,7 +54,7 @@
     bool reports_primary;
     struct ps_pos received;
     int64_t status_at;     /* when the instance last reported its status; 0 never */
-    int64_t asked_at;      /* that status was requested at this time or later; 0: unknown */
+    int64_t asked_at;      /* what it reports was so at this time or later; 0: unknown */
     int64_t avoid_until;   /* a call for it was refused: no call before this time */
     struct tk_bound bound; /* while its connections are refused: its process is gone */
 };
@@ -109,13 +109,14 @@
     TK_DO_HAND,    /* propose VW_CH_HAND with `term` to `inst` */
     TK_DO_CALL,    /* call for `inst` with the token `term`; reply with tk_call_result */
     TK_DO_PRIMARY, /* propose VW_CH_PRIMARY: `inst`, `term` */
-    TK_DO_PROBE,   /* request the status of `inst` now */
+    TK_DO_PROBE,   /* request the status of `inst` now, as it is at `since` or later */
 };
 
 struct tk_action {
     enum tk_action_kind kind;
     int inst;
     uint64_t term;
+    int64_t since;
 };
 
 enum { TK_MAX_ACTIONS = VW_MAX_INSTANCES + 2 };
@@ -136,8 +137,8 @@
 void tk_begin(struct tk_group *t, const struct tk_config *cfg, int64_t now);
 /* Sets the health that this leader's connection to the instance shows. */
 void tk_set_health(struct tk_group *t, const char *inst, enum tk_health health, int64_t now);
-/* Stores the status that the instance reported about itself on a request of `asked_at`, or a
- * later one; 0: the time is not known. */
+/* Stores the status that the instance reported about itself, which was so at `asked_at` or
+ * later; 0: the time is not known. */
 void tk_set_status(struct tk_group *t, const char *inst, bool primary, struct ps_pos received,
                    int64_t asked_at, int64_t now);
 /* An entry node reports that the instance does not reply to it. */
@@ -163,5 +164,7 @@
 bool tk_can_hand_over_to(const struct tk_group *t, const struct vw_group *g, int i);
 /* Records the primary's position, by its latest status, while the group serves. */
 void tk_note_primary_pos(struct tk_group *t, const struct vw_group *g, int64_t now);
+/* The time of which the serving primary's status is needed for that; 0: of none. */
+int64_t tk_primary_pos_since(const struct tk_group *t, const struct vw_group *g);
 
 #endif
--- a/tests/standin/world.c
+++ b/tests/standin/world.c
@@ -9,9 +9,11 @@
  * (world_orders.c), commands of a test to base - 2: /kill/G/I, /revive/G/I, /drain/G/I,
  * /lag/G/MS, /copies/G/N (a commit is answered when N replicas have received it),
  * /deaf/G/I/0|1, /busy-sets/N (the next N SETs are refused), /deaf-orders/N (the next N go
- * unanswered and are carried out late), /halves/N (the next N answers break off), /grey/G/I/P
-X (instances say that they are N ports further, where
- * a ferry-pipe is), /status. */
+ * unanswered and are carried out late), /halves/N (the next N answers break off), /grey/G/I/P,
+ * /via/N (instances say that they are N ports further, where a ferry-pipe is),
+ * /repeats/ONE-IN/MS/KINDS and /busy/ONE-IN (see struct world), /keep-status/G/I/0|1 (answers
+ * to STATUS are kept from 1 on; after 0, each STATUS gets a kept one before its own), /status.
+ */
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -104,6 +106,8 @@
         w->via = a;
     else if (sscanf(path, "/repeats/%d/%d/%d", &a, &b, &p) == 3)
         wd_set_repeats(w, a, b, (unsigned)p);
+    else if (sscanf(path, "/keep-status/%d/%d/%d", &a, &b, &p) == 3 && has_inst(w, a, b))
+        w->inst[a][b].keeps_status = p != 0;
     else if (sscanf(path, "/busy/%d", &a) == 1)
         w->busy_one_in = a;
     else if (sscanf(path, "/deaf-orders/%d", &a) == 1)
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -58,6 +58,7 @@
     int control;     /* index of the control node that it registers at */
     struct conn *conns;
     int n_conns;
+    bool keeps_status;      /* its STATUS answers are kept; then each is sent once more */
     int64_t free_at[SLOTS]; /* when the statement in each slot ends */
 };
 
--- a/tests/standin/world_lines.c
+++ b/tests/standin/world_lines.c
@@ -6,7 +6,7 @@
 #include "proxy/wire.h"
 #include "tests/standin/world.h"
 
-enum { MAX_SETS = 16, LINE = 512 };
+enum { MAX_SETS = 16, LINE = 512, KEPT = 16 };
 
 /* An answer that is sent once more. */
 struct repeat {
@@ -21,10 +21,12 @@
     struct inst *in;
     struct nt_conn *net;
     struct sr_buf buf;
-    struct sr_buf answer;   /* what was said since the last answer was sent */
-    struct repeat *repeats; /* still to be sent */
-    char id[WORD];          /* of the statement */
-    bool works;             /* on `text`, until `done` */
+    struct sr_buf answer;     /* what was said since the last answer was sent */
+    struct repeat *repeats;   /* still to be sent */
+    struct sr_buf kept[KEPT]; /* STATUS answers that are to be sent once more */
+    int n_kept;
+    char id[WORD]; /* of the statement */
+    bool works;    /* on `text`, until `done` */
     char text[LINE];
     struct nt_timer done;
     struct account *account;
@@ -120,10 +122,29 @@
     nt_timer_set(w->loop, &r->at, later, send_repeat, r);
 }
 
+/* Keeps the STATUS answer that was said, or sends the oldest kept one before it. */
+static void repeat_status(struct conn *c)
+{
+    if (c->in->keeps_status) {
+        if (c->n_kept < KEPT)
+            sr_buf_add(&c->kept[c->n_kept++], c->answer.p, c->answer.len);
+        return;
+    }
+    if (c->n_kept == 0)
+        return;
+    nt_send(c->net, c->kept[0].p, c->kept[0].len);
+    c->in->w->repeated++;
+    sr_buf_free(&c->kept[0]);
+    memmove(c->kept, c->kept + 1, sizeof(c->kept[0]) * (size_t)--c->n_kept);
+    c->kept[c->n_kept] = (struct sr_buf){0};
+}
+
 /* Sends what was said, in one piece. */
 static void send_answer(struct conn *c, unsigned kind)
 {
     struct world *w = c->in->w;
+    if (kind == REPEAT_STATUS)
+        repeat_status(c);
     nt_send(c->net, c->answer.p, c->answer.len);
     bool may = w->repeat_one_in > 0 && (w->repeat_kinds & kind);
     if (may && rn_below(&w->rng, (uint64_t)w->repeat_one_in) == 0)
@@ -538,6 +559,8 @@
         c->repeats = r->next;
         repeat_free(r);
     }
+    while (c->n_kept > 0)
+        sr_buf_free(&c->kept[--c->n_kept]);
     sr_buf_free(&c->buf);
     sr_buf_free(&c->answer);
     free(c);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -51,6 +51,7 @@
     lines_suite();
     match_suite();
     boundary_suite();
+    status_suite();
     documents_suite();
     CU_basic_set_mode(CU_BRM_NORMAL);
     CU_basic_run_tests();
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -52,5 +52,6 @@
 void lines_suite(void);
 void match_suite(void);
 void boundary_suite(void);
+void status_suite(void);
 
 #endif
