control: drops a reply whose request was answered before

Seen: by reading. On the JSON interface, a status that an instance sent again after the next request replaced what was known since: role, term, position.

Cause: the reply's id decided about its time only, not whether it is used.

Evidence, before: a_repeated_reply_is_no_evidence of test_watch, with the check left out: the repeat is believed in each of three rounds.

Change: control takes replies with ids above all answered ones.

--- a/control/control.h
+++ b/control/control.h
@@ -149,7 +149,7 @@
     int64_t next_connect, replied_at, probed_at, connecting_since;
     int64_t health_changed_at; /* when `health` last changed */
     enum pr_health health;
-    uint64_t last_request_id;
+    uint64_t last_request_id, answered_id; /* the highest ids */
     /* the oldest request without an answer: its id, 0: none, and when it was made */
     uint64_t unanswered_id;
     int64_t unanswered_since;
--- a/control/watch.c
+++ b/control/watch.c
@@ -94,12 +94,24 @@
         ct_group_tick(in->node, in->group);
 }
 
+/* Whether the reply's request was answered before. Where the driver tells times itself, it
+ * dropped such replies. */
+static bool is_repeated(struct ct_inst *in, const struct ep_reply *r)
+{
+    bool repeated = !r->as_of && r->id <= in->answered_id;
+    if (r->id > in->answered_id)
+        in->answered_id = r->id;
+    return repeated;
+}
+
 static void on_reply(struct ep_conn *c, void *ud, const struct ep_reply *r)
 {
     struct ct_inst *in = ud;
     struct ct_node *n = in->node;
     int64_t now = ck_now();
     (void)c;
+    if (is_repeated(in, r))
+        return;
     int64_t asked_at = take_asked_at(in, r->id);
     if (r->as_of)
         asked_at = r->as_of;
--- a/tests/unit/test_watch.c
+++ b/tests/unit/test_watch.c
@@ -17,13 +17,21 @@
     int refuses; /* instances of so many groups, the first */
 } drv;
 
+/* What control read last. */
+static struct {
+    const struct ep_events *events;
+    int replies;
+    struct ps_pos held;
+    int64_t asked_at;
+} status;
+
 static struct ep_conn *opens(struct nt_loop *l, const struct ep_target *to, const char *who,
                              const struct ep_events *ev, void *ud)
 {
     struct ep_conn *c;
     (void)l;
     (void)who;
-    (void)ev;
+    status.events = ev;
     drv.changed++;
     if (atoi(to->group) < drv.refuses)
         return NULL;
@@ -48,8 +56,38 @@
     return false;
 }
 
-static const struct ep_driver driver = {.open = opens, .close = closes};
-static const struct ct_failover_ops steering = {.busy = is_busy};
+/* ---- replies ---- */
+
+static void on_replied(struct ct_group *g, const char *inst, const struct ep_reply *r,
+                       int64_t asked_at)
+{
+    (void)g;
+    (void)inst;
+    status.replies++;
+    status.held = r->held;
+    status.asked_at = asked_at;
+}
+
+static void ignores(struct ct_group *g, const char *inst, uint64_t vantage, const char *domain,
+                    enum pr_health health)
+{
+    (void)g;
+    (void)inst;
+    (void)vantage;
+    (void)domain;
+    (void)health;
+}
+
+static bool sends(struct ep_conn *c, const struct ep_request *r)
+{
+    (void)c;
+    (void)r;
+    return true;
+}
+
+static const struct ep_driver driver = {.open = opens, .send = sends, .close = closes};
+static const struct ct_failover_ops steering = {
+    .busy = is_busy, .replied = on_replied, .probed = ignores};
 static const struct ct_platform_ops outside;
 
 /* A control node that knows groups of three instances, each named by its number. */
@@ -134,9 +172,33 @@
     node_free(n);
 }
 
+/* A status that is sent again after the next request is the answer to neither. */
+static void a_repeated_reply_is_no_evidence(void)
+{
+    struct ct_node *n = node_with(1);
+    struct ct_inst *in = n->groups[0]->inst[0];
+    in->conn = sr_alloc(sizeof(*in->conn));
+    in->open = true;
+    status.replies = 0;
+    ct_probe(in, 0, ck_now());
+    for (int i = 1; i <= 3; i++) {
+        struct ep_reply r = {.id = in->last_request_id, .result = EP_OK, .held = {1, 1}};
+        r.held.pos = r.id;
+        status.events->reply(in->conn, in, &r);
+        CU_ASSERT_EQUAL(status.replies, i);
+        CU_ASSERT(status.asked_at > 0);
+        ct_probe(in, 0, ck_now());
+        status.events->reply(in->conn, in, &r);
+        CU_ASSERT_EQUAL(status.replies, i);
+        CU_ASSERT_EQUAL(in->unanswered_id, in->last_request_id);
+    }
+    node_free(n);
+}
+
 SUITE(watch)
 {
     CU_pSuite s = CU_add_suite("watch", NULL, NULL);
     TEST(s, leaders_connect_in_small_steps);
     TEST(s, refusals_keep_nobody_waiting);
+    TEST(s, a_repeated_reply_is_no_evidence);
 }
