--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -52,6 +52,7 @@
     match_suite();
     answers_suite();
     boundary_suite();
+    status_suite();
     documents_suite();
     CU_basic_set_mode(CU_BRM_NORMAL);
     CU_basic_run_tests();
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -53,5 +53,6 @@
 void match_suite(void);
 void answers_suite(void);
 void boundary_suite(void);
+void status_suite(void);
 
 #endif
