proxy: an error in doubt counts against its instance all the same

Cause: an error that may be a repeat was left out of the count by which an instance is found failing, and where sessions set values most FAILED answers are in doubt.

--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -418,6 +418,8 @@
     px_conn_close(c); /* reported to the session, if it still has it */
     if (a->error == ER_BUSY)
         px_window_queue_full(&c->inst->window, ck_now());
+    if (c->phase == PX_C_RUNNING)
+        note_outcome(c); /* a repeat or not, the instance gave it */
     c->has_pos = false;
     if (c->phase == PX_C_SETUP)
         handle_setup_error(c, s);
