--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -675,6 +675,42 @@
     CU_ASSERT_EQUAL(called_within(100), 0);
 }
 
+/* ---- statuses that were sent again ---- */
+
+/* A status that arrives after the call, but was so before it, does not conclude the change. */
+static void an_old_role_concludes_nothing(void)
+{
+    until_called();
+    int64_t before = now - CK_MS(100);
+    tk_call_result(&t, 2, TK_DONE, now);
+    now += CK_MS(50);
+    tk_set_status(&t, "b", true, (struct ps_pos){1, 100}, before, now);
+    tick(true);
+    CU_ASSERT_PTR_NULL(done(TK_DO_PRIMARY));
+    CU_ASSERT_PTR_NOT_NULL_FATAL(done(TK_DO_PROBE));
+    CU_ASSERT(done(TK_DO_PROBE)->since > before);
+    say("b", true, 100);
+    tick(true);
+    CU_ASSERT_PTR_NOT_NULL(done(TK_DO_PRIMARY));
+}
+
+/* Nor does one from before the primary led replace it; a newer one is asked for. */
+static void an_old_role_replaces_no_primary(void)
+{
+    fresh();
+    int64_t before = now;
+    now += CK_SEC(2);
+    tk_set_status(&t, "a", false, (struct ps_pos){1, 100}, before, now);
+    tick(false);
+    CU_ASSERT_PTR_NULL(done(TK_DO_REPLACE));
+    CU_ASSERT_PTR_NOT_NULL_FATAL(done(TK_DO_PROBE));
+    CU_ASSERT_EQUAL(done(TK_DO_PROBE)->inst, 0);
+    CU_ASSERT(done(TK_DO_PROBE)->since > before);
+    say("a", false, 100);
+    tick(false);
+    CU_ASSERT_PTR_NOT_NULL(done(TK_DO_REPLACE));
+}
+
 void takeover_suite(void)
 {
     CU_pSuite s = CU_add_suite("takeover", NULL, NULL);
@@ -704,4 +740,6 @@
     TEST(s, hand_over_that_cannot_end_is_abandoned);
     TEST(s, hand_over_leaves_unacknowledged_writes);
     TEST(s, second_change_waits_for_the_former_primary);
+    TEST(s, an_old_role_concludes_nothing);
+    TEST(s, an_old_role_replaces_no_primary);
 }
