--- a/proxy/match.h
+++ b/proxy/match.h
@@ -1,18 +1,19 @@
 /* What proves that an answer on a connection to an instance is the outstanding statement's.
  *
  * An answer carries no id, and an instance may send one a second time, at any time later. So an
- * answer is matched by what can't be a repeat of an earlier one on the connection:
+ * answer is matched by what can't be a repeat of an earlier one on the connection.
  *
- *  - A signature is given once. With one that the connection has not given before, the answer
- * is the outstanding statement's, and all before it were answered; with one that it has, the
- *    answer is a repeat.
- *  - Errors of a kind are alike. One is the outstanding statement's if the statement may get
- * it, the connection has given none of the kind before, and no setup statement that may get it
- *    may still be unanswered. If the statement can't get it, it is a repeat. Else it is in
+ * Signatures: one that the connection has not given before is the outstanding statement's, and
+ * proves that all statements before it were answered; one that it has given is a repeat.
+ *
+ * Errors: those of a kind are alike. One is the outstanding statement's if the statement may
+ * get it, the connection has given none of the kind before, and no setup statement that may get
+ * it may still be unanswered. One that the statement can't get is a repeat. Any other is in
  * doubt.
- *  - The answers to setup statements (PREPARE, BEGIN, ...) are alike too. One is taken if the
- *    transaction state fits; if an earlier one was like it, the setup statement may still be
- *    unanswered until a new signature arrives.
+ *
+ * Setup statements (PREPARE, BEGIN, ...): their answers are alike too. One is taken if the
+ * transaction state fits; if the connection gave one like it before, the statement may still be
+ * unanswered until a new signature arrives.
  *
  * Pure functions. The history covers the whole life of a connection, so it does not matter how
  * late a repeat is; a connection that has given MT_MANY_SIGNATURES is to be closed when it is
