tests: t_answers, t_answers_relays and t_status begin when the cluster serves

Three runs of t_answers by hand failed since the document was not taken or nothing was served while syncs stood still (26.6 s in one run's logs; a dd of 4 kB with conv=fsync beside the others took 16.5, 12.8, 8.3 and 15.7 s). These tests are not about the time of a start: they try the document again, and wait until each node serves a read. Their checks of answers are unchanged.

--- a/tests/process/t_answers.sh
+++ b/tests/process/t_answers.sh
@@ -6,8 +6,9 @@
 SE_GROUPS=1 se_setup 26400
 for i in 0 1 2; do se_node control $i true; se_node entry $i; done
 P=($((SE_BASE + 40)) $((SE_BASE + 41)) $((SE_BASE + 42)))
-t_check "a configuration is taken" se_put "$(se_document 7)" 200
+t_check "a configuration is taken" t_until se_put "$(se_document 7)" 200
 for i in 0 1 2; do t_check "entry node $i is ready" t_until se_ready $i; done
+for i in 0 1 2; do t_check "entry node $i serves" t_until se_says "COMPLETE " $((SE_BASE + 40 + i)) "STARTUP p me" "QUERY q READ k"; done
 # A repeat is not sent if its connection has been closed before, as it is soon after an error.
 repeated() { se_world status | awk -v k="$1" '$1 == k {print $2}'; }
 
--- a/tests/process/t_answers_relays.sh
+++ b/tests/process/t_answers_relays.sh
@@ -9,8 +9,9 @@
 P=()
 for i in 0 1 2 3 4 5; do P+=($((SE_BASE + 40 + i))); done
 few() { se_document "$1" | sed 's/"maxConns":25/"maxConns":5/'; }
-t_check "a configuration with five connections an instance, for six nodes" se_put "$(few 7)" 200
+t_check "a configuration with five connections an instance, for six nodes" t_until se_put "$(few 7)" 200
 for i in 0 1 2 3 4 5; do t_check "entry node $i is ready" t_until se_ready $i; done
+for i in 0 1 2 3 4 5; do t_check "entry node $i serves" t_until se_says "COMPLETE " $((SE_BASE + 40 + i)) "STARTUP p me" "QUERY q READ k"; done
 repeated() { se_world status | awk '$1 == "repeated" {print $2}'; }
 total() { se_metric_sum "ferry_session_$1_total" 0 1 2 3 4 5; }
 ALL=31
--- a/tests/process/t_status.sh
+++ b/tests/process/t_status.sh
@@ -8,8 +8,9 @@
 for i in 0 1 2; do se_node control $i true; se_node entry $i; done
 P=($((SE_BASE + 40)) $((SE_BASE + 41)) $((SE_BASE + 42)))
 se_world copies/0/1 > /dev/null
-t_check "a configuration is taken" se_put "$(se_document 7)" 200
+t_check "a configuration is taken" t_until se_put "$(se_document 7)" 200
 for i in 0 1 2; do t_check "entry node $i is ready" t_until se_ready $i; done
+for i in 0 1 2; do t_check "entry node $i serves" t_until se_says "COMPLETE " $((SE_BASE + 40 + i)) "STARTUP p me" "QUERY q READ k"; done
 leads() { [ "$(se_primary)" = "$1" ]; }
 received() { se_world status | awk -v i="$1" '$1 == "instance" && $2 == 0 && $3 == i {for (n = 4; n < NF; n++) if ($n == "received") print $(n + 1)}'; }
 is_level() { [ "$(received 0)" = "$(received 1)" ] && [ "$(received 1)" = "$(received 2)" ]; }
