--- a/review/standin-2/rv2.c
+++ b/review/standin-2/rv2.c
@@ -1,6 +1,7 @@
 /* Stand-ins of the second review, written from the users' pages: instances and platform
- * (`world`), clients behind the platform's load balancer (`clients`), and a stream proxy whose
- * open connections can go silent (`proxy`). One thread for each connection; all on loopback.
+ * (`world`), clients behind the platform's load balancer (`clients`), clients that commit at
+ * the same moment (`commits`), and a stream proxy whose open connections can go silent
+ * (`proxy`). One thread for each connection; all on loopback.
  *
  *   rv2 world RECORD PLATFORM-PORT BASE-PORT WORK-MS CAPACITY CONTROL-IP:PORT...
  *   rv2 clients RECORD SECONDS CLIENTS SEED DATABASE KEY STATEMENTS PAUSE-MS
@@ -157,6 +158,7 @@
 
 /* ---- world: one service of three instances, and the platform ---- */
 
+enum { ID = 512 };
 enum { INSTS = 3, MAX_LOG = 100000, WORD = 96, SETS = 32, MAX_QUEUE = 24, MAX_CONTROLS = 8 };
 
 struct inst {
@@ -302,6 +304,8 @@
         append(s->writes[i][0], s->writes[i][1]);
     if (ran && s->n_writes)
         record("committed %s COMMIT at i-%d", id, s->in->at);
+    if (ran && s->n_writes)
+        sleep_ms(W.work_ms); /* committed; the answer is on its way */
     s->txn = s->failed = false;
     s->n_writes = 0;
     if (ran)
@@ -404,12 +408,12 @@
 static void *serve_session(void *arg)
 {
     struct session *s = arg;
-    char line[4096], service[WORD], who[WORD], id[WORD] = "", own[WORD];
+    char line[4096], service[WORD], who[WORD], id[ID] = "", own[WORD];
     bool greeted = false;
     snprintf(own, sizeof(own), "i-%d", s->in->at);
     while (read_line(&s->input, line, sizeof(line)) == 1) {
         int used = 0;
-        if (!greeted && sscanf(line, "STARTUP %95s %95s %95s", service, who, id) >= 2) {
+        if (!greeted && sscanf(line, "STARTUP %95s %95s %511s", service, who, id) >= 2) {
             if (strcmp(service, "reg0") != 0 || (id[0] && strcmp(id, own) != 0)) {
                 say(s->input.fd, "ERROR MISROUTED %s\r\n", own);
                 break;
@@ -421,7 +425,7 @@
             greeted = true;
             sleep_ms(12); /* the users' figure for a new connection */
             answer_end(s);
-        } else if (greeted && sscanf(line, "QUERY %95s %n", id, &used) == 1) {
+        } else if (greeted && sscanf(line, "QUERY %511s %n", id, &used) == 1) {
             statement(s, id, line + used);
         } else {
             break;
@@ -755,6 +759,79 @@
     return 0;
 }
 
+/* ---- commits: transactions that write, committed at the same moment ---- */
+
+static int n_commits, id_bytes, n_ready;
+static long commit_at; /* set when all are ready */
+static pthread_mutex_t ready_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* Sends the statement and waits for its answer, whose error is copied to `error`. */
+static const char *ask_as(struct caller *c, const char *id, const char *text, char error[200])
+{
+    char line[4096];
+    bool complete = false;
+    error[0] = 0;
+    int rc = say(c->in.fd, "QUERY %s %s\r\n", id, text) ? 1 : 0;
+    while (rc == 1 && (rc = read_line(&c->in, line, sizeof(line))) == 1) {
+        if (strncmp(line, "COMPLETE ", 9) == 0)
+            complete = true;
+        if (strncmp(line, "ERROR ", 6) == 0)
+            snprintf(error, 200, "%.190s", line + 6);
+        if (strncmp(line, "READY ", 6) == 0)
+            return complete ? "ok" : "error";
+    }
+    return rc < 0 ? "deadline" : "cut";
+}
+
+static void *run_commit(void *arg)
+{
+    struct caller c = {.number = (long)(intptr_t)arg};
+    char id[ID], text[WORD], error[200];
+    if (!open_session(&c)) {
+        record("no session for client %ld", c.number);
+        exit(2);
+    }
+    snprintf(text, sizeof(text), "WRITE k%ld 1", c.number);
+    bool ok = strcmp(ask(&c, "BEGIN"), "ok") == 0 && strcmp(ask(&c, text), "ok") == 0;
+    pthread_mutex_lock(&ready_lock);
+    if (++n_ready == n_commits)
+        commit_at = now_ms() + 200;
+    pthread_mutex_unlock(&ready_lock);
+    while (!commit_at)
+        sleep_ms(5);
+    sleep_ms(commit_at - now_ms());
+    snprintf(id, sizeof(id), "c%ld-", c.number);
+    while ((int)strlen(id) < id_bytes)
+        strcat(id, "0");
+    if (ok) {
+        record("sent %s COMMIT", id);
+        const char *what = ask_as(&c, id, "COMMIT", error);
+        record("answer %s %s %s", id, what, error);
+    }
+    close(c.in.fd);
+    pthread_mutex_lock(&ready_lock);
+    n_ready--;
+    pthread_mutex_unlock(&ready_lock);
+    return NULL;
+}
+
+static int run_commits(int argc, char **argv)
+{
+    if (argc < 6)
+        return 2;
+    n_commits = atoi(argv[1]);
+    id_bytes = atoi(argv[2]) < ID ? atoi(argv[2]) : ID - 1;
+    database = argv[3];
+    client_key = argv[4];
+    B.n = 1;
+    B.front[0] = atoi(argv[5]);
+    for (int i = 0; i < n_commits; i++)
+        start_thread(run_commit, (void *)(intptr_t)i);
+    for (long end = now_ms() + 15000; now_ms() < end && !(commit_at && n_ready == 0);)
+        sleep_ms(20);
+    return 0;
+}
+
 /* ---- proxy ---- */
 
 /* Connections opened before this generation pass nothing any more, and stay open. SIGUSR1
@@ -855,13 +932,15 @@
 {
     signal(SIGPIPE, SIG_IGN);
     if (argc < 3 || !(record_file = fopen(argv[2], "a"))) {
-        fprintf(stderr, "usage: rv2 world|clients|proxy RECORD ...\n");
+        fprintf(stderr, "usage: rv2 world|clients|commits|proxy RECORD ...\n");
         return 2;
     }
     if (strcmp(argv[1], "world") == 0)
         return run_world(argc - 2, argv + 2);
     if (strcmp(argv[1], "clients") == 0)
         return run_clients(argc - 2, argv + 2);
+    if (strcmp(argv[1], "commits") == 0)
+        return run_commits(argc - 2, argv + 2);
     if (strcmp(argv[1], "proxy") == 0)
         return run_proxy(argc - 2, argv + 2);
     return 2;
