--- a/review/standin-2/rv2.c
+++ b/review/standin-2/rv2.c
@@ -35,6 +35,13 @@
     return t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
+static long now_ns(void)
+{
+    struct timespec t;
+    clock_gettime(CLOCK_MONOTONIC, &t);
+    return t.tv_nsec;
+}
+
 static void sleep_ms(long ms)
 {
     struct timespec t = {ms / 1000, ms % 1000 * 1000000};
@@ -158,11 +165,15 @@
 
 /* ---- world: one service of three instances, and the platform ---- */
 
-enum { ID = 512 };
+enum { ID = 512, MAX_FDS = 64 };
 enum { INSTS = 3, MAX_LOG = 100000, WORD = 96, SETS = 32, MAX_QUEUE = 24, MAX_CONTROLS = 8 };
 
 struct inst {
     int at, port, n_conns, busy, waiting;
+    const char *service;
+    char id[WORD];
+    int listener, n_fds, fds[MAX_FDS]; /* of its sessions */
+    bool replica; /* always; the others are primary while W.primary names them */
 };
 
 static struct world {
@@ -241,7 +252,7 @@
 static bool leads(const struct session *s)
 {
     pthread_mutex_lock(&W.lock);
-    bool yes = W.primary == s->in->at && (!s->txn || s->term == W.term);
+    bool yes = !s->in->replica && W.primary == s->in->at && (!s->txn || s->term == W.term);
     pthread_mutex_unlock(&W.lock);
     return yes;
 }
@@ -325,8 +336,8 @@
     pthread_mutex_lock(&W.lock);
     unsigned long term = W.n_log ? W.log[W.n_log - 1].term : W.term;
     say(s->input.fd, "DATAROW %s %lu %lu.%d 0 0 %d %d\r\n",
-        W.primary == s->in->at ? "primary" : "replica", W.term, term, W.n_log, s->in->busy,
-        s->in->n_conns);
+        !s->in->replica && W.primary == s->in->at ? "primary" : "replica", W.term, term,
+        W.n_log, s->in->busy, s->in->n_conns);
     pthread_mutex_unlock(&W.lock);
     answer_plain(s);
 }
@@ -410,11 +421,11 @@
     struct session *s = arg;
     char line[4096], service[WORD], who[WORD], id[ID] = "", own[WORD];
     bool greeted = false;
-    snprintf(own, sizeof(own), "i-%d", s->in->at);
+    snprintf(own, sizeof(own), "%s", s->in->id);
     while (read_line(&s->input, line, sizeof(line)) == 1) {
         int used = 0;
         if (!greeted && sscanf(line, "STARTUP %95s %95s %511s", service, who, id) >= 2) {
-            if (strcmp(service, "reg0") != 0 || (id[0] && strcmp(id, own) != 0)) {
+            if (strcmp(service, s->in->service) != 0 || (id[0] && strcmp(id, own) != 0)) {
                 say(s->input.fd, "ERROR MISROUTED %s\r\n", own);
                 break;
             }
@@ -431,10 +442,14 @@
             break;
         }
     }
-    close(s->input.fd);
     pthread_mutex_lock(&W.lock);
+    for (int i = 0; i < s->in->n_fds; i++) {
+        if (s->in->fds[i] == s->input.fd)
+            s->in->fds[i--] = s->in->fds[--s->in->n_fds];
+    }
     s->in->n_conns--;
     pthread_mutex_unlock(&W.lock);
+    close(s->input.fd);
     free(s);
     return NULL;
 }
@@ -442,32 +457,66 @@
 static void *serve_instance(void *arg)
 {
     struct inst *in = arg;
-    int ln = listen_at("127.0.0.1", in->port);
     for (;;) {
-        int on = 1, fd = accept(ln, NULL, NULL);
+        int on = 1, fd = accept(in->listener, NULL, NULL);
         if (fd < 0)
-            continue;
+            return NULL; /* it serves no more */
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         struct session *s = calloc(1, sizeof(*s));
         s->in = in;
         s->input.fd = fd;
         pthread_mutex_lock(&W.lock);
         in->n_conns++;
+        if (in->n_fds < MAX_FDS)
+            in->fds[in->n_fds++] = fd;
         pthread_mutex_unlock(&W.lock);
         start_thread(serve_session, s);
     }
     return NULL;
 }
 
+static void begin_serving(struct inst *in)
+{
+    in->listener = listen_at("127.0.0.1", in->port);
+    start_thread(serve_instance, in);
+}
+
+static void end_serving(struct inst *in)
+{
+    shutdown(in->listener, SHUT_RDWR);
+    close(in->listener);
+    pthread_mutex_lock(&W.lock);
+    for (int i = 0; i < in->n_fds; i++)
+        shutdown(in->fds[i], SHUT_RDWR);
+    pthread_mutex_unlock(&W.lock);
+}
+
+/* Reads the rest of a body of which some bytes are in `in`. */
+static void read_body(struct input *in, size_t length)
+{
+    while (in->n < length && in->n < sizeof(in->buf)) {
+        ssize_t k = recv(in->fd, in->buf + in->n, sizeof(in->buf) - in->n, 0);
+        if (k <= 0)
+            return;
+        in->n += (size_t)k;
+    }
+}
+
+/* The first bytes of the last answer's body in this thread. */
+static __thread char answered[64];
+
 /* One HTTP exchange. Returns the status, 0 without an answer; *location: of a 307. */
 static int exchange(const char *ip, int port, const char *method, const char *path,
                     const char *body, char *location, size_t cap)
 {
     char line[2048];
+    size_t length = 0;
     int status = 0, fd = connect_to(ip, port, 1000);
     if (fd < 0)
         return 0;
     struct input in = {.fd = fd};
+    struct timespec a_moment = {0, now_ns() / 1000 % 300 * 1000};
+    nanosleep(&a_moment, NULL); /* the caller's own work before it sends */
     say(fd,
         "%s %s HTTP/1.1\r\nHost: %s:%d\r\nContent-Type: application/json\r\n"
         "Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
@@ -478,7 +527,11 @@
             sscanf(line, "HTTP/1.1 %d", &status);
         if (strncasecmp(line, "location:", 9) == 0)
             snprintf(location, cap, "%s", line + 9 + strspn(line + 9, " "));
+        if (strncasecmp(line, "content-length:", 15) == 0)
+            length = strtoul(line + 15, NULL, 10);
     }
+    read_body(&in, length);
+    snprintf(answered, sizeof(answered), "%.*s", (int)(in.n < length ? in.n : length), in.buf);
     close(fd);
     return status;
 }
@@ -600,8 +653,9 @@
             W.n_controls++;
     }
     for (int i = 0; i < INSTS; i++) {
-        W.inst[i] = (struct inst){.at = i, .port = base + i};
-        start_thread(serve_instance, &W.inst[i]);
+        W.inst[i] = (struct inst){.at = i, .port = base + i, .service = "reg0"};
+        snprintf(W.inst[i].id, WORD, "i-%d", i);
+        begin_serving(&W.inst[i]);
         start_thread(beat, &W.inst[i]);
     }
     int ln = listen_at("127.0.0.1", platform);
@@ -759,6 +813,174 @@
     return 0;
 }
 
+/* ---- leavers: instances that are replaced one after the other ---- */
+
+enum {
+    ROLLING = 4,     /* instances of each service that are replaced, beside a primary */
+    ROUND_MS = 9000, /* one instance's time from its start to its end */
+    DRAIN_MS = 7300, /* drainMs, and somewhat longer */
+    MAX_SERVICES = 8
+};
+
+static long leavers_begin, leavers_end;
+static bool instances_leave;
+static int leader; /* index of the control process that acknowledged last */
+
+/* A call to control, at the process that acknowledged last; 307 is followed. */
+static int call_last(const char *method, const char *path, const char *body)
+{
+    char location[512], ip[46];
+    int status = 0, port;
+    for (int k = 0; k < 6; k++) {
+        int at = leader;
+        status = exchange(W.control_ip[at], W.control_port[at], method, path, body, location,
+                          sizeof(location));
+        if (status == 200 || status == 400)
+            break;
+        int to = (at + 1) % W.n_controls;
+        for (int i = 0; status == 307 && i < W.n_controls; i++) {
+            if (sscanf(location, "http://%45[^:]:%d", ip, &port) == 2 &&
+                strcmp(ip, W.control_ip[i]) == 0)
+                to = i;
+        }
+        leader = to;
+        sleep_ms(status == 307 ? 0 : 200);
+    }
+    return status;
+}
+
+static int report(const struct inst *in, const char *state, unsigned long seq)
+{
+    char path[256], body[700];
+    snprintf(path, sizeof(path), "/api/instances/%s/heartbeat", in->id);
+    snprintf(body, sizeof(body),
+             "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z1\","
+             "\"version\":\"v1\",\"capacity\":3,\"state\":\"%s\",\"warmupLeftMs\":0,"
+             "\"dbRole\":\"%s\",\"callSeq\":%lu}",
+             in->service, in->port, state, in->replica ? "replica" : "primary", seq);
+    return call_last("POST", path, body);
+}
+
+/* A configuration whose route names a service that it does not list. */
+static void send_invalid(const char *after)
+{
+    static int versions = 1000;
+    char body[600];
+    int version = __sync_add_and_fetch(&versions, 1);
+    snprintf(body, sizeof(body),
+             "{\"version\":%d,\"routes\":[{\"name\":\"r1\",\"host\":\"p\","
+             "\"pathPrefix\":\"/\",\"kind\":\"primary\",\"timeoutMs\":2000,"
+             "\"service\":\"no-such-service\"}],\"services\":[{\"name\":\"reg0\","
+             "\"maxConns\":25}],\"limits\":{}}",
+             version);
+    int status = call_last("POST", "/api/config/replace", body);
+    record("invalid configuration %d after %s: %d", version, after, status);
+}
+
+/* A place for an instance, with the addresses of the one that is there and of its successor. */
+struct slot {
+    struct inst inst[2];
+    long first_end;
+};
+
+/* The instance reports that it drains, serves for drainMs and somewhat longer, and deregisters
+ * as soon as its successor has registered. The tool that replaces the instances goes on with an
+ * order to the operator's interface each time. With `stay` no instance leaves. */
+static void *run_slot(void *arg)
+{
+    struct slot *s = arg;
+    struct inst *in = &s->inst[0];
+    unsigned long seq = 1;
+    begin_serving(in);
+    report(in, "ready", seq++);
+    for (int n = 1; now_ms() < leavers_end; n++) {
+        long end = s->first_end + (n - 1) * ROUND_MS;
+        char path[256];
+        sleep_ms(end - DRAIN_MS - now_ms());
+        if (instances_leave)
+            record("draining %s: %d", in->id, report(in, "draining", seq++));
+        while (now_ms() < end - 1300) {
+            sleep_ms(1200);
+            report(in, instances_leave ? "draining" : "ready", seq++);
+        }
+        sleep_ms(end - now_ms());
+        if (instances_leave) {
+            end_serving(in);
+            sleep_ms(100);
+        }
+        if (!instances_leave) {
+            report(in, "ready", seq++);
+            send_invalid("no leave");
+            continue;
+        }
+        struct inst *next = &s->inst[n % 2];
+        snprintf(next->id, sizeof(next->id), "%s-%d-%d", in->service, in->at, n);
+        snprintf(path, sizeof(path), "/api/instances/%s/deregister", in->id);
+        begin_serving(next);
+        int joined = report(next, "ready", seq = 1);
+        int left = call_last("POST", path, "");
+        send_invalid(in->id);
+        record("register %s: %d", next->id, joined);
+        record("deregister %s: %d", in->id, left);
+        in = next;
+        seq = 2;
+    }
+    return NULL;
+}
+
+/* A service's primary stays. */
+static void *run_primary(void *arg)
+{
+    struct inst *in = arg;
+    begin_serving(in);
+    for (unsigned long seq = 1; now_ms() < leavers_end; seq++) {
+        report(in, "ready", seq);
+        sleep_ms(1200);
+    }
+    return NULL;
+}
+
+static void start_inst(struct inst *in, int at, int port, const char *service)
+{
+    *in = (struct inst){.at = at, .port = port, .service = service, .replica = at > 0};
+    snprintf(in->id, sizeof(in->id), "%s-%d-0", service, at);
+}
+
+static int run_leavers(int argc, char **argv)
+{
+    static char names[MAX_SERVICES][16];
+    if (argc < 6)
+        return 2;
+    int port = atoi(argv[1]), services = atoi(argv[2]), k = 0;
+    leavers_begin = now_ms();
+    leavers_end = leavers_begin + atol(argv[3]) * 1000;
+    instances_leave = strcmp(argv[4], "leave") == 0;
+    W.capacity = 3;
+    W.max_conns = 25;
+    W.term = 1;
+    for (int i = 5; i < argc && W.n_controls < MAX_CONTROLS; i++) {
+        if (sscanf(argv[i], "%45[^:]:%d", W.control_ip[W.n_controls],
+                   &W.control_port[W.n_controls]) == 2)
+            W.n_controls++;
+    }
+    int slots = services * ROLLING;
+    for (int g = 0; g < services && g < MAX_SERVICES; g++) {
+        snprintf(names[g], sizeof(names[g]), "sv%d", g);
+        struct inst *primary = calloc(1, sizeof(*primary));
+        start_inst(primary, 0, port++, names[g]);
+        start_thread(run_primary, primary);
+        for (int i = 1; i <= ROLLING; i++, k++) {
+            struct slot *s = calloc(1, sizeof(*s));
+            start_inst(&s->inst[0], i, port++, names[g]);
+            start_inst(&s->inst[1], i, port++, names[g]);
+            s->first_end = leavers_begin + ROUND_MS + k * ROUND_MS / slots;
+            start_thread(run_slot, s);
+        }
+    }
+    sleep_ms(leavers_end - now_ms() + 2 * ROUND_MS);
+    return 0;
+}
+
 /* ---- commits: transactions that write, committed at the same moment ---- */
 
 static int n_commits, id_bytes, n_ready;
@@ -932,13 +1154,15 @@
 {
     signal(SIGPIPE, SIG_IGN);
     if (argc < 3 || !(record_file = fopen(argv[2], "a"))) {
-        fprintf(stderr, "usage: rv2 world|clients|commits|proxy RECORD ...\n");
+        fprintf(stderr, "usage: rv2 world|clients|leavers|commits|proxy RECORD ...\n");
         return 2;
     }
     if (strcmp(argv[1], "world") == 0)
         return run_world(argc - 2, argv + 2);
     if (strcmp(argv[1], "clients") == 0)
         return run_clients(argc - 2, argv + 2);
+    if (strcmp(argv[1], "leavers") == 0)
+        return run_leavers(argc - 2, argv + 2);
     if (strcmp(argv[1], "commits") == 0)
         return run_commits(argc - 2, argv + 2);
     if (strcmp(argv[1], "proxy") == 0)
