--- a/review/standin-2/rv2.c
+++ b/review/standin-2/rv2.c
@@ -173,6 +173,7 @@
     const char *service;
     char id[WORD];
     int listener, n_fds, fds[MAX_FDS]; /* of its sessions */
+    int applied;                       /* entries of the log; it never goes back */
     bool replica; /* always; the others are primary while W.primary names them */
 };
 
@@ -186,7 +187,9 @@
     struct {
         char key[WORD], value[WORD];
         unsigned long term;
+        long at;
     } log[MAX_LOG];
+    int lag_ms; /* between a commit and its being applied at the replicas */
     int n_controls, control_port[MAX_CONTROLS];
     char control_ip[MAX_CONTROLS][46];
 } W = {.lock = PTHREAD_MUTEX_INITIALIZER, .slot_free = PTHREAD_COND_INITIALIZER};
@@ -200,11 +203,23 @@
     char writes[16][2][WORD], sets[SETS][2][WORD], prepared[SETS * 4][3][WORD];
 };
 
+/* The entries that the instance has applied. The caller holds the lock. */
+static int applied_at(struct inst *in)
+{
+    int n = W.n_log;
+    long until = now_ms() - W.lag_ms;
+    bool primary = !in->replica && W.primary == in->at;
+    while (!primary && n > in->applied && W.log[n - 1].at > until)
+        n--;
+    in->applied = n;
+    return n;
+}
+
 static void answer_end(struct session *s)
 {
     pthread_mutex_lock(&W.lock);
-    unsigned long term = W.n_log ? W.log[W.n_log - 1].term : W.term;
-    int n = W.n_log;
+    int n = applied_at(s->in);
+    unsigned long term = n ? W.log[n - 1].term : W.term;
     pthread_mutex_unlock(&W.lock);
     say(s->input.fd, "READY %c %lu.%d\r\n", s->failed ? 'E' : s->txn ? 'T' : 'I', term, n);
 }
@@ -264,6 +279,7 @@
         exit(2);
     snprintf(W.log[W.n_log].key, WORD, "%s", key);
     snprintf(W.log[W.n_log].value, WORD, "%s", value);
+    W.log[W.n_log].at = now_ms();
     W.log[W.n_log++].term = W.term;
     pthread_mutex_unlock(&W.lock);
 }
@@ -276,14 +292,14 @@
         return;
     }
     pthread_mutex_lock(&W.lock);
-    for (int i = W.n_log - 1; i >= 0; i--) {
+    for (int i = applied_at(s->in) - 1; i >= 0; i--) {
         if (strcmp(W.log[i].key, key) == 0) {
             snprintf(row, sizeof(row), "%s", W.log[i].value);
             break;
         }
     }
     pthread_mutex_unlock(&W.lock);
-    record("run %s READ at i-%d", id, s->in->at);
+    record("run %s READ at i-%d: %s", id, s->in->at, row);
     answer_signed(s, id, row);
 }
 
@@ -379,8 +395,11 @@
     if (strcmp(id, "-") != 0)
         record("arrived %s at i-%d: %s", id, s->in->at, text);
     if (sscanf(text, "WAITLSN %lu.%d %n", &term, &pos, &used) == 2) {
-        text += used; /* every instance receives and applies at once */
-        if (W.n_log < pos) {
+        text += used; /* every instance receives at once, so no promotion loses a position */
+        pthread_mutex_lock(&W.lock);
+        int applied = applied_at(s->in);
+        pthread_mutex_unlock(&W.lock);
+        if (applied < pos) {
             answer_error(s, "LAGGING");
             return;
         }
@@ -552,6 +571,32 @@
     return status;
 }
 
+/* SIGUSR1: the primary reports from now on that it drains, and the replicas apply
+ * RV2_SLOW_LAG_MS late for six seconds. */
+static volatile sig_atomic_t drain_asked;
+static int draining = -1;
+
+static void on_drain(int sig)
+{
+    (void)sig;
+    drain_asked = 1;
+}
+
+static void *watch_drain(void *arg)
+{
+    (void)arg;
+    while (!drain_asked)
+        sleep_ms(10);
+    int lag_ms = W.lag_ms;
+    if (getenv("RV2_SLOW_LAG_MS"))
+        W.lag_ms = atoi(getenv("RV2_SLOW_LAG_MS"));
+    draining = W.primary;
+    record("i-%d is to be replaced; replicas are %d ms behind", draining, W.lag_ms);
+    sleep_ms(6000);
+    W.lag_ms = lag_ms;
+    return NULL;
+}
+
 static void *beat(void *arg)
 {
     const struct inst *in = arg;
@@ -562,17 +607,19 @@
         snprintf(path, sizeof(path), "/api/instances/i-%d/heartbeat", in->at);
         snprintf(body, sizeof(body),
                  "{\"service\":\"reg0\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%d\","
-                 "\"version\":\"v1\",\"capacity\":%d,\"state\":\"ready\",\"warmupLeftMs\":0,"
+                 "\"version\":\"v1\",\"capacity\":%d,\"state\":\"%s\",\"warmupLeftMs\":0,"
                  "\"dbRole\":\"%s\",\"callSeq\":%lu}",
-                 in->port, in->at, W.capacity, W.primary == in->at ? "primary" : "replica",
-                 ++seq);
+                 in->port, in->at, W.capacity, draining == in->at ? "draining" : "ready",
+                 W.primary == in->at ? "primary" : "replica", ++seq);
         int k = at % W.n_controls;
         int status = call_control(W.control_ip[k], W.control_port[k], path, body);
         if (status < 200 || status > 299) {
             at++;
             sleep_ms(200);
         } else {
-            sleep_ms(1200);
+            bool told = draining == in->at;
+            for (int i = 0; i < 120 && told == (draining == in->at); i++)
+                sleep_ms(10);
         }
     }
     return NULL;
@@ -647,6 +694,9 @@
     W.capacity = atoi(argv[4]);
     W.max_conns = 25;
     W.term = 1;
+    W.lag_ms = getenv("RV2_LAG_MS") ? atoi(getenv("RV2_LAG_MS")) : 0;
+    signal(SIGUSR1, on_drain);
+    start_thread(watch_drain, NULL);
     for (int i = 5; i < argc && W.n_controls < MAX_CONTROLS; i++) {
         if (sscanf(argv[i], "%45[^:]:%d", W.control_ip[W.n_controls],
                    &W.control_port[W.n_controls]) == 2)
@@ -1054,16 +1104,191 @@
     return 0;
 }
 
+/* ---- ages: how old is what bounded reads return ---- */
+
+enum { MAX_ACKED = 65536, STALENESS_MS = 1500, PINNED = 6, BOUNDED = 8 };
+
+static struct {
+    pthread_mutex_t lock;
+    int n;
+    struct {
+        long at, number;
+    } acked[MAX_ACKED];
+} A = {.lock = PTHREAD_MUTEX_INITIALIZER};
+static int writers_front, readers_front;
+
+/* Sends one statement and reads its row into `row`. */
+static bool ask_row(struct caller *c, const char *id, const char *text, char row[WORD])
+{
+    char line[4096];
+    bool complete = false;
+    row[0] = 0;
+    if (!say(c->in.fd, "QUERY %s %s\r\n", id, text))
+        return false;
+    while (read_line(&c->in, line, sizeof(line)) == 1) {
+        if (strncmp(line, "DATAROW ", 8) == 0)
+            snprintf(row, WORD, "%.90s", line + 8);
+        if (strncmp(line, "COMPLETE ", 9) == 0)
+            complete = true;
+        if (strncmp(line, "READY ", 6) == 0) {
+            c->state = line[6];
+            return complete;
+        }
+    }
+    c->state = 0;
+    return false;
+}
+
+static bool open_at(struct caller *c, int front, const char *db)
+{
+    char line[4096];
+    c->in.n = 0;
+    c->in.fd = connect_to("127.0.0.1", front, 2500);
+    if (c->in.fd < 0)
+        return false;
+    if (say(c->in.fd, "STARTUP %s u1\r\n", db) && read_line(&c->in, line, sizeof(line)) == 1 &&
+        strncmp(line, "READY", 5) == 0)
+        return true;
+    close(c->in.fd);
+    sleep_ms(50);
+    return false;
+}
+
+static void *write_on(void *arg)
+{
+    struct caller c = {0};
+    char id[WORD], text[WORD], row[WORD];
+    (void)arg;
+    while (now_ms() < clients_end) {
+        if (!open_at(&c, writers_front, "p"))
+            continue;
+        c.state = 'I';
+        while (now_ms() < clients_end && c.state == 'I') {
+            long n = ++c.n;
+            snprintf(id, sizeof(id), "w%ld", n);
+            snprintf(text, sizeof(text), "WRITE k0 %ld", n);
+            if (ask_row(&c, id, text, row)) {
+                long at = now_ms();
+                record("acknowledged %s", id);
+                pthread_mutex_lock(&A.lock);
+                A.acked[A.n].at = at;
+                A.acked[A.n++].number = n;
+                pthread_mutex_unlock(&A.lock);
+            }
+            sleep_ms(15);
+        }
+        close(c.in.fd);
+    }
+    return NULL;
+}
+
+/* Read transactions at the primary, of twelve statements with pauses. */
+static void *read_pinned(void *arg)
+{
+    struct caller c = {.number = (long)(intptr_t)arg};
+    char id[WORD], row[WORD];
+    sleep_ms(c.number * 400);
+    while (now_ms() < clients_end) {
+        if (!open_at(&c, readers_front, "p"))
+            continue;
+        bool ok = true;
+        while (ok && now_ms() < clients_end) {
+            snprintf(id, sizeof(id), "t%ld.%ld", c.number, c.n++);
+            ok = ask_row(&c, id, "BEGIN READ", row);
+            for (int i = 0; ok && i < 10; i++) {
+                snprintf(id, sizeof(id), "t%ld.%ld", c.number, c.n++);
+                ok = ask_row(&c, id, "READ k0", row);
+                sleep_ms(ok ? 220 : 0);
+            }
+            snprintf(id, sizeof(id), "t%ld.%ld", c.number, c.n++);
+            ok = c.state && ask_row(&c, id, ok ? "COMMIT" : "ROLLBACK", row);
+        }
+        close(c.in.fd);
+    }
+    return NULL;
+}
+
+/* The oldest commit after `number` that was acknowledged more than STALENESS_MS before `at`,
+ * and when; 0: there is none. */
+static long oldest_missing(long number, long at, long *acked_at)
+{
+    long missing = 0;
+    pthread_mutex_lock(&A.lock);
+    for (int i = A.n - 1; i >= 0 && A.acked[i].number > number; i--) {
+        if (A.acked[i].at < at - STALENESS_MS) {
+            missing = A.acked[i].number;
+            *acked_at = A.acked[i].at;
+        }
+    }
+    pthread_mutex_unlock(&A.lock);
+    return missing;
+}
+
+static void *read_bounded(void *arg)
+{
+    struct caller c = {.number = (long)(intptr_t)arg};
+    char id[WORD], row[WORD];
+    while (now_ms() < clients_end) {
+        if (!open_at(&c, readers_front, "b"))
+            continue;
+        c.state = 'I';
+        while (now_ms() < clients_end && c.state == 'I') {
+            long acked_at = 0, at = now_ms();
+            snprintf(id, sizeof(id), "b%ld.%ld", c.number, c.n++);
+            bool ok = ask_row(&c, id, "READ k0", row);
+            long missing = ok ? oldest_missing(atol(row), at, &acked_at) : 0;
+            if (missing)
+                record("stale %s sent %ld returned %s, lacks w%ld, acknowledged %ld ms before",
+                       id, at, row, missing, at - acked_at);
+            sleep_ms(10);
+        }
+        close(c.in.fd);
+    }
+    return NULL;
+}
+
+static int run_ages(int argc, char **argv)
+{
+    if (argc < 4)
+        return 2;
+    clients_end = now_ms() + atol(argv[1]) * 1000;
+    writers_front = atoi(argv[2]);
+    readers_front = atoi(argv[3]);
+    start_thread(write_on, NULL);
+    for (int i = 0; i < PINNED; i++)
+        start_thread(read_pinned, (void *)(intptr_t)i);
+    for (int i = 0; i < BOUNDED; i++)
+        start_thread(read_bounded, (void *)(intptr_t)i);
+    sleep_ms(clients_end - now_ms() + 1000);
+    return 0;
+}
+
 /* ---- proxy ---- */
 
 /* Connections opened before this generation pass nothing any more, and stay open. SIGUSR1
  * begins a new generation. */
 static volatile sig_atomic_t generation;
 
+/* SIGUSR2: nothing passes any more on connections whose first bytes hold the word RV2_CUT,
+ * which is in the name of the process that opens them. */
+static volatile sig_atomic_t cut;
+
+struct flow {
+    volatile bool named;
+};
+
 struct side {
     int from, to, generation;
+    bool first;
+    struct flow *flow;
 };
 
+static void on_cut(int sig)
+{
+    (void)sig;
+    cut = 1;
+}
+
 static void on_silence(int sig)
 {
     (void)sig;
@@ -1080,6 +1305,12 @@
         n = recv(s.from, buf, sizeof(buf), 0);
         if (n < 0 && errno == EINTR)
             continue;
+        const char *word = getenv("RV2_CUT");
+        if (s.first && n > 0 && word && memmem(buf, (size_t)n, word, strlen(word)))
+            s.flow->named = true;
+        s.first = false;
+        if (cut && s.flow->named && n > 0)
+            continue;
         if (s.generation != generation) {
             if (n <= 0)
                 break; /* this end has given the connection up; the other learns nothing */
@@ -1120,8 +1351,9 @@
         setsockopt(b, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         int g = generation;
         struct side *x = malloc(sizeof(*x)), *y = malloc(sizeof(*y));
-        *x = (struct side){a, b, g};
-        *y = (struct side){b, a, g};
+        struct flow *f = calloc(1, sizeof(*f));
+        *x = (struct side){a, b, g, true, f};
+        *y = (struct side){b, a, g, false, f};
         start_thread(pass_bytes, x);
         start_thread(pass_bytes, y);
     }
@@ -1132,6 +1364,8 @@
 {
     struct sigaction sa = {.sa_handler = on_silence, .sa_flags = SA_RESTART};
     sigaction(SIGUSR1, &sa, NULL);
+    sa.sa_handler = on_cut;
+    sigaction(SIGUSR2, &sa, NULL);
     for (int i = 1; i < argc; i++) {
         char ip[46];
         int port;
@@ -1154,7 +1388,7 @@
 {
     signal(SIGPIPE, SIG_IGN);
     if (argc < 3 || !(record_file = fopen(argv[2], "a"))) {
-        fprintf(stderr, "usage: rv2 world|clients|leavers|commits|proxy RECORD ...\n");
+        fprintf(stderr, "usage: rv2 world|clients|leavers|commits|ages|proxy RECORD ...\n");
         return 2;
     }
     if (strcmp(argv[1], "world") == 0)
@@ -1163,6 +1397,8 @@
         return run_clients(argc - 2, argv + 2);
     if (strcmp(argv[1], "leavers") == 0)
         return run_leavers(argc - 2, argv + 2);
+    if (strcmp(argv[1], "ages") == 0)
+        return run_ages(argc - 2, argv + 2);
     if (strcmp(argv[1], "commits") == 0)
         return run_commits(argc - 2, argv + 2);
     if (strcmp(argv[1], "proxy") == 0)
