A process ends only when nobody can ask it anything any more

Cause: the decision to end was that no relayed request is open, taken with sessions open, which were read and passed on for 50 ms more. A transaction at another node had no end at all, requests that waited for a turn or for the greeting of the serving node were not counted, and at entry.stop_ms everything that was open was cut: sessions, HTTP and WebSockets alike.

Change: open transactions of relayed sessions are rolled back at the same time as those served here. From 75 % of the time on, each session is closed in the step in which its socket is found empty, whatever is open in it. The process ends when no session and no caller is left, or at entry.stop_ms: then nothing more is read, and all that was read is answered with what is known of it.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -111,6 +111,14 @@
     }
 }
 
+void en_callers_close_idle(struct en_node *n)
+{
+    for (struct en_caller *c = n->callers; c; c = c->next) {
+        if (c->net && !c->http && c->outstanding == 0)
+            nt_close_if_idle(c->net);
+    }
+}
+
 static void http_request(const struct nt_http *req, struct en_node *n)
 {
     struct en_caller *c = caller_new(n, req->conn, true);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -10,8 +10,10 @@
 
 enum {
     TICK_US = 5000,
-    DRAIN_US = 1000000,  /* for statements in flight to finish before a planned change */
-    FLUSH_US = 50000,    /* for sending the lease release before the exit */
+    DRAIN_US = 1000000, /* for statements in flight to finish before a planned change */
+    FLUSH_US = 50000,   /* for sending the lease release before the exit */
+    /* Longest time for sending the last answers, to callers that are slow to read them. */
+    FLUSH_TIMEOUT_US = 300000,
     LINGER_US = 1000000, /* for callers that do not close on the notice */
     LAG_UNKNOWN = -1
 };
@@ -236,26 +238,60 @@
     }
 }
 
-static void on_flushed(void *ud)
+/* Whether all requests are answered and the callers have closed. Callers that do not understand
+ * the notice are closed LINGER_US after the last answer. */
+static bool callers_left(struct en_node *n, int64_t now)
+{
+    if (n->n_reqs > 0 || n->txns)
+        n->idle_since = now;
+    else if (nt_received_until(n->loop) - n->idle_since > LINGER_US)
+        en_callers_close_idle(n);
+    return n->n_callers == 0;
+}
+
+static bool may_exit(struct en_node *n, int64_t now)
+{
+    bool left = callers_left(n, now);
+    return now > n->stop_deadline || (left && (!n->px || px_stopped(n->px)));
+}
+
+static bool has_unsent(const struct en_node *n)
+{
+    return nt_has_unsent(n->listener) || (n->px && px_has_unsent(n->px));
+}
+
+/* Waits until the lease release and the last answers are sent. */
+static void flush_tick(void *ud)
 {
     struct en_node *n = ud;
-    nt_timer_cancel(&n->tick);
+    int64_t waited = ck_now() - n->exit_began;
+    if ((waited >= FLUSH_US && !has_unsent(n)) || waited >= FLUSH_TIMEOUT_US) {
+        n->stopped(n->stopped_ud);
+        return;
+    }
+    nt_timer_set(n->loop, &n->tick, TICK_US, flush_tick, n);
+}
+
+/* From here on nothing is read from callers, so that no request is lost with the process. What
+ * was read before and is still open, as the time for the stop is over, is answered with what is
+ * known of it. */
+static void answer_all(struct en_node *n)
+{
+    nt_stop_reading(n->listener);
     if (n->px)
-        px_log_open_work(n->px);
-    n->stopped(n->stopped_ud);
+        px_end_all(n->px);
+    en_requests_end(n);
 }
 
-/* True if all requests are answered and the callers have closed, or the deadline has passed.
- * Callers that do not understand the notice get LINGER_US after the last answer. */
-static bool may_exit(struct en_node *n, int64_t now)
+static void begin_exit(struct en_node *n)
 {
-    if (now > n->stop_deadline)
-        return true;
+    n->exit_began = ck_now();
     if (n->px)
-        return px_stopped(n->px, now);
-    if (n->n_reqs > 0 || n->txns)
-        n->idle_since = now;
-    return n->n_callers == 0 || nt_received_until(n->loop) - n->idle_since > LINGER_US;
+        px_log_open_work(n->px);
+    if (!n->s->off_finish)
+        answer_all(n);
+    en_release_lease(n);
+    nt_timer_set(n->loop, &n->tick, TICK_US, flush_tick, n);
 }
 
 /* A group that other nodes hold becomes idle once its connections are closed, so that ticks
@@ -293,13 +329,7 @@
     }
     en_ack_view(n);
     if (n->stopping && may_exit(n, now)) {
-        /* A caller that connects during the lease release would lose its connection with its
-         * first request in flight. */
-        nt_refuse_new(n->listener);
-        if (n->px)
-            px_refuse_new(n->px);
-        en_release_lease(n);
-        nt_timer_set(n->loop, &n->tick, FLUSH_US, on_flushed, n);
+        begin_exit(n);
         return;
     }
     nt_timer_set(n->loop, &n->tick, TICK_US, tick, n);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -230,6 +230,7 @@
     struct nt_listener *peer_listener; /* an observer's, for other entry nodes */
     bool stopping;
     int64_t stop_deadline, idle_since;
+    int64_t exit_began; /* when the node stopped reading from callers */
     void (*stopped)(void *ud);
     void *stopped_ud;
     struct en_counters c;
@@ -271,6 +272,8 @@
 void en_submit(struct en_caller *c, const char *text, size_t len);
 /* Ends the requests of a disconnected caller that wait here or at another entry node. */
 void en_requests_caller_closed(struct en_caller *c);
+/* Answers all requests with what is known of them, as the process ends. */
+void en_requests_end(struct en_node *n);
 /* Sets the number of bytes that the request holds; they count for its caller's connection. */
 void en_req_hold(struct en_req *r, size_t bytes);
 void en_route(struct en_req *r);
@@ -333,6 +336,8 @@
 void en_caller_release(struct en_caller *c);
 /* Tells callers to close and use another node, because this node stops. */
 void en_callers_notify_stop(struct en_node *n);
+/* Closes the WebSocket connections over which nothing is asked. */
+void en_callers_close_idle(struct en_node *n);
 
 /* link.c */
 void en_links_start(struct en_node *n);
--- a/entry/request.c
+++ b/entry/request.c
@@ -252,6 +252,16 @@
     c->outstanding--;
 }
 
+void en_requests_end(struct en_node *n)
+{
+    struct en_req *next;
+    for (struct en_req *r = n->reqs; r; r = next) {
+        next = r->next;
+        if (r->state != EN_DEFERRED)
+            en_fail(r, past_deadline(r), 1, "this node is stopping");
+    }
+}
+
 void en_expire_requests(struct en_node *n, int64_t now)
 {
     struct en_req *next;
--- a/entry/routing.c
+++ b/entry/routing.c
@@ -67,7 +67,9 @@
         struct en_req *next = r->next_waiting;
         r->state = EN_NEW;
         r->next_waiting = NULL;
-        if (r->deferred_kind == ER_NONE)
+        if (n->exit_began)
+            en_fail(r, ER_STOPPING, 1, "this node is stopping: use another node");
+        else if (r->deferred_kind == ER_NONE)
             en_route(r);
         else
             en_fail(r, r->deferred_kind, r->deferred_retry_ms, NULL);
--- a/proxy/ahead.c
+++ b/proxy/ahead.c
@@ -36,6 +36,8 @@
 
 bool px_ahead_allow(struct px_session *s)
 {
+    if (s->p->ends)
+        return true; /* it is refused */
     if (s->n_ahead < BURST) {
         s->n_ahead++;
         return true;
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -373,6 +373,7 @@
     /* shutdown */
     bool stopping;
     int64_t stop_began;
+    bool ends; /* nothing is read or begun any more */
 
     /* rate limit of failure lines in the log: lines left in the second from log_budget_at */
     int64_t log_budget_at;
@@ -453,8 +454,16 @@
 /* Refuses an operation whose account is over its limit. */
 void px_refuse_over_limit(struct px_session *s);
 
+/* proxy.c: a planned stop */
+/* Since when sessions are closed whatever is open in them; 0: they are not. */
+int64_t px_lingers_since(const struct px_proxy *p, int64_t now);
+
 /* session.c: connections of callers */
 bool px_listen(struct px_proxy *p, struct er_err *err);
+/* Ends the session if nothing is asked of it and another node should serve it. */
+void px_session_end_if_due(struct px_session *s);
+/* Answers what was read from the caller and has no answer, as the process ends. */
+void px_session_finish(struct px_session *s);
 /* Handles the input that arrived while the last statement ran. */
 void px_session_resume(struct px_session *s);
 /* Checks the time limits of all sessions: opening, idle in transaction, closing. */
@@ -505,6 +514,14 @@
 /* Stops the relay of a session whose caller has closed; does nothing if it is not relayed. */
 void px_relay_stop(struct px_session *s);
 void px_relay_tick(struct px_session *s, int64_t now);
+/* Rolls back the transaction of a relayed session while no request of it is pending; the next
+ * request is refused, then the session ends. */
+void px_relay_abort_txn(struct px_session *s);
+/* Answers the pending requests of a relayed session that was opened, as the process ends. */
+void px_relay_finish(struct px_session *s);
+/* Whether the relayed session is open and nothing was read from its caller that has no answer;
+ * `partial`: not even the start of a request. */
+bool px_relay_between_requests(const struct px_session *s, bool partial);
 /* Whether another node opens this session for a caller of its own. *document: the version that
  * node acts on; *pass_on: it reaches no holder of the group. */
 bool px_parse_relayed(const struct px_msg *open, uint64_t *document, bool *pass_on);
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -10,8 +10,9 @@
     STAGES_LOG_INTERVAL_US = 10000000, /* interval of the "stages" log line */
     SLOW_TICK_INTERVAL_US = 50000,     /* interval of the checks of idle sessions */
     /* Percentages of the time from the stop request until the process is killed. */
-    STOP_FORCE_PERCENT = 55,  /* then open transactions are rolled back */
-    STOP_LINGER_PERCENT = 75, /* then the process ends with the sessions that are still open */
+    STOP_FORCE_PERCENT = 55, /* then open transactions are rolled back */
+    /* then a session is closed as soon as nothing is asked of it, whatever is open in it */
+    STOP_LINGER_PERCENT = 75,
 };
 
 struct px_proxy *px_create(struct nt_loop *l, const struct px_config *cfg, struct er_err *err)
@@ -140,7 +141,9 @@
     if (!p->stopping || now - p->stop_began < p->cfg.grace_us * STOP_FORCE_PERCENT / 100)
         return;
     for (struct px_session *s = p->sessions; s; s = s->next) {
-        if (s->stage == PX_S_IDLE && px_in_txn(s) && s->conn)
+        if (s->relay)
+            px_relay_abort_txn(s);
+        else if (s->stage == PX_S_IDLE && px_in_txn(s) && s->conn)
             px_abort_txn(s);
     }
 }
@@ -172,6 +175,8 @@
     if (now < p->next_slow_tick)
         return;
     p->next_slow_tick = now + SLOW_TICK_INTERVAL_US;
+    if (px_lingers_since(p, now))
+        nt_refuse_new(p->listener);
     px_sessions_slow_tick(p, now);
     abort_open_txns(p, now);
     log_stages(p, now);
@@ -192,26 +197,30 @@
             running);
 }
 
-void px_refuse_new(struct px_proxy *p)
+int64_t px_lingers_since(const struct px_proxy *p, int64_t now)
 {
-    nt_refuse_new(p->listener);
+    int64_t since = p->stop_began + p->cfg.grace_us * STOP_LINGER_PERCENT / 100;
+    return p->stopping && now > since ? since : 0;
 }
 
-static bool any_relay_pending(const struct px_proxy *p)
+void px_end_all(struct px_proxy *p)
 {
-    for (const struct px_session *s = p->sessions; s; s = s->next) {
-        if (px_relay_pending(s))
-            return true;
+    nt_stop_reading(p->listener);
+    p->ends = true;
+    for (struct px_session *s = p->sessions, *next; s; s = next) {
+        next = s->next;
+        px_session_finish(s);
     }
-    return false;
 }
 
-bool px_stopped(const struct px_proxy *p, int64_t now)
+bool px_has_unsent(const struct px_proxy *p)
 {
-    if (p->active || any_relay_pending(p))
-        return false;
-    return p->n_sessions == 0 ||
-           now - p->stop_began > p->cfg.grace_us * STOP_LINGER_PERCENT / 100;
+    return nt_has_unsent(p->listener);
+}
+
+bool px_stopped(const struct px_proxy *p)
+{
+    return p->n_sessions == 0;
 }
 
 /* ---- metrics ---- */
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -88,16 +88,18 @@
 int px_open_connections(const struct px_proxy *p);
 /* Must be called every few milliseconds. */
 void px_tick(struct px_proxy *p, int64_t now);
-/* Starts a planned stop: idle sessions are closed in a staggered way, running statements end.
- */
+/* Starts a planned stop: idle sessions are closed in a staggered way, running statements end,
+ * open transactions are rolled back when about half of the time has passed. */
 void px_stop(struct px_proxy *p, int64_t now);
-/* Refuses new connections from now on: a caller that connects while the node releases its lease
- * would lose its session with the first request. */
-void px_refuse_new(struct px_proxy *p);
+/* The process ends soon: reads nothing more from callers, and answers everything that was read
+ * with what is known of it. */
+void px_end_all(struct px_proxy *p);
+/* Whether an answer to a caller is not sent yet. */
+bool px_has_unsent(const struct px_proxy *p);
 /* Logs the sessions and statements that are open when the process ends. */
 void px_log_open_work(const struct px_proxy *p);
-/* Whether a planned stop is complete. */
-bool px_stopped(const struct px_proxy *p, int64_t now);
+/* Whether a planned stop is complete: no session is left. */
+bool px_stopped(const struct px_proxy *p);
 /* Appends the lines for /metrics. */
 void px_metrics(const struct px_proxy *p, struct sr_buf *out);
 enum { PX_ACCOUNTS_LISTED = 64 }; /* maximum number of accounts listed in metrics and pages */
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -45,6 +45,8 @@
     bool greeted;            /* `nb` greeted */
     bool caller_got_bytes;   /* the caller got bytes from `nb`, so no other node may greet */
     bool ending;             /* the caller's connection is to be closed, for `end_reason` */
+    bool left;               /* this node closed the connection to the serving node */
+    bool owes_abort;         /* the caller does not know yet that its transaction is gone */
     enum px_end_reason end_reason;
     int64_t ending_since;
     bool idle;                 /* no statement and no transaction there since the last answer */
@@ -175,11 +177,13 @@
     nt_send(r->net, data, len);
 }
 
-/* Closes the session, but waits for the rest of a partial request. */
+/* Closes the session, but waits for the rest of a partial request, and for the request that is
+ * told of a rollback. */
 static void finish_ending(struct px_relay *r, int64_t now)
 {
-    if (r->pending.len == 0 || r->s->relayed_to_us ||
-        now - r->ending_since > PARTIAL_LINE_TIMEOUT_US)
+    bool waits_for_rest = r->pending.len > 0 && !r->s->relayed_to_us &&
+                          now - r->ending_since <= PARTIAL_LINE_TIMEOUT_US;
+    if (!waits_for_rest && !r->owes_abort)
         px_end_idle(r->s, r->end_reason);
 }
 
@@ -215,7 +219,8 @@
 static void fail_not_run(struct px_relay *r)
 {
     fail_pending(r, ER_STOPPING, ER_ABORTED,
-                 "the node that serves the session is stopping; retry at once");
+                 r->left ? "this node is stopping; retry at another node at once"
+                         : "the node that serves the session is stopping; retry at once");
 }
 
 /* Answers pending requests whose answer can't reach the caller any more with what is known of
@@ -373,6 +378,8 @@
         on_greeting(r);
     if (ended)
         on_end(r);
+    else if (r->s->net && r->greeted && !r->has_pending)
+        px_session_end_if_due(r->s); /* a busy session rests only briefly */
 }
 
 /* Records that the node did not open the session; for a node that is no holder, that it reaches
@@ -391,6 +398,8 @@
 /* The connection was lost, and with it the session at the serving node. */
 static void on_lost(struct px_relay *r)
 {
+    if (r->left)
+        return;
     nb_doubt(&r->nb->status, ck_now());
     if (r->ending || !r->s->net || r->s->end_sent_at)
         return;
@@ -504,6 +513,7 @@
     if (r->pending.open == 0)
         return; /* incomplete request */
     fail_not_run(r);
+    r->owes_abort = false;
     finish_ending(r, ck_now());
 }
 
@@ -546,6 +556,30 @@
         relay_free(r);
 }
 
+bool px_relay_between_requests(const struct px_session *s, bool partial)
+{
+    const struct px_relay *r = s->relay;
+    return r->greeted && !r->has_pending && !(partial && r->pending.len > 0);
+}
+
+/* The serving node rolls back when its connection closes, as no COMMIT was sent. */
+void px_relay_abort_txn(struct px_session *s)
+{
+    struct px_relay *r = s->relay;
+    if (!s->net || !r->net || !r->greeted || r->ending || r->has_pending || r->txn != PX_IN_TXN)
+        return;
+    r->ending = r->left = r->owes_abort = true;
+    r->end_reason = PX_END_MOVED;
+    r->ending_since = ck_now();
+    nt_close(r->net, true);
+}
+
+void px_relay_finish(struct px_session *s)
+{
+    if (s->relay->has_pending)
+        fail_unanswered(s->relay, true, PX_END_MOVED);
+}
+
 /* Whether the session's key was removed. The serving node refuses it too as soon as it has the
  * same document, but may be disconnected from control. */
 static bool key_removed(struct px_session *s)
@@ -605,7 +639,7 @@
     }
     if (r && r->ending && s->net && !s->end_sent_at) {
         finish_ending(r, now);
-        if (!s->ended && now - r->ending_since > ENDING_TIMEOUT_US)
+        if (!s->ended && !r->left && now - r->ending_since > ENDING_TIMEOUT_US)
             px_close(s, r->end_reason, true);
     }
     if (!r || !r->net)
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -21,6 +21,8 @@
     END_TIMEOUT_US = 1000000,
     /* A caller that reads nothing of its answers for this long is closed. */
     NOT_READING_US = 10000000,
+    /* Time for the rest of a partial message, once sessions are closed whatever is open. */
+    PARTIAL_TIMEOUT_US = 500000,
     /* Part of max_sessions by which sessions that are ending may exceed it. */
     ENDING_PERCENT = 10,
 };
@@ -101,7 +103,7 @@
         px_fail_and_close(s, ER_BAD_INPUT, "unexpected message in this state of the session");
 }
 
-static void end_if_moved(struct px_session *s, int64_t now);
+static void end_if_due(struct px_session *s, int64_t now);
 
 /* Whether the session handles its next message now. A caller that does not read its answers
  * gets no more of them. */
@@ -161,7 +163,7 @@
         limit_input(s);
     px_session_charge(s);
     /* A busy session is idle only briefly, so it is checked here too. */
-    end_if_moved(s, ck_now());
+    end_if_due(s, ck_now());
 }
 
 void px_session_drained(struct nt_conn *net, void *ud)
@@ -377,11 +379,52 @@
         px_end_idle(s, PX_END_MOVED);
 }
 
+/* Whether nothing was read from the caller that has no answer; `partial`: not even the start of
+ * a message. */
+static bool is_between_requests(const struct px_session *s, bool partial)
+{
+    if (s->relay)
+        return px_relay_between_requests(s, partial);
+    bool no_message = s->in.len == 0 || (s->lacks_line_end && !partial);
+    return s->stage == PX_S_IDLE && no_message && (s->opened || !s->database[0]);
+}
+
+/* Refuses a session that is not open yet. */
+static void refuse_to_open(struct px_session *s)
+{
+    if (s->relayed_to_us) /* the relaying node tries another */
+        px_close(s, PX_END_NOT_ACCEPTED, true);
+    else
+        px_fail_and_close(s, ER_STOPPING, "this node is stopping; retry at another node");
+}
+
+static bool is_opening(const struct px_session *s)
+{
+    return s->database[0] && !(s->relay ? px_relay_greeted(s) : s->opened);
+}
+
+/* The process ends soon: a session ends as soon as nothing is asked of it, also within a
+ * transaction, which is rolled back. The rest of a partial message is waited for a while. */
+static void linger_tick(struct px_session *s, int64_t now, int64_t since)
+{
+    if (!s->net || s->ended)
+        return;
+    if (is_opening(s))
+        refuse_to_open(s);
+    else if (is_between_requests(s, now - since < PARTIAL_TIMEOUT_US))
+        px_end_idle(s, PX_END_MOVED);
+}
+
 static void stop_tick(struct px_session *s, int64_t now)
 {
     struct px_proxy *p = s->p;
+    int64_t lingers_since = px_lingers_since(p, now);
     if (!p->stopping || s->end_sent_at)
         return;
+    if (lingers_since) {
+        linger_tick(s, now, lingers_since);
+        return;
+    }
     bool late = now - p->stop_began > p->cfg.grace_us * STOP_END_RELAYED_PERCENT / 100;
     if (late && s->relayed_to_us && s->stage == PX_S_IDLE && s->in.len == 0 &&
         !px_relay_pending(s))
@@ -395,7 +438,7 @@
 }
 
 /* Ends the session if another node should serve it or this node is stopping. */
-static void end_if_moved(struct px_session *s, int64_t now)
+static void end_if_due(struct px_session *s, int64_t now)
 {
     if (s->end_sent_at)
         return;
@@ -404,6 +447,25 @@
     moved_tick(s, now);
 }
 
+void px_session_end_if_due(struct px_session *s)
+{
+    end_if_due(s, ck_now());
+}
+
+void px_session_finish(struct px_session *s)
+{
+    if (!s->net || s->ended || s->end_sent_at)
+        return;
+    if (is_opening(s))
+        refuse_to_open(s);
+    else if (s->relay)
+        px_relay_finish(s);
+    else if (s->stage != PX_S_IDLE)
+        px_expire(s);
+    else
+        px_session_resume(s); /* what waits for its turn is refused */
+}
+
 void px_sessions_slow_tick(struct px_proxy *p, int64_t now)
 {
     for (struct px_session *s = p->sessions, *next; s; s = next) {
@@ -415,7 +477,7 @@
         not_reading_tick(s, now);
         open_tick(s);
         txn_tick(s);
-        end_if_moved(s, now);
+        end_if_due(s, now);
         px_relay_tick(s, now);
     }
 }
--- a/proxy/statement.c
+++ b/proxy/statement.c
@@ -154,12 +154,30 @@
     s->text = (struct sr_str){s->request.p + m->id.len, m->text.len};
 }
 
+/* Refuses a statement, as the process ends; the open transaction is rolled back. */
+static void refuse_at_end(struct px_session *s)
+{
+    bool ends = s->stmt.verb == PX_V_COMMIT || s->stmt.verb == PX_V_ROLLBACK;
+    if (s->txn == PX_IDLE) {
+        refuse(s, ER_STOPPING, "this node is stopping; retry at another node at once");
+        return;
+    }
+    px_abort_txn(s);
+    if (ends)
+        s->txn = PX_IDLE;
+    refuse(s, ER_ABORTED, "this node is stopping; the transaction was rolled back");
+}
+
 void px_statement(struct px_session *s, const struct px_msg *m)
 {
     keep_request(s, m);
     s->p->c.statements_served += s->relayed_to_us;
     s->p->cfg.codec->parse_text(s->text, &s->stmt);
     s->offers = 0;
+    if (s->p->ends) {
+        refuse_at_end(s);
+        return;
+    }
     switch (s->stmt.verb) {
     case PX_V_BEGIN:
         begin_txn(s);
--- a/task/http.c
+++ b/task/http.c
@@ -151,7 +151,8 @@
     np_recount(c);
     if (rc < 0)
         return -1;
-    if (!sent_ahead && !lws_http_transaction_completed(c->wsi))
+    bool keep = !sent_ahead && !c->ln->reading_stopped;
+    if (keep && !lws_http_transaction_completed(c->wsi))
         return 0;
     c->loop->st.http_ended_by_us++;
     return -1;
--- a/task/net.c
+++ b/task/net.c
@@ -665,6 +665,7 @@
 
 void nt_pause_reading(struct nt_conn *c, bool pause)
 {
+    pause = pause || (c->ln && c->ln->reading_stopped);
     if (!c->wsi || c->dead || c->reading_paused == pause)
         return;
     c->reading_paused = pause;
@@ -718,3 +719,30 @@
 {
     ln->refuse_new = true;
 }
+
+/* lws writes no reply over HTTP while reading is paused, and reads nothing before the reply is
+ * written; the connection is closed then. */
+static bool pause_one(struct nt_conn *c)
+{
+    if (c->kind != K_HTTP_SERVER || !c->serving)
+        nt_pause_reading(c, true);
+    return false;
+}
+
+void nt_stop_reading(struct nt_listener *ln)
+{
+    nt_refuse_new(ln);
+    ln->reading_stopped = true;
+    np_any_conn(ln, pause_one);
+}
+
+static bool has_unsent(struct nt_conn *c)
+{
+    bool awaits_reply = c->kind == K_HTTP_SERVER && c->serving;
+    return !c->closing && (c->head || awaits_reply || (c->wsi && lws_partial_buffered(c->wsi)));
+}
+
+bool nt_has_unsent(const struct nt_listener *ln)
+{
+    return np_any_conn(ln, has_unsent);
+}
--- a/task/net.h
+++ b/task/net.h
@@ -162,6 +162,12 @@
 /* Close each new connection before its handshake is answered, so that its peer can't have sent
  * a message. Open connections are not affected. */
 void nt_refuse_new(struct nt_listener *ln);
+/* Read nothing more from the connections of the listener, and refuse new ones. Messages can
+ * still be sent. */
+void nt_stop_reading(struct nt_listener *ln);
+/* Whether data is queued for a peer of the listener, or one waits for the reply to a whole HTTP
+ * request. */
+bool nt_has_unsent(const struct nt_listener *ln);
 
 /* Start connecting. If the connect fails, ops->close is called, never from within this call. */
 struct nt_conn *nt_connect(struct nt_loop *l, const char *ip, int port, bool raw,
--- a/task/net_priv.h
+++ b/task/net_priv.h
@@ -63,6 +63,7 @@
     struct lws_vhost *vh;
     char ip[64];
     bool refuse_new;           /* close new connections before their handshake */
+    bool reading_stopped;      /* nt_stop_reading */
     int n_http;                /* open plain HTTP connections that sent a request */
     int n_pending;             /* and those that did not */
     struct sd_set conns, http; /* plain HTTP is in `http` only */
@@ -108,6 +109,8 @@
 void np_recount(struct nt_conn *c);
 void np_room_add(struct nt_conn *c, enum sd_rank rank);
 void np_room_remove(struct nt_conn *c);
+/* Whether `is` returns true for any connection of the listener; it must not close them. */
+bool np_any_conn(const struct nt_listener *ln, bool (*is)(struct nt_conn *c));
 /* `len` bytes were read from the connection: reading waits if it was much. With `message` they
  * ended one whose handling counts too. */
 void np_note_read(struct nt_conn *c, size_t len, bool message);
--- a/task/room.c
+++ b/task/room.c
@@ -139,6 +139,22 @@
         sd_remove(set_of(c), &c->use);
 }
 
+static bool any_conn(const struct sd_set *set, bool (*is)(struct nt_conn *c))
+{
+    for (int rank = 0; rank < SD_RANKS; rank++) {
+        for (struct sd_conn *s = set->oldest[rank]; s; s = s->newer) {
+            if (is(conn_of(s)))
+                return true;
+        }
+    }
+    return false;
+}
+
+bool np_any_conn(const struct nt_listener *ln, bool (*is)(struct nt_conn *c))
+{
+    return any_conn(&ln->conns, is) || any_conn(&ln->http, is);
+}
+
 void nt_limit_memory(struct nt_loop *l, size_t bytes)
 {
     l->max_held = bytes;
--- a/tests/standin/sessions.c
+++ b/tests/standin/sessions.c
@@ -3,7 +3,8 @@
  * Each session writes rising numbers to a key of its own and to one that all share, reads both
  * back, sets values, prepares statements under names that all sessions use, runs transactions
  * and leaves some of them. Broken promises are printed and counted; refusals and doubts are
- * counted. Usage: ferry-sessions SECONDS SEED PORT... (the entry nodes' session ports).
+ * counted. Usage: ferry-sessions SECONDS SEED PORT... (the entry nodes' session ports). With
+ * TXN_PAUSE_MS in the environment they rest for up to so long within a transaction.
  * Databases: "p" newest reads, "b" at most AGE_MS old, "o" at most AGE_MS old and one's own. */
 #include <stdarg.h>
 #include <stdio.h>
@@ -39,6 +40,7 @@
     unsigned long long seed; /* keys carry it: one run's numbers are not another's */
     int n_ports, ports[16];
     int64_t end;
+    int64_t txn_pause_us;
     struct nt_timer tick;
     long next_number;
     int n_acked;
@@ -327,8 +329,9 @@
         s->n = s->at = 0;
         add(s, C_ANY, 0, "ROLLBACK");
     }
-    nt_timer_set(s->r->loop, &s->pause, PAUSE_US + (int64_t)rn_below(&s->r->rng, PAUSE_US),
-                 paused, s);
+    uint64_t span = PAUSE_US + (uint64_t)(s->txn ? s->r->txn_pause_us : 0);
+    nt_timer_set(s->r->loop, &s->pause, PAUSE_US + (int64_t)rn_below(&s->r->rng, span), paused,
+                 s);
 }
 
 static void line(struct session *s, const char *text)
@@ -447,6 +450,8 @@
     r.seed = strtoull(argv[2], NULL, 10);
     r.rng = rn_seed(r.seed);
     r.end = ck_now() + CK_SEC(atoi(argv[1]));
+    if (getenv("TXN_PAUSE_MS"))
+        r.txn_pause_us = CK_MS(atoi(getenv("TXN_PAUSE_MS")));
     for (int i = 3; i < argc && r.n_ports < 16; i++)
         r.ports[r.n_ports++] = atoi(argv[i]);
     for (int i = 0; i < SESSIONS; i++) {
--- a/tests/unit/test_endings.c
+++ b/tests/unit/test_endings.c
@@ -28,6 +28,8 @@
     struct nt_conn *caller, *there; /* the caller's own end; the session at the other node */
     bool leased, closed;
     bool mute, ends;   /* the other node does not answer; the process would end */
+    bool in_txn;       /* the other node says that a transaction is open */
+    bool passed_on;    /* the other node got the question */
     struct sr_buf got; /* by the caller */
 } w;
 
@@ -117,11 +119,18 @@
     if (len > 7 && memcmp(data, "STARTUP", 7) == 0) {
         w.there = c;
         nt_send(c, "READY I -\r\n", 11);
-    } else if (!w.mute) {
-        nt_send(c, "COMPLETE x\r\nREADY I -\r\n", 23);
+        return;
     }
+    w.passed_on = w.passed_on || memmem(data, len, "QUERY b", 7);
+    if (w.mute)
+        return;
+    const char *answer =
+        w.in_txn ? "COMPLETE x\r\nREADY T -\r\n" : "COMPLETE x\r\nREADY I -\r\n";
+    nt_send(c, answer, strlen(answer));
 }
 
+static bool in_txn; /* of the next play */
+
 static const struct nt_ops there_ops = {on_no_open, there_message, on_no_close};
 
 static void *there_accept(struct nt_conn *c, void *ud)
@@ -215,6 +224,7 @@
     sr_buf_free(&w.got);
     memset(&w, 0, sizeof(w));
     w.row = row;
+    w.in_txn = in_txn;
     w.leased = true;
     ck_pause(CK_SEC(1000));
     w.loop = nt_loop_create(64, &err);
@@ -255,15 +265,124 @@
 {
     px_stop(w.p, ck_now());
     ck_advance(CK_MS(800));
-    w.ends = px_stopped(w.p, ck_now());
+    w.ends = px_stopped(w.p);
     stop(ud);
 }
 
+static bool told(const char *what)
+{
+    return memmem(w.got.p, w.got.len, what, strlen(what)) != NULL;
+}
+
 static void ask_the_mute(void)
 {
     w.mute = true;
 }
 
+/* ---- a planned stop with a transaction open at the other node ---- */
+
+/* A transaction is open from the first answer on. */
+static void play_in_txn(const struct row *row)
+{
+    in_txn = true;
+    play(row);
+    in_txn = false;
+}
+
+static void stop_for_600_ms(void)
+{
+    px_stop(w.p, ck_now());
+    stand_still(CK_MS(600));
+}
+
+/* Guards against LOST in a planned stop: a transaction at another node stayed open until the
+ * process ended, and its statements went on running there. */
+static void a_relayed_transaction_is_rolled_back_when_its_time_is_over(void)
+{
+    const struct row row = {"in a transaction", true, nothing, stop_for_600_ms, nothing};
+    play_in_txn(&row);
+    CU_ASSERT(told("ERROR ABORTED ") && answers() == 3);
+    CU_ASSERT_TRUE(w.closed);
+    CU_ASSERT_FALSE(w.passed_on);
+}
+
+/* The time until sessions are closed whatever is open is over, and a tick comes before the
+ * question is read. */
+static void last_tick(void)
+{
+    px_stop(w.p, ck_now());
+    ck_advance(CK_MS(800));
+}
+
+static void tick_and_look(void)
+{
+    px_tick(w.p, ck_now());
+    w.ends = px_stopped(w.p);
+}
+
+/* Guards against LOST in a planned stop: the process ended with sessions open, whose questions
+ * it went on reading. */
+static void a_process_with_an_open_session_does_not_end(void)
+{
+    for (int relayed = 0; relayed < 2; relayed++) {
+        const struct row row = {"late", relayed, nothing, last_tick, tick_and_look};
+        play_in_txn(&row);
+        CU_ASSERT_FALSE(w.ends);
+        CU_ASSERT(told("ERROR ") && answers() == 3);
+        CU_ASSERT_TRUE(w.closed);
+        CU_ASSERT_FALSE(w.passed_on);
+    }
+}
+
+static void say_one_more(void *ud)
+{
+    (void)ud;
+    nt_send(w.caller, "QUERY b2 READ x\r\n", 17);
+    nt_timer_set(w.loop, &w.late, CK_MS(100), stop, NULL);
+}
+
+static void end_all(void *ud)
+{
+    (void)ud;
+    px_stop(w.p, ck_now());
+    px_end_all(w.p);
+    w.ends = !px_has_unsent(w.p);
+    nt_timer_set(w.loop, &w.late, CK_MS(20), say_one_more, NULL);
+}
+
+static void end_all_soon(void)
+{
+    nt_timer_set(w.loop, &w.late, CK_MS(20), end_all, NULL);
+}
+
+/* Guards against a question without an answer: the time for the stop is over while the question
+ * is at another node, or waits here for its instance. What is said later is not read. */
+static void what_is_open_when_the_process_ends_is_answered(void)
+{
+    for (int relayed = 0; relayed < 2; relayed++) {
+        const struct row row = {"open", relayed, nothing, ask_the_mute, end_all_soon};
+        play(&row);
+        CU_ASSERT(told("ERROR ") && answers() == 3);
+    }
+}
+
+/* A caller that sends ahead of its answers. */
+static void ask_four(void)
+{
+    ask_the_mute();
+    nt_send(w.caller, "QUERY a1 READ x\r\nQUERY a2 WRITE x y\r\nQUERY a3 READ x\r\n", 54);
+}
+
+/* Guards against the same for questions that were read and wait for their turn. */
+static void what_was_sent_ahead_is_answered_when_the_process_ends(void)
+{
+    for (int relayed = 0; relayed < 2; relayed++) {
+        const struct row row = {"sent ahead", relayed, nothing, ask_four, end_all_soon};
+        play(&row);
+        CU_ASSERT_EQUAL(answers(), 6);
+    }
+}
+
 static void stop_soon(void)
 {
     nt_timer_set(w.loop, &w.late, CK_MS(20), end_due, NULL);
@@ -346,6 +465,10 @@
     CU_pSuite s = CU_add_suite("endings", NULL, NULL);
     TEST(s, a_question_that_has_arrived_is_answered_when_its_session_ends);
     TEST(s, the_process_does_not_end_before_another_node_has_answered);
+    TEST(s, a_relayed_transaction_is_rolled_back_when_its_time_is_over);
+    TEST(s, a_process_with_an_open_session_does_not_end);
+    TEST(s, what_is_open_when_the_process_ends_is_answered);
+    TEST(s, what_was_sent_ahead_is_answered_when_the_process_ends);
     TEST(s, a_question_of_which_a_part_has_arrived_is_answered);
     TEST(s, a_session_whose_holder_ended_it_does_not_stay_open);
     TEST(s, a_goodbye_that_meets_the_end_of_its_session_gets_no_answer);
