proxy: a request whose effect is not known promises nothing

Cause: proxy/pending.c kept the first 160 bytes of a request. Where the id fills them there is no verb to find, and what could not be parsed counted as a write, of which nothing is kept without a COMMIT. So did requests beyond the 64 whose effect is kept, which may be the COMMIT.

Change: only the first bytes of each field are kept, so the verb is found behind an id of any length. What can't be parsed or is not kept has an effect of its own, PX_UNKNOWN: it is never harmless, it is not said to end a transaction, and the transaction counts as one that wrote.

--- a/proxy/pending.h
+++ b/proxy/pending.h
@@ -1,29 +1,34 @@
 /* Tracks the pending requests of a session that another node serves, to decide what can be
  * reported about them if no answer arrives: whether they may have changed data.
  *
- * Pure functions. Only the first bytes of each line are kept. In doubt, a request counts as one
- * that may have changed data. */
+ * Pure functions. Only the first bytes of each field of a line are kept, so that the verb is
+ * found behind an id of any length. A request whose effect is not known promises nothing. */
 #ifndef FL_PROXY_PENDING_H
 #define FL_PROXY_PENDING_H
 
 #include "proxy/wire.h"
 
 enum {
-    PX_PENDING_HEAD_BYTES = 160, /* bytes of a line that are parsed: id and verb */
-    PX_PENDING_KINDS = 64,       /* requests of which it is kept what they do */
+    PX_PENDING_HEAD_BYTES = 160, /* bytes kept of a line */
+    /* Bytes kept of a field, more than the longest word of the protocol has. A longer one is
+     * an id or an argument, of which only the presence matters. */
+    PX_PENDING_FIELD_BYTES = 24,
+    PX_PENDING_KINDS = 64, /* requests of which it is kept what they do */
 };
 
 /* What a request does to data. */
 enum px_effect {
     PX_KEEPS_NOTHING, /* a read, a setup statement */
-    PX_WRITES,        /* or may: EXECUTE, and what can't be parsed or is not kept */
+    PX_WRITES,        /* or may: EXECUTE. Does not end a transaction. */
     PX_COMMITS,
-    PX_ROLLS_BACK
+    PX_ROLLS_BACK,
+    PX_UNKNOWN, /* any of the above: it can't be parsed, or its effect is not kept */
 };
 
 struct px_pending {
-    char head[PX_PENDING_HEAD_BYTES]; /* start of the incomplete line */
+    char head[PX_PENDING_HEAD_BYTES]; /* start of the incomplete line, its fields shortened */
     size_t len;
+    size_t field_len;       /* bytes of the line's last field so far */
     bool after_cr;          /* the last byte was a CR, which may begin the line's end */
     int open;               /* complete requests without an answer, the oldest first */
     uint64_t answered;      /* requests so far that were answered */
@@ -31,18 +36,21 @@
     uint8_t effects[PX_PENDING_KINDS]; /* ring, by number of request */
     enum px_txn txn;                   /* after the last answer */
     bool txn_wrote; /* the open transaction wrote, or may have, by the requests answered */
+    bool txn_ran;   /* a request of it that an instance runs was answered */
 };
 
 /* Adds input from the caller; `txn` is the session's state after the last answer. */
 void px_pending_add(struct px_pending *q, const struct px_codec *codec, enum px_txn txn,
                     const char *data, size_t len);
+/* Whether the last line that was added is incomplete. */
+bool px_pending_partial(const struct px_pending *q);
 /* Records that the oldest pending request was answered. */
 void px_pending_answered(struct px_pending *q, enum px_txn txn);
 /* Whether nothing of the pending requests is kept, whether or not they ran: reads, or
  * statements of a transaction without a COMMIT request. Of several nothing is known, as the
  * state in which the later ones run is not. */
 bool px_pending_harmless(const struct px_pending *q);
-/* Whether the oldest pending request ends the transaction. */
+/* Whether the oldest pending request certainly ends the transaction. */
 bool px_pending_ends_txn(const struct px_pending *q);
 
 #endif
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -181,7 +181,7 @@
  * told of a rollback. */
 static void finish_ending(struct px_relay *r, int64_t now)
 {
-    bool waits_for_rest = r->pending.len > 0 && !r->s->relayed_to_us &&
+    bool waits_for_rest = px_pending_partial(&r->pending) && !r->s->relayed_to_us &&
                           now - r->ending_since <= PARTIAL_LINE_TIMEOUT_US;
     if (!waits_for_rest && !r->owes_abort)
         px_end_idle(r->s, r->end_reason);
@@ -559,7 +559,7 @@
 bool px_relay_between_requests(const struct px_session *s, bool partial)
 {
     const struct px_relay *r = s->relay;
-    return r->greeted && !r->has_pending && !(partial && r->pending.len > 0);
+    return r->greeted && !r->has_pending && !(partial && px_pending_partial(&r->pending));
 }
 
 /* The serving node rolls back when its connection closes, as no COMMIT was sent. */
--- a/tests/unit/test_neighbor.c
+++ b/tests/unit/test_neighbor.c
@@ -233,6 +233,75 @@
     CU_ASSERT(q.open == 1 && px_pending_harmless(&q));
 }
 
+/* What a request with an id of `id_len` bytes does, said in a transaction that wrote, in pieces
+ * of `piece` bytes. */
+static struct px_pending ask_with_id(size_t id_len, size_t piece, enum px_txn txn,
+                                     const char *text)
+{
+    struct px_pending q = {0};
+    struct sr_buf line = {0};
+    const char *write = "QUERY a WRITE x y\r\n";
+    px_pending_add(&q, &pf_lines, PX_IN_TXN, write, strlen(write));
+    px_pending_answered(&q, txn);
+    sr_buf_add(&line, "QUERY ", 6);
+    for (size_t i = 0; i < id_len; i++)
+        sr_buf_add(&line, "f", 1);
+    sr_buf_printf(&line, " %s\r\n", text);
+    for (size_t at = 0; at < line.len; at += piece)
+        px_pending_add(&q, &pf_lines, txn, line.p + at,
+                       line.len - at < piece ? line.len - at : piece);
+    sr_buf_free(&line);
+    return q;
+}
+
+/* Guards against REFUSED: behind a long id the COMMIT was not found, and the caller was told
+ * that nothing is kept, though it was committed. */
+static void a_verb_is_found_behind_an_id_of_any_length(void)
+{
+    static const size_t lengths[] = {1, 16, 24, 25, 147, 148, 160, 200, 4096, 60000, 1048000};
+    for (size_t i = 0; i < sizeof(lengths) / sizeof(lengths[0]); i++) {
+        for (size_t piece = 1; piece < 2000000; piece *= 37) {
+            size_t n = lengths[i];
+            struct px_pending q = ask_with_id(n, piece, PX_IN_TXN, "COMMIT");
+            CU_ASSERT(q.open == 1 && !px_pending_harmless(&q) && px_pending_ends_txn(&q));
+            q = ask_with_id(n, piece, PX_IDLE, "WRITE x y");
+            CU_ASSERT(q.open == 1 && !px_pending_harmless(&q));
+            q = ask_with_id(n, piece, PX_IN_TXN, "WRITE x y");
+            CU_ASSERT(q.open == 1 && px_pending_harmless(&q) && !px_pending_ends_txn(&q));
+            q = ask_with_id(n, piece, PX_IDLE, "READ x");
+            CU_ASSERT(q.open == 1 && px_pending_harmless(&q));
+            q = ask_with_id(n, piece, PX_IN_TXN, "ROLLBACK");
+            CU_ASSERT(q.open == 1 && px_pending_harmless(&q) && px_pending_ends_txn(&q));
+            q = ask_with_id(n, piece, PX_IN_TXN, "BEGIN READ");
+            CU_ASSERT(q.open == 1 && px_pending_harmless(&q));
+        }
+    }
+}
+
+/* Guards against REFUSED: what is not known counted as a write, of which nothing is kept in a
+ * transaction. It may be the COMMIT. */
+static void what_is_not_known_promises_nothing(void)
+{
+    enum { MANY = 200 };
+    struct px_pending q = ask_with_id(16, 100, PX_IN_TXN, "HELLO");
+    CU_ASSERT(q.open == 1 && !px_pending_harmless(&q) && !px_pending_ends_txn(&q));
+    q = ask_with_id(16, 100, PX_IN_TXN, "COMMIT x");
+    CU_ASSERT(q.open == 1 && !px_pending_harmless(&q));
+    const char *read = "QUERY a READ x\r\n", *commit = "QUERY b COMMIT\r\n";
+    q = (struct px_pending){0};
+    for (int i = 0; i < MANY; i++)
+        px_pending_add(&q, &pf_lines, PX_IN_TXN, i == 3 ? commit : read,
+                       strlen(i == 3 ? commit : read));
+    for (int i = 0; i < MANY - 1; i++) {
+        px_pending_answered(&q, PX_IN_TXN);
+        CU_ASSERT_FALSE(px_pending_harmless(&q));
+    }
+    /* An effect that is not kept may have been a write of the transaction. */
+    px_pending_answered(&q, PX_IN_TXN);
+    px_pending_add(&q, &pf_lines, PX_IN_TXN, commit, strlen(commit));
+    CU_ASSERT_FALSE(px_pending_harmless(&q));
+}
+
 /* A line longer than what is looked at counts by its beginning. */
 static void long_lines_count_by_their_beginning(void)
 {
@@ -254,6 +323,8 @@
     TEST(s, a_trial_clears_it);
     TEST(s, trials_are_few);
     TEST(s, who_refuses_is_asked_last);
+    TEST(s, a_verb_is_found_behind_an_id_of_any_length);
+    TEST(s, what_is_not_known_promises_nothing);
     TEST(s, what_may_be_kept_is_not_called_harmless);
     TEST(s, an_ended_transaction_is_forgotten);
     TEST(s, each_answer_is_one_requests);
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -306,6 +306,27 @@
     }
 }
 
+/* Guards against REFUSED: the node that serves a session is lost with the COMMIT of a
+ * transaction that wrote, and the caller was promised that nothing is kept, as its id is long.
+ */
+static void a_commit_with_a_long_id_is_in_doubt_when_its_node_is_lost(void)
+{
+    static const int lengths[] = {16, 148, 200, 4096};
+    for (size_t i = 0; i < sizeof(lengths) / sizeof(lengths[0]); i++) {
+        struct sr_buf commit = {0};
+        sr_buf_printf(&commit, "QUERY q3%0*d COMMIT\r\n", lengths[i], 0);
+        sr_buf_add(&commit, "", 1);
+        const struct fault f = {.what = "a commit with a long id",
+                                .answer = "COMPLETE x\r\nREADY T -\r\n",
+                                .asks = "QUERY q1 WRITE x y\r\n",
+                                .then = commit.p};
+        play(&f);
+        CU_ASSERT(memmem(w.got.p, w.got.len, "ERROR INDOUBT ", 14) && errors_told() == 1);
+        sr_buf_free(&w.got);
+        sr_buf_free(&commit);
+    }
+}
+
 /* Load: callers of a failure domain without a holder, where the link between regions is narrow
  * and far: they are served within their region, whichever holder is there. */
 static void a_relay_stays_in_its_region(void)
@@ -459,6 +480,7 @@
 {
     CU_pSuite s = CU_add_suite("relay", NULL, NULL);
     TEST(s, ends_of_relayed_sessions_lose_no_question);
+    TEST(s, a_commit_with_a_long_id_is_in_doubt_when_its_node_is_lost);
     TEST(s, a_relay_stays_in_its_region);
     TEST(s, a_node_that_is_cut_off_opens_no_relayed_session);
     TEST(s, a_cut_off_node_relays_its_callers);
