proxy: after a write in doubt its transaction promises nothing

What a caller could see: "ABORTED", a promise that nothing is kept, for a transaction whose write is kept.

Cause: three places took a transaction that was rolled back for one of which nothing is kept. A write that ran outside of its transaction was answered INDOUBT, but the statements and the COMMIT after it ABORTED. A write that failed, which may have run, did not count as one, so a COMMIT without an answer was ABORTED where the instance had gone on with the transaction. A relay answered ABORTED behind a request of unknown outcome.

Change: the session remembers that a write of its transaction is in doubt and answers INDOUBT until the transaction ends; a write counts whatever its answer says; the relay does the same.

--- a/proxy/outcome.c
+++ b/proxy/outcome.c
@@ -137,8 +137,8 @@
 static void in_txn_answered(struct px_session *s, struct px_conn *c)
 {
     bool ends = s->stmt.verb == PX_V_COMMIT;
-    if (c->error == ER_NONE)
-        s->txn_wrote = s->txn_wrote || s->writes;
+    /* A write that fails may have run, and is kept if the transaction goes on. */
+    s->txn_wrote = s->txn_wrote || s->writes;
     s->txn = ends ? PX_IDLE : c->state;
     if (!ends && c->state == PX_IDLE)
         s->txn = PX_TXN_FAILED; /* the instance has rolled it back: nothing of it is kept */
@@ -166,6 +166,14 @@
     return s->writes && !c->history.begin_settled;
 }
 
+/* Marks the transaction as rolled back at the instance; the caller learns of it with its next
+ * statement. */
+static void fail_txn(struct px_session *s)
+{
+    s->txn = PX_TXN_FAILED;
+    s->txn_rolled_back = true;
+}
+
 /* The statement ran, but no transaction is open on the connection: its BEGIN did not run. */
 static void ran_outside_txn(struct px_session *s, struct px_conn *c)
 {
@@ -173,8 +181,8 @@
     s->conn = NULL;
     c->session = NULL;
     px_conn_close(c);
-    s->txn = PX_TXN_FAILED;
-    s->txn_rolled_back = true;
+    fail_txn(s);
+    s->txn_in_doubt = kept;
     px_refuse(s, kept ? ER_LOST : ER_ABORTED,
               kept ? "the instance ran the write outside of its transaction"
                    : "the instance lost the transaction; nothing of it is kept");
@@ -250,14 +258,6 @@
                   "instances refused the setup of the statement; retry in 100 ms");
 }
 
-/* Marks the transaction as rolled back at the instance; the caller learns of it with its next
- * statement. */
-static void fail_txn(struct px_session *s)
-{
-    s->txn = PX_TXN_FAILED;
-    s->txn_rolled_back = true;
-}
-
 /* The transaction's connection was lost: the transaction was rolled back, unless its COMMIT had
  * been sent, whose outcome is unknown. */
 static void txn_lost(struct px_session *s, const struct px_conn *c, bool sent)
@@ -270,6 +270,7 @@
     }
     s->txn = ends ? PX_IDLE : PX_TXN_FAILED;
     s->txn_rolled_back = !ends;
+    s->txn_in_doubt = in_doubt;
     px_refuse(s, in_doubt ? ER_LOST : ER_ABORTED,
               in_doubt ? "the connection was lost after the write or commit was sent"
                        : "the connection was lost; the transaction was rolled back");
@@ -331,6 +332,7 @@
         px_conn_close(c); /* the instance rolls back */
     s->txn = ends ? PX_IDLE : PX_TXN_FAILED;
     s->txn_rolled_back = !ends;
+    s->txn_in_doubt = in_doubt;
     px_refuse(s, in_doubt ? ER_TIMEOUT : ER_ABORTED,
               in_doubt ? "no answer to the write or commit before its deadline"
                        : "no answer before the deadline; the transaction was rolled back");
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -249,7 +249,8 @@
     bool txn_read_only;
     bool txn_begun; /* BEGIN was sent to the instance */
     bool txn_wrote;
-    bool txn_rolled_back; /* failed and already rolled back: the instance keeps nothing of it */
+    bool txn_rolled_back;  /* failed and already rolled back */
+    bool txn_in_doubt;     /* a write of it may be kept all the same, as it ran outside of it */
     struct cg_route route; /* of the transaction, or of the statement outside one */
     struct px_conn *conn;  /* runs the statement, or is pinned by the transaction */
 
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -47,6 +47,7 @@
     bool ending;             /* the caller's connection is to be closed, for `end_reason` */
     bool left;               /* this node closed the connection to the serving node */
     bool owes_abort;         /* the caller does not know yet that its transaction is gone */
+    bool in_doubt;           /* a request was answered as one whose outcome is not known */
     enum px_end_reason end_reason;
     int64_t ending_since;
     bool idle;                 /* no statement and no transaction there since the last answer */
@@ -218,7 +219,7 @@
  * session. */
 static void fail_not_run(struct px_relay *r)
 {
-    fail_pending(r, ER_STOPPING, ER_ABORTED,
+    fail_pending(r, ER_STOPPING, r->in_doubt ? ER_LOST : ER_ABORTED,
                  r->left ? "this node is stopping; retry at another node at once"
                          : "the node that serves the session is stopping; retry at once");
 }
@@ -231,6 +232,7 @@
     bool nothing_kept = !sent || px_pending_harmless(&r->pending);
     s->arrived = r->pending_since;
     s->p->c.silent_told++;
+    r->in_doubt = r->in_doubt || !nothing_kept;
     fail_pending(r, nothing_kept ? ER_OVERLOAD : ER_LOST, nothing_kept ? ER_ABORTED : ER_LOST,
                  nothing_kept
                      ? "the node that serves the session does not answer; nothing is kept, "
--- a/proxy/statement.c
+++ b/proxy/statement.c
@@ -50,7 +50,7 @@
     }
     s->txn = PX_IN_TXN;
     s->txn_read_only = s->stmt.read_only;
-    s->txn_begun = s->txn_wrote = s->txn_rolled_back = false;
+    s->txn_begun = s->txn_wrote = s->txn_rolled_back = s->txn_in_doubt = false;
     px_answer_local(s); /* BEGIN is sent to an instance with the first statement */
 }
 
@@ -65,6 +65,15 @@
     px_answer_local(s);
 }
 
+/* Refuses a statement of a transaction that was rolled back. */
+static void refuse_rolled_back(struct px_session *s, const char *why)
+{
+    if (s->txn_in_doubt)
+        refuse(s, ER_LOST, "a write of the transaction may have run outside of it");
+    else
+        refuse(s, ER_ABORTED, why);
+}
+
 static void commit_txn(struct px_session *s)
 {
     if (s->txn == PX_IDLE) {
@@ -74,7 +83,7 @@
     s->writes = false;
     if (s->txn_rolled_back) {
         s->txn = PX_IDLE;
-        refuse(s, ER_ABORTED, "the transaction was already rolled back");
+        refuse_rolled_back(s, "the transaction was already rolled back");
         return;
     }
     px_begin_work(s);
@@ -86,7 +95,7 @@
     if (s->txn != PX_TXN_FAILED)
         return false;
     if (s->txn_rolled_back)
-        refuse(s, ER_ABORTED, "the transaction was rolled back");
+        refuse_rolled_back(s, "the transaction was rolled back");
     else
         refuse_malformed(s, "the transaction has failed; only COMMIT and ROLLBACK are allowed");
     return true;
@@ -165,7 +174,7 @@
     px_abort_txn(s);
     if (ends)
         s->txn = PX_IDLE;
-    refuse(s, ER_ABORTED, "this node is stopping; the transaction was rolled back");
+    refuse_rolled_back(s, "this node is stopping; the transaction was rolled back");
 }
 
 void px_statement(struct px_session *s, const struct px_msg *m)
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -140,10 +140,17 @@
     nt_send(c, "STARTUP db me\r\n", 15);
 }
 
+/* Of the next play: what the caller says when it was told of an error. */
+static const char *rest_of_input;
+
 static void caller_message(struct nt_conn *c, void *ud, const char *data, size_t len)
 {
     (void)ud;
     sr_buf_add(&w.got, data, len);
+    if (rest_of_input && memmem(data, len, "ERROR ", 6)) {
+        nt_send(c, rest_of_input, strlen(rest_of_input));
+        return;
+    }
     const char *asks = w.f->asks ? w.f->asks : "QUERY q1 READ x\r\n";
     if (!w.asked)
         nt_send(c, asks, strlen(asks));
@@ -327,6 +334,22 @@
     }
 }
 
+/* Guards against REFUSED: the outcome of a request of the transaction is not known, so a later
+ * one does not promise that nothing of the transaction is kept. */
+static void a_request_after_one_in_doubt_promises_nothing(void)
+{
+    static const struct fault f = {.what = "two requests that can't be parsed, then COMMIT",
+                                   .answer = "COMPLETE x\r\nREADY T -\r\n",
+                                   .asks = "QUERY q1 WRITE x y\r\n",
+                                   .then = "QUERY q3 HELLO\r\nQUERY q4 WRITE x z\r\nQ"};
+    rest_of_input = "UERY q5 COMMIT\r\n";
+    play(&f);
+    rest_of_input = NULL;
+    CU_ASSERT_EQUAL(errors_told(), 3);
+    CU_ASSERT_PTR_NULL(memmem(w.got.p, w.got.len, "ERROR ABORTED ", 14));
+    sr_buf_free(&w.got);
+}
+
 /* Load: callers of a failure domain without a holder, where the link between regions is narrow
  * and far: they are served within their region, whichever holder is there. */
 static void a_relay_stays_in_its_region(void)
@@ -481,6 +504,7 @@
     CU_pSuite s = CU_add_suite("relay", NULL, NULL);
     TEST(s, ends_of_relayed_sessions_lose_no_question);
     TEST(s, a_commit_with_a_long_id_is_in_doubt_when_its_node_is_lost);
+    TEST(s, a_request_after_one_in_doubt_promises_nothing);
     TEST(s, a_relay_stays_in_its_region);
     TEST(s, a_node_that_is_cut_off_opens_no_relayed_session);
     TEST(s, a_cut_off_node_relays_its_callers);
