proxy: the first write of a relayed transaction may be kept

What a caller could see: "ABORTED", for a write that is kept. The node that serves the session sends BEGIN with the first statement of a transaction. Where an instance repeats answers, a repeat may be taken for that of a BEGIN that was refused, and the write behind it runs by itself. The serving node answers INDOUBT then; if it is lost, the relaying node said that nothing is kept. Found by reading; not seen over processes.

Change: a write in a transaction is harmless only after an instance has signed an answer within that transaction. One that is not is told at once all the same if the serving node is silent, as its transaction can't be committed any more.

Evidence: U what_may_be_kept_is_not_called_harmless, rows "the first of a transaction" and "nor if only the node has answered" fail without it. Two rows are replaced, as the promise that they asked for may be untrue: "a write whose COMMIT nobody asked for" now has a signed answer before it, and "a statement of a transaction is rolled back" (test_silence) is two rows now, the first write with INDOUBT within the same 800 ms.

--- a/proxy/pending.c
+++ b/proxy/pending.c
@@ -88,6 +88,13 @@
     }
     q->txn = txn;
     q->txn_wrote = (q->txn_wrote || wrote) && txn != PX_IDLE;
+    q->txn_ran = (q->txn_ran || q->is_signed) && txn == PX_IN_TXN;
+    q->is_signed = false;
+}
+
+void px_pending_signed(struct px_pending *q)
+{
+    q->is_signed = true;
 }
 
 bool px_pending_harmless(const struct px_pending *q)
@@ -100,8 +107,8 @@
     case PX_KEEPS_NOTHING:
     case PX_ROLLS_BACK:
         return true;
-    case PX_WRITES:
-        return q->txn != PX_IDLE;
+    case PX_WRITES: /* if the BEGIN before it was refused, it ran outside of a transaction */
+        return q->txn == PX_TXN_FAILED || q->txn_ran;
     case PX_COMMITS:
         return !q->txn_wrote;
     default:
@@ -109,6 +116,12 @@
     }
 }
 
+bool px_pending_useless(const struct px_pending *q)
+{
+    bool write_in_txn = q->open == 1 && q->txn != PX_IDLE && effect_at(q, 0) == PX_WRITES;
+    return write_in_txn || px_pending_harmless(q);
+}
+
 bool px_pending_ends_txn(const struct px_pending *q)
 {
     enum px_effect e = q->open > 0 ? effect_at(q, 0) : PX_KEEPS_NOTHING;
--- a/proxy/pending.h
+++ b/proxy/pending.h
@@ -36,7 +36,9 @@
     uint8_t effects[PX_PENDING_KINDS]; /* ring, by number of request */
     enum px_txn txn;                   /* after the last answer */
     bool txn_wrote; /* the open transaction wrote, or may have, by the requests answered */
-    bool txn_ran;   /* a request of it that an instance runs was answered */
+    /* An instance ran a request of the open transaction within it, so its BEGIN has run. */
+    bool txn_ran;
+    bool is_signed; /* the answer to the oldest request, so far */
 };
 
 /* Adds input from the caller; `txn` is the session's state after the last answer. */
@@ -44,12 +46,17 @@
                     const char *data, size_t len);
 /* Whether the last line that was added is incomplete. */
 bool px_pending_partial(const struct px_pending *q);
+/* The answer to the oldest pending request, which is not complete yet, is an instance's. */
+void px_pending_signed(struct px_pending *q);
 /* Records that the oldest pending request was answered. */
 void px_pending_answered(struct px_pending *q, enum px_txn txn);
 /* Whether nothing of the pending requests is kept, whether or not they ran: reads, or
- * statements of a transaction without a COMMIT request. Of several nothing is known, as the
- * state in which the later ones run is not. */
+ * statements of a transaction that has begun for certain, without a COMMIT request. Of several
+ * nothing is known, as the state in which the later ones run is not. */
 bool px_pending_harmless(const struct px_pending *q);
+/* Whether the caller gains nothing by waiting for the answer once its session is lost: the
+ * request is harmless, or belongs to a transaction that can't be committed any more. */
+bool px_pending_useless(const struct px_pending *q);
 /* Whether the oldest pending request certainly ends the transaction. */
 bool px_pending_ends_txn(const struct px_pending *q);
 
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -338,6 +338,8 @@
     for (size_t pos = 0; px_next_msg(codec, &r->in, &pos, &m); *len = pos) {
         if (m.kind == PX_END)
             return false;
+        if (m.kind == PX_DONE && m.signature.len)
+            px_pending_signed(&r->pending);
         if (m.kind == PX_READY)
             note_ready(r, &m);
     }
@@ -603,7 +605,7 @@
 {
     struct px_session *s = r->s;
     if (r->has_pending) {
-        if (px_pending_harmless(&r->pending) ||
+        if (px_pending_useless(&r->pending) ||
             px_received_until(s->p) - r->pending_since > time_limit_us(s))
             fail_unanswered(r, true, PX_END_HOLDER_SILENT);
     } else if (r->idle &&
--- a/tests/unit/test_neighbor.c
+++ b/tests/unit/test_neighbor.c
@@ -127,29 +127,39 @@
     const char *what;
     enum px_txn txn;
     const char *before, *open;
+    bool is_signed; /* the answer to `before` */
     bool harmless;
 } rows[] = {
-    {"a read", PX_IDLE, "", "QUERY a READ x\r\n", true},
-    {"a write for itself", PX_IDLE, "", "QUERY a WRITE x y\r\n", false},
-    {"what it does is not known here", PX_IDLE, "", "QUERY a EXECUTE s x\r\n", false},
-    {"no statement", PX_IDLE, "", "HELLO\r\n", false},
-    {"a value is gone with its session", PX_IDLE, "", "QUERY a SET n v\r\n", true},
-    {"BEGIN", PX_IDLE, "", "QUERY a BEGIN\r\n", true},
-    {"a write whose COMMIT nobody asked for", PX_IN_TXN, "", "QUERY a WRITE x y\r\n", true},
+    {"a read", PX_IDLE, "", "QUERY a READ x\r\n", false, true},
+    {"a write for itself", PX_IDLE, "", "QUERY a WRITE x y\r\n", false, false},
+    {"what it does is not known here", PX_IDLE, "", "QUERY a EXECUTE s x\r\n", false, false},
+    {"no statement", PX_IDLE, "", "HELLO\r\n", false, false},
+    {"a value is gone with its session", PX_IDLE, "", "QUERY a SET n v\r\n", false, true},
+    {"BEGIN", PX_IDLE, "", "QUERY a BEGIN\r\n", false, true},
+    {"a write whose COMMIT nobody asked for", PX_IN_TXN, "QUERY a READ x\r\n",
+     "QUERY b WRITE x y\r\n", true, true},
+    {"the first of a transaction: its BEGIN may not have run", PX_IN_TXN, "",
+     "QUERY a WRITE x y\r\n", false, false},
+    {"nor if only the node has answered", PX_IN_TXN, "QUERY a SET n v\r\n",
+     "QUERY b EXECUTE s x\r\n", false, false},
+    {"a write in a failed transaction", PX_TXN_FAILED, "", "QUERY a WRITE x y\r\n", false,
+     true},
     {"COMMIT of a transaction that wrote", PX_IN_TXN, "QUERY a WRITE x y\r\n",
-     "QUERY b COMMIT\r\n", false},
+     "QUERY b COMMIT\r\n", false, false},
     {"COMMIT of one that may have", PX_IN_TXN, "QUERY a EXECUTE s x\r\n", "QUERY b COMMIT\r\n",
-     false},
-    {"COMMIT of one that read", PX_IN_TXN, "QUERY a READ x\r\n", "QUERY b COMMIT\r\n", true},
-    {"ROLLBACK", PX_IN_TXN, "QUERY a WRITE x y\r\n", "QUERY b ROLLBACK\r\n", true},
+     false, false},
+    {"COMMIT of one that read", PX_IN_TXN, "QUERY a READ x\r\n", "QUERY b COMMIT\r\n", false,
+     true},
+    {"ROLLBACK", PX_IN_TXN, "QUERY a WRITE x y\r\n", "QUERY b ROLLBACK\r\n", false, true},
     {"two at once: which was answered can't be told", PX_IDLE, "",
-     "QUERY a READ x\r\nQUERY b READ y\r\n", false},
+     "QUERY a READ x\r\nQUERY b READ y\r\n", false, false},
     {"a line feed in a field begins no request", PX_IDLE, "",
-     "QUERY a READ x\nQUERY b WRITE x y\n\r\n", true},
+     "QUERY a READ x\nQUERY b WRITE x y\n\r\n", false, true},
     {"nor does one in a value end a transaction", PX_IN_TXN, "QUERY a WRITE x y\r\n",
-     "QUERY b READ x\nQUERY c COMMIT\r\r\n", true},
-    {"a write that ends with a line feed is not whole", PX_IDLE, "", "QUERY a WRITE x\n", true},
-    {"a write that is not whole ran nowhere", PX_IDLE, "", "QUERY a WRITE x", true},
+     "QUERY b READ x\nQUERY c COMMIT\r\r\n", false, true},
+    {"a write that ends with a line feed is not whole", PX_IDLE, "", "QUERY a WRITE x\n", false,
+     true},
+    {"a write that is not whole ran nowhere", PX_IDLE, "", "QUERY a WRITE x", false, true},
 };
 
 /* Promise attacked: a promise that nothing is kept is true. In pieces of one byte, too. */
@@ -159,9 +169,13 @@
         const struct row *r = &rows[i];
         struct px_pending q = {0}, piece = {0};
         px_pending_add(&q, &pf_lines, r->txn, r->before, strlen(r->before));
+        if (r->is_signed)
+            px_pending_signed(&q);
         px_pending_answered(&q, r->txn);
         px_pending_add(&q, &pf_lines, r->txn, r->open, strlen(r->open));
         px_pending_add(&piece, &pf_lines, r->txn, r->before, strlen(r->before));
+        if (r->is_signed)
+            px_pending_signed(&piece);
         px_pending_answered(&piece, r->txn);
         for (const char *p = r->open; *p; p++)
             px_pending_add(&piece, &pf_lines, r->txn, p, 1);
@@ -242,6 +256,7 @@
     struct sr_buf line = {0};
     const char *write = "QUERY a WRITE x y\r\n";
     px_pending_add(&q, &pf_lines, PX_IN_TXN, write, strlen(write));
+    px_pending_signed(&q);
     px_pending_answered(&q, txn);
     sr_buf_add(&line, "QUERY ", 6);
     for (size_t i = 0; i < id_len; i++)
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -320,8 +320,10 @@
     {"a read is told at once", "QUERY a READ x\r\n", NULL, false, "ERROR BUSY ", 800, 0},
     {"a write is not called harmless, and told after its route's second",
      "QUERY a WRITE x y\r\n", NULL, false, "ERROR INDOUBT ", 1500, 1000},
-    {"a statement of a transaction is rolled back", "QUERY a BEGIN\r\n",
+    {"a statement of a transaction is rolled back", "QUERY a READ x\r\n",
      "QUERY b WRITE x y\r\n", true, "ERROR ABORTED ", 800, 0},
+    {"the first write of a transaction, which may run outside of it, is told as soon",
+     "QUERY a BEGIN\r\n", "QUERY b WRITE x y\r\n", true, "ERROR INDOUBT ", 800, 0},
     {"COMMIT after a write may have run", "QUERY a WRITE x y\r\n", "QUERY b COMMIT\r\n", true,
      "ERROR INDOUBT ", 1500, 1000},
 };
