Only the present primary's answers tell the age of data

Cause: an answer counted as the primary's if the view names the instance, the term is the view's and the node has a lease. While a planned change runs, the view has the new term and the old primary. A node that has settled has told control that it acts on the old term no more, so another instance may lead by then; but it goes on serving read transactions at the old primary, and recorded their positions for the new term, which were kept when the change ended.

Change: whether the instance is the primary is decided when the statement is sent (px_is_primary_now): the phase is serving, or handing and not yet settled, and the node has a lease. Control promotes nobody before a node with a lease has settled, so such a position covers every commit acknowledged by then, whatever is found later. Positions from before a planned change stay true and are kept; else bounded reads would wait for its whole length. entry/pool.c, the same for the JSON interface, now needs a lease at the time of asking (by reading, without a test of its own).

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -108,6 +108,7 @@
     int64_t sent_at;
     struct en_txn *txn; /* transaction that has the connection pinned */
     bool is_status_ep;  /* the connection carries pushes and status polls */
+    bool status_leased; /* the node had a lease when the last status request was sent */
     uint64_t status_req_id;
     int64_t status_sent_at;
     bool rolling_back;
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -68,7 +68,8 @@
     if (in->removed)
         return;
     struct en_group *g = in->group;
-    if (r->primary && in->index == g->cfg.primary && r->term == g->serve_term)
+    if (ep->status_leased && r->primary && in->index == g->cfg.primary &&
+        r->term == g->serve_term)
         rt_record_primary_pos(&g->rt, ep->status_sent_at, r->held);
     record_positions(in, r, now);
     if (g->n_parked && in->index == g->cfg.primary)
@@ -80,6 +81,7 @@
     struct ep_request q = {.op = op, .id = ++ep->last_id};
     ep->status_req_id = q.id;
     ep->status_sent_at = now;
+    ep->status_leased = en_leased(ep->inst->node);
     ep->inst->status_sent_at = now;
     ep->inst->node->driver->send(ep->conn, &q);
 }
--- a/proxy/conn.c
+++ b/proxy/conn.c
@@ -28,7 +28,7 @@
     p->cfg.codec->put(&b, m);
     c->sent_at = ck_now();
     c->term = c->inst->group->cfg.term;
-    c->leased = px_leased(p);
+    c->at_primary = px_is_primary_now(c->inst);
     c->awaits_copies = false;
     c->outstanding = o;
     bool ok = c->net && nt_send(c->net, b.p, b.len);
@@ -235,8 +235,9 @@
     c->inst->connect_failed_at = 0;
 }
 
-/* Records the position of an answer. The primary's position covers every commit that was
- * acknowledged before the statement was sent; a replica's says what it has applied. */
+/* Records the position of an answer. If the instance was the primary when the statement was
+ * sent, it covers every commit that was acknowledged before; else it says what the instance has
+ * applied. */
 static void note_position(struct px_conn *c)
 {
     struct px_inst *in = c->inst;
@@ -244,8 +245,7 @@
         return;
     if (ps_cmp(c->pos, in->known_pos) > 0)
         in->known_pos = c->pos;
-    bool primary = in->index == in->group->cfg.primary;
-    if (primary && c->leased && c->term == in->group->cfg.term && !c->history.unsettled)
+    if (c->at_primary && c->term == in->group->cfg.term && !c->history.unsettled)
         rt_record_primary_pos(&in->group->rt, c->sent_at, c->pos);
 }
 
--- a/proxy/groups.c
+++ b/proxy/groups.c
@@ -55,6 +55,17 @@
     return g->inst[g->cfg.primary];
 }
 
+/* Control orders a promotion only when no node with a lease acts on the old term any more. In a
+ * planned change this node says so once it has settled; from then on the instance that the view
+ * names may be the old primary, whatever it still answers. */
+bool px_is_primary_now(const struct px_inst *in)
+{
+    const struct px_group *g = in->group;
+    bool settling = g->cfg.phase == VW_HANDING && g->settle_deadline;
+    return (g->cfg.phase == VW_SERVING || settling) && !in->removed &&
+           in->index == g->cfg.primary && px_leased(g->p);
+}
+
 bool px_age_floor(const struct px_group *g, int64_t max_age_us, int64_t now,
                   struct ps_pos *floor)
 {
@@ -132,7 +143,9 @@
         g->settle_deadline = v->phase == VW_HANDING ? ck_now() + HANDOVER_WAIT_US : 0;
         g->primary_refused_at = 0;
     }
-    if (new_term) /* positions on another branch of the log say nothing about this one */
+    /* The end of the log may be lost with its primary, and then no instance would ever have the
+     * positions that were reported. In a planned change the successor receives all of it. */
+    if (new_term && v->phase != VW_HANDING)
         g->rt.n_samples = 0;
     wake_parked(g);
 }
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -61,7 +61,7 @@
     char setup_name[PX_STMT_NAME]; /* name in a PREPARE of the proxy */
     int64_t sent_at; /* when the statement was sent; PX_C_OPENING: when opening began */
     uint64_t term;   /* term of the group when the statement was sent */
-    bool leased;     /* the term was known to be in force then */
+    bool at_primary; /* px_is_primary_now then */
     /* It commits where replicas must receive a commit before it is answered: a late answer
      * tells of them, not of the instance. */
     bool awaits_copies;
@@ -711,6 +711,9 @@
 struct px_inst *px_find_inst(const struct px_proxy *p, struct sr_str id);
 /* The instance that serves the group's term; NULL: none is known to. */
 struct px_inst *px_serving_primary(const struct px_group *g, int64_t now);
+/* Whether no other instance can have been promoted by now, so that all commits acknowledged
+ * until now are in this one's log. */
+bool px_is_primary_now(const struct px_inst *in);
 /* The minimum position for a read whose data may be at most max_age_us old. False: it is not
  * known. */
 bool px_age_floor(const struct px_group *g, int64_t max_age_us, int64_t now,
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -39,6 +39,7 @@
     holding_suite();
     opening_suite();
     own_commits_suite();
+    ages_suite();
     sync_commits_suite();
     accounts_suite();
     fit_suite();
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -40,6 +40,7 @@
 void opening_suite(void);
 void own_commits_suite(void);
 void sync_commits_suite(void);
+void ages_suite(void);
 void accounts_suite(void);
 void fit_suite(void);
 void full_suite(void);
