tests: the unit tests use no port twice

So the proxy and the stand-in had been given one port: on_free_port closes the socket before the port is used, and two listeners of a loop at one port share its socket in libwebsockets. A port is returned only once now.

--- a/tests/unit/one_node.c
+++ b/tests/unit/one_node.c
@@ -10,7 +10,7 @@
 #include "platform/platform.h"
 #include "tests/unit/unit.h"
 
-int on_free_port(void)
+static int free_port(void)
 {
     struct sockaddr_in a = {.sin_family = AF_INET};
     socklen_t n = sizeof(a);
@@ -22,6 +22,19 @@
     return ntohs(a.sin_port);
 }
 
+/* Each port is returned once: two listeners of a loop at one port would share its socket, and
+ * the connections of one would reach the other. */
+int on_free_port(void)
+{
+    static bool used[UINT16_MAX + 1];
+    int port;
+    do
+        port = free_port();
+    while (used[port]);
+    used[port] = true;
+    return port;
+}
+
 static bool always(void *ud)
 {
     (void)ud;
