proxy: a relayed session that was refused passes nothing on

A session that is refused while its serving node has not greeted yet could get that greeting before its connection is closed, and what its caller had sent ahead went to the serving node, for nobody. What the serving node sends is dropped once the session has ended here. Reading goes on when a transaction is rolled back while the serving node took no more, so that the rest of a request is read and refused.

--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -365,7 +365,7 @@
 {
     struct px_relay *r = ud;
     nb_received(&r->nb->status, ck_now());
-    if (r->ending)
+    if (r->ending || r->s->ended)
         return; /* the caller already got an answer for these requests */
     sr_buf_add(&r->in, data, len);
     size_t n = 0;
@@ -575,6 +575,7 @@
     r->ending = r->left = r->owes_abort = true;
     r->end_reason = PX_END_MOVED;
     r->ending_since = ck_now();
+    nt_pause_reading(s->net, false); /* nobody takes it any more, but the rest is to be read */
     nt_close(r->net, true);
 }
 
