proxy, entry: names and parameters of the planned stop

Read as a newcomer: "partial" meant that a partial message counts as one, "useless" said nothing of what is done, "callers_left" had two meanings.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -240,7 +240,7 @@
 
 /* Whether all requests are answered and the callers have closed. Callers that do not understand
  * the notice are closed LINGER_US after the last answer. */
-static bool callers_left(struct en_node *n, int64_t now)
+static bool callers_have_left(struct en_node *n, int64_t now)
 {
     if (n->n_reqs > 0 || n->txns)
         n->idle_since = now;
@@ -251,7 +251,7 @@
 
 static bool may_exit(struct en_node *n, int64_t now)
 {
-    bool left = callers_left(n, now);
+    bool left = callers_have_left(n, now);
     return now > n->stop_deadline || (left && (!n->px || px_stopped(n->px)));
 }
 
--- a/proxy/pending.c
+++ b/proxy/pending.c
@@ -116,7 +116,7 @@
     }
 }
 
-bool px_pending_useless(const struct px_pending *q)
+bool px_pending_may_abandon(const struct px_pending *q)
 {
     bool write_in_txn = q->open == 1 && q->txn != PX_IDLE && effect_at(q, 0) == PX_WRITES;
     return write_in_txn || px_pending_harmless(q);
--- a/proxy/pending.h
+++ b/proxy/pending.h
@@ -56,7 +56,7 @@
 bool px_pending_harmless(const struct px_pending *q);
 /* Whether the caller gains nothing by waiting for the answer once its session is lost: the
  * request is harmless, or belongs to a transaction that can't be committed any more. */
-bool px_pending_useless(const struct px_pending *q);
+bool px_pending_may_abandon(const struct px_pending *q);
 /* Whether the oldest pending request certainly ends the transaction. */
 bool px_pending_ends_txn(const struct px_pending *q);
 
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -520,9 +520,9 @@
 void px_relay_abort_txn(struct px_session *s);
 /* Answers the pending requests of a relayed session that was opened, as the process ends. */
 void px_relay_finish(struct px_session *s);
-/* Whether the relayed session is open and nothing was read from its caller that has no answer;
- * `partial`: not even the start of a request. */
-bool px_relay_between_requests(const struct px_session *s, bool partial);
+/* Whether the relayed session is open and no request was read from its caller that has no
+ * answer; `allow_partial`: the start of one may have been. */
+bool px_relay_between_requests(const struct px_session *s, bool allow_partial);
 /* Whether another node opens this session for a caller of its own. *document: the version that
  * node acts on; *pass_on: it reaches no holder of the group. */
 bool px_parse_relayed(const struct px_msg *open, uint64_t *document, bool *pass_on);
--- a/proxy/relay.c
+++ b/proxy/relay.c
@@ -560,10 +560,11 @@
         relay_free(r);
 }
 
-bool px_relay_between_requests(const struct px_session *s, bool partial)
+bool px_relay_between_requests(const struct px_session *s, bool allow_partial)
 {
     const struct px_relay *r = s->relay;
-    return r->greeted && !r->has_pending && !(partial && px_pending_partial(&r->pending));
+    bool no_request = !r->has_pending && (allow_partial || !px_pending_partial(&r->pending));
+    return r->greeted && no_request;
 }
 
 /* The serving node rolls back when its connection closes, as no COMMIT was sent. */
@@ -606,7 +607,7 @@
 {
     struct px_session *s = r->s;
     if (r->has_pending) {
-        if (px_pending_useless(&r->pending) ||
+        if (px_pending_may_abandon(&r->pending) ||
             px_received_until(s->p) - r->pending_since > time_limit_us(s))
             fail_unanswered(r, true, PX_END_HOLDER_SILENT);
     } else if (r->idle &&
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -379,13 +379,13 @@
         px_end_idle(s, PX_END_MOVED);
 }
 
-/* Whether nothing was read from the caller that has no answer; `partial`: not even the start of
- * a message. */
-static bool is_between_requests(const struct px_session *s, bool partial)
+/* Whether no message was read from the caller that has no answer; `allow_partial`: the start of
+ * one may have been. */
+static bool is_between_requests(const struct px_session *s, bool allow_partial)
 {
     if (s->relay)
-        return px_relay_between_requests(s, partial);
-    bool no_message = s->in.len == 0 || (s->lacks_line_end && !partial);
+        return px_relay_between_requests(s, allow_partial);
+    bool no_message = s->in.len == 0 || (s->lacks_line_end && allow_partial);
     return s->stage == PX_S_IDLE && no_message && (s->opened || !s->database[0]);
 }
 
@@ -411,7 +411,7 @@
         return;
     if (is_opening(s))
         refuse_to_open(s);
-    else if (is_between_requests(s, now - since < PARTIAL_TIMEOUT_US))
+    else if (is_between_requests(s, now - since > PARTIAL_TIMEOUT_US))
         px_end_idle(s, PX_END_MOVED);
 }
 
