soak: stops go to their end, and sessions rest within transactions

A stopped entry node was killed after 0.8 to 2.8 s, before a planned stop does anything but close idle sessions, so no seed played the end of one. Now it has the time that its settings give it, and has to end by itself within it, if it was not paused. Sessions rest for up to 0, 200, 400 or 600 ms within transactions, by the seed.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -5,7 +5,8 @@
 # a data folder emptied, instances that die, lag, lose answers, refuse or fail reads, orders that go
 # unanswered, streams to instances that are delayed, silenced one way or reset (ferry-pipe),
 # configurations that change meanwhile. They overlap. Checked: what callers are told
-# (ferry-sessions), that no process ends by itself, that what was acknowledged is read back, that
+# (ferry-sessions, which use their connections until the process is gone and rest within transactions for a time that the
+# seed draws), that a stopped node ends before it would be killed, that no process ends by itself, that what was acknowledged is read back, that
 # all nodes are ready in the end, memory and open files. Ends only what it started, by its ids.
 # seeds.txt keeps each seed that ever failed.
 SEED=${1:?seed} SECONDS_OF_LOAD=${2:-12}
@@ -17,6 +18,7 @@
 MOST_FILES=400
 PIPE=20 # ports from an instance to the stream proxy in front of it
 ENTRIES=(0 1 2 3) CONTROLS=(0 1 2)
+STOP_STEPS=11 # more than the time until a stopped node is killed
 
 se_setup $((22000 + SEED % 16 * 200))
 pipe_port=$((SE_BASE + 90))
@@ -30,6 +32,7 @@
 # What is impaired now, by kind; at most one control node at a time, as its settings bear, and a
 # node that is back counts as lost until it has caught up (4 s on the users' pages).
 CATCH_UP_STEPS=12
+declare -A STOPPED=() # entry nodes that were sent SIGTERM
 declare -A UNDO=() # name of a fault: the step at which it ends
 so_active() { [ -n "${UNDO[$1]:-}" ]; }
 so_until() { UNDO[$1]=$((step + 2 + RANDOM % 6)); }
@@ -47,12 +50,18 @@
     done
 }
 
+# A stopped node has the time that its settings give it. One that is paused can't use it.
+so_stops() { # entry node
+    UNDO["entry $1"]=$((step + STOP_STEPS))
+    so_active "pause $1" || STOPPED[$1]=1
+}
+
 # Each fault begins here; so_end ends it by its name.
 so_begin() {
     local e=${ENTRIES[RANDOM % 4]} c=${CONTROLS[RANDOM % 3]} i=$((RANDOM % 3)) kind=$((RANDOM % 16))
     case $kind in
     0) so_active "entry $e" || { so_say "kill entry $e"; se_kill "e$e"; so_until "entry $e"; } ;;
-    1) so_active "entry $e" || { so_say "stop entry $e"; se_kill "e$e" TERM; so_until "entry $e"; } ;;
+    1) so_active "entry $e" || { so_say "stop entry $e"; se_kill "e$e" TERM; so_until "entry $e"; so_stops "$e"; } ;;
     2) so_active "entry $e" || so_active "pause $e" || { so_say "pause entry $e"; se_kill "e$e" STOP; so_until "pause $e"; } ;;
     3) so_control_is_well && { so_say "kill control $c"; se_kill "c$c"; so_until control; BROKEN_CONTROL=$c; } ;;
     4) so_control_is_well && { so_say "pause control $c"; se_kill "c$c" STOP; so_until control; BROKEN_CONTROL=$c; } ;;
@@ -68,11 +77,17 @@
     15) so_say "streams to instances are reset"; so_pipe reset ;;
     esac
 }
+so_restart() { # entry node; at the end of the load it may still be stopping
+    [ -n "${STOPPED[$1]:-}" ] && [ $step -lt $steps ] && kill -0 "${SE_PID[e$1]}" 2> /dev/null && t_fail "entry $1 did not end in time"
+    unset "STOPPED[$1]"
+    se_kill "e$1"
+    se_node entry "$1"
+}
 so_end() { # name
     so_say "end of $1"
     unset "UNDO[$1]"
     case $1 in
-    entry*) se_kill "e${1#entry }"; se_node entry "${1#entry }" ;;
+    entry*) so_restart "${1#entry }" ;;
     pause*) se_kill "e${1#pause }" CONT ;;
     control)
         UNDO[catch-up]=$((step + CATCH_UP_STEPS))
@@ -91,7 +106,7 @@
 for i in "${ENTRIES[@]}"; do t_check "entry node $i is ready" t_until se_ready "$i"; done
 ports=()
 for i in "${ENTRIES[@]}"; do ports+=($((SE_BASE + 40 + i))); done
-se_load "$SECONDS_OF_LOAD" "$SEED" "${ports[@]}"
+TXN_PAUSE_MS=$((SEED % 4 * 200)) se_load "$SECONDS_OF_LOAD" "$SEED" "${ports[@]}"
 steps=$((SECONDS_OF_LOAD * 2))
 for ((step = 0; step < steps; step++)); do
     for name in "${!UNDO[@]}"; do [ "${UNDO[$name]}" -le $step ] && so_end "$name"; done
