A session is closed as soon as its last answer is sent

When the time for a planned stop is over, reading stops and everything is answered, and then connections stayed open for up to 0.3 s until all answers had been sent: a request that came meanwhile was read by nobody, and its caller had to wait for the end. Each session, and each WebSocket, is closed now when its own answers are sent; a relaying node is told that what comes later does not run. What is queued for a connection that is closing counts as unsent, so the process waits for it.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -119,6 +119,14 @@
     }
 }
 
+void en_callers_close(struct en_node *n)
+{
+    for (struct en_caller *c = n->callers; c; c = c->next) {
+        if (c->net && !c->http)
+            nt_close(c->net, false);
+    }
+}
+
 static void http_request(const struct nt_http *req, struct en_node *n)
 {
     struct en_caller *c = caller_new(n, req->conn, true);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -281,6 +281,7 @@
     if (n->px)
         px_end_all(n->px);
     en_requests_end(n);
+    en_callers_close(n);
 }
 
 static void begin_exit(struct en_node *n)
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -339,6 +339,8 @@
 void en_callers_notify_stop(struct en_node *n);
 /* Closes the WebSocket connections over which nothing is asked. */
 void en_callers_close_idle(struct en_node *n);
+/* Closes all WebSocket connections, each when what is queued for it is sent. */
+void en_callers_close(struct en_node *n);
 
 /* link.c */
 void en_links_start(struct en_node *n);
--- a/proxy/priv.h
+++ b/proxy/priv.h
@@ -463,7 +463,8 @@
 bool px_listen(struct px_proxy *p, struct er_err *err);
 /* Ends the session if nothing is asked of it and another node should serve it. */
 void px_session_end_if_due(struct px_session *s);
-/* Answers what was read from the caller and has no answer, as the process ends. */
+/* Answers what was read from the caller and has no answer, and ends the session, as the process
+ * ends. */
 void px_session_finish(struct px_session *s);
 /* Handles the input that arrived while the last statement ran. */
 void px_session_resume(struct px_session *s);
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -91,8 +91,8 @@
 /* Starts a planned stop: idle sessions are closed in a staggered way, running statements end,
  * open transactions are rolled back when about half of the time has passed. */
 void px_stop(struct px_proxy *p, int64_t now);
-/* The process ends soon: reads nothing more from callers, and answers everything that was read
- * with what is known of it. */
+/* The process ends soon: reads nothing more from callers, answers everything that was read with
+ * what is known of it, and closes all sessions. */
 void px_end_all(struct px_proxy *p);
 /* Whether an answer to a caller is not sent yet. */
 bool px_has_unsent(const struct px_proxy *p);
--- a/proxy/session.c
+++ b/proxy/session.c
@@ -452,10 +452,8 @@
     end_if_due(s, ck_now());
 }
 
-void px_session_finish(struct px_session *s)
+static void answer_rest(struct px_session *s)
 {
-    if (!s->net || s->ended || s->end_sent_at)
-        return;
     if (is_opening(s))
         refuse_to_open(s);
     else if (s->relay)
@@ -466,6 +464,21 @@
         px_session_resume(s); /* what waits for its turn is refused */
 }
 
+/* The connection is closed as soon as the answers are sent: a request that came while it is
+ * open would be read by nobody. */
+void px_session_finish(struct px_session *s)
+{
+    if (!s->net || s->ended || s->end_sent_at)
+        return;
+    answer_rest(s);
+    if (s->ended || s->end_sent_at)
+        return;
+    if (s->relayed_to_us)
+        px_end_idle(s, PX_END_MOVED);
+    else
+        px_close(s, PX_END_MOVED, false);
+}
+
 void px_sessions_slow_tick(struct px_proxy *p, int64_t now)
 {
     for (struct px_session *s = p->sessions, *next; s; s = next) {
--- a/task/net.c
+++ b/task/net.c
@@ -739,7 +739,7 @@
 static bool has_unsent(struct nt_conn *c)
 {
     bool awaits_reply = c->kind == K_HTTP_SERVER && c->serving;
-    return !c->closing && (c->head || awaits_reply || (c->wsi && lws_partial_buffered(c->wsi)));
+    return !c->hard && (c->head || awaits_reply || (c->wsi && lws_partial_buffered(c->wsi)));
 }
 
 bool nt_has_unsent(const struct nt_listener *ln)
--- a/tests/unit/test_endings.c
+++ b/tests/unit/test_endings.c
@@ -363,6 +363,7 @@
         const struct row row = {"open", relayed, nothing, ask_the_mute, end_all_soon};
         play(&row);
         CU_ASSERT(told("ERROR ") && answers() == 3);
+        CU_ASSERT_TRUE(w.closed);
     }
 }
 
